--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./call.ts";
+export * from "./clock.ts";
+export * from "./code.ts";
+export * from "./peer.ts";
+export * from "./policy.ts";
