--- /dev/null
+++ b/packages/core/src/ownership.ts
@@ -0,0 +1,113 @@
+import { z } from "zod";
+import { hash, rankByRendezvous } from "./hash.ts";
+
+/** A daemon that may own partitions. */
+export const member = z.object({
+    /** One life of the daemon; a restarted or fenced daemon takes a new one. */
+    incarnation: z.string(),
+    address: z.string(),
+    /** Port of the links between daemons. */
+    port: z.number().int(),
+    dataCentre: z.string(),
+    /** A leaving member receives no partitions. */
+    leaving: z.boolean(),
+});
+
+/** A daemon that may own partitions. */
+export type Member = z.infer<typeof member>;
+
+/** Which daemon owns which partition: one row of the table service. */
+export const ownership = z.object({
+    members: z.record(z.string(), member),
+    /** Name of the owner by partition number; undefined members never appear here. */
+    owners: z.array(z.string()),
+});
+
+/** Which daemon owns which partition: one row of the table service. */
+export type Ownership = z.infer<typeof ownership>;
+
+/** A described change of the ownership map. */
+export type OwnershipStep =
+    | { readonly type: "join"; readonly name: string; readonly member: Member; }
+    /** The member takes no more partitions; it hands over those it has. */
+    | { readonly type: "leave"; readonly name: string; }
+    /** The owner gives partitions to another member. */
+    | { readonly type: "handOver"; readonly from: string; readonly partitions: readonly number[]; readonly to: string; }
+    /** The member is gone: fenced after its lease expired, or left without partitions. */
+    | { readonly type: "remove"; readonly name: string; };
+
+/** The map of the first daemon, which owns everything. */
+export function initialOwnership(partitions: number, name: string, first: Member): Ownership {
+    return { members: { [name]: first }, owners: Array.from({ length: partitions }, () => name) };
+}
+
+/** Number of the partition of a program key or an engine name. */
+export function partitionOf(key: string, partitions: number): number {
+    return hash(key) % partitions;
+}
+
+/** Applies a step; the given map stays as it is. */
+export function applyOwnership(map: Ownership, step: OwnershipStep): Ownership {
+    switch (step.type) {
+        case "join":
+            return { ...map, members: { ...map.members, [step.name]: step.member } };
+        case "leave":
+            return markLeaving(map, step.name);
+        case "handOver":
+            return moveTo(map, step.from, new Set(step.partitions), step.to);
+        case "remove":
+            return remove(map, step.name);
+    }
+}
+
+function markLeaving(map: Ownership, name: string): Ownership {
+    const leaver = map.members[name];
+    if (leaver === undefined) {
+        return map;
+    }
+    return { ...map, members: { ...map.members, [name]: { ...leaver, leaving: true } } };
+}
+
+function moveTo(map: Ownership, from: string, moved: ReadonlySet<number>, to: string): Ownership {
+    if (map.members[to] === undefined) {
+        return map;
+    }
+    // Only the owner gives partitions away: one that was taken over meanwhile stays where it is.
+    return { ...map, owners: map.owners.map((owner, index) => owner === from && moved.has(index) ? to : owner) };
+}
+
+function remove(map: Ownership, name: string): Ownership {
+    const members = Object.fromEntries(Object.entries(map.members).filter(([other]) => other !== name));
+    const owners = map.owners.map((owner, partition) => owner === name ? preferredOwner(members, partition) : owner);
+    return { members, owners };
+}
+
+/** The member that should own a partition: the first by rendezvous hash among those that stay. */
+export function preferredOwner(members: Readonly<Record<string, Member>>, partition: number): string {
+    const names = Object.keys(members);
+    const staying = names.filter(name => members[name]?.leaving !== true);
+    return rankByRendezvous(`partition ${partition}`, staying.length > 0 ? staying : names)[0] ?? "";
+}
+
+/** The partitions a member owns. */
+export function partitionsOf(map: Ownership, name: string): readonly number[] {
+    return map.owners.flatMap((owner, partition) => owner === name ? [partition] : []);
+}
+
+/** Partitions that a member owns and another one should own, by that other member. */
+export function misplaced(map: Ownership, name: string): ReadonlyMap<string, readonly number[]> {
+    const moves = new Map<string, readonly number[]>();
+    for (const partition of partitionsOf(map, name)) {
+        const preferred = preferredOwner(map.members, partition);
+        if (preferred !== name && preferred !== "") {
+            moves.set(preferred, [...moves.get(preferred) ?? [], partition]);
+        }
+    }
+    return moves;
+}
+
+/** Members in the order in which they may take over from a dead one; the first acts first. */
+export function successors(map: Ownership, dead: string): readonly string[] {
+    const others = Object.keys(map.members).filter(name => name !== dead && map.members[name]?.leaving !== true);
+    return rankByRendezvous(`successor ${dead}`, others);
+}
--- /dev/null
+++ b/packages/core/src/program.ts
@@ -0,0 +1,214 @@
+import { z } from "zod";
+import { message } from "./call.ts";
+import type { Call, Message } from "./call.ts";
+import { refuse } from "./code.ts";
+import type { Refusal } from "./code.ts";
+
+/** The answer of a finished call as the journal keeps it. */
+const answer = z.object({
+    text: z.string(),
+    reason: z.string(),
+    status: z.number().int(),
+    promptTokens: z.number().int(),
+    cachedTokens: z.number().int(),
+    tokens: z.number().int(),
+    upstream: z.string(),
+});
+
+/** The answer of a finished call. */
+export type Answer = z.infer<typeof answer>;
+
+/** A step of a program's life: a record of the journal. */
+export const programStep = z.discriminatedUnion("type", [
+    z.object({
+        type: z.literal("open"),
+        program: z.string(),
+        plan: z.string(),
+        parent: z.string().optional(),
+        at: z.number(),
+    }),
+    /** A call that may not be repeated is about to be dispatched by this incarnation. */
+    z.object({
+        type: z.literal("intent"),
+        program: z.string(),
+        request: z.string(),
+        sequence: z.number().int(),
+        digest: z.string(),
+        incarnation: z.string(),
+    }),
+    z.object({
+        type: z.literal("turn"),
+        program: z.string(),
+        request: z.string(),
+        sequence: z.number().int(),
+        digest: z.string(),
+        messages: z.array(message),
+        /** Absent when the outcome is unknown for good. */
+        answer: answer.optional(),
+    }),
+    /** The caller brought back history that was lost with its owner. */
+    z.object({
+        type: z.literal("restore"),
+        program: z.string(),
+        sequence: z.number().int(),
+        messages: z.array(message),
+    }),
+    z.object({ type: z.literal("end"), program: z.string(), at: z.number() }),
+    /** Every engine that held the program's cache has released it. */
+    z.object({ type: z.literal("released"), program: z.string() }),
+]);
+
+/** A step of a program's life. */
+export type ProgramStep = z.infer<typeof programStep>;
+
+/** A finished call. */
+export interface Turn {
+    readonly request: string;
+    readonly sequence: number;
+    readonly digest: string;
+    readonly messages: readonly Message[];
+    readonly answer: Answer | undefined;
+}
+
+/** A call that was about to be dispatched and of which no outcome is recorded. */
+export interface Intent {
+    readonly request: string;
+    readonly sequence: number;
+    readonly digest: string;
+    readonly incarnation: string;
+}
+
+/** A program as its journal tells it. */
+export interface Program {
+    /** `<plan>/<program>`; programs of two plans never share a key. */
+    readonly key: string;
+    readonly plan: string;
+    /** Key of the parent program of a sub-agent. */
+    readonly parent: string | undefined;
+    /** Sequence number of the next call. */
+    readonly next: number;
+    readonly turns: readonly Turn[];
+    readonly intent: Intent | undefined;
+    readonly ended: boolean;
+    readonly endedAt: number | undefined;
+    readonly released: boolean;
+}
+
+/** Applies a step; a program comes into being with `open`. Steps of an unknown program are ignored. */
+export function applyProgram(program: Program | undefined, step: ProgramStep): Program | undefined {
+    if (step.type === "open") {
+        return program ?? opened(step.program, step.plan, step.parent);
+    }
+    if (program === undefined) {
+        return undefined;
+    }
+    switch (step.type) {
+        case "intent":
+            return { ...program, intent: { ...step } };
+        case "turn":
+            return addTurn(program, step);
+        case "restore":
+            return restored(program, step.sequence, step.messages);
+        case "end":
+            return { ...program, ended: true, endedAt: step.at };
+        case "released":
+            return { ...program, released: true };
+    }
+}
+
+function opened(key: string, plan: string, parent: string | undefined): Program {
+    return {
+        key,
+        plan,
+        parent,
+        next: 0,
+        turns: [],
+        intent: undefined,
+        ended: false,
+        endedAt: undefined,
+        released: false,
+    };
+}
+
+function addTurn(program: Program, step: Extract<ProgramStep, { type: "turn"; }>): Program {
+    // A segment can be read twice during recovery; a turn counts once.
+    if (step.sequence < program.next) {
+        return program;
+    }
+    const { request, sequence, digest, messages } = step;
+    const turn: Turn = { request, sequence, digest, messages, answer: step.answer };
+    return { ...program, next: sequence + 1, turns: [...program.turns, turn], intent: undefined };
+}
+
+function restored(program: Program, sequence: number, messages: readonly Message[]): Program {
+    if (sequence <= program.next) {
+        return program;
+    }
+    const turn: Turn = { request: `restored ${sequence}`, sequence: sequence - 1, digest: "", messages,
+        answer: undefined };
+    return { ...program, next: sequence, turns: [turn], intent: undefined };
+}
+
+/** The whole conversation, in order. */
+export function historyOf(program: Program): readonly Message[] {
+    return program.turns.flatMap(turn => {
+        const reply = turn.answer;
+        return reply === undefined || turn.messages.length === 0
+            ? turn.messages
+            : [...turn.messages, { role: "assistant", content: reply.text }];
+    });
+}
+
+/** Generated and computed tokens that the program has received. */
+export function attainedTokens(program: Program): number {
+    return program.turns.reduce((sum, turn) => {
+        const reply = turn.answer;
+        return reply === undefined ? sum : sum + reply.tokens + reply.promptTokens - reply.cachedTokens;
+    }, 0);
+}
+
+/** Names of the engines that may hold the program's cache. */
+export function enginesOf(program: Program): readonly string[] {
+    return [...new Set(program.turns.flatMap(turn => turn.messages.length > 0 ? turn.answer?.upstream ?? [] : []))];
+}
+
+/** What is to be done with a call, given the program's history. */
+export type Ruling =
+    | { readonly type: "run"; readonly sequence: number; }
+    /** The call has finished before; its recorded answer is the answer. */
+    | { readonly type: "replay"; readonly turn: Turn; }
+    /** An earlier call has not arrived yet. */
+    | { readonly type: "wait"; }
+    | { readonly type: "refuse"; readonly refusal: Refusal; };
+
+/** Decides on a call when no other call of the program runs. `turnLimit` ends programs that loop. */
+export function ruleOn(program: Program, call: Call, turnLimit: number): Ruling {
+    const finished = program.turns.find(turn => turn.request === call.request);
+    if (finished !== undefined) {
+        return ruleOnFinished(finished, call);
+    }
+    if (program.intent?.request === call.request) {
+        return { type: "refuse", refusal: refuse("outcome_unknown", "unknown") };
+    }
+    if (program.ended) {
+        return { type: "refuse", refusal: refuse("program_ended", "notRun") };
+    }
+    if (program.next >= turnLimit) {
+        return { type: "refuse", refusal: refuse("turn_limit", "notRun", `${turnLimit} turns`) };
+    }
+    const sequence = call.sequence ?? program.next;
+    if (sequence < program.next) {
+        return { type: "refuse", refusal: refuse("sequence_past", "notRun", `the next is ${program.next}`) };
+    }
+    return sequence > program.next ? { type: "wait" } : { type: "run", sequence };
+}
+
+function ruleOnFinished(turn: Turn, call: Call): Ruling {
+    if (turn.digest !== call.digest) {
+        return { type: "refuse", refusal: refuse("identity_reused", "notRun") };
+    }
+    if (turn.answer === undefined) {
+        return { type: "refuse", refusal: refuse("outcome_unknown", "unknown") };
+    }
+    return { type: "replay", turn };
+}
