Add clients of the platform and the upstreams, the committer, ownership and budgets

Cause: the daemon needs its effects around the data model. Ruled out: counting lease age over a store outage (every daemon would take over from every other one when the store returns): what was seen of leases is dropped when a read fails. Change: table and VM list clients, engine and service clients, group commit that is also the lease renewal, the keeper of the ownership map, and escrowed budgets.

--- a/packages/core/src/call.ts
+++ b/packages/core/src/call.ts
@@ -70,6 +70,8 @@
     readonly durability: Durability;
     readonly sequence: number;
     readonly upstream: string;
+    /** Tool calls that the model asks for, in the shape of chat completions. */
+    readonly toolCalls?: readonly unknown[];
     /** Proof of the history after this call, to be sent back if the owner loses it. */
     readonly seal?: string;
 }
--- a/packages/core/src/program.ts
+++ b/packages/core/src/program.ts
@@ -13,6 +13,7 @@
     cachedTokens: z.number().int(),
     tokens: z.number().int(),
     upstream: z.string(),
+    toolCalls: z.array(z.unknown()).optional(),
 });
 
 /** The answer of a finished call. */
@@ -155,10 +156,15 @@
         const reply = turn.answer;
         return reply === undefined || turn.messages.length === 0
             ? turn.messages
-            : [...turn.messages, { role: "assistant", content: reply.text }];
+            : [...turn.messages, assistantMessage(reply)];
     });
 }
 
+function assistantMessage(reply: Answer): Message {
+    const calls = reply.toolCalls;
+    return { role: "assistant", content: reply.text, ...(calls === undefined ? {} : { tool_calls: calls }) };
+}
+
 /** Generated and computed tokens that the program has received. */
 export function attainedTokens(program: Program): number {
     return program.turns.reduce((sum, turn) => {
--- /dev/null
+++ b/packages/daemon/src/committer.ts
@@ -0,0 +1,337 @@
+import type { Clock, Lease, ProgramStep } from "@tamarackgauge/core";
+import { TableError } from "@tamarackgauge/platform";
+import type { Check, Table } from "@tamarackgauge/platform";
+import createDebug from "debug";
+import { keys, leaseRow, segmentRow } from "./rows.ts";
+
+const log = createDebug("tamarackgauge:commit");
+
+/** Rows that a transaction changes besides the lease row. */
+export interface Change {
+    readonly checks?: readonly Check[];
+    readonly puts: readonly { readonly key: string; readonly value: Buffer; }[];
+    readonly deletes?: readonly string[];
+}
+
+/** How a change ended: applied with a revision, or a row was not as the change expected. */
+export type ChangeResult = { readonly applied: true; readonly revision: string; } | { readonly applied: false; };
+
+/** The daemon lost its lease: a successor has taken over, and nothing more can be written. */
+export class FencedError extends Error {}
+
+/**
+ * Writes the daemon's journal and renews its lease, one transaction at a time. Every transaction checks and rewrites
+ * the lease row, so that a daemon whose row was taken over can write nothing more.
+ */
+export interface Committer {
+    readonly incarnation: string;
+    /**
+     * Queues steps of a partition's journal; resolves with the number of their segment when they are stored, and
+     * throws a `FencedError` otherwise.
+     */
+    append(partition: number, steps: readonly ProgramStep[]): Promise<number>;
+    /** Applies a change after what was queued before; throws a `FencedError`, retries while the store is silent. */
+    change(change: Change): Promise<ChangeResult>;
+    /** Sets the number of the next segment of a partition, after its journal was read. */
+    setSegment(partition: number, next: number): void;
+    /** Whether nobody can have taken over yet by this daemon's clock. */
+    leaseValid(): boolean;
+    /** Milliseconds since the last transaction that the store confirmed was sent. */
+    age(): number;
+    fenced(): boolean;
+    queuedBytes(): number;
+    /** Resolves when everything queued before is stored. */
+    flush(): Promise<void>;
+    /** Deletes the lease row and stops. */
+    resign(): Promise<void>;
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+/** Options of a committer; times in milliseconds. */
+export interface CommitterOptions {
+    readonly table: Table;
+    readonly name: string;
+    readonly incarnation: string;
+    readonly clock: Clock;
+    readonly ttl: number;
+    readonly renewal: number;
+    /** Least time between two commits under load. */
+    readonly interval: number;
+    readonly onFenced: () => void;
+    /** Called after each transaction with its duration, and with undefined when the store did not answer. */
+    readonly onCommit?: (duration: number | undefined) => void;
+}
+
+interface Entry {
+    readonly type: "entry";
+    readonly partition: number;
+    readonly steps: readonly ProgramStep[];
+    readonly bytes: number;
+    readonly resolve: (segment: number) => void;
+    readonly reject: (error: Error) => void;
+}
+
+interface PendingChange {
+    readonly type: "change";
+    readonly change: Change;
+    readonly resolve: (result: ChangeResult) => void;
+    readonly reject: (error: Error) => void;
+}
+
+/** A transaction stays below the limit of the table service (1 MB) with room for base64 and the lease row. */
+const batchBytes = 600_000;
+const retryPause = 200;
+
+/** Takes the daemon's lease and starts renewing it. Throws a `TableError` when the store does not answer. */
+export async function createCommitter(options: CommitterOptions): Promise<Committer> {
+    const { table, name, incarnation, clock, ttl } = options;
+    const leaseKey = keys.lease(name);
+    const segments = new Map<number, number>();
+    let queue: (Entry | PendingChange)[] = [];
+    let queued = 0;
+    let serial = 0;
+    let revision = await acquire();
+    let confirmed = clock.monotonic();
+    let fenced = false;
+    let stopped = false;
+    let wake: (() => void) | undefined;
+    let idle: Promise<void> = Promise.resolve();
+
+    async function acquire(): Promise<string> {
+        const current = await table.get(leaseKey);
+        const result = await table.commit({
+            checks: [{ key: leaseKey, revision: current?.revision ?? "0" }],
+            puts: [{ key: leaseKey, value: leaseRow.encode(nextLease()) }],
+        });
+        if (!result.applied) {
+            throw new TableError(`another process uses the name ${name}`);
+        }
+        return result.revision;
+    }
+
+    function nextLease(): Lease {
+        serial += 1;
+        return { incarnation, transaction: `${incarnation}/${serial}`, fenced: false };
+    }
+
+    async function run(): Promise<void> {
+        while (!stopped && !fenced) {
+            if (queue.length === 0) {
+                await pause(options.renewal - (clock.monotonic() - confirmed));
+            }
+            if (stopped && queue.length === 0) {
+                break;
+            }
+            const started = clock.monotonic();
+            await step();
+            await sleep(queue.length > 0 ? options.interval - (clock.monotonic() - started) : 0);
+        }
+    }
+
+    async function step(): Promise<void> {
+        const head = queue[0];
+        if (head?.type === "change") {
+            queue = queue.slice(1);
+            const { checks, puts, deletes } = head.change;
+            settle([head], await transact(puts, checks ?? [], deletes ?? []));
+            return;
+        }
+        const batch = takeBatch();
+        const { puts, numbers } = segmentsOf(batch);
+        const result = await transact(puts, [], []);
+        if (typeof result === "string") {
+            settle(batch, result);
+            return;
+        }
+        for (const entry of batch) {
+            queued -= entry.bytes;
+            entry.resolve(numbers.get(entry.partition) ?? 0);
+        }
+    }
+
+    function settle(items: readonly (Entry | PendingChange)[], result: ChangeResult | "fenced" | "stopped"): void {
+        for (const item of items) {
+            if (typeof result === "string") {
+                item.reject(lost());
+            }
+            else if (item.type === "change") {
+                item.resolve(result);
+            }
+        }
+        if (result === "fenced") {
+            fence();
+        }
+    }
+
+    function takeBatch(): readonly Entry[] {
+        const batch: Entry[] = [];
+        let bytes = 0;
+        for (const item of queue) {
+            if (item.type === "change" || (batch.length > 0 && bytes + item.bytes > batchBytes)) {
+                break;
+            }
+            bytes += item.bytes;
+            batch.push(item);
+        }
+        queue = queue.slice(batch.length);
+        return batch;
+    }
+
+    function segmentsOf(batch: readonly Entry[]) {
+        const byPartition = new Map<number, ProgramStep[]>();
+        for (const { partition, steps } of batch) {
+            byPartition.set(partition, [...byPartition.get(partition) ?? [], ...steps]);
+        }
+        const numbers = new Map<number, number>();
+        const puts = [...byPartition].map(([partition, steps]) => {
+            const number = segments.get(partition) ?? 0;
+            segments.set(partition, number + 1);
+            numbers.set(partition, number);
+            return { key: keys.segment(partition, number), value: segmentRow.encode(steps) };
+        });
+        return { puts, numbers };
+    }
+
+    /**
+     * Applies one transaction however long the store takes. After a lost reply the lease row tells whether it was
+     * applied; since every try checks the same lease revision, at most one try is.
+     */
+    async function transact(
+        puts: Change["puts"],
+        checks: readonly Check[],
+        deletes: readonly string[],
+    ): Promise<ChangeResult | "fenced" | "stopped"> {
+        const next = nextLease();
+        const transaction = {
+            checks: [{ key: leaseKey, revision }, ...checks],
+            puts: [{ key: leaseKey, value: leaseRow.encode(next) }, ...puts],
+            deletes,
+        };
+        while (!stopped || puts.length > 0) {
+            const sent = clock.monotonic();
+            try {
+                const result = await table.commit(transaction);
+                const settled = result.applied ? result.revision : await findOutcome(next);
+                options.onCommit?.(clock.monotonic() - sent);
+                if (settled === "fenced") {
+                    return "fenced";
+                }
+                confirmed = sent;
+                if (settled === "conflict") {
+                    return { applied: false };
+                }
+                revision = settled;
+                return { applied: true, revision };
+            }
+            catch (error) {
+                options.onCommit?.(undefined);
+                log("The store did not confirm a transaction: %s.", (error as Error).message);
+                await sleep(retryPause);
+            }
+        }
+        return "stopped";
+    }
+
+    /** After a transaction that the store did not apply just now: its revision if an earlier try was applied. */
+    async function findOutcome(sent: Lease): Promise<string> {
+        const row = await table.get(leaseKey);
+        if (row === undefined) {
+            return "fenced";
+        }
+        const current = leaseRow.decode(row.value);
+        if (current.incarnation !== incarnation || current.fenced) {
+            return "fenced";
+        }
+        return current.transaction === sent.transaction ? row.revision : "conflict";
+    }
+
+    function fence(): void {
+        if (fenced) {
+            return;
+        }
+        fenced = true;
+        log("The lease of %s was taken over.", name);
+        queue.forEach(item => item.reject(lost()));
+        queue = [];
+        queued = 0;
+        options.onFenced();
+    }
+
+    function lost(): FencedError {
+        return new FencedError(`the lease of ${name} was taken over`);
+    }
+
+    async function pause(span: number): Promise<void> {
+        let timer: NodeJS.Timeout | undefined;
+        await new Promise<void>(resolve => {
+            wake = resolve;
+            timer = setTimeout(resolve, Math.max(0, span));
+        });
+        clearTimeout(timer);
+        wake = undefined;
+    }
+
+    function append(partition: number, steps: readonly ProgramStep[]): Promise<number> {
+        const bytes = segmentRow.encode([...steps]).length;
+        queued += bytes;
+        return enqueue((resolve, reject) => ({ type: "entry", partition, steps, bytes, resolve, reject }));
+    }
+
+    function change(wanted: Change): Promise<ChangeResult> {
+        return enqueue((resolve, reject) => ({ type: "change", change: wanted, resolve, reject }));
+    }
+
+    function enqueue<Value>(
+        build: (resolve: (value: Value) => void, reject: (error: Error) => void) => Entry | PendingChange,
+    ): Promise<Value> {
+        if (fenced || stopped) {
+            return Promise.reject(lost());
+        }
+        return new Promise((resolve, reject) => {
+            queue.push(build(resolve, reject));
+            wake?.();
+        });
+    }
+
+    async function resign(): Promise<void> {
+        if (!fenced && !stopped) {
+            await change({ puts: [] });
+        }
+        stopped = true;
+        wake?.();
+        await idle;
+        if (!fenced) {
+            await table.commit({ checks: [{ key: leaseKey, revision }], puts: [], deletes: [leaseKey] });
+        }
+    }
+
+    idle = run();
+    return {
+        incarnation,
+        append,
+        change,
+        setSegment: (partition, next) => {
+            segments.set(partition, next);
+        },
+        leaseValid: () => !fenced && clock.monotonic() - confirmed < ttl * leaseShare,
+        age: () => clock.monotonic() - confirmed,
+        fenced: () => fenced,
+        queuedBytes: () => queued,
+        flush: async () => {
+            await change({ puts: [] });
+        },
+        resign,
+        [Symbol.asyncDispose]: async () => {
+            stopped = true;
+            wake?.();
+            await Promise.race([idle, sleep(ttl)]);
+        },
+    };
+}
+
+/** The holder trusts its lease for less than the time to live, so that clocks may differ in speed by a tenth. */
+const leaseShare = 0.9;
+
+function sleep(span: number): Promise<void> {
+    return span <= 0 ? Promise.resolve() : new Promise(resolve => setTimeout(resolve, span));
+}
--- /dev/null
+++ b/packages/daemon/src/ownership.ts
@@ -0,0 +1,256 @@
+import { applyOwnership, initialOwnership, isExpired, misplaced, partitionsOf, sightLease,
+    successors } from "@tamarackgauge/core";
+import type { Clock, LeaseSighting, Member, Ownership, OwnershipStep } from "@tamarackgauge/core";
+import type { Table } from "@tamarackgauge/platform";
+import createDebug from "debug";
+import { FencedError } from "./committer.ts";
+import type { Committer } from "./committer.ts";
+import { keys, ownershipRow } from "./rows.ts";
+
+const log = createDebug("tamarackgauge:ownership");
+
+/** The daemon's view of the ownership map, and its part in changing it. */
+export interface OwnershipKeeper {
+    /** The newest map seen; undefined before the first read. */
+    map(): Ownership | undefined;
+    /** Revision of that map; only grows. */
+    version(): number;
+    /** Reads the map again unless it is as new as `version`. */
+    refresh(version?: number): Promise<void>;
+    /** Adds this daemon to the map. */
+    join(): Promise<void>;
+    /** Hands over all partitions; gives up those that cannot be drained before the signal aborts. */
+    leave(signal: AbortSignal): Promise<void>;
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+/** Options of the keeper; times in milliseconds. */
+export interface OwnershipOptions {
+    readonly table: Table;
+    readonly committer: Committer;
+    readonly name: string;
+    readonly member: Member;
+    readonly partitions: number;
+    readonly clock: Clock;
+    readonly ttl: number;
+    readonly poll: number;
+    /** Called with each newer map. */
+    readonly onMap: (map: Ownership, version: number) => void;
+    /**
+     * Stops the calls of partitions and stores what they left. Answers with the partitions that are idle now;
+     * the others go on here.
+     */
+    readonly drain: (partitions: readonly number[], signal: AbortSignal) => Promise<readonly number[]>;
+    /** The partitions stay after all. */
+    readonly resume: (partitions: readonly number[]) => void;
+    readonly onTakeover?: (dead: string, partitions: number) => void;
+    readonly onHandOver?: (to: string, partitions: number) => void;
+}
+
+/** How many daemons watch the lease of one; with three, two may fail together with it. */
+const watchers = 3;
+/** Polls between two reads of the map without a hint from a peer. */
+const mapPolls = 5;
+/** A partition with calls that cannot move is left alone after this time; it is tried again later. */
+const rebalanceDrain = 2_000;
+
+/** Creates the keeper; it starts watching once `join` has been called. */
+export function createOwnershipKeeper(options: OwnershipOptions): OwnershipKeeper {
+    const { table, committer, name, clock } = options;
+    const sightings = new Map<string, LeaseSighting>();
+    let current: { readonly map: Ownership; readonly version: number; } | undefined;
+    let watched: readonly { readonly other: string; readonly rank: number; }[] = [];
+    let timer: NodeJS.Timeout | undefined;
+    let polls = 0;
+    let stopped = false;
+    let leaving = false;
+    let work: Promise<void> = Promise.resolve();
+
+    function accept(map: Ownership, version: number): void {
+        if (current !== undefined && version <= current.version) {
+            return;
+        }
+        current = { map, version };
+        watched = Object.keys(map.members)
+            .map(other => ({ other, rank: other === name ? -1 : successors(map, other).indexOf(name) }))
+            .filter(({ rank }) => rank >= 0 && rank < watchers);
+        options.onMap(map, version);
+    }
+
+    async function refresh(version = Infinity): Promise<void> {
+        if (current !== undefined && current.version >= version) {
+            return;
+        }
+        const row = await table.get(keys.ownership);
+        if (row !== undefined) {
+            accept(ownershipRow.decode(row.value), Number(row.revision));
+        }
+    }
+
+    /** Changes the map by a step; false when another daemon changed it first. */
+    async function apply(step: OwnershipStep, alsoDelete?: { readonly key: string; readonly revision: string; }) {
+        if (current === undefined) {
+            return false;
+        }
+        const next = applyOwnership(current.map, step);
+        const result = await committer.change({
+            checks: [
+                { key: keys.ownership, revision: String(current.version) },
+                ...alsoDelete === undefined ? [] : [alsoDelete],
+            ],
+            puts: [{ key: keys.ownership, value: ownershipRow.encode(next) }],
+            deletes: alsoDelete === undefined || alsoDelete.revision === "0" ? [] : [alsoDelete.key],
+        });
+        if (result.applied) {
+            accept(next, Number(result.revision));
+        }
+        else {
+            await refresh();
+        }
+        return result.applied;
+    }
+
+    async function create(): Promise<void> {
+        const map = initialOwnership(options.partitions, name, options.member);
+        const result = await committer.change({
+            checks: [{ key: keys.ownership, revision: "0" }],
+            puts: [{ key: keys.ownership, value: ownershipRow.encode(map) }],
+        });
+        if (result.applied) {
+            accept(map, Number(result.revision));
+        }
+    }
+
+    async function join(): Promise<void> {
+        while (current?.map.members[name]?.incarnation !== committer.incarnation) {
+            await refresh();
+            if (current === undefined) {
+                await create();
+            }
+            else {
+                await apply({ type: "join", name, member: options.member });
+            }
+        }
+        schedule();
+    }
+
+    function schedule(): void {
+        if (!stopped) {
+            timer = setTimeout(() => {
+                work = tick().finally(schedule);
+            }, options.poll);
+        }
+    }
+
+    async function tick(): Promise<void> {
+        try {
+            polls += 1;
+            if (polls % mapPolls === 0) {
+                await refresh();
+            }
+            await watchLeases();
+            if (!leaving) {
+                await rebalance();
+            }
+        }
+        catch (error) {
+            if (!(error instanceof FencedError)) {
+                log("The ownership map could not be kept: %s.", (error as Error).message);
+            }
+        }
+    }
+
+    async function watchLeases(): Promise<void> {
+        try {
+            for (const { other, rank } of watched) {
+                await watchLease(other, rank);
+            }
+        }
+        catch (error) {
+            // While the store does not answer nobody can renew; every holder gets a whole time to live afterwards.
+            sightings.clear();
+            throw error;
+        }
+    }
+
+    async function watchLease(other: string, rank: number): Promise<void> {
+        const key = keys.lease(other);
+        const row = await table.get(key);
+        const revision = row?.revision ?? "0";
+        const now = clock.monotonic();
+        const sighting = sightLease(sightings.get(other), revision, now);
+        sightings.set(other, sighting);
+        // A later successor gives the earlier ones a poll each to act.
+        if (isExpired(sighting, options.ttl + rank * options.poll, now)) {
+            await takeOver(other, { key, revision });
+        }
+    }
+
+    async function takeOver(dead: string, row: { readonly key: string; readonly revision: string; }): Promise<void> {
+        const partitions = current === undefined ? 0 : partitionsOf(current.map, dead).length;
+        if (await apply({ type: "remove", name: dead }, row)) {
+            sightings.delete(dead);
+            log("Took over %d partitions of %s.", partitions, dead);
+            options.onTakeover?.(dead, partitions);
+        }
+    }
+
+    async function rebalance(): Promise<void> {
+        if (current === undefined) {
+            return;
+        }
+        for (const [to, partitions] of misplaced(current.map, name)) {
+            await handOver(partitions, to, AbortSignal.timeout(rebalanceDrain));
+        }
+    }
+
+    async function handOver(partitions: readonly number[], to: string, signal: AbortSignal): Promise<void> {
+        const idle = await options.drain(partitions, signal);
+        let moved = false;
+        try {
+            while (idle.length > 0 && !moved && current?.map.members[to] !== undefined) {
+                moved = await apply({ type: "handOver", from: name, partitions: idle, to });
+            }
+        }
+        finally {
+            options.resume(moved ? partitions.filter(partition => !idle.includes(partition)) : partitions);
+        }
+        if (moved) {
+            log("Handed %d partitions over to %s.", idle.length, to);
+            options.onHandOver?.(to, idle.length);
+        }
+    }
+
+    async function leave(signal: AbortSignal): Promise<void> {
+        leaving = true;
+        clearTimeout(timer);
+        await work;
+        clearTimeout(timer);
+        stopped = true;
+        while (!signal.aborted && !await apply({ type: "leave", name })) {
+            // Another daemon changed the map first; the newer map has been read.
+        }
+        const others = () => Object.values(current?.map.members ?? {}).some(other => !other.leaving);
+        while (!signal.aborted && others() &&
+            partitionsOf(current?.map ?? { members: {}, owners: [] }, name).length > 0) {
+            const moves = [...misplaced(current?.map ?? { members: {}, owners: [] }, name)];
+            await Promise.all(moves.map(([to, partitions]) => handOver(partitions, to, signal)));
+        }
+        while (!signal.aborted && others() && !await apply({ type: "remove", name })) {
+            // As above.
+        }
+    }
+
+    return {
+        map: () => current?.map,
+        version: () => current?.version ?? 0,
+        refresh,
+        join,
+        leave,
+        [Symbol.asyncDispose]: async () => {
+            stopped = true;
+            clearTimeout(timer);
+            await work;
+        },
+    };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./table.ts";
+export * from "./vms.ts";
--- /dev/null
+++ b/packages/platform/src/vms.ts
@@ -0,0 +1,56 @@
+import { Agent, request } from "undici";
+import { z } from "zod";
+
+const vm = z.object({
+    name: z.string().min(1),
+    kind: z.enum(["daemon", "engine", "service"]),
+    address: z.string(),
+    port: z.number().int(),
+    dataCentre: z.string(),
+    state: z.enum(["live", "leaving"]),
+    /** Models that an engine serves. */
+    models: z.array(z.string()).optional(),
+    /** Whether an engine refuses orders with an old fencing token. */
+    fenced: z.boolean().optional(),
+});
+
+/** A VM as the platform lists it. */
+export type Vm = z.infer<typeof vm>;
+
+const vmList = z.object({ version: z.number().int(), vms: z.array(vm) });
+
+/** The platform's list of live and leaving VMs; it lags. */
+export type VmList = z.infer<typeof vmList>;
+
+/** Reads the VM list; throws when the platform does not answer in time or answers nonsense. */
+export type VmSource = () => Promise<VmList>;
+
+const timeout = 1_000;
+
+/** Creates a reader of the VM list over HTTP. */
+export function createVmSource(url: string): VmSource & AsyncDisposable {
+    const agent = new Agent({ connections: 2, headersTimeout: timeout, bodyTimeout: timeout });
+    async function read(): Promise<VmList> {
+        const response = await request(`${url}/v1/vms`, { dispatcher: agent, signal: AbortSignal.timeout(timeout) });
+        const body = await response.body.json();
+        if (response.statusCode !== 200) {
+            throw new Error(`status ${response.statusCode}`);
+        }
+        return vmList.parse(body);
+    }
+    return Object.assign(read, { [Symbol.asyncDispose]: () => agent.destroy() });
+}
+
+/**
+ * Takes a newer list. An older list is ignored, and so is one without any upstream: the platform has lost its
+ * data then, and the daemons go on with the upstreams they know.
+ */
+export function acceptVms(current: VmList | undefined, next: VmList): VmList {
+    if (current === undefined) {
+        return next;
+    }
+    const older = next.version < current.version;
+    const empty = !next.vms.some(entry => entry.kind !== "daemon") &&
+        current.vms.some(entry => entry.kind !== "daemon");
+    return older || empty ? current : next;
+}
--- /dev/null
+++ b/packages/upstream/src/engine.ts
@@ -0,0 +1,248 @@
+import type { LoadReport, Message } from "@tamarackgauge/core";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import { readEvents } from "./events.ts";
+
+/** A call of a model engine. */
+export interface EngineCall {
+    readonly model: string;
+    readonly messages: readonly Message[];
+    /** Text that was already generated and is to be continued. */
+    readonly partial: string;
+    /** Upper bound of generated tokens. */
+    readonly maxTokens: number;
+    /** Lower is served first. */
+    readonly priority: number;
+    /** Key of the program; scopes the engine's prefix cache. */
+    readonly cacheKey: string;
+    readonly parameters: Readonly<Record<string, unknown>>;
+    /** Milliseconds without a byte before the first token, and after it, until the engine counts as failed. */
+    readonly firstTokenTimeout: number;
+    readonly tokenTimeout: number;
+}
+
+/** What an engine streams. `tokens` counts the generated tokens of the piece. */
+export type EngineEvent =
+    | { readonly type: "text"; readonly text: string; readonly tokens: number; }
+    | { readonly type: "done"; readonly result: EngineResult; };
+
+/** How an engine finished a call. */
+export interface EngineResult {
+    readonly reason: string;
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly tokens: number;
+    readonly toolCalls: readonly unknown[] | undefined;
+    readonly load: LoadReport | undefined;
+}
+
+/** An engine failed. `status` is its HTTP status, if it gave one; `reached` says whether the call may have run. */
+export class EngineError extends Error {
+    constructor(text: string, readonly status: number | undefined, readonly reached: boolean) {
+        super(text);
+    }
+}
+
+/** Client of one model engine. Every method throws an `EngineError`. */
+export interface EngineClient {
+    stream(call: EngineCall, signal: AbortSignal): AsyncIterable<EngineEvent>;
+    /** Releases what the engine holds for a program. */
+    release(cacheKey: string): Promise<void>;
+    /** Keys of the programs for which the engine holds memory. */
+    held(): Promise<readonly string[]>;
+    load(): Promise<LoadReport>;
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+const controlTimeout = 1_000;
+const connectTimeout = 1_000;
+
+const chunk = z.looseObject({
+    choices: z.array(z.looseObject({
+        delta: z.looseObject({
+            content: z.string().nullish(),
+            tool_calls: z.array(z.unknown()).nullish(),
+        }).nullish(),
+        finish_reason: z.string().nullish(),
+    })).default([]),
+    usage: z.looseObject({
+        prompt_tokens: z.number(),
+        completion_tokens: z.number(),
+        prompt_tokens_details: z.looseObject({ cached_tokens: z.number().nullish() }).nullish(),
+    }).nullish(),
+    "x-engine-load": z.looseObject({ running: z.number(), waiting: z.number() }).nullish(),
+    error: z.looseObject({ message: z.string().nullish() }).nullish(),
+});
+
+type Chunk = z.infer<typeof chunk>;
+
+const loadReport = z.object({
+    running: z.number(),
+    waiting: z.number(),
+    cachedTokens: z.number().optional(),
+    cacheCapacity: z.number().optional(),
+});
+
+const heldCache = z.object({ entries: z.array(z.looseObject({ key: z.string() })) });
+
+/** Creates a client of the engine at an address, `http://<address>:<port>`. */
+export function createEngineClient(url: string): EngineClient {
+    const agent = new Agent({ connections: 256, connectTimeout, headersTimeout: 0, bodyTimeout: 0 });
+
+    async function* stream(call: EngineCall, signal: AbortSignal): AsyncGenerator<EngineEvent> {
+        const watchdog = createWatchdog(call.firstTokenTimeout);
+        const joint = AbortSignal.any([signal, watchdog.signal]);
+        try {
+            const response = await request(`${url}/v1/chat/completions`, {
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(bodyOf(call)),
+                dispatcher: agent,
+                signal: joint,
+            });
+            if (response.statusCode !== 200) {
+                const text = await response.body.text();
+                throw new EngineError(
+                    `status ${response.statusCode}: ${text.slice(0, 200)}`,
+                    response.statusCode,
+                    response.statusCode >= 500,
+                );
+            }
+            yield* readAnswer(response.body, watchdog, call.tokenTimeout);
+        }
+        catch (error) {
+            throw error instanceof EngineError ? error : new EngineError(reasonOf(error, watchdog), undefined, true);
+        }
+        finally {
+            watchdog.stop();
+        }
+    }
+
+    async function control(method: "GET" | "DELETE", path: string): Promise<unknown> {
+        try {
+            const response = await request(`${url}${path}`, {
+                method,
+                dispatcher: agent,
+                signal: AbortSignal.timeout(controlTimeout),
+            });
+            const text = await response.body.text();
+            if (response.statusCode >= 300 && response.statusCode !== 404) {
+                throw new EngineError(`status ${response.statusCode}`, response.statusCode, true);
+            }
+            return text === "" ? undefined : JSON.parse(text);
+        }
+        catch (error) {
+            throw error instanceof EngineError ? error : new EngineError((error as Error).message, undefined, true);
+        }
+    }
+
+    return {
+        stream,
+        release: async key => {
+            await control("DELETE", `/v1/cache/${encodeURIComponent(key)}`);
+        },
+        held: async () => heldCache.parse(await control("GET", "/v1/cache")).entries.map(entry => entry.key),
+        load: async () => loadReport.parse(await control("GET", "/v1/load")),
+        [Symbol.asyncDispose]: () => agent.destroy(),
+    };
+}
+
+function bodyOf(call: EngineCall): Record<string, unknown> {
+    const continued = call.partial !== "";
+    return {
+        ...call.parameters,
+        model: call.model,
+        messages: continued ? [...call.messages, { role: "assistant", content: call.partial }] : call.messages,
+        max_tokens: call.maxTokens,
+        stream: true,
+        stream_options: { include_usage: true },
+        priority: call.priority,
+        cache_salt: call.cacheKey,
+        ...(continued ? { continue_final_message: true, add_generation_prompt: false } : {}),
+    };
+}
+
+async function* readAnswer(
+    body: AsyncIterable<Uint8Array>,
+    watchdog: Watchdog,
+    tokenTimeout: number,
+): AsyncGenerator<EngineEvent> {
+    let reason: string | undefined;
+    let usage: Chunk["usage"];
+    let load: LoadReport | undefined;
+    let counted = 0;
+    const toolCalls: unknown[] = [];
+    for await (const event of readEvents(body)) {
+        watchdog.reset(tokenTimeout);
+        if (event.data === "[DONE]") {
+            break;
+        }
+        const part = chunk.parse(JSON.parse(event.data));
+        if (part.error) {
+            throw new EngineError(part.error.message ?? "the engine reported an error", undefined, true);
+        }
+        usage = part.usage ?? usage;
+        load = part["x-engine-load"] ?? load;
+        const choice = part.choices[0];
+        reason = choice?.finish_reason ?? reason;
+        toolCalls.push(...choice?.delta?.tool_calls ?? []);
+        const text = choice?.delta?.content;
+        if (text) {
+            counted += 1;
+            yield { type: "text", text, tokens: 1 };
+        }
+    }
+    if (reason === undefined) {
+        throw new EngineError("the stream ended before the answer did", undefined, true);
+    }
+    yield {
+        type: "done",
+        result: {
+            reason,
+            promptTokens: usage?.prompt_tokens ?? 0,
+            cachedTokens: usage?.prompt_tokens_details?.cached_tokens ?? 0,
+            tokens: usage?.completion_tokens ?? counted,
+            toolCalls: toolCalls.length > 0 ? toolCalls : undefined,
+            load,
+        },
+    };
+}
+
+function reasonOf(error: unknown, watchdog: Watchdog): string {
+    return watchdog.signal.aborted ? "the connection went silent" : (error as Error).message;
+}
+
+interface Watchdog {
+    readonly signal: AbortSignal;
+    /** Allows another span of milliseconds. */
+    reset(span: number): void;
+    stop(): void;
+}
+
+/** How late a silent connection may be noticed, in milliseconds. */
+const checkInterval = 500;
+
+// Resetting a timer for every token is costly; the deadline moves instead, and a slow timer checks it.
+function createWatchdog(first: number): Watchdog {
+    const controller = new AbortController();
+    let deadline = performance.now() + first;
+    let timer = setTimeout(check, Math.min(first, checkInterval));
+    function check(): void {
+        const left = deadline - performance.now();
+        if (left <= 0) {
+            controller.abort();
+        }
+        else {
+            timer = setTimeout(check, Math.min(left, checkInterval));
+        }
+    }
+    return {
+        signal: controller.signal,
+        reset: span => {
+            deadline = performance.now() + span;
+        },
+        stop: () => {
+            clearTimeout(timer);
+        },
+    };
+}
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./engine.ts";
+export * from "./events.ts";
+export * from "./service.ts";
