Add stand-ins of the platform, engines, services and a forwarder

Change: one process or factory each for the platform (table, objects, VM list, weights, faults), the engine (continuous batching, prefix cache, load reports, cache events, orders), the plain service and the TCP forwarder, with cmd-ts commands.

--- /dev/null
+++ b/packages/standin/src/engine/counts.ts
@@ -0,0 +1,134 @@
+/** What an engine has been asked and has done. Keys of programs are their salts; sizes are tokens. */
+export interface EngineCounts {
+    readonly requests: number;
+    readonly finished: number;
+    readonly cancelled: number;
+    readonly byProgram: Readonly<Record<string, number>>;
+    readonly byIdempotencyKey: Readonly<Record<string, number>>;
+    /** Generated, whether or not the caller still listened. */
+    readonly tokensByPlan: Readonly<Record<string, number>>;
+    readonly generatedTokens: number;
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    /** Computed here although this engine held them before and evicted them. */
+    readonly recomputedTokens: number;
+    /** Computed here although they are history, which this or another engine has computed before. */
+    readonly recomputedHistoryTokens: number;
+    /** Highest number of distinct programs with a call in the engine, running or waiting. */
+    readonly peakProgramsByPlan: Readonly<Record<string, number>>;
+    /** Highest number of sequences that ran at once. */
+    readonly peakRunning: number;
+    /** Requests to continue from a text that this engine would not have produced. */
+    readonly foreignPartials: number;
+    readonly ordersRefused: number;
+    readonly ordersDone: number;
+}
+
+/** Collects the counts of an engine. */
+export interface EngineCounter {
+    arrived(key: string, idempotencyKey: string | undefined): void;
+    left(key: string, outcome: "finished" | "cancelled"): void;
+    started(promptTokens: number, cachedTokens: number, seenTokens: number, historyTokens: number): void;
+    generated(key: string, tokens: number): void;
+    running(sequences: number): void;
+    foreignPartial(): void;
+    order(outcome: "ordersDone" | "ordersRefused"): void;
+    counts(): EngineCounts;
+    reset(): void;
+}
+
+/** The plan of a program key: what is before the first "/". */
+export function planOf(key: string): string {
+    return key.split("/", 1)[0]!;
+}
+
+/** Counts from zero. */
+export function createEngineCounter(): EngineCounter {
+    let counted = zero();
+    // Calls in the engine, by plan and program.
+    const inside = new Map<string, Map<string, number>>();
+
+    function enter(key: string): void {
+        const plan = planOf(key);
+        const programs = inside.get(plan) ?? new Map<string, number>();
+        programs.set(key, (programs.get(key) ?? 0) + 1);
+        inside.set(plan, programs);
+        counted.peakProgramsByPlan[plan] = Math.max(counted.peakProgramsByPlan[plan] ?? 0, programs.size);
+    }
+
+    function leave(key: string): void {
+        const programs = inside.get(planOf(key));
+        const calls = (programs?.get(key) ?? 0) - 1;
+        if (calls > 0) {
+            programs?.set(key, calls);
+        }
+        else {
+            programs?.delete(key);
+        }
+    }
+
+    return {
+        arrived(key, idempotencyKey) {
+            counted.requests += 1;
+            increase(counted.byProgram, key, 1);
+            if (idempotencyKey !== undefined) {
+                increase(counted.byIdempotencyKey, idempotencyKey, 1);
+            }
+            enter(key);
+        },
+        left(key, outcome) {
+            counted[outcome] += 1;
+            leave(key);
+        },
+        started(promptTokens, cachedTokens, seenTokens, historyTokens) {
+            counted.promptTokens += promptTokens;
+            counted.cachedTokens += cachedTokens;
+            counted.recomputedTokens += Math.max(0, Math.min(seenTokens, promptTokens) - cachedTokens);
+            counted.recomputedHistoryTokens += Math.max(0, historyTokens - cachedTokens);
+        },
+        generated(key, tokens) {
+            counted.generatedTokens += tokens;
+            increase(counted.tokensByPlan, planOf(key), tokens);
+        },
+        running(sequences) {
+            counted.peakRunning = Math.max(counted.peakRunning, sequences);
+        },
+        foreignPartial() {
+            counted.foreignPartials += 1;
+        },
+        order(outcome) {
+            counted[outcome] += 1;
+        },
+        counts: () => structuredClone(counted),
+        reset() {
+            counted = zero();
+        },
+    };
+}
+
+type Writable<Type> = { -readonly [Key in keyof Type]: Type[Key] extends number ? number : Record<string, number>; };
+
+function zero(): Writable<EngineCounts> {
+    return {
+        requests: 0,
+        finished: 0,
+        cancelled: 0,
+        byProgram: {},
+        byIdempotencyKey: {},
+        tokensByPlan: {},
+        generatedTokens: 0,
+        promptTokens: 0,
+        cachedTokens: 0,
+        recomputedTokens: 0,
+        recomputedHistoryTokens: 0,
+        peakProgramsByPlan: {},
+        peakRunning: 0,
+        foreignPartials: 0,
+        ordersRefused: 0,
+        ordersDone: 0,
+    };
+}
+
+function increase(record: Record<string, number>, key: string, by: number): void {
+    record[key] = (record[key] ?? 0) + by;
+}
--- /dev/null
+++ b/packages/standin/src/engine/delayed.ts
@@ -0,0 +1,33 @@
+/** A value that readers see with a lag. */
+export interface Delayed<Value> {
+    /** The value from now on. */
+    set(value: Value, now: number): void;
+    /** The value as it was one lag ago. */
+    get(now: number): Value;
+}
+
+/** A delayed value. Changes closer together than a twentieth of the lag are merged, so that few are kept. */
+export function createDelayed<Value>(initial: Value, lag: number): Delayed<Value> {
+    let history: { at: number; value: Value; }[] = [{ at: -Infinity, value: initial }];
+
+    function prune(now: number): void {
+        const shown = history.findLastIndex(entry => entry.at <= now - lag);
+        history = shown > 0 ? history.slice(shown) : history;
+    }
+
+    return {
+        set(value, now) {
+            const last = history.at(-1)!;
+            if (history.length > 1 && now - last.at < lag / 20) {
+                last.value = value;
+                return;
+            }
+            prune(now);
+            history.push({ at: now, value });
+        },
+        get(now) {
+            prune(now);
+            return history[0]!.value;
+        },
+    };
+}
--- /dev/null
+++ b/packages/standin/src/engine/events.ts
@@ -0,0 +1,36 @@
+import type { CacheEvent, Random } from "@tamarackgauge/core";
+
+/** A cache event with its number; a gap in the numbers is a lost event. */
+export interface NumberedEvent extends CacheEvent {
+    readonly sequence: number;
+}
+
+/** The cache events of an engine, late and with gaps. */
+export interface EventLog {
+    add(event: CacheEvent, now: number): void;
+    /** The events after `sequence` that are visible. */
+    after(sequence: number, now: number): NumberedEvent[];
+}
+
+const kept = 10_000;
+
+/** An event is visible after `delay` ms; a share `dropRate` of them never is. */
+export function createEventLog(delay: number, dropRate: number, random: Random): EventLog {
+    let events: { readonly at: number; readonly event: NumberedEvent; }[] = [];
+    let sequence = 0;
+    return {
+        add(event, now) {
+            sequence += 1;
+            if (random() < dropRate) {
+                return;
+            }
+            events.push({ at: now, event: { ...event, sequence } });
+            if (events.length > 2 * kept) {
+                events = events.slice(-kept);
+            }
+        },
+        after: (from, now) =>
+            events.filter(entry => entry.event.sequence > from && entry.at <= now - delay)
+                .map(entry => entry.event),
+    };
+}
--- /dev/null
+++ b/packages/standin/src/engine/orders.ts
@@ -0,0 +1,77 @@
+import { z } from "zod";
+import { HttpError } from "../listener.ts";
+
+/** Body of `/v1/orders`. For `role`, the role is in `role` or, without it, in `model`. */
+export const order = z.object({
+    fence: z.number().int().nonnegative(),
+    action: z.enum(["load", "unload", "role"]),
+    model: z.string().default(""),
+    role: z.string().optional(),
+});
+
+/** The state that orders change. */
+export interface OrderState {
+    /** Highest fencing token seen. */
+    readonly fence: number;
+    /** Loaded models; undefined when the engine serves any model. */
+    readonly models?: readonly string[];
+    readonly loading: readonly string[];
+    readonly role: string;
+}
+
+/** Carries out orders. */
+export interface Orders {
+    /** Throws `HttpError` 409 for an old fencing token, if the engine is fenced. */
+    give(wanted: z.infer<typeof order>): void;
+    state(): OrderState;
+    serves(model: string): boolean;
+}
+
+/** Without `models`, any model is served until the first order. A load takes `loadMs`. */
+export function createOrders(models: readonly string[] | undefined, fenced: boolean, loadMs: number): Orders {
+    let loaded = models;
+    let loading: readonly string[] = [];
+    let role = "both";
+    let fence = 0;
+
+    function load(model: string): void {
+        if (loaded?.includes(model) === true || loading.includes(model)) {
+            return;
+        }
+        loading = [...loading, model];
+        setTimeout(() => {
+            // An unload in the meantime has taken the model off the list.
+            if (loading.includes(model)) {
+                loading = loading.filter(other => other !== model);
+                loaded = [...loaded ?? [], model];
+            }
+        }, loadMs).unref();
+    }
+
+    function unload(model: string): void {
+        loading = loading.filter(other => other !== model);
+        loaded = (loaded ?? []).filter(other => other !== model);
+    }
+
+    return {
+        give(wanted) {
+            if (fenced && wanted.fence < fence) {
+                throw new HttpError(409, `the fencing token ${wanted.fence} is older than ${fence}`);
+            }
+            fence = Math.max(fence, wanted.fence);
+            switch (wanted.action) {
+                case "load":
+                    load(wanted.model);
+                    break;
+                case "unload":
+                    unload(wanted.model);
+                    break;
+                case "role":
+                    role = wanted.role ?? wanted.model;
+                    break;
+            }
+        },
+        state: () => ({ fence, models: loaded, loading, role }),
+        serves: model => loaded?.includes(model) ?? true,
+    };
+}
--- /dev/null
+++ b/packages/standin/src/engine/prompt.ts
@@ -0,0 +1,50 @@
+import type { Message } from "@tamarackgauge/core";
+import { createHash } from "node:crypto";
+
+/** Characters a token. Answers consist of tokens of exactly this length. */
+export const tokenLength = 4;
+
+/** A prompt: one segment a message, so that a prefix can be compared message by message. */
+export interface Prompt {
+    readonly segments: readonly string[];
+    readonly tokens: number;
+    /** Tokens up to the last message of the assistant, which some engine has processed before. */
+    readonly historyTokens: number;
+}
+
+/** Tokens of a text. */
+export function countTokens(text: string): number {
+    return Math.ceil(text.length / tokenLength);
+}
+
+/** Tokens of a list of segments. */
+export function countAll(segments: readonly string[]): number {
+    return segments.reduce((sum, segment) => sum + countTokens(segment), 0);
+}
+
+/** The prompt of a list of messages. */
+export function createPrompt(messages: readonly Message[]): Prompt {
+    const segments = messages.map(message => segmentOf(message.role, textOf(message)));
+    const answered = messages.findLastIndex(message => message.role === "assistant") + 1;
+    return { segments, tokens: countAll(segments), historyTokens: countAll(segments.slice(0, answered)) };
+}
+
+/** The segment of one message. */
+export function segmentOf(role: string, text: string): string {
+    return `${role}\n${text}`;
+}
+
+/** The text of a message; parts other than text count as their JSON. */
+export function textOf({ content }: Message): string {
+    if (typeof content === "string") {
+        return content;
+    }
+    return (content ?? []).map(part => typeof part.text === "string" ? part.text : JSON.stringify(part)).join("");
+}
+
+/** A number that depends on the seed, the salt and all segments. */
+export function hashPrompt(seed: number, salt: string, segments: readonly string[]): number {
+    const hash = createHash("sha256").update(`${seed}\n${salt}`);
+    segments.forEach(segment => hash.update("\0").update(segment));
+    return hash.digest().readUInt32LE(0);
+}
--- /dev/null
+++ b/packages/standin/src/faults.ts
@@ -0,0 +1,111 @@
+import { z } from "zod";
+import { delay, dropConnection, HttpError, sendJson } from "./listener.ts";
+import type { Received } from "./listener.ts";
+
+/**
+ * A fault of the platform. `down` destroys the connection before the request has an effect, `hang` never answers and
+ * has no effect, `slow` waits `ms` first, `error` answers 503 without effect, `loseReply` destroys the connection after
+ * the request took effect. `count` is the number of requests it strikes before it ends; without it, it stays.
+ */
+export const fault = z.object({
+    mode: z.enum(["none", "down", "hang", "slow", "error", "loseReply"]),
+    ms: z.number().nonnegative().default(0),
+    count: z.number().int().positive().optional(),
+    match: z.enum(["table", "txn", "range", "objects", "vms", "weights"]).optional(),
+    /** Strikes only requests of the table or object store that name a key with this prefix. */
+    keyPrefix: z.string().optional(),
+});
+
+/** A fault of the platform. */
+export type Fault = z.input<typeof fault>;
+
+/** What a request touches, for matching. */
+export interface Subject {
+    readonly part: "txn" | "range" | "objects" | "vms" | "weights";
+    readonly keys: readonly string[];
+}
+
+/** The faults in force. */
+export interface Faults {
+    /** Replaces all faults; `none` or an empty list ends them. */
+    set(faults: Fault | readonly Fault[]): void;
+    /** Runs `work`, or what the first matching fault makes of it. */
+    run(subject: Subject, received: Received, work: () => Answer): Promise<void>;
+    /** Requests struck, by mode. */
+    counts(): Readonly<Record<string, number>>;
+}
+
+/** A JSON or binary answer. */
+export interface Answer {
+    readonly status: number;
+    readonly body?: unknown;
+    readonly bytes?: Buffer;
+}
+
+type Active = z.output<typeof fault>;
+
+/** No faults at first. */
+export function createFaults(): Faults {
+    let active: { readonly fault: Active; left: number; }[] = [];
+    const struck: Record<string, number> = {};
+
+    function strike(subject: Subject): Active | undefined {
+        const found = active.find(entry => entry.left > 0 && matches(entry.fault, subject));
+        if (found === undefined) {
+            return undefined;
+        }
+        found.left -= 1;
+        struck[found.fault.mode] = (struck[found.fault.mode] ?? 0) + 1;
+        return found.fault;
+    }
+
+    return {
+        set(faults) {
+            const list = z.array(fault).parse(Array.isArray(faults) ? faults : [faults]);
+            active = list.filter(entry => entry.mode !== "none")
+                .map(entry => ({ fault: entry, left: entry.count ?? Infinity }));
+        },
+        run: (subject, received, work) => apply(strike(subject), received, work),
+        counts: () => ({ ...struck }),
+    };
+}
+
+function matches(entry: Active, subject: Subject): boolean {
+    const { match, keyPrefix } = entry;
+    const partMatches = match === undefined || match === subject.part
+        || (match === "table" && (subject.part === "txn" || subject.part === "range"));
+    return partMatches && (keyPrefix === undefined || subject.keys.some(key => key.startsWith(keyPrefix)));
+}
+
+async function apply(struck: Active | undefined, received: Received, work: () => Answer): Promise<void> {
+    const { response } = received;
+    switch (struck?.mode) {
+        case "down":
+            dropConnection(response);
+            return;
+        case "hang":
+            return;
+        case "error":
+            throw new HttpError(503, "unavailable", { error: "unavailable", code: 14, message: "unavailable" });
+        case "loseReply":
+            work();
+            dropConnection(response);
+            return;
+        case "slow":
+            await delay(struck.ms);
+            break;
+    }
+    send(received, work());
+}
+
+function send({ response }: Received, answer: Answer): void {
+    if (answer.bytes === undefined) {
+        sendJson(response, answer.status, answer.body ?? {});
+        return;
+    }
+    response.writeHead(answer.status, {
+        "content-type": "application/octet-stream",
+        "content-length": answer.bytes.length,
+    });
+    response.end(answer.bytes);
+}
--- /dev/null
+++ b/packages/standin/src/forwarder.ts
@@ -0,0 +1,249 @@
+import { systemClock } from "@tamarackgauge/core";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { z } from "zod";
+import { HttpError, listen, parseBody, sendJson } from "./listener.ts";
+import type { Received, Standin } from "./listener.ts";
+
+/** Settings of the forwarder. */
+export interface ForwarderOptions {
+    /** Port to listen on; 0 picks a free one. */
+    readonly port?: number;
+    /** Loopback port to forward to. */
+    readonly target: number;
+    /** Port of the HTTP control; without it, there is none. */
+    readonly controlPort?: number;
+    /** Milliseconds one way, in each direction. */
+    readonly delayMs?: number;
+}
+
+/** Which way bytes flow: `up` to the target, `down` back to the client. */
+export type Direction = "up" | "down";
+
+/** Which connections are silent. */
+export type Silence = "none" | "existing" | "all";
+
+/** What a forwarder has seen. */
+export interface ForwarderCounts {
+    readonly accepted: number;
+    readonly refused: number;
+    readonly open: number;
+    readonly silent: number;
+    readonly bytesUp: number;
+    readonly bytesDown: number;
+}
+
+/** A TCP forwarder between loopback ports whose connections can fail in several ways. */
+export interface Forwarder extends Standin {
+    readonly controlPort?: number;
+    /** Resets all open connections. */
+    cut(): void;
+    /** Resets new connections as soon as they are accepted. */
+    refuse(on: boolean): void;
+    /**
+     * `existing` makes the connections open now silent: they stay open, all bytes and closes are dropped, and they
+     * never recover. `all` does so with new ones as well, until `none`.
+     */
+    silence(which: Silence): void;
+    /** Delays each direction, or only the given one, by `ms` milliseconds. */
+    delay(ms: number, direction?: Direction): void;
+    counts(): ForwarderCounts;
+}
+
+interface Link {
+    readonly client: Socket;
+    readonly target?: Socket;
+    silent: boolean;
+}
+
+/** Starts a forwarder on a loopback port. */
+export async function createForwarder(options: ForwarderOptions): Promise<Forwarder> {
+    const links = new Set<Link>();
+    const counted = { accepted: 0, refused: 0, bytesUp: 0, bytesDown: 0 };
+    const delays = { up: options.delayMs ?? 0, down: options.delayMs ?? 0 };
+    let refusing = false;
+    let muting = false;
+    const counts = (): ForwarderCounts => ({
+        ...counted,
+        open: links.size,
+        silent: [...links].filter(link => link.silent).length,
+    });
+
+    function accept(client: Socket): void {
+        if (refusing) {
+            counted.refused += 1;
+            client.resetAndDestroy();
+            return;
+        }
+        counted.accepted += 1;
+        client.setNoDelay(true);
+        const link = muting ? { client, silent: true } : { client, target: openTarget(), silent: false };
+        links.add(link);
+        if (link.target === undefined) {
+            swallow(link, client);
+            return;
+        }
+        pump(link, client, link.target, "up");
+        pump(link, link.target, client, "down");
+    }
+
+    function openTarget(): Socket {
+        return connect({ port: options.target, host: "127.0.0.1", noDelay: true, allowHalfOpen: true });
+    }
+
+    function swallow(link: Link, client: Socket): void {
+        client.resume();
+        client.on("error", () => {});
+        client.on("close", () => links.delete(link));
+    }
+
+    function pump(link: Link, from: Socket, to: Socket, direction: Direction): void {
+        const line = createDelayLine(() => delays[direction]);
+        from.on("data", (bytes: Buffer) => {
+            if (link.silent) {
+                return;
+            }
+            counted[direction === "up" ? "bytesUp" : "bytesDown"] += bytes.length;
+            line(() => write(link, from, to, bytes));
+        });
+        from.on("end", () => line(() => link.silent || to.end()));
+        from.on("error", () => {});
+        from.on("close", failed => {
+            if (link.silent) {
+                forget(link);
+                return;
+            }
+            line(() => {
+                if (failed) {
+                    to.destroy();
+                }
+                forget(link);
+            });
+        });
+    }
+
+    function write(link: Link, from: Socket, to: Socket, bytes: Buffer): void {
+        if (link.silent || to.destroyed) {
+            return;
+        }
+        if (!to.write(bytes)) {
+            from.pause();
+            to.once("drain", () => from.resume());
+        }
+    }
+
+    function forget(link: Link): void {
+        if (link.client.destroyed && link.target?.destroyed !== false) {
+            links.delete(link);
+        }
+    }
+
+    function cut(): void {
+        for (const link of links) {
+            link.client.resetAndDestroy();
+            link.target?.resetAndDestroy();
+        }
+        links.clear();
+    }
+
+    function silence(which: Silence): void {
+        muting = which === "all";
+        if (which !== "none") {
+            links.forEach(link => {
+                link.silent = true;
+            });
+        }
+    }
+
+    function delay(ms: number, direction?: Direction): void {
+        delays.up = direction === "down" ? delays.up : ms;
+        delays.down = direction === "up" ? delays.down : ms;
+    }
+
+    const server = createServer({ allowHalfOpen: true }, accept);
+    const port = await listenTcp(server, options.port ?? 0);
+    const commands = { cut, refuse: (on: boolean) => {
+        refusing = on;
+    }, silence, delay, counts };
+    const control = options.controlPort === undefined
+        ? undefined
+        : await listen(options.controlPort, received => answerControl(commands, received));
+    return {
+        address: "127.0.0.1",
+        port,
+        url: `http://127.0.0.1:${port}`,
+        controlPort: control?.port,
+        ...commands,
+        async [Symbol.asyncDispose]() {
+            cut();
+            await new Promise(resolve => server.close(resolve));
+            await control?.[Symbol.asyncDispose]();
+        },
+    };
+}
+
+type Commands = Pick<Forwarder, "cut" | "refuse" | "silence" | "delay" | "counts">;
+
+const refuseRequest = z.object({ on: z.boolean().default(true) });
+const silenceRequest = z.object({ which: z.enum(["none", "existing", "all"]) });
+const delayRequest = z.object({ ms: z.number().nonnegative(), direction: z.enum(["up", "down"]).optional() });
+
+function answerControl(commands: Commands, received: Received): void {
+    switch (`${received.method} /${received.path.join("/")}`) {
+        case "GET /control/counts":
+            break;
+        case "POST /control/cut":
+            commands.cut();
+            break;
+        case "POST /control/refuse":
+            commands.refuse(parseBody(received, refuseRequest).on);
+            break;
+        case "POST /control/silence":
+            commands.silence(parseBody(received, silenceRequest).which);
+            break;
+        case "POST /control/delay": {
+            const { ms, direction } = parseBody(received, delayRequest);
+            commands.delay(ms, direction);
+            break;
+        }
+        default:
+            throw new HttpError(404, "there is no such control");
+    }
+    sendJson(received.response, 200, commands.counts());
+}
+
+/** Runs actions in order, each once its delay has passed; at once while there is no delay. */
+function createDelayLine(delayMs: () => number): (action: () => void) => void {
+    const queue: { readonly due: number; readonly action: () => void; }[] = [];
+    const now = () => systemClock.monotonic();
+
+    function run(): void {
+        while (queue.length > 0 && queue[0]!.due <= now()) {
+            queue.shift()!.action();
+        }
+        if (queue.length > 0) {
+            // Timers count whole milliseconds; rounding up keeps the delay from being too short.
+            setTimeout(run, Math.ceil(queue[0]!.due - now()));
+        }
+    }
+
+    return action => {
+        const ms = delayMs();
+        if (ms === 0 && queue.length === 0) {
+            action();
+            return;
+        }
+        queue.push({ due: now() + ms, action });
+        if (queue.length === 1) {
+            run();
+        }
+    };
+}
+
+async function listenTcp(server: Server, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, "127.0.0.1", resolve);
+    });
+    return (server.address() as AddressInfo).port;
+}
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export { standinCommands } from "./command.ts";
+export type { EngineCounts } from "./engine/counts.ts";
+export { createEngine } from "./engine/engine.ts";
+export type { Engine, EngineOptions } from "./engine/engine.ts";
+export type { OrderState } from "./engine/orders.ts";
+export type { Fault } from "./faults.ts";
+export { createForwarder } from "./forwarder.ts";
+export type { Direction, Forwarder, ForwarderCounts, ForwarderOptions, Silence } from "./forwarder.ts";
+export type { Standin } from "./listener.ts";
+export { createPlatform } from "./platform.ts";
+export type { Platform, PlatformCounts, PlatformOptions } from "./platform.ts";
+export { createService } from "./service.ts";
+export type { Behaviour, Service, ServiceCounts, ServiceOptions } from "./service.ts";
+export type { Vm, VmList } from "./vms.ts";
--- /dev/null
+++ b/packages/standin/src/rate.ts
@@ -0,0 +1,26 @@
+/** A token bucket. */
+export interface RateLimit {
+    /** Takes one token; false when the rate is exceeded. `now` is in milliseconds. */
+    take(now: number): boolean;
+}
+
+/** A limit of `perSecond`, with bursts of up to one second's worth. Without a rate nothing is limited. */
+export function createRateLimit(perSecond: number | undefined): RateLimit {
+    if (perSecond === undefined) {
+        return { take: () => true };
+    }
+    const capacity = Math.max(1, perSecond);
+    let tokens = capacity;
+    let last: number | undefined;
+    return {
+        take(now) {
+            tokens = Math.min(capacity, tokens + (now - (last ?? now)) * perSecond / 1000);
+            last = now;
+            if (tokens < 1) {
+                return false;
+            }
+            tokens -= 1;
+            return true;
+        },
+    };
+}
