Add the baseline policies and createPolicy

Cause: the daemon and the bench need a policy to run against before the scheduler exists. Ruled out: baselines with a queue of their own; first come, first served means that the engine queues. Conclusion: others can compose against createPolicy(name, options).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,3 +3,5 @@
 export * from "./code.ts";
 export * from "./peer.ts";
 export * from "./policy.ts";
+export * from "./policy/baselines.ts";
+export * from "./policy/create.ts";
--- a/packages/core/src/policy.ts
+++ b/packages/core/src/policy.ts
@@ -87,6 +87,8 @@
     finish(job: string, result: JobResult, now: number): void;
     report(engine: string, report: LoadReport, now: number): void;
     cacheEvent(engine: string, event: CacheEvent, now: number): void;
+    /** Calls in flight per engine of another daemon, from its heartbeat; they replace the daemon's last counts. */
+    peerCounts(daemon: string, inFlight: Readonly<Record<string, number>>, now: number): void;
     /** A program ended; its state is dropped. Returns the engines that may hold its cache. */
     endProgram(program: string, now: number): readonly string[];
     /** Service in tokens that a program tree has received elsewhere, after its owner changed. */
--- /dev/null
+++ b/packages/core/test/baselines.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createPolicy, createRandom, type Engine, type Job, policyNames } from "../src/index.ts";
+
+const engines: Engine[] = ["a", "b", "c"].map(name => ({ name, dataCentre: "x", models: ["m"], leaving: false }));
+
+function job(id: string, change: Partial<Job> = {}): Job {
+    return { id, plan: "p", program: `p/${id}`, root: `p/${id}`, model: "m", promptTokens: 10, newTokens: 10,
+        maxTokens: 10, opening: true, repeatable: true, excluded: [], ...change };
+}
+
+function create(name: (typeof policyNames)[number]) {
+    const policy = createPolicy(name, { random: createRandom(1) });
+    policy.setEngines(engines, 0);
+    return policy;
+}
+
+test("guards against least connections ignoring calls that still run", () => {
+    const policy = create("leastConnections");
+    const place = (id: string) => {
+        assert.equal(policy.submit(job(id), 0), undefined);
+        return policy.next(0)[0]!.engine;
+    };
+    const first = [place("1"), place("2"), place("3")];
+    assert.equal(new Set(first).size, 3);
+    policy.finish("2", { outcome: "done", promptTokens: 10, cachedTokens: 0, tokens: 5 }, 1);
+    assert.equal(place("4"), first[1]);
+});
+
+test("guards against a hash that moves a program between engines", () => {
+    const policy = create("consistentHash");
+    const chosen = ["1", "2", "3"].map(id => {
+        policy.submit(job(id, { program: "p/same" }), 0);
+        return policy.next(0)[0]!.engine;
+    });
+    assert.equal(new Set(chosen).size, 1);
+    assert.deepEqual(policy.endProgram("p/same", 0), [chosen[0]]);
+});
+
+test("guards against work for leaving, excluded or absent engines in every policy", () => {
+    for (const name of policyNames) {
+        const policy = create(name);
+        policy.setEngines([{ ...engines[0]!, leaving: true }, engines[1]!, engines[2]!], 0);
+        assert.equal(policy.submit(job("1", { excluded: ["b"] }), 0), undefined);
+        assert.deepEqual(policy.next(0).map(assignment => assignment.engine), ["c"]);
+        assert.equal(policy.submit(job("2", { excluded: ["b", "c"] }), 0)?.name, "upstream_missing");
+        assert.equal(policy.submit(job("3", { model: "other" }), 0)?.name, "upstream_missing");
+    }
+});
