--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,5 @@
 export * from "./peer.ts";
 export * from "./policy.ts";
 export * from "./program.ts";
+export * from "./policy/baselines.ts";
+export * from "./policy/create.ts";
