Add the operators' two lists, their check and their changes

Operators edit plans and allowances by hand in one file. The check reports the line and field of each mistake, which JSON.parse cannot: a small reader keeps the place of each value and finds repeated fields. Both lists are kept sorted, so a change applied to one version gives exactly the next.

--- /dev/null
+++ b/packages/core/src/configuration.ts
@@ -0,0 +1,311 @@
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { type LocatedJson, parseJson, type Path, pathText } from "./json.ts";
+
+/** The largest budget in tokens; sums of budgets stay exact integers. */
+export const largestBudget = 1_000_000_000_000_000;
+
+/** The largest limit of programs at once, three times the number of programs the system is designed for. */
+export const largestProgramsAtOnce = 1_000_000;
+
+/** Finding the line of a problem reads the text from its start, so the number of problems reported is bounded. */
+const mostProblems = 100;
+
+const name = z.string().regex(
+    /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/,
+    "must be 1-64 letters, digits, '.', '_' or '-' and start with a letter or digit",
+);
+const upstreamName = z.string().regex(/^[!-~]{1,128}$/, "must be 1-128 visible ASCII characters");
+const keyHash = z.string().regex(/^[0-9a-f]{64}$/, "must be a sha-256 in 64 lowercase hexadecimal digits");
+
+/** Who may call: a plan and the sha-256 hashes of its callers' keys. */
+export const plan = z.strictObject({ name, keys: z.array(keyHash).max(100) });
+export type Plan = z.infer<typeof plan>;
+
+/** What a plan may use. A budget or a limit of 0 admits nothing. */
+export const allowance = z.strictObject({
+    plan: name,
+    models: z.array(upstreamName).max(1000),
+    services: z.array(upstreamName).max(1000).default([]),
+    /** Total of generated tokens. */
+    budgetTokens: z.int().min(0).max(largestBudget),
+    programsAtOnce: z.int().min(0).max(largestProgramsAtOnce),
+});
+export type Allowance = z.infer<typeof allowance>;
+
+/** The two lists as an operator writes them. `version` is the version that the file is based on. */
+export const lists = z.strictObject({
+    version: z.int().min(0).default(0),
+    plans: z.array(plan).max(100_000),
+    allowances: z.array(allowance).max(100_000),
+});
+
+/** The two lists in force. Both are sorted by plan name, so that equal configurations are equal texts. */
+export const configuration = lists;
+export type Configuration = z.infer<typeof configuration>;
+
+/** The two lists without a version. */
+export type Lists = Pick<Configuration, "plans" | "allowances">;
+
+/** The numbers of problems; docs/configuration.md lists them. A number never changes its meaning. */
+export const problemCodes = {
+    syntax: 101,
+    duplicate_field: 102,
+    unknown_field: 103,
+    missing_field: 104,
+    wrong_type: 105,
+    out_of_range: 106,
+    invalid_value: 107,
+    duplicate_plan: 201,
+    duplicate_key: 202,
+    duplicate_allowance: 203,
+    unknown_plan: 204,
+    plan_without_allowance: 205,
+    duplicate_name: 206,
+} as const;
+
+/** A mistake in a configuration file. Lines and columns start at 1. */
+export interface Problem {
+    readonly code: number;
+    readonly name: keyof typeof problemCodes;
+    readonly line: number;
+    readonly column: number;
+    /** Path of the field, such as `allowances[0].budgetTokens`. */
+    readonly field: string;
+    readonly message: string;
+}
+
+interface Finding {
+    readonly name: keyof typeof problemCodes;
+    readonly path: Path;
+    readonly message: string;
+}
+
+/** Checks a configuration file (JSON). Gives its first 100 mistakes in the order of the text, or the configuration. */
+export function checkConfiguration(text: string): Either<readonly Problem[], Configuration> {
+    // Some editors put a byte order mark at the start of a file.
+    return parseJson(text.replace(/^\uFEFF/, ""))
+        .mapLeft(({ line, column, message }): readonly Problem[] => [
+            { code: problemCodes.syntax, name: "syntax", line, column, field: "(file)", message },
+        ])
+        .chain(checkValue);
+}
+
+/** Sorts the lists by plan name and puts them into force as `version`. */
+export function createConfiguration(version: number, { plans, allowances }: Lists): Configuration {
+    return {
+        version,
+        plans: [...plans].sort((a, b) => compare(a.name, b.name)),
+        allowances: [...allowances].sort((a, b) => compare(a.plan, b.plan)),
+    };
+}
+
+/** One line of text for a problem. */
+export function problemText({ line, column, code, field, message }: Problem): string {
+    return `${line}:${column} ${code} ${field}: ${message}`;
+}
+
+function checkValue(json: LocatedJson): Either<readonly Problem[], Configuration> {
+    const duplicates = json.duplicates.map((path): Finding => ({
+        name: "duplicate_field",
+        path,
+        message: "the field occurs twice",
+    }));
+    const parsed = lists.safeParse(json.value);
+    const found = parsed.success
+        ? referenceFindings(parsed.data)
+        : uniqueFindings(parsed.error.issues.flatMap(issue => schemaFindings(issue)));
+    const findings = [...duplicates, ...found];
+    if (findings.length > 0 || !parsed.success) {
+        return Left(locate(json, findings));
+    }
+    return Right(createConfiguration(parsed.data.version, parsed.data));
+}
+
+function locate(json: LocatedJson, findings: readonly Finding[]): readonly Problem[] {
+    return findings
+        .map(finding => ({ ...finding, offset: json.offset(finding.path) }))
+        .sort((a, b) => a.offset - b.offset)
+        .slice(0, mostProblems)
+        .map(({ name, path, message, offset }) => ({
+            code: problemCodes[name],
+            name,
+            ...json.place(offset),
+            field: pathText(path),
+            message,
+        }));
+}
+
+/** The schema reports a number beyond the exact integers twice. */
+function uniqueFindings(findings: readonly Finding[]): readonly Finding[] {
+    return [...new Map(findings.map(each => [JSON.stringify([each.name, each.path]), each])).values()];
+}
+
+function schemaFindings(issue: z.core.$ZodIssue): readonly Finding[] {
+    const path = issue.path.filter(step => typeof step !== "symbol");
+    switch (issue.code) {
+        case "unrecognized_keys":
+            return issue.keys.map(key => ({
+                name: "unknown_field",
+                path: [...path, key],
+                message: "there is no such field",
+            }));
+        case "invalid_type":
+            return [
+                issue.message.endsWith("received undefined")
+                    ? { name: "missing_field", path, message: `the field is missing; it must be ${issue.expected}` }
+                    : { name: "wrong_type", path, message: `must be ${issue.expected}` },
+            ];
+        case "too_small":
+            return [{ name: "out_of_range", path, message: `must be at least ${issue.minimum}` }];
+        case "too_big":
+            return [{ name: "out_of_range", path, message: `must be at most ${issue.maximum}` }];
+        default:
+            return [{ name: "invalid_value", path, message: issue.message }];
+    }
+}
+
+function referenceFindings({ plans, allowances }: Lists): readonly Finding[] {
+    const planNames = new Set(plans.map(each => each.name));
+    const allowed = new Set(allowances.map(each => each.plan));
+    return [
+        ...repeats(
+            plans.map((each, at) => ({ value: each.name, path: ["plans", at, "name"] })),
+            "duplicate_plan",
+            "another plan has this name",
+        ),
+        ...repeats(
+            plans.flatMap((each, at) => each.keys.map((value, key) => ({ value, path: ["plans", at, "keys", key] }))),
+            "duplicate_key",
+            "this key is listed before; a key must identify one plan",
+        ),
+        ...repeats(
+            allowances.map((each, at) => ({ value: each.plan, path: ["allowances", at, "plan"] })),
+            "duplicate_allowance",
+            "the plan has another allowance",
+        ),
+        ...allowances.flatMap((each, at) => repeatedNames(each, at)),
+        ...allowances.flatMap((each, at): readonly Finding[] =>
+            planNames.has(each.plan) ? [] : [{
+                name: "unknown_plan",
+                path: ["allowances", at, "plan"],
+                message: `there is no plan "${each.plan}"`,
+            }]
+        ),
+        ...plans.flatMap((each, at): readonly Finding[] =>
+            allowed.has(each.name) ? [] : [{
+                name: "plan_without_allowance",
+                path: ["plans", at, "name"],
+                message: `the plan "${each.name}" has no allowance`,
+            }]
+        ),
+    ];
+}
+
+function repeatedNames(allowance: Allowance, at: number): readonly Finding[] {
+    return (["models", "services"] as const).flatMap(list =>
+        repeats(
+            allowance[list].map((value, index) => ({ value, path: ["allowances", at, list, index] })),
+            "duplicate_name",
+            "the name is listed before",
+        )
+    );
+}
+
+function repeats(
+    values: readonly { readonly value: string; readonly path: Path; }[],
+    name: Finding["name"],
+    message: string,
+): readonly Finding[] {
+    const seen = new Set<string>();
+    return values.flatMap(({ value, path }) => {
+        const repeated = seen.has(value);
+        seen.add(value);
+        return repeated ? [{ name, path, message }] : [];
+    });
+}
+
+/** The step from one version to the next: only the entries that differ. */
+export const change = z.strictObject({
+    version: z.int().min(1),
+    plans: z.array(plan),
+    allowances: z.array(allowance),
+    /** Names of plans that are gone, with their allowances. */
+    removed: z.array(name),
+});
+export type Change = z.infer<typeof change>;
+
+/** The change that leads from `before` to `after`; it carries the version of `after`. */
+export function diffConfiguration(before: Configuration, after: Configuration): Change {
+    const kept = new Set(after.plans.map(each => each.name));
+    return {
+        version: after.version,
+        plans: changed(before.plans, after.plans, each => each.name),
+        allowances: changed(before.allowances, after.allowances, each => each.plan),
+        removed: before.plans.map(each => each.name).filter(each => !kept.has(each)),
+    };
+}
+
+/** Applies a change. A change that is not newer than the configuration is ignored, so versions only grow (I10). */
+export function applyChange(before: Configuration, change: Change): Configuration {
+    if (change.version <= before.version) {
+        return before;
+    }
+    const removed = new Set(change.removed);
+    const plans = merged(before.plans, change.plans, each => each.name);
+    const allowances = merged(before.allowances, change.allowances, each => each.plan);
+    return createConfiguration(change.version, {
+        plans: plans.filter(each => !removed.has(each.name)),
+        allowances: allowances.filter(each => !removed.has(each.plan)),
+    });
+}
+
+function changed<Item>(before: readonly Item[], after: readonly Item[], key: (item: Item) => string): Item[] {
+    const old = new Map(before.map(item => [key(item), JSON.stringify(item)]));
+    return after.filter(item => old.get(key(item)) !== JSON.stringify(item));
+}
+
+function merged<Item>(before: readonly Item[], next: readonly Item[], key: (item: Item) => string): Item[] {
+    return [...new Map([...before, ...next].map(item => [key(item), item])).values()];
+}
+
+function compare(a: string, b: string): number {
+    return a < b ? -1 : a > b ? 1 : 0;
+}
+
+/** Finds plans and allowances of one configuration in constant time. */
+export interface Directory {
+    readonly version: number;
+    /** The plan that a key hash belongs to. */
+    planByKeyHash(hash: string): Plan | undefined;
+    allowance(plan: string): Allowance | undefined;
+    mayUseModel(plan: string, model: string): boolean;
+    mayUseService(plan: string, service: string): boolean;
+}
+
+/** Indexes a configuration: at 12,000 plans a search through the list on each call would cost milliseconds. */
+export function createDirectory({ version, plans, allowances }: Configuration): Directory {
+    const byHash = new Map(plans.flatMap(each => each.keys.map(hash => [hash, each] as const)));
+    const byPlan = new Map(allowances.map(each => [each.plan, each] as const));
+    const models = new Map(allowances.map(each => [each.plan, new Set(each.models)] as const));
+    const services = new Map(allowances.map(each => [each.plan, new Set(each.services)] as const));
+    return {
+        version,
+        planByKeyHash: hash => byHash.get(hash),
+        allowance: name => byPlan.get(name),
+        mayUseModel: (name, model) => models.get(name)?.has(model) ?? false,
+        mayUseService: (name, service) => services.get(name)?.has(service) ?? false,
+    };
+}
+
+const directories = new WeakMap<Configuration, Directory>();
+
+/** The directory of a configuration, built once per configuration object. */
+export function directoryOf(configuration: Configuration): Directory {
+    let directory = directories.get(configuration);
+    if (directory === undefined) {
+        directory = createDirectory(configuration);
+        directories.set(configuration, directory);
+    }
+    return directory;
+}
--- /dev/null
+++ b/packages/core/test/configuration.test.ts
@@ -0,0 +1,153 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { applyChange, checkConfiguration, type Configuration, createConfiguration, diffConfiguration, directoryOf,
+    hashKey, type Lists, parseJson } from "../src/index.ts";
+
+const hash = hashKey("a");
+
+const file = JSON.stringify(
+    {
+        plans: [{ name: "dunes", keys: [hash] }],
+        allowances: [{ plan: "dunes", models: ["m1"], services: ["waiver"], budgetTokens: 1000, programsAtOnce: 2 }],
+    },
+    undefined,
+    1,
+);
+
+function problems(text: string): string[] {
+    return checkConfiguration(text).caseOf({
+        Left: found => found.map(({ name, line, field }) => `${name} ${line} ${field}`),
+        Right: () => [],
+    });
+}
+
+describe("checkConfiguration", () => {
+    it("accepts a valid file and fills in what is optional, so that a first file can be short", () => {
+        const result = checkConfiguration(file);
+        assert.equal(result.isRight(), true);
+        assert.equal((result.extract() as Configuration).version, 0);
+    });
+
+    it("names the line of a syntax error, so that a typing mistake is found in a long file", () => {
+        assert.deepEqual(problems("{\n \"plans\": [],\n \"allowances\": [}\n}"), ["syntax 3 (file)"]);
+        for (const text of ["", "[", "{\"a\"", "{\"a\":1,}", "nul", "\"\\x\"", "\"a\nb\"", "{} {}", "01", "[1 2]"]) {
+            assert.deepEqual(problems(text), ["syntax 1 (file)"], text);
+        }
+    });
+
+    it("refuses deep nesting instead of exhausting the stack", () => {
+        assert.deepEqual(problems("[".repeat(1_000_000)), ["syntax 1 (file)"]);
+    });
+
+    it("reports every mistake with its line at once, so that a file is not corrected one mistake at a time", () => {
+        const text = `{
+"plans": [
+ {"name": "a b", "keys": ["zz"]},
+ {"name": "ok", "keys": [], "note": 1}
+],
+"allowances": [
+ {"plan": "ok", "models": "m", "budgetTokens": -1, "programsAtOnce": 1.5},
+ {"plan": "ok", "models": [], "budgetTokens": 1e300}
+],
+"plan": 1, "plan": 2
+}`;
+        assert.deepEqual(problems(text), [
+            "invalid_value 3 plans[0].name",
+            "invalid_value 3 plans[0].keys[0]",
+            "unknown_field 4 plans[1].note",
+            "wrong_type 7 allowances[0].models",
+            "out_of_range 7 allowances[0].budgetTokens",
+            "wrong_type 7 allowances[0].programsAtOnce",
+            "missing_field 8 allowances[1].programsAtOnce",
+            "out_of_range 8 allowances[1].budgetTokens",
+            "duplicate_field 10 plan",
+            "unknown_field 10 plan",
+        ]);
+    });
+
+    it("refuses a repeated field, of which JSON.parse would silently drop the first", () => {
+        const text = file.replace("\"budgetTokens\": 1000", "\"budgetTokens\": 1000,\n\"budgetTokens\": 9000");
+        assert.deepEqual(problems(text), ["duplicate_field 20 allowances[0].budgetTokens"]);
+    });
+
+    it("refuses references that would leave a plan unusable or a key ambiguous", () => {
+        const text = `{
+"plans": [
+ {"name": "a", "keys": ["${hash}"]},
+ {"name": "a", "keys": []},
+ {"name": "b", "keys": ["${hash}"]}
+],
+"allowances": [
+ {"plan": "a", "models": ["m", "m"], "budgetTokens": 1, "programsAtOnce": 1},
+ {"plan": "a", "models": [], "budgetTokens": 1, "programsAtOnce": 1},
+ {"plan": "c", "models": [], "budgetTokens": 1, "programsAtOnce": 1}
+]}`;
+        assert.deepEqual(problems(text), [
+            "duplicate_plan 4 plans[1].name",
+            "plan_without_allowance 5 plans[2].name",
+            "duplicate_key 5 plans[2].keys[0]",
+            "duplicate_name 8 allowances[0].models[1]",
+            "duplicate_allowance 9 allowances[1].plan",
+            "unknown_plan 10 allowances[2].plan",
+        ]);
+    });
+
+    it("answers any text with problems or a configuration and never throws", () => {
+        const pieces = fc.constantFrom("{", "}", "[", "]", ",", ":", "\"plans\"", "\"__proto__\"", "1", "-", "null",
+            " ");
+        fc.assert(fc.property(fc.oneof(fc.string(), fc.json(), fc.array(pieces).map(all => all.join(""))), text => {
+            checkConfiguration(text);
+        }));
+    });
+
+    it("reads every JSON text as JSON.parse does", () => {
+        fc.assert(fc.property(fc.json(), text => {
+            const value = parseJson(text).map(json => json.value).extract();
+            assert.deepEqual(value, JSON.parse(text));
+        }));
+    });
+});
+
+const listsOf: fc.Arbitrary<Lists> = fc.uniqueArray(
+    fc.record({ name: fc.constantFrom("a", "b", "c", "d"), budget: fc.nat(3), keys: fc.subarray([hash]) }),
+    { selector: each => each.name },
+).map(entries => ({
+    plans: entries.map(({ name, keys }) => ({ name, keys })),
+    allowances: entries.map(({ name, budget }) => ({
+        plan: name,
+        models: [],
+        services: [],
+        budgetTokens: budget,
+        programsAtOnce: 1,
+    })),
+}));
+
+describe("changes", () => {
+    it("lead exactly from one version to the next, so that daemons that follow the log agree", () => {
+        fc.assert(fc.property(listsOf, listsOf, (first, second) => {
+            const before = createConfiguration(4, first);
+            const after = createConfiguration(5, second);
+            assert.deepEqual(applyChange(before, diffConfiguration(before, after)), after);
+        }));
+    });
+
+    it("are ignored when they are not newer, so that a late change cannot revert a configuration (I10)", () => {
+        const now = createConfiguration(5, { plans: [], allowances: [] });
+        const late = { version: 5, plans: [{ name: "a", keys: [] }], allowances: [], removed: [] };
+        assert.equal(applyChange(now, late), now);
+    });
+});
+
+describe("directory", () => {
+    it("grants a plan only its own models and services", () => {
+        const result = checkConfiguration(file).extract() as Configuration;
+        const directory = directoryOf(result);
+        assert.equal(directory.planByKeyHash(hash)?.name, "dunes");
+        assert.equal(directory.planByKeyHash(hashKey("b")), undefined);
+        assert.equal(directory.mayUseModel("dunes", "m1"), true);
+        assert.equal(directory.mayUseModel("dunes", "waiver"), false);
+        assert.equal(directory.mayUseService("dunes", "waiver"), true);
+        assert.equal(directory.mayUseModel("other", "m1"), false);
+    });
+});
