--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,4 @@
 export * from "./peer.ts";
 export * from "./policy.ts";
 export * from "./route.ts";
+export * from "./settings.ts";
