Add the recorder of the timeline

Cause: daemons need one record of events that can be read across processes. Change: createTimeline keeps a bounded ring with wall, monotonic and Lamport clocks; a closed list of events with sentences; reading and writing of newline-delimited JSON; a stream sink; the handler of GET /timeline.

--- /dev/null
+++ b/packages/timeline/src/record.ts
@@ -0,0 +1,101 @@
+import { z } from "zod";
+import { event, type TimelineEvent } from "./event.ts";
+import type { Excerpt } from "./timeline.ts";
+
+/** First line of an excerpt: which process it is from, and which events are in memory. */
+const head = z.object({
+    timeline: z.literal(1),
+    process: z.string().min(1).max(128),
+    incarnation: z.string().max(128),
+    after: z.int().nonnegative(),
+    first: z.int().positive(),
+    next: z.int().positive(),
+    filtered: z.boolean(),
+});
+
+/** A line of a record that is neither a head nor an event. */
+export class RecordError extends Error {}
+
+/** An excerpt as lines of JSON: a head, then one line for each event. */
+export function* writeRecord(excerpt: Excerpt): Generator<string> {
+    const { events, ...rest } = excerpt;
+    yield JSON.stringify({ timeline: 1, ...rest }) + "\n";
+    for (const recorded of events) {
+        yield JSON.stringify(recorded) + "\n";
+    }
+}
+
+/**
+ * Reads newline-delimited JSON, with or without heads and of any number of processes; without a head, the record is
+ * taken to start at its first event. A last line that was cut off is ignored; any other malformed line throws
+ * RecordError.
+ */
+export function readRecord(text: string): Excerpt[] {
+    const lines = text.split("\n");
+    const heads: z.infer<typeof head>[] = [];
+    const events: TimelineEvent[] = [];
+    lines.forEach((line, index) => {
+        if (line.trim() === "") {
+            return;
+        }
+        const value = parseLine(line, index, index === lines.length - 1);
+        if (value === undefined) {
+            return;
+        }
+        if (typeof value === "object" && value !== null && "timeline" in value) {
+            heads.push(check(head, value, index));
+        }
+        else {
+            events.push(check(event, value, index));
+        }
+    });
+    return toExcerpts(heads, events);
+}
+
+function parseLine(line: string, index: number, last: boolean): unknown {
+    try {
+        return JSON.parse(line);
+    }
+    catch {
+        if (last) {
+            return undefined;
+        }
+        throw new RecordError(`line ${index + 1} is not JSON`);
+    }
+}
+
+function check<T>(schema: z.ZodType<T>, value: unknown, index: number): T {
+    const result = schema.safeParse(value);
+    if (!result.success) {
+        throw new RecordError(`line ${index + 1}: ${z.prettifyError(result.error)}`);
+    }
+    return result.data;
+}
+
+function toExcerpts(heads: readonly z.infer<typeof head>[], events: readonly TimelineEvent[]): Excerpt[] {
+    const groups = new Map<string, TimelineEvent[]>();
+    const keyOf = (of: { process: string; incarnation: string; }) => `${of.process}/${of.incarnation}`;
+    for (const recorded of events) {
+        const group = groups.get(keyOf(recorded));
+        if (group === undefined) {
+            groups.set(keyOf(recorded), [recorded]);
+        }
+        else {
+            group.push(recorded);
+        }
+    }
+    const excerpts = heads.map(({ timeline: _, ...rest }) => {
+        const own = groups.get(keyOf(rest)) ?? [];
+        groups.delete(keyOf(rest));
+        return { ...rest, events: own };
+    });
+    return [...excerpts, ...[...groups.values()].map(withoutHead)];
+}
+
+function withoutHead(events: readonly TimelineEvent[]): Excerpt {
+    const numbers = events.map(recorded => recorded.sequence);
+    const first = numbers.reduce((a, b) => Math.min(a, b));
+    const next = numbers.reduce((a, b) => Math.max(a, b)) + 1;
+    const { process, incarnation } = events[0]!;
+    return { process, incarnation, after: first - 1, first, next, filtered: false, events };
+}
--- /dev/null
+++ b/packages/timeline/src/route.ts
@@ -0,0 +1,60 @@
+import { once } from "node:events";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { z } from "zod";
+import { writeRecord } from "./record.ts";
+import type { Timeline } from "./timeline.ts";
+
+const query = z.object({
+    after: z.string().regex(/^\d{1,15}$/).transform(Number).default(0),
+    program: z.string().min(1).max(512).optional(),
+});
+
+/** Bytes gathered before a write to the response. */
+const chunkSize = 65_536;
+
+/**
+ * Answers `GET /timeline?after=N&program=...` with newline-delimited JSON. The daemon checks the operator key before.
+ * Answers 400 with a message when a parameter is not valid.
+ */
+export async function handleTimeline(
+    timeline: Timeline,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://localhost");
+    const selection = query.safeParse(Object.fromEntries(url.searchParams));
+    if (!selection.success) {
+        response.writeHead(400, { "content-type": "text/plain; charset=utf-8" });
+        response.end(z.prettifyError(selection.error) + "\n");
+        return;
+    }
+    response.writeHead(200, { "content-type": "application/x-ndjson", "cache-control": "no-store" });
+    let chunk = "";
+    for (const line of writeRecord(timeline.read(selection.data))) {
+        chunk += line;
+        if (chunk.length >= chunkSize) {
+            const written = response.write(chunk);
+            chunk = "";
+            if (!written && !await drained(response)) {
+                return;
+            }
+        }
+    }
+    response.end(chunk);
+}
+
+/** Waits until the reader has taken the data; false if it has left. */
+async function drained(response: ServerResponse): Promise<boolean> {
+    const abort = new AbortController();
+    const options = { signal: abort.signal };
+    try {
+        await Promise.race([once(response, "drain", options), once(response, "close", options)]);
+        return !response.destroyed;
+    }
+    catch {
+        return false;
+    }
+    finally {
+        abort.abort();
+    }
+}
--- /dev/null
+++ b/packages/timeline/src/sink.ts
@@ -0,0 +1,48 @@
+import debug from "debug";
+import type { Writable } from "node:stream";
+import type { TimelineEvent } from "./event.ts";
+
+const log = debug("tamarackgauge:timeline");
+
+/** Receives every event as it is recorded. */
+export interface Sink {
+    write(event: TimelineEvent): void;
+}
+
+/** Settings of a stream sink. */
+export interface StreamSinkOptions {
+    /** Bytes that may wait in the stream; beyond that, events are dropped and appear as gaps. Default 1 MB. */
+    readonly limit?: number;
+}
+
+/**
+ * Writes events as newline-delimited JSON to a stream, such as standard output. Events of one turn of the event loop
+ * are written together, after the work that recorded them. A stream that fails is not written to again.
+ */
+export function createStreamSink(stream: Writable, options: StreamSinkOptions = {}): Sink {
+    const { limit = 1_048_576 } = options;
+    let waiting: TimelineEvent[] = [];
+    let failed = false;
+    stream.on("error", error => {
+        failed = true;
+        log("events are no longer written: %s", error.message);
+    });
+
+    function flush(): void {
+        const events = waiting;
+        waiting = [];
+        if (failed || stream.writableLength > limit) {
+            log("%d events were not written", events.length);
+            return;
+        }
+        stream.write(events.map(event => JSON.stringify(event) + "\n").join(""));
+    }
+
+    return {
+        write(event) {
+            if (waiting.push(event) === 1) {
+                setImmediate(flush);
+            }
+        },
+    };
+}
