Add the owner role: partitions, calls, intents, budgets and releases

Cause: a program needs one place that orders its calls, keeps its history and dispatches at most once. Ruled out: cancelling a stream whose caller vanished without charging it, since what the engine generates after the cut is not seen and the budget must hold. Change: partitions with their recovery, the call's broadcast, model and tool runs, intents and releases.

--- a/packages/core/src/call.ts
+++ b/packages/core/src/call.ts
@@ -28,11 +28,23 @@
     readonly offset: number;
     /** Text that the entry already delivered, so that a new owner lets the engine continue from it. */
     readonly partial?: string;
+    /** Generated tokens in `partial`. */
+    readonly partialTokens?: number;
+    /** The seal of the program's last completion, if the caller has it. */
+    readonly seal?: string;
+    /** Link to the timeline of the daemon that sent the call. */
+    readonly trace?: Trace;
     /** Digest of everything that makes the request what it is. */
     readonly digest: string;
     readonly target: ModelTarget | ToolTarget;
 }
 
+/** Id of the event that led to a message, and the Lamport clock of its sender. */
+export interface Trace {
+    readonly cause: string;
+    readonly stamp: number;
+}
+
 /** A turn on a model engine. */
 export interface ModelTarget {
     readonly kind: "model";
@@ -74,10 +86,11 @@
     readonly toolCalls?: readonly unknown[];
     /** Proof of the history after this call, to be sent back if the owner loses it. */
     readonly seal?: string;
+    readonly trace?: Trace;
 }
 
-/** One event of an answer. `offset` counts the characters before `text`. */
+/** One event of an answer. `offset` counts the characters before `text`, `tokens` the tokens up to its end. */
 export type AnswerEvent =
-    | { readonly type: "text"; readonly offset: number; readonly text: string; }
+    | { readonly type: "text"; readonly offset: number; readonly text: string; readonly tokens?: number; }
     | { readonly type: "done"; readonly completion: Completion; }
     | { readonly type: "refused"; readonly refusal: Refusal; };
--- a/packages/core/src/program.ts
+++ b/packages/core/src/program.ts
@@ -28,15 +28,16 @@
         parent: z.string().optional(),
         at: z.number(),
     }),
-    /** A call that may not be repeated is about to be dispatched by this incarnation. */
+    /** A call that may not be repeated is about to be dispatched by the owner that wrote this step. */
     z.object({
         type: z.literal("intent"),
         program: z.string(),
         request: z.string(),
         sequence: z.number().int(),
         digest: z.string(),
-        incarnation: z.string(),
     }),
+    /** The call of the intent was not dispatched after all. */
+    z.object({ type: z.literal("withdraw"), program: z.string(), request: z.string() }),
     z.object({
         type: z.literal("turn"),
         program: z.string(),
@@ -76,7 +77,6 @@
     readonly request: string;
     readonly sequence: number;
     readonly digest: string;
-    readonly incarnation: string;
 }
 
 /** A program as its journal tells it. */
@@ -98,14 +98,19 @@
 /** Applies a step; a program comes into being with `open`. Steps of an unknown program are ignored. */
 export function applyProgram(program: Program | undefined, step: ProgramStep): Program | undefined {
     if (step.type === "open") {
-        return program ?? opened(step.program, step.plan, step.parent);
+        return program ?? openProgram(step.program, step.plan, step.parent);
     }
     if (program === undefined) {
         return undefined;
     }
     switch (step.type) {
         case "intent":
-            return { ...program, intent: { ...step } };
+            return {
+                ...program,
+                intent: { request: step.request, sequence: step.sequence, digest: step.digest },
+            };
+        case "withdraw":
+            return program.intent?.request === step.request ? { ...program, intent: undefined } : program;
         case "turn":
             return addTurn(program, step);
         case "restore":
@@ -117,7 +122,8 @@
     }
 }
 
-function opened(key: string, plan: string, parent: string | undefined): Program {
+/** A program without turns. */
+export function openProgram(key: string, plan: string, parent: string | undefined): Program {
     return {
         key,
         plan,
--- /dev/null
+++ b/packages/daemon/src/modelRun.ts
@@ -0,0 +1,189 @@
+import { historyOf, RefusalError, refuse } from "@tamarackgauge/core";
+import type { Answer, Call, ModelTarget, Refusal } from "@tamarackgauge/core";
+import type { EngineResult } from "@tamarackgauge/upstream";
+import type { Budgets, Reservation } from "./budgets.ts";
+import type { Dispatcher, ModelRun } from "./dispatcher.ts";
+import type { Finisher, Record } from "./finish.ts";
+import type { Live, Partition } from "./partition.ts";
+import type { Running } from "./running.ts";
+import type { Starter } from "./starter.ts";
+
+/** Runs a model call to its end; the answer goes to the call's broadcast. */
+export type ModelRunner = (partition: Partition, live: Live, running: Running, target: ModelTarget) => Promise<void>;
+
+/** Options of the runner. */
+export interface ModelRunnerOptions {
+    readonly budgets: Budgets;
+    readonly dispatcher: Dispatcher;
+    readonly finisher: Finisher;
+    readonly starter: Starter;
+    readonly record: Record;
+    /** Length of a text in tokens, estimated. */
+    readonly tokensOf: (text: string) => number;
+}
+
+/** Creates the runner. */
+export function createModelRunner(options: ModelRunnerOptions): ModelRunner {
+    const { budgets, dispatcher, finisher, starter, record, tokensOf } = options;
+
+    return async (partition, live, running, target) => {
+        const refusal = await starter.takeSlot(live) ?? await runWithBudget(partition, live, running, target);
+        if (refusal !== undefined) {
+            record(running.call, "callRefused", running.cause, { ...refusal });
+            starter.dropSlot(live);
+            running.answer.finish({ type: "refused", refusal });
+        }
+    };
+
+    async function runWithBudget(partition: Partition, live: Live, running: Running, target: ModelTarget) {
+        const { call } = running;
+        const left = target.maxTokens - (call.partialTokens ?? 0);
+        const reservation = await budgets.reserve(call.plan, Math.max(1, left));
+        if ("code" in reservation) {
+            return reservation;
+        }
+        const unstored = call.atMostOnce ? await commitIntent(partition, live, running, reservation) : undefined;
+        if (unstored !== undefined) {
+            return unstored;
+        }
+        return stream(partition, live, running, target, reservation);
+    }
+
+    async function commitIntent(partition: Partition, live: Live, running: Running, reservation: Reservation) {
+        const refusal = await starter.commitIntent(partition, live, running);
+        if (refusal !== undefined) {
+            reservation.settle(0);
+        }
+        return refusal;
+    }
+
+    async function stream(
+        partition: Partition,
+        live: Live,
+        running: Running,
+        target: ModelTarget,
+        first: Reservation,
+    ): Promise<Refusal | undefined> {
+        const { call, answer, signal } = running;
+        let reservation = first;
+        // What an engine generates after its stream broke is not seen, so a broken stream is charged in full.
+        let charge = 0;
+        try {
+            for await (const event of dispatcher.run(runOf(live, running, target), signal)) {
+                switch (event.type) {
+                    case "dispatched":
+                        charge = target.maxTokens;
+                        running.cause = record(call, "callDispatched", running.cause, {
+                            upstream: event.engine,
+                            priority: event.priority,
+                            attempt: event.attempt,
+                        });
+                        break;
+                    case "text":
+                        if (answer.text() === "") {
+                            running.cause = record(call, "firstToken", running.cause);
+                        }
+                        answer.append(event.text, event.tokens);
+                        break;
+                    case "failed": {
+                        running.cause = record(call, "callRetried", running.cause, { error: event.reason });
+                        reservation.settle(event.reached ? charge : 0);
+                        const next = await budgets.reserve(call.plan, Math.max(1, target.maxTokens - answer.tokens()));
+                        if ("code" in next) {
+                            return event.reached ? { ...next, run: "unknown" } : next;
+                        }
+                        reservation = next;
+                        charge = 0;
+                        break;
+                    }
+                    case "done":
+                        charge = event.result.tokens;
+                        reservation.settle(charge);
+                        running.cause = record(call, "callFinished", running.cause, {
+                            upstream: event.engine,
+                            tokens: event.result.tokens,
+                            promptTokens: event.result.promptTokens,
+                            cachedTokens: event.result.cachedTokens,
+                        });
+                        await finisher.finish(partition, live, running, answerOf(running, event.engine, event.result));
+                }
+            }
+            return undefined;
+        }
+        catch (error) {
+            return refusalOf(error, running, partition, live, charge > 0);
+        }
+        finally {
+            reservation.settle(charge);
+        }
+    }
+
+    function refusalOf(error: unknown, running: Running, partition: Partition, live: Live, dispatched: boolean) {
+        if (running.answer.finished()) {
+            // The call was stopped, and its readers know why.
+            return undefined;
+        }
+        if (!(error instanceof RefusalError)) {
+            throw error;
+        }
+        if (!running.call.atMostOnce) {
+            return error.refusal;
+        }
+        if (dispatched && error.refusal.run === "unknown") {
+            return refuse("outcome_unknown", "unknown", error.refusal.message);
+        }
+        starter.withdrawIntent(partition, live, running);
+        return error.refusal;
+    }
+
+    function runOf(live: Live, running: Running, target: ModelTarget): ModelRun {
+        const { call } = running;
+        const { program } = live;
+        const messages = [...historyOf(program), ...target.messages];
+        const lastTurn = program.turns.findLast(turn => turn.messages.length > 0)?.answer;
+        const newTokens = target.messages.reduce((sum, message) => sum + tokensOf(JSON.stringify(message)), 0);
+        const known = lastTurn === undefined ? 0 : lastTurn.promptTokens + lastTurn.tokens;
+        return {
+            job: {
+                id: `${program.key}/${call.request}`,
+                plan: call.plan,
+                program: program.key,
+                root: program.parent ?? program.key,
+                model: target.model,
+                promptTokens: known + newTokens,
+                newTokens,
+                maxTokens: Math.max(1, target.maxTokens - (call.partialTokens ?? 0)),
+                opening: !live.opened && call.partial === undefined,
+                repeatable: !call.atMostOnce,
+            },
+            messages,
+            partial: call.partial ?? "",
+            parameters: target.parameters ?? {},
+        };
+    }
+}
+
+function answerOf(running: Running, engine: string, result: EngineResult): Answer {
+    return {
+        text: running.answer.text(),
+        reason: result.reason,
+        status: 200,
+        promptTokens: result.promptTokens,
+        cachedTokens: result.cachedTokens,
+        tokens: (running.call.partialTokens ?? 0) + result.tokens,
+        upstream: engine,
+        ...result.toolCalls === undefined ? {} : { toolCalls: [...result.toolCalls] },
+    };
+}
+
+/** Estimates the tokens of a text at four characters each. */
+export function estimateTokens(text: string): number {
+    return Math.ceil(text.length / charactersPerToken);
+}
+
+const charactersPerToken = 4;
+
+/** The key of the program that a call belongs to. */
+export function programKey(call: Call): string {
+    return `${call.plan}/${call.program}`;
+}
--- /dev/null
+++ b/packages/daemon/src/partition.ts
@@ -0,0 +1,142 @@
+import { applyProgram, emptyDigest, extendDigest, historyOf } from "@tamarackgauge/core";
+import type { Program, ProgramStep } from "@tamarackgauge/core";
+import type { Table } from "@tamarackgauge/platform";
+import { FencedError } from "./committer.ts";
+import type { Committer } from "./committer.ts";
+import { keys, segmentOf, segmentRow } from "./rows.ts";
+import type { Running } from "./running.ts";
+
+/** A program in the memory of its owner. */
+export interface Live {
+    program: Program;
+    /** The journal has, or will have, the step that opens the program. */
+    opened: boolean;
+    /** Digest of the history, continued with each turn. */
+    digest: string;
+    running: Running | undefined;
+    /** Resolved when the program's state changes, for calls that wait for their turn. */
+    readonly waiting: Set<() => void>;
+    /** The program counts among the programs at once of its plan. */
+    slot: boolean;
+    /** Monotonic time of the last sign of its caller, in milliseconds. */
+    touched: number;
+}
+
+/** A partition in the memory of its owner. */
+export interface Partition {
+    readonly number: number;
+    readonly programs: Map<string, Live>;
+    /** Keys of the programs with steps in a segment, by segment number. */
+    readonly segments: Map<number, Set<string>>;
+    /** Resolves when the journal has been read; rejects when ownership was lost before. */
+    ready: Promise<void>;
+    /** No call is taken while the partition is handed over. */
+    draining: boolean;
+    lost: boolean;
+    /** The journal has been read. */
+    recovered: boolean;
+}
+
+const recoveryPause = 200;
+
+/** Creates a partition whose journal is still to be read. */
+export function createPartition(number: number): Partition {
+    return {
+        number,
+        programs: new Map(),
+        segments: new Map(),
+        ready: Promise.resolve(),
+        draining: false,
+        lost: false,
+        recovered: false,
+    };
+}
+
+/** Creates the state of a program. */
+export function createLive(program: Program, opened: boolean, now: number): Live {
+    return {
+        program,
+        opened,
+        digest: extendDigest(emptyDigest, historyOf(program)),
+        running: undefined,
+        waiting: new Set(),
+        slot: false,
+        touched: now,
+    };
+}
+
+/** Reads the journal of a partition, however long the store takes. */
+export async function recover(partition: Partition, table: Table, committer: Committer, now: number): Promise<void> {
+    const programs = new Map<string, Program>();
+    let after: string | undefined;
+    let next = 0;
+    for (;;) {
+        if (partition.lost || committer.fenced()) {
+            throw new FencedError(`partition ${partition.number} was lost during its recovery`);
+        }
+        const page = await table.range(keys.journal(partition.number), after).catch(() => undefined);
+        if (page === undefined) {
+            await new Promise(resolve => setTimeout(resolve, recoveryPause));
+            continue;
+        }
+        for (const row of page.rows) {
+            const segment = segmentOf(row.key);
+            replay(programs, segmentRow.decode(row.value), partition, segment);
+            after = row.key;
+            next = segment + 1;
+        }
+        if (!page.more) {
+            break;
+        }
+    }
+    committer.setSegment(partition.number, next);
+    for (const [key, program] of programs) {
+        partition.programs.set(key, createLive(program, true, now));
+    }
+    partition.recovered = true;
+}
+
+function replay(
+    programs: Map<string, Program>,
+    steps: readonly ProgramStep[],
+    partition: Partition,
+    segment: number,
+): void {
+    for (const step of steps) {
+        noteSegment(partition, segment, step.program);
+        const next = applyProgram(programs.get(step.program), step);
+        if (next !== undefined) {
+            programs.set(step.program, next);
+        }
+    }
+}
+
+/** Remembers that a segment holds steps of a program. */
+export function noteSegment(partition: Partition, segment: number, program: string): void {
+    const present = partition.segments.get(segment) ?? new Set();
+    present.add(program);
+    partition.segments.set(segment, present);
+}
+
+/** Applies steps to a program in memory and continues its digest. */
+export function applySteps(live: Live, steps: readonly ProgramStep[]): void {
+    for (const step of steps) {
+        const before = live.program;
+        const after = applyProgram(before, step) ?? before;
+        if (step.type === "restore") {
+            live.digest = extendDigest(emptyDigest, historyOf(after));
+        }
+        else if (after.turns.length > before.turns.length) {
+            live.digest = extendDigest(live.digest, historyOf({ ...after, turns: after.turns.slice(-1) }));
+        }
+        live.program = after;
+    }
+    wakeWaiting(live);
+}
+
+/** Lets the calls that wait look at the program again. */
+export function wakeWaiting(live: Live): void {
+    const woken = [...live.waiting];
+    live.waiting.clear();
+    woken.forEach(wake => wake());
+}
--- /dev/null
+++ b/packages/daemon/src/services.ts
@@ -0,0 +1,94 @@
+import type { Vm } from "@tamarackgauge/platform";
+import { createServiceClient, ServiceError } from "@tamarackgauge/upstream";
+import type { ServiceAnswer, ServiceCall, ServiceClient } from "@tamarackgauge/upstream";
+
+/** The plain services that the daemon routes to. */
+export interface Services {
+    setVms(vms: readonly Vm[]): void;
+    has(service: string): boolean;
+    /** Calls a live instance once; throws a `ServiceError`. */
+    call(service: string, call: ServiceCall,
+        signal: AbortSignal): Promise<{ answer: ServiceAnswer; upstream: string; }>;
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+interface Instance {
+    readonly vm: Vm;
+    readonly client: ServiceClient;
+    inFlight: number;
+    /** Monotonic time of the last failure to connect, in milliseconds. */
+    failedAt: number;
+}
+
+/** An instance that could not be reached is the last choice for this long, in milliseconds. */
+const failurePause = 2_000;
+
+/** Creates the routes to plain services; an instance serves the service that its VM is named after or lists. */
+export function createServices(): Services {
+    const instances = new Map<string, Instance>();
+
+    function setVms(vms: readonly Vm[]): void {
+        const listed = new Map(vms.filter(vm => vm.kind === "service").map(vm => [vm.name, vm]));
+        for (const [name, instance] of instances) {
+            if (!listed.has(name)) {
+                instances.delete(name);
+                void closeWhenIdle(instance);
+            }
+        }
+        for (const [name, vm] of listed) {
+            const known = instances.get(name);
+            const same = known !== undefined && known.vm.address === vm.address && known.vm.port === vm.port;
+            instances.set(name, {
+                vm,
+                client: same ? known.client : createServiceClient(`http://${vm.address}:${vm.port}`),
+                inFlight: known?.inFlight ?? 0,
+                failedAt: known?.failedAt ?? -Infinity,
+            });
+        }
+    }
+
+    function candidates(service: string): readonly Instance[] {
+        return [...instances.values()].filter(({ vm }) =>
+            vm.state === "live" && (vm.name === service || vm.models?.includes(service) === true)
+        );
+    }
+
+    async function call(service: string, options: ServiceCall, signal: AbortSignal) {
+        const now = performance.now();
+        const rank = (instance: Instance) => instance.inFlight + (now - instance.failedAt < failurePause ? 1_000 : 0);
+        const chosen = candidates(service).toSorted((left, right) => rank(left) - rank(right))[0];
+        if (chosen === undefined) {
+            throw new ServiceError(`no live instance of ${service}`, false);
+        }
+        chosen.inFlight += 1;
+        try {
+            return { answer: await chosen.client.call(options, signal), upstream: chosen.vm.name };
+        }
+        catch (error) {
+            chosen.failedAt = performance.now();
+            throw error;
+        }
+        finally {
+            chosen.inFlight -= 1;
+        }
+    }
+
+    return {
+        setVms,
+        has: service => candidates(service).length > 0,
+        call,
+        [Symbol.asyncDispose]: async () => {
+            await Promise.all([...instances.values()].map(instance => instance.client[Symbol.asyncDispose]()));
+        },
+    };
+}
+
+const idleCheck = 1_000;
+
+/** Calls in flight on an instance that left the list finish. */
+async function closeWhenIdle(instance: Instance): Promise<void> {
+    while (instance.inFlight > 0) {
+        await new Promise(resolve => setTimeout(resolve, idleCheck).unref());
+    }
+    await instance.client[Symbol.asyncDispose]();
+}
