--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./policy.ts";
 export * from "./policy/baselines.ts";
 export * from "./policy/create.ts";
+export { AttainedServicePolicy, type PolicySettings, usualSettings } from "./policy/scheduler.ts";
--- a/packages/core/src/policy/create.ts
+++ b/packages/core/src/policy/create.ts
@@ -1,21 +1,25 @@
 import type { Random } from "../clock.ts";
 import type { Policy } from "../policy.ts";
 import { ConsistentHashPolicy, LeastConnectionsPolicy, RoundRobinPolicy } from "./baselines.ts";
+import { AttainedServicePolicy, type PolicySettings, usualSettings } from "./scheduler.ts";
 
 /** The policies that can be chosen by name. */
-export const policyNames = ["roundRobin", "leastConnections", "consistentHash"] as const;
+export const policyNames = ["attainedService", "roundRobin", "leastConnections", "consistentHash"] as const;
 
 /** Name of a policy. */
 export type PolicyName = (typeof policyNames)[number];
 
-/** What a policy is built from. */
+/** What a policy is built from. Settings left out are the usual ones; the baselines have none. */
 export interface PolicyOptions {
     readonly random: Random;
+    readonly settings?: Partial<PolicySettings>;
 }
 
 /** Builds the named policy. */
-export function createPolicy(name: PolicyName, _options: PolicyOptions): Policy {
+export function createPolicy(name: PolicyName, options: PolicyOptions): Policy {
     switch (name) {
+        case "attainedService":
+            return new AttainedServicePolicy({ ...usualSettings, ...options.settings }, options.random);
         case "roundRobin":
             return new RoundRobinPolicy();
         case "leastConnections":
--- /dev/null
+++ b/packages/core/src/policy/scheduler.ts
@@ -0,0 +1,292 @@
+import type { Random } from "../clock.ts";
+import { type Refusal, refuse } from "../code.ts";
+import type { Assignment, CacheEvent, Engine, Job, JobResult, LoadReport, Policy } from "../policy.ts";
+import { Admission } from "./admission.ts";
+import { Health } from "./health.ts";
+import { agedLevel, AttainedService, type Offer, type Waiting, WaitingQueue } from "./order.ts";
+import { type EngineState, type Route, Router } from "./routing.ts";
+
+/** Settings of the policy. */
+export interface PolicySettings {
+    /** Longest wait that callers accept for a first token, in ms. */
+    readonly patienceMs: number;
+    /** Weight of a plan when calls wait; 1 gives equal shares. */
+    readonly weightOf: (plan: string) => number;
+}
+
+/** Settings of a daemon without configuration. */
+export const usualSettings: PolicySettings = { patienceMs: 5_000, weightOf: () => 1 };
+
+/** A job that waits is offered again after this time, as estimates change with time; in ms. */
+const offerMs = 50;
+
+/** An eviction is ignored when an own call of the program ended there within the usual lag of events, in ms. */
+const eventLagMs = 2_000;
+
+/** A first token counts as queued when it took longer than expected by this factor and these ms. */
+const queuedFactor = 1.5;
+const queuedMs = 20;
+
+interface ProgramState {
+    readonly root: string;
+    /** Tokens believed cached per engine that served the program, and when that was learned. */
+    readonly cached: Map<string, number>;
+    learnedAt: number;
+}
+
+interface Flight {
+    readonly job: Job;
+    readonly state: EngineState;
+    readonly level: number;
+    readonly uncached: number;
+    readonly believed: number;
+    readonly sentAt: number;
+    /** Tokens charged to the plan at dispatch. */
+    readonly charged: number;
+    startedAt: number | undefined;
+    progressAt: number;
+    tokens: number;
+}
+
+/** Least attained service per program tree, with routing, health, windows and admission. */
+export class AttainedServicePolicy implements Policy {
+    private readonly service = new AttainedService();
+    private readonly health = new Health();
+    private readonly router: Router;
+    private readonly admission: Admission;
+    private readonly queues = new Map<string, WaitingQueue>();
+    private readonly waitingJobs = new Map<string, Waiting>();
+    private readonly flights = new Map<string, Flight>();
+    private readonly programs = new Map<string, ProgramState>();
+
+    constructor(private readonly settings: PolicySettings, random: Random) {
+        this.router = new Router(this.health, random);
+        this.admission = new Admission(settings.patienceMs, random);
+    }
+
+    setEngines(engines: readonly Engine[]): void {
+        this.router.setEngines(engines);
+    }
+
+    submit(job: Job, now: number): Refusal | undefined {
+        const refusal = this.refusalOf(job, now);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        this.programOf(job.program, job.root);
+        const waiting = { job, level: this.service.level(job.root), since: now };
+        this.waitingJobs.set(job.id, waiting);
+        this.queueOf(job.model).add(waiting);
+        return undefined;
+    }
+
+    withdraw(job: string): void {
+        const waiting = this.waitingJobs.get(job);
+        if (waiting !== undefined) {
+            this.waitingJobs.delete(job);
+            this.queueOf(waiting.job.model).remove(waiting);
+        }
+    }
+
+    next(now: number): readonly Assignment[] {
+        const assignments: Assignment[] = [];
+        if (this.waitingJobs.size > 0) {
+            for (const queue of this.queues.values()) {
+                queue.offer(now, waiting => this.place(waiting, queue, assignments, now));
+            }
+        }
+        return assignments;
+    }
+
+    wakeAt(now: number): number | undefined {
+        return this.waitingJobs.size === 0 ? undefined : now + offerMs;
+    }
+
+    firstToken(job: string, now: number): void {
+        const flight = this.flights.get(job);
+        if (flight === undefined || flight.startedAt !== undefined) {
+            return;
+        }
+        const { state, uncached } = flight;
+        this.leaveWindow(flight);
+        flight.startedAt = now;
+        flight.progressAt = now;
+        const speeds = this.router.speeds;
+        const ms = now - flight.sentAt;
+        const expected = speeds.expectedFirstToken(uncached);
+        state.window.adapt(ms > queuedFactor * expected + queuedMs);
+        state.waited(Math.max(0, ms - expected), now);
+        speeds.learnFirstToken(uncached, ms);
+        this.health.started(state.engine.name, now);
+    }
+
+    progress(job: string, tokens: number, now: number): void {
+        const flight = this.flights.get(job);
+        if (flight === undefined || tokens <= 0) {
+            return;
+        }
+        if (flight.startedAt !== undefined && now > flight.progressAt) {
+            this.health.token(flight.state.engine.name, (now - flight.progressAt) / tokens, now);
+        }
+        flight.progressAt = now;
+        flight.tokens += tokens;
+        this.service.charge(flight.job.root, tokens);
+    }
+
+    finish(job: string, result: JobResult, now: number): void {
+        const flight = this.flights.get(job);
+        if (flight === undefined) {
+            return;
+        }
+        this.flights.delete(job);
+        this.leave(flight);
+        if (result.outcome === "failed") {
+            this.health.failed(flight.state.engine.name);
+        }
+        if (result.outcome === "done") {
+            this.learn(flight, result, now);
+        }
+        const computed = Math.max(0, result.promptTokens - result.cachedTokens);
+        this.service.charge(flight.job.root, computed + Math.max(0, result.tokens - flight.tokens));
+        this.queueOf(flight.job.model).charge(flight.job.plan, computed + result.tokens - flight.charged);
+    }
+
+    report(engine: string, report: LoadReport, now: number): void {
+        this.router.state(engine)?.report(report, now);
+    }
+
+    cacheEvent(engine: string, event: CacheEvent, now: number): void {
+        const program = this.programs.get(event.program);
+        if (program === undefined) {
+            return;
+        }
+        if (event.kind === "stored") {
+            program.cached.set(engine, Math.max(event.tokens, program.cached.get(engine) ?? 0));
+        }
+        else if (program.cached.has(engine) && now - program.learnedAt > eventLagMs) {
+            program.cached.set(engine, 0);
+        }
+    }
+
+    peerCounts(daemon: string, inFlight: Readonly<Record<string, number>>, now: number): void {
+        this.router.peers.set(daemon, inFlight, now);
+    }
+
+    endProgram(program: string): readonly string[] {
+        const engines = [...this.programs.get(program)?.cached.keys() ?? []];
+        this.programs.delete(program);
+        this.service.end(program);
+        return engines;
+    }
+
+    restoreProgram(program: string, root: string, tokens: number, engine: string | undefined, now: number): void {
+        const state = this.programOf(program, root);
+        this.service.charge(root, tokens);
+        if (engine !== undefined) {
+            state.cached.set(engine, tokens);
+            state.learnedAt = now;
+        }
+    }
+
+    waiting(): number {
+        return this.waitingJobs.size;
+    }
+
+    private refusalOf(job: Job, now: number): Refusal | undefined {
+        if (!this.router.isServed(job)) {
+            return refuse("upstream_missing", "notRun", job.model);
+        }
+        if (job.excluded.length > 0) {
+            // The failed attempt may have run, so the refusal of a retry cannot promise the contrary.
+            return this.admission.takeRetry() ?
+                undefined
+                : refuse("upstream_failed", "unknown", "the retry budget is spent");
+        }
+        this.admission.countRequest();
+        const retryAfterMs = job.opening
+            ? this.admission.refuses(this.waitingJobs.size, this.engineWait(now))
+            : undefined;
+        return retryAfterMs === undefined ? undefined : refuse("overloaded", "notRun", undefined, retryAfterMs);
+    }
+
+    private engineWait(_now: number): number {
+        return 0;
+    }
+
+    private place(waiting: Waiting, queue: WaitingQueue, assignments: Assignment[], now: number): Offer {
+        const { job } = waiting;
+        const level = agedLevel(waiting, now);
+        const route = this.router.choose(job, this.programs.get(job.program)?.cached, level, now);
+        if (route === undefined) {
+            return "blocked";
+        }
+        this.waitingJobs.delete(job.id);
+        const charged = route.uncached + Math.min(job.maxTokens, this.router.speeds.outputTokens);
+        queue.charge(job.plan, charged);
+        this.send(job, route, level, charged, now);
+        assignments.push({ job, engine: route.state.engine.name, priority: level });
+        return "placed";
+    }
+
+    private send(job: Job, { state, uncached }: Route, level: number, charged: number, now: number): void {
+        const name = state.engine.name;
+        const cached = this.programs.get(job.program)?.cached;
+        const believed = Math.min(job.promptTokens, cached?.get(name) ?? 0);
+        cached?.set(name, cached.get(name) ?? 0);
+        state.inFlight += 1;
+        state.pendingTokens += uncached;
+        state.window.add(level);
+        this.health.dispatched(name, now);
+        this.flights.set(job.id, { job, state, level, uncached, believed, sentAt: now, charged, startedAt: undefined,
+            progressAt: now, tokens: 0 });
+    }
+
+    private leaveWindow({ state, level, uncached }: Flight): void {
+        state.window.remove(level);
+        state.pendingTokens -= uncached;
+    }
+
+    private leave(flight: Flight): void {
+        flight.state.inFlight -= 1;
+        if (flight.startedAt === undefined) {
+            this.leaveWindow(flight);
+        }
+        else {
+            this.health.stopped(flight.state.engine.name);
+        }
+    }
+
+    private learn(flight: Flight, result: JobResult, now: number): void {
+        const { state, believed, job } = flight;
+        this.router.speeds.learnCall(now - flight.sentAt, result.tokens);
+        this.admission.completed(this.waitingJobs.size > 0, now);
+        if (believed > 0) {
+            const kept = Math.min(1, result.cachedTokens / believed);
+            state.trust += 0.1 * (kept - state.trust);
+        }
+        const program = this.programs.get(job.program);
+        if (program !== undefined) {
+            program.cached.set(state.engine.name, result.promptTokens + result.tokens);
+            program.learnedAt = now;
+        }
+    }
+
+    private programOf(name: string, root: string): ProgramState {
+        let program = this.programs.get(name);
+        if (program === undefined) {
+            program = { root, cached: new Map(), learnedAt: -Infinity };
+            this.programs.set(name, program);
+            this.service.join(name, root);
+        }
+        return program;
+    }
+
+    private queueOf(model: string): WaitingQueue {
+        let queue = this.queues.get(model);
+        if (queue === undefined) {
+            queue = new WaitingQueue(this.settings.weightOf);
+            this.queues.set(model, queue);
+        }
+        return queue;
+    }
+}
