--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,3 +16,4 @@
 export * from "./route.ts";
 export * from "./seal.ts";
 export * from "./settings.ts";
+export { AttainedServicePolicy, type PolicySettings, usualSettings } from "./policy/scheduler.ts";
