Add the HTTP front: calls, streams, limits and drain

Callers need chat completions over HTTP/1.1 with resumable streams. The front identifies the plan, reads the call, puts the pieces of an answer in order and writes them only as fast as the caller reads.

--- /dev/null
+++ b/packages/caller/src/body.ts
@@ -0,0 +1,55 @@
+import { RefusalError, refuse } from "@tamarackgauge/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** Bounds the bytes of all bodies that are arriving, so that many slow uploads cannot exhaust the memory. */
+export interface Arriving {
+    used: number;
+    readonly limit: number;
+}
+
+/**
+ * Reads a whole body of at most `limit` bytes. Rejects with a `RefusalError` when it is too large, and with another
+ * error when the connection closes first.
+ */
+export async function receive(
+    request: IncomingMessage,
+    response: ServerResponse,
+    limit: number,
+    arriving: Arriving,
+): Promise<Buffer> {
+    if (Number(request.headers["content-length"] ?? 0) > limit) {
+        throw tooLarge(limit);
+    }
+    if (request.headers.expect !== undefined) {
+        response.writeContinue();
+    }
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+        await new Promise<void>((resolve, reject) => {
+            request.on("data", (chunk: Buffer) => {
+                size += chunk.length;
+                arriving.used += chunk.length;
+                chunks.push(chunk);
+                if (size > limit) {
+                    reject(tooLarge(limit));
+                }
+                else if (arriving.used > arriving.limit) {
+                    reject(new RefusalError(refuse("overloaded", "notRun", "too many bodies are arriving", 1000)));
+                }
+            });
+            request.on("end", resolve);
+            request.on("error", reject);
+            request.on("close", () => reject(new Error("the connection closed before the body was complete")));
+        });
+        return Buffer.concat(chunks);
+    }
+    finally {
+        request.removeAllListeners("data");
+        arriving.used -= size;
+    }
+}
+
+function tooLarge(limit: number): RefusalError {
+    return new RefusalError(refuse("body_too_large", "notRun", `more than ${limit} bytes`));
+}
--- /dev/null
+++ b/packages/caller/src/calls.ts
@@ -0,0 +1,158 @@
+import { type AnswerEvent, type Call, type Clock, type Configuration, type Refusal, RefusalError,
+    refuse } from "@tamarackgauge/core";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Either } from "purify-ts";
+import { sendStream, sendWhole } from "./answer.ts";
+import { type Arriving, receive } from "./body.ts";
+import { deliver } from "./delivery.ts";
+import { identify, permit } from "./identity.ts";
+import type { Limits } from "./limits.ts";
+import { type CallHead, digestOf, parseChat, parseHead, parseProgram, parseTool, parseToolPath } from "./parse.ts";
+
+/** What the handling of calls is built from; see `FrontOptions`. */
+export interface CallsOptions {
+    readonly limits: Limits;
+    readonly arriving: Arriving;
+    readonly clock: Clock;
+    readonly configuration: () => Configuration | undefined;
+    readonly serve: (call: Call, signal: AbortSignal) => AsyncIterable<AnswerEvent>;
+    readonly endProgram: (plan: string, program: string) => Promise<Refusal | undefined>;
+    readonly refused: (refusal: Refusal) => void;
+}
+
+/** A request whose path leads to a call or a program; `rest` follows the fixed part of the path. */
+export interface Incoming {
+    readonly kind: "chat" | "tool" | "program";
+    readonly rest: string;
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+}
+
+/** The calls that are open on this front. */
+export interface Calls {
+    /** Answers a request. Rejects with a `RefusalError` for a refusal that has not been sent. */
+    answer(incoming: Incoming): Promise<void>;
+    count(): number;
+    /** Resolves when all calls that are open now have ended. */
+    finished(): Promise<void>;
+    /** Ends all open calls with this refusal. */
+    cancel(refusal: Refusal): void;
+    /** Refuses calls from now on. */
+    close(): void;
+}
+
+/** Creates the handling of calls and programs. */
+export function createCalls(options: CallsOptions): Calls {
+    const { limits, clock, refused } = options;
+    const open = new Map<AbortController, Promise<void>>();
+    let closed = false;
+
+    function authorize(request: IncomingMessage): { readonly plan: string; readonly configuration: Configuration; } {
+        const configuration = options.configuration();
+        const plan = orThrow(identify(configuration, request.headers.authorization));
+        return { plan, configuration: configuration as Configuration };
+    }
+
+    async function answer(incoming: Incoming): Promise<void> {
+        const { plan, configuration } = authorize(incoming.request);
+        if (incoming.kind === "program") {
+            return endProgram(plan, incoming);
+        }
+        if (closed) {
+            throw new RefusalError(refuse("leaving", "notRun", undefined, 1000));
+        }
+        if (open.size >= limits.maxStreams) {
+            throw new RefusalError(refuse("too_many_streams", "notRun", undefined, 1000));
+        }
+        const controller = new AbortController();
+        const served = answerCall(incoming, plan, configuration, controller);
+        open.set(controller, served.catch(() => undefined));
+        try {
+            await served;
+        }
+        finally {
+            open.delete(controller);
+        }
+    }
+
+    async function endProgram(plan: string, { rest, response }: Incoming): Promise<void> {
+        const refusal = await options.endProgram(plan, orThrow(parseProgram(rest)));
+        if (refusal !== undefined) {
+            throw new RefusalError(refusal);
+        }
+        response.writeHead(204).end();
+    }
+
+    async function answerCall(
+        incoming: Incoming,
+        plan: string,
+        configuration: Configuration,
+        controller: AbortController,
+    ): Promise<void> {
+        const { request, response } = incoming;
+        const { signal } = controller;
+        response.on("close", () => controller.abort());
+        const head = orThrow(parseHead(request.headers, randomUUID));
+        response.setHeader("tg-program", head.program);
+        response.setHeader("idempotency-key", head.request);
+        if (incoming.kind === "tool") {
+            orThrow(permit(configuration, plan, "tool", orThrow(parseToolPath(incoming.rest)).service));
+        }
+        const body = await receive(request, response, limits.maxBody, options.arriving);
+        const { call, stream } = createCall(incoming, plan, head, body);
+        if (call.target.kind === "model") {
+            orThrow(permit(configuration, plan, "model", call.target.model));
+        }
+        const created = Math.floor(clock.wall() / 1000);
+        const exchange = { request, response, call, limits, created, refused };
+        const send = stream ? sendStream : sendWhole;
+        await send(exchange, deliver(options.serve(call, signal), call.offset, signal));
+    }
+
+    function createCall({ kind, rest, request }: Incoming, plan: string, head: CallHead, body: Buffer) {
+        const { seal, ...identity } = head;
+        const digest = digestOf(request.method ?? "", request.url ?? "", body);
+        if (kind === "tool") {
+            const target = orThrow(parseTool(rest, body));
+            refusePartial(head, false);
+            return { call: { ...identity, plan, digest, target }, stream: false };
+        }
+        const { target, stream } = orThrow(parseChat(body, seal, limits.presetTokens));
+        refusePartial(head, stream);
+        return { call: { ...identity, plan, digest, target }, stream };
+    }
+
+    return {
+        answer,
+        count: () => open.size,
+        finished: async () => {
+            await Promise.all(open.values());
+        },
+        cancel: refusal => {
+            for (const controller of open.keys()) {
+                controller.abort(new RefusalError(refusal));
+            }
+        },
+        close: () => {
+            closed = true;
+        },
+    };
+}
+
+/** A body that is sent as a whole cannot start in the middle. */
+function refusePartial({ offset }: CallHead, stream: boolean): void {
+    if (offset > 0 && !stream) {
+        throw new RefusalError(refuse("invalid_header", "notRun", "last-event-id needs a streamed answer"));
+    }
+}
+
+/** The value, or a `RefusalError`. */
+function orThrow<Value>(either: Either<Refusal, Value>): Value {
+    return either.caseOf({
+        Left: refusal => {
+            throw new RefusalError(refusal);
+        },
+        Right: value => value,
+    });
+}
--- /dev/null
+++ b/packages/caller/src/connections.ts
@@ -0,0 +1,82 @@
+import { type Refusal, RefusalError, refuse } from "@tamarackgauge/core";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Limits } from "./limits.ts";
+import { rawRefusal } from "./writer.ts";
+
+/** Time in milliseconds for a caller to take the last answer on a connection that is being closed. */
+const closeTime = 1000;
+
+/** Watches the connections of a server: input that is no HTTP, too many connections, pipelining. */
+export interface Connections {
+    /**
+     * Claims the connection for a response. Throws a `RefusalError` for a second request before the end of the first:
+     * its answer would have to wait in memory behind a stream that may take minutes.
+     */
+    claim(request: IncomingMessage, response: ServerResponse): void;
+}
+
+/** Installs the handlers for what goes wrong below the level of requests. */
+export function watchConnections(server: Server, limits: Limits, refused: (refusal: Refusal) => void): Connections {
+    const current = new WeakMap<Duplex, ServerResponse>();
+    let count = 0;
+
+    function close(socket: Duplex, refusal: Refusal): void {
+        refused(refusal);
+        const response = current.get(socket);
+        const midAnswer = response !== undefined && response.headersSent && !response.writableFinished;
+        if (midAnswer || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        socket.end(rawRefusal(refusal));
+        setTimeout(() => socket.destroy(), closeTime).unref();
+    }
+
+    server.on("connection", socket => {
+        socket.setKeepAlive(true, limits.probeDelay);
+        count += 1;
+        socket.on("close", () => count -= 1);
+        if (count > limits.maxConnections) {
+            close(socket, refuse("too_many_streams", "notRun", "too many connections", 1000));
+        }
+    });
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        const refusal = refusalOf(error);
+        if (refusal === undefined) {
+            socket.destroy();
+            return;
+        }
+        close(socket, refusal);
+    });
+
+    return {
+        claim: (request, response) => {
+            const before = current.get(request.socket);
+            // `writableEnded`, not `finish`: the caller may send its next request before the write is reported back.
+            if (before !== undefined && !before.writableEnded) {
+                response.setHeader("connection", "close");
+                throw new RefusalError(
+                    refuse("malformed_request", "notRun", "the connection still carries another answer"),
+                );
+            }
+            current.set(request.socket, response);
+        },
+    };
+}
+
+function refusalOf({ code }: NodeJS.ErrnoException): Refusal | undefined {
+    switch (code) {
+        case "ECONNRESET":
+        case "EPIPE":
+            return undefined;
+        case "HPE_HEADER_OVERFLOW":
+            return refuse("headers_too_large", "notRun");
+        case "HPE_CHUNK_EXTENSIONS_OVERFLOW":
+            return refuse("body_too_large", "notRun", "the chunk extensions are too long");
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return refuse("request_slow", "notRun");
+        default:
+            return refuse("malformed_request", "notRun", code);
+    }
+}
--- /dev/null
+++ b/packages/caller/src/delivery.ts
@@ -0,0 +1,93 @@
+import { type AnswerEvent, type Refusal, RefusalError, refuse } from "@tamarackgauge/core";
+import debug from "debug";
+import { createOrdering, type Ordering } from "./ordering.ts";
+
+const log = debug("tamarackgauge:caller");
+
+/** Early text held for one answer, in characters. */
+const holdLimit = 65_536;
+
+/**
+ * The events of an answer as its caller gets them: text in order without gaps or repeats, then exactly one end.
+ * Pulls the next event only when asked. Ends without an end event when `signal` is aborted without a refusal.
+ */
+export async function* deliver(
+    events: AsyncIterable<AnswerEvent>,
+    offset: number,
+    signal: AbortSignal,
+): AsyncGenerator<AnswerEvent> {
+    const ordering = createOrdering(offset, holdLimit);
+    const iterator = events[Symbol.asyncIterator]();
+    try {
+        for (;;) {
+            const step = await nextOrAbort(iterator, signal);
+            const event = step.done === true ? endedEarly : inOrder(step.value, ordering);
+            if (event !== undefined) {
+                yield event;
+            }
+            if (event !== undefined && event.type !== "text") {
+                return;
+            }
+        }
+    }
+    catch (error) {
+        const refusal = refusalOf(error, signal);
+        if (refusal !== undefined) {
+            yield { type: "refused", refusal };
+        }
+    }
+    finally {
+        // Not awaited: a generator that is stuck in an await would never return.
+        iterator.return?.().catch((error: unknown) => log("closing an answer failed: %o", error));
+    }
+}
+
+const endedEarly: AnswerEvent = {
+    type: "refused",
+    refusal: refuse("internal", "unknown", "the answer has no end"),
+};
+
+function inOrder(event: AnswerEvent, ordering: Ordering): AnswerEvent | undefined {
+    if (event.type === "done" && !ordering.isComplete()) {
+        return incomplete;
+    }
+    if (event.type !== "text") {
+        return event;
+    }
+    const offset = ordering.position();
+    const text = ordering.take(event.offset, event.text);
+    if (text === undefined) {
+        return incomplete;
+    }
+    return text === "" ? undefined : { type: "text", offset, text };
+}
+
+const incomplete: AnswerEvent = {
+    type: "refused",
+    refusal: refuse("internal", "unknown", "a part of the answer did not arrive"),
+};
+
+function refusalOf(error: unknown, signal: AbortSignal): Refusal | undefined {
+    const cause: unknown = signal.aborted ? signal.reason : error;
+    if (cause instanceof RefusalError) {
+        return cause.refusal;
+    }
+    if (signal.aborted) {
+        return undefined;
+    }
+    log("serving a call failed: %o", error);
+    return refuse("internal", "unknown");
+}
+
+/** Waits for the next event; rejects when the signal is aborted, even if the iterator ignores it. */
+function nextOrAbort<Value>(iterator: AsyncIterator<Value>, signal: AbortSignal): Promise<IteratorResult<Value>> {
+    return new Promise((resolve, reject) => {
+        const abort = () => reject(new Error("the call was cancelled"));
+        if (signal.aborted) {
+            abort();
+            return;
+        }
+        signal.addEventListener("abort", abort, { once: true });
+        iterator.next().then(resolve, reject).finally(() => signal.removeEventListener("abort", abort));
+    });
+}
--- /dev/null
+++ b/packages/caller/src/endpoint.ts
@@ -0,0 +1,42 @@
+import type { Route } from "@tamarackgauge/core";
+
+/** What a method and path lead to. `rest` is the part of the path that names a service or a program. */
+export type Endpoint =
+    | { readonly kind: "chat" | "tool" | "program" | "health" | "ready" | "metrics"; readonly rest: string; }
+    | { readonly kind: "route"; readonly route: Route; }
+    | { readonly kind: "otherMethod"; readonly allowed: readonly string[]; }
+    | { readonly kind: "unknown"; };
+
+interface Entry {
+    readonly methods: readonly string[];
+    /** A prefix when it ends with `/`. */
+    readonly path: string;
+    readonly kind: "chat" | "tool" | "program" | "health" | "ready" | "metrics";
+}
+
+const entries: readonly Entry[] = [
+    { methods: ["POST"], path: "/v1/chat/completions", kind: "chat" },
+    { methods: ["POST"], path: "/v1/tools/", kind: "tool" },
+    { methods: ["DELETE"], path: "/v1/programs/", kind: "program" },
+    { methods: ["GET", "HEAD"], path: "/healthz", kind: "health" },
+    { methods: ["GET", "HEAD"], path: "/readyz", kind: "ready" },
+    { methods: ["GET", "HEAD"], path: "/metrics", kind: "metrics" },
+];
+
+/** Finds what serves a request. The path is not normalised, so it cannot lead anywhere but where it is written. */
+export function findEndpoint(method: string, url: string, routes: readonly Route[]): Endpoint {
+    const path = url.split("?", 1)[0] ?? "";
+    const entry = entries.find(each => each.path.endsWith("/") ? path.startsWith(each.path) : path === each.path);
+    if (entry !== undefined) {
+        return entry.methods.includes(method)
+            ? { kind: entry.kind, rest: url.slice(entry.path.length) }
+            : { kind: "otherMethod", allowed: entry.methods };
+    }
+    const candidates = routes.filter(route => route.path === path);
+    const route = candidates.find(each => each.method === method);
+    if (route !== undefined) {
+        return { kind: "route", route };
+    }
+    const allowed = candidates.map(each => each.method);
+    return allowed.length === 0 ? { kind: "unknown" } : { kind: "otherMethod", allowed };
+}
--- /dev/null
+++ b/packages/caller/src/front.ts
@@ -0,0 +1,178 @@
+import { type AnswerEvent, type Call, type Clock, type Configuration, type Refusal, RefusalError, refuse, type Route,
+    systemClock } from "@tamarackgauge/core";
+import debug from "debug";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type Arriving, receive } from "./body.ts";
+import { createCalls } from "./calls.ts";
+import { watchConnections } from "./connections.ts";
+import { findEndpoint } from "./endpoint.ts";
+import { type Limits, presetLimits } from "./limits.ts";
+import { end, sendRefusal } from "./writer.ts";
+
+const log = debug("tamarackgauge:caller");
+
+/** What the front is built from. */
+export interface FrontOptions {
+    /** IP address and TCP port to listen on; port 0 takes a free one. */
+    readonly address: string;
+    readonly port: number;
+    readonly limits?: Partial<Limits>;
+    /** The configuration in force, or undefined while the daemon cannot confirm one. */
+    readonly configuration: () => Configuration | undefined;
+    /**
+     * Serves a call. The signal is aborted when the caller is gone, or with a `RefusalError` when the front closes.
+     * The next event is pulled only when the caller has taken the one before.
+     */
+    readonly serve: (call: Call, signal: AbortSignal) => AsyncIterable<AnswerEvent>;
+    /** Ends a program; gives a refusal if that is not possible. */
+    readonly endProgram: (plan: string, program: string) => Promise<Refusal | undefined>;
+    /** Why the daemon is not ready for new calls; undefined when it is. */
+    readonly unready?: () => string | undefined;
+    /** The metrics in the text format of Prometheus. */
+    readonly metrics?: () => Promise<string>;
+    readonly routes?: readonly Route[];
+    readonly clock?: Clock;
+    /** Told of each refusal that a caller gets, for metrics. */
+    readonly refused?: (refusal: Refusal) => void;
+}
+
+/** The HTTP front of a daemon. Disposing it answers what is left with `leaving` and closes all connections. */
+export interface Front extends AsyncDisposable {
+    readonly port: number;
+    /** Calls of callers that are open now. */
+    openCalls(): number;
+    /** Takes no new calls; resolves when the open ones have ended. The port keeps answering until disposal. */
+    drain(): Promise<void>;
+}
+
+/** Time in milliseconds for cancelled calls to get their last answer. */
+const cancelTime = 1000;
+
+/** Opens the HTTP front. Rejects if the port cannot be opened. */
+export async function createFront(options: FrontOptions): Promise<Front> {
+    const limits: Limits = { ...presetLimits, ...options.limits };
+    const { refused = () => undefined, clock = systemClock, routes = [], unready, metrics } = options;
+    const arriving: Arriving = { used: 0, limit: limits.maxArriving };
+    const calls = createCalls({ ...options, limits, arriving, clock, refused });
+    const server = createServer(serverOptions(limits));
+    const connections = watchConnections(server, limits, refused);
+    let draining = false;
+
+    async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        // A caller that disconnects is noticed through `close`; without a listener its error would end the process.
+        request.on("error", () => undefined);
+        response.on("error", () => undefined);
+        if (draining) {
+            response.setHeader("connection", "close");
+        }
+        try {
+            connections.claim(request, response);
+            await answer(request, response);
+        }
+        catch (error) {
+            await fail(request, response, error);
+        }
+    }
+
+    async function fail(request: IncomingMessage, response: ServerResponse, error: unknown): Promise<void> {
+        if (response.closed || response.headersSent) {
+            response.destroy();
+            return;
+        }
+        if (!(error instanceof RefusalError)) {
+            log("a request failed: %o", error);
+        }
+        const refusal = error instanceof RefusalError ? error.refusal : refuse("internal", "unknown");
+        refused(refusal);
+        await sendRefusal(request, response, refusal);
+    }
+
+    async function answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const endpoint = findEndpoint(request.method ?? "", request.url ?? "", routes);
+        switch (endpoint.kind) {
+            case "unknown":
+                throw new RefusalError(refuse("unknown_path", "notRun"));
+            case "otherMethod":
+                response.setHeader("allow", endpoint.allowed.join(", "));
+                throw new RefusalError(refuse("method_not_allowed", "notRun"));
+            case "health":
+                return sendText(response, 200, "ok\n");
+            case "ready":
+                return sendReadiness(response);
+            case "metrics":
+                return sendText(response, 200, await metrics?.() ?? "", "text/plain; version=0.0.4");
+            case "route":
+                return answerRoute(endpoint.route, request, response);
+            default:
+                return calls.answer({ kind: endpoint.kind, rest: endpoint.rest, request, response });
+        }
+    }
+
+    async function sendText(response: ServerResponse, status: number, text: string, type = "text/plain") {
+        response.writeHead(status, { "content-type": type, "content-length": Buffer.byteLength(text) });
+        await end(response, text, limits.writeTimeout);
+    }
+
+    function sendReadiness(response: ServerResponse): Promise<void> {
+        const reason = draining ? "the daemon is leaving" : unready?.();
+        return sendText(response, reason === undefined ? 200 : 503, `${reason ?? "ready"}\n`);
+    }
+
+    async function answerRoute(route: Route, request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const controller = new AbortController();
+        response.on("close", () => controller.abort());
+        const { headers, method = "", url = "" } = request;
+        const refusal = route.authorize?.(headers);
+        if (refusal !== undefined) {
+            throw new RefusalError(refusal);
+        }
+        const body = (await receive(request, response, limits.maxBody, arriving)).toString("utf8");
+        const [path = "", query = ""] = url.split("?", 2);
+        const { signal } = controller;
+        const result = await route.handle({ method, path, query: new URLSearchParams(query), headers, body, signal });
+        response.writeHead(result.status, { ...result.headers, "content-length": Buffer.byteLength(result.body) });
+        await end(response, result.body, limits.writeTimeout);
+    }
+
+    server.on("request", (request, response) => void handle(request, response));
+    server.on("checkContinue", (request, response) => void handle(request, response));
+    server.listen(options.port, options.address);
+    await once(server, "listening");
+    log("listening on %s:%d", options.address, (server.address() as AddressInfo).port);
+
+    return {
+        port: (server.address() as AddressInfo).port,
+        openCalls: () => calls.count(),
+        drain: async () => {
+            draining = true;
+            calls.close();
+            server.closeIdleConnections();
+            await calls.finished();
+            server.closeIdleConnections();
+        },
+        [Symbol.asyncDispose]: async () => {
+            draining = true;
+            calls.close();
+            const closed = once(server, "close");
+            server.close();
+            calls.cancel(refuse("leaving", "unknown", undefined, 1000));
+            await Promise.race([calls.finished(), new Promise(resolve => setTimeout(resolve, cancelTime).unref())]);
+            server.closeAllConnections();
+            await closed;
+        },
+    };
+}
+
+function serverOptions(limits: Limits) {
+    return {
+        maxHeaderSize: limits.maxHeader,
+        headersTimeout: limits.headerTimeout,
+        requestTimeout: limits.requestTimeout,
+        connectionsCheckingInterval: Math.min(1000, limits.headerTimeout),
+        keepAliveTimeout: 30_000,
+        // Node would answer a missing host header without a numbered code; nothing here depends on the header.
+        requireHostHeader: false,
+    };
+}
--- /dev/null
+++ b/packages/caller/src/identity.ts
@@ -0,0 +1,38 @@
+import { bearerKey, type Configuration, directoryOf, equalHashes, hashKey, type Refusal,
+    refuse } from "@tamarackgauge/core";
+import { type Either, Left, Right } from "purify-ts";
+
+/** Compared when no plan has the key, so that both cases do the same work. */
+const noHash = "0".repeat(64);
+
+/**
+ * The name of the plan that the bearer key belongs to. Every other key gets the same refusal. The index is searched by
+ * the sha-256 of the key, so the time of the search tells nothing about how much of a key was right.
+ */
+export function identify(
+    configuration: Configuration | undefined,
+    authorization: string | undefined,
+): Either<Refusal, string> {
+    if (configuration === undefined) {
+        return Left(refuse("configuration_stale", "notRun", undefined, 1000));
+    }
+    const hash = hashKey(bearerKey(authorization) ?? "");
+    const plan = directoryOf(configuration).planByKeyHash(hash);
+    const stored = plan?.keys.find(each => equalHashes(each, hash)) ?? noHash;
+    return plan !== undefined && equalHashes(stored, hash) ? Right(plan.name) : Left(refuse("key_rejected", "notRun"));
+}
+
+/** Refuses a model or service that the plan may not use. */
+export function permit(
+    configuration: Configuration,
+    plan: string,
+    kind: "model" | "tool",
+    name: string,
+): Either<Refusal, void> {
+    const directory = directoryOf(configuration);
+    if (kind === "model") {
+        const allowed = directory.mayUseModel(plan, name);
+        return allowed ? Right(undefined) : Left(refuse("model_not_allowed", "notRun"));
+    }
+    return directory.mayUseService(plan, name) ? Right(undefined) : Left(refuse("service_not_allowed", "notRun"));
+}
--- /dev/null
+++ b/packages/caller/src/writer.ts
@@ -0,0 +1,92 @@
+import { type Refusal, statusOf } from "@tamarackgauge/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** Time in milliseconds for a caller to take an answer although its body has not been read. */
+const lingerTime = 1000;
+
+/** Sends a text. Waits while the caller reads slowly; false if it is gone or took nothing for `timeout` ms. */
+export async function write(response: ServerResponse, text: string, timeout: number): Promise<boolean> {
+    if (response.destroyed || response.closed) {
+        return false;
+    }
+    return response.write(text) || await settled(response, "drain", timeout);
+}
+
+/** Ends a response. Waits until all of it is on its way; false if the caller is gone or too slow. */
+export async function end(response: ServerResponse, text: string, timeout: number): Promise<boolean> {
+    if (response.destroyed || response.closed) {
+        return false;
+    }
+    response.end(text);
+    return response.writableFinished || await settled(response, "finish", timeout);
+}
+
+function settled(response: ServerResponse, event: "drain" | "finish", timeout: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const stalled = setTimeout(() => {
+            response.destroy();
+            finish(false);
+        }, timeout);
+        const succeed = () => finish(true);
+        const fail = () => finish(false);
+        function finish(result: boolean): void {
+            clearTimeout(stalled);
+            response.off(event, succeed).off("close", fail);
+            resolve(result);
+        }
+        response.on(event, succeed).on("close", fail);
+    });
+}
+
+/** The body of a refusal. */
+export function refusalBody({ code, name, message, run, retryAfterMs }: Refusal): string {
+    return JSON.stringify({ error: { code, name, message, run, retryAfterMs } });
+}
+
+/** The headers of a refusal. `retry-after` is in whole seconds, rounded up. */
+export function refusalHeaders(refusal: Refusal): Record<string, string> {
+    const { retryAfterMs } = refusal;
+    return {
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(refusalBody(refusal))),
+        ...(retryAfterMs === undefined ? {} : { "retry-after": String(Math.max(1, Math.ceil(retryAfterMs / 1000))) }),
+    };
+}
+
+/** Answers with a refusal. Only for a response of which nothing has been sent. */
+export async function sendRefusal(request: IncomingMessage, response: ServerResponse, refusal: Refusal): Promise<void> {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const unread = !request.complete;
+    if (unread) {
+        response.setHeader("connection", "close");
+    }
+    response.writeHead(statusOf(refusal), refusalHeaders(refusal));
+    if (!unread) {
+        response.end(refusalBody(refusal));
+        return;
+    }
+    // Closing while the caller still sends would reset the connection and could destroy the answer on its way.
+    response.write(refusalBody(refusal));
+    await linger(request);
+    response.end();
+}
+
+function linger(request: IncomingMessage): Promise<void> {
+    return new Promise(resolve => {
+        const timer = setTimeout(resolve, lingerTime);
+        request.once("close", () => {
+            clearTimeout(timer);
+            resolve();
+        });
+        request.on("error", () => undefined).resume();
+    });
+}
+
+/** A refusal as raw HTTP/1.1, for a connection whose input could not be parsed. */
+export function rawRefusal(refusal: Refusal): string {
+    const headers = { ...refusalHeaders(refusal), connection: "close" };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `HTTP/1.1 ${statusOf(refusal)} ${refusal.name}\r\n${lines}\r\n${refusalBody(refusal)}`;
+}
--- /dev/null
+++ b/packages/caller/test/answers.test.ts
@@ -0,0 +1,215 @@
+import { type AnswerEvent, type Call, refuse } from "@tamarackgauge/core";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { describe, it } from "node:test";
+import { chat, codeOf, completion, dial, open, pieces, question, raw, rawChat, send, until } from "./harness.ts";
+
+/** The text that a caller puts together from the chunks of a stream. */
+function textOf(stream: string): string {
+    return stream.split("\n\n")
+        .map(event => /^data: (\{.*)/m.exec(event)?.[1])
+        .filter(data => data !== undefined)
+        .map(data => JSON.parse(data) as { choices?: { delta: { content?: string; }; }[]; })
+        .map(data => data.choices?.[0]?.delta.content ?? "")
+        .join("");
+}
+
+async function* events(...list: readonly AnswerEvent[]): AsyncGenerator<AnswerEvent> {
+    yield* list;
+}
+
+describe("answers", () => {
+    it("streams in the chat-completions shape with resumable ids, usage, durability and an end mark", async () => {
+        await using front = await open(() => pieces("Dobrý ", "deň 🏜"), {
+            clock: { wall: () => 5000, monotonic: () => 0 },
+        });
+        const answer = await chat(front, { ...question, stream: true }, {
+            "tg-program": "p",
+            "idempotency-key": "r",
+        });
+        assert.equal(answer.headers.get("content-type"), "text/event-stream");
+        const head = "\"id\":\"chatcmpl-r\",\"object\":\"chat.completion.chunk\",\"created\":5,\"model\":\"m1\"";
+        assert.equal(
+            answer.text,
+            `id: 6\ndata: {${head},"choices":[{"index":0,"delta":{"role":"assistant","content":"Dobrý "},"finish_reason":null}]}\n\n`
+                + `id: 12\ndata: {${head},"choices":[{"index":0,"delta":{"content":"deň 🏜"},"finish_reason":null}]}\n\n`
+                + `id: 12\ndata: {${head},"choices":[{"index":0,"delta":{},"finish_reason":"stop"}],`
+                + "\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":2,\"total_tokens\":9,\"prompt_tokens_details\":{\"cached_tokens\":3}},"
+                + "\"tamarackgauge\":{\"program\":\"p\",\"request\":\"r\",\"durability\":\"stored\",\"sequence\":0,\"seal\":\"s\",\"upstream\":\"e1\"}}\n\n"
+                + "data: [DONE]\n\n",
+        );
+    });
+
+    it("gives one JSON body when no stream is asked for", async () => {
+        await using front = await open(() => pieces("a", "b"));
+        const answer = await chat(front, question);
+        const body = JSON.parse(answer.text) as { choices: unknown; usage: { total_tokens: number; }; };
+        assert.deepEqual(body.choices, [
+            { index: 0, message: { role: "assistant", content: "ab" }, finish_reason: "stop" },
+        ]);
+        assert.equal(body.usage.total_tokens, 9);
+    });
+
+    it("gives a tool's own status and body, so that a failing tool does not look like a failing scheduler", async () => {
+        await using front = await open(() =>
+            events({ type: "text", offset: 0, text: "{\"no\":1}" }, { type: "done",
+                completion: { ...completion, status: 409 } })
+        );
+        const answer = await send(front, "POST", "/v1/tools/waiver/sign?x=1", "body", { "tg-program": "p" });
+        assert.equal(answer.status, 409);
+        assert.equal(answer.text, "{\"no\":1}");
+        assert.equal(answer.headers.get("content-type"), "application/json");
+        assert.equal(answer.headers.get("tg-durability"), "stored");
+    });
+
+    it("gives each character once and in order when pieces repeat, overlap, come early or late (I5)", async () => {
+        const text = (offset: number, value: string): AnswerEvent => ({ type: "text", offset, text: value });
+        await using front = await open(() =>
+            events(text(0, "ab"), text(0, "ab"), text(1, "bcd"), text(6, "gh"), text(5, "fgh"), text(4, "ef"),
+                text(2, "cd"), { type: "done", completion })
+        );
+        assert.equal(textOf((await chat(front, { ...question, stream: true })).text), "abcdefgh");
+    });
+
+    it("resumes after last-event-id, whether the owner starts there or at the beginning", async () => {
+        await using front = await open(call =>
+            call.program === "whole" ? pieces("abc", "def") : events(
+                { type: "text", offset: call.offset, text: "ef" },
+                { type: "done", completion },
+            )
+        );
+        for (const program of ["whole", "rest"]) {
+            const answer = await chat(front, { ...question, stream: true }, { "last-event-id": "4",
+                "tg-program": program });
+            assert.equal(textOf(answer.text), "ef");
+            assert.match(answer.text, /^id: 6$/m);
+        }
+        const whole = await chat(front, question, { "last-event-id": "4" });
+        assert.equal(codeOf(whole), 4002, "a body that starts in the middle would look complete");
+    });
+
+    it("never presents an answer with a gap as complete (I5)", async () => {
+        await using front = await open(() =>
+            events({ type: "text", offset: 3, text: "d" }, { type: "done", completion })
+        );
+        assert.equal(codeOf(await chat(front, question)), 5001);
+        await using cut = await open(() => events({ type: "text", offset: 0, text: "d" }));
+        const stream = await chat(cut, { ...question, stream: true });
+        assert.match(stream.text, /event: error\ndata: \{"error":\{"code":5001,.*"run":"unknown"/);
+        assert.doesNotMatch(stream.text, /DONE/);
+    });
+
+    it("sends a refusal as a status before the first byte and as an event after it", async () => {
+        const refusal = refuse("overloaded", "notRun", undefined, 1200);
+        await using front = await open(call =>
+            call.program === "late"
+                ? events({ type: "text", offset: 0, text: "a" }, { type: "refused", refusal })
+                : events({ type: "refused", refusal })
+        );
+        const early = await chat(front, { ...question, stream: true });
+        assert.equal(early.status, 429);
+        assert.equal(early.headers.get("retry-after"), "2");
+        assert.deepEqual(JSON.parse(early.text), {
+            error: { code: 4293, name: "overloaded", message: refusal.message, run: "notRun", retryAfterMs: 1200 },
+        });
+        const late = await chat(front, { ...question, stream: true }, { "tg-program": "late" });
+        assert.equal(late.status, 200);
+        assert.match(late.text, /event: error\ndata: \{"error":\{"code":4293,/);
+    });
+
+    it("hides the text of an unexpected error, which could hold another program's data", async () => {
+        await using front = await open(() => {
+            throw new Error("history of somebody");
+        });
+        const answer = await chat(front, question);
+        assert.equal(codeOf(answer), 5001);
+        assert.doesNotMatch(answer.text, /somebody/);
+    });
+});
+
+describe("the connection of a caller", () => {
+    it("stops pulling the answer while the caller reads slowly, so that memory stays bounded", async () => {
+        let pulled = 0;
+        async function* large(): AsyncGenerator<AnswerEvent> {
+            for (; pulled < 20_000; pulled += 1) {
+                yield { type: "text", offset: pulled * 1024, text: "x".repeat(1024) };
+            }
+            yield { type: "done", completion };
+        }
+        await using front = await open(large);
+        const socket = await dial(front);
+        socket.pause();
+        socket.write(rawChat({ ...question, stream: true }));
+        await until(() => pulled > 0);
+        await new Promise(resolve => setTimeout(resolve, 300));
+        const held = pulled;
+        assert.ok(held < 15_000, `${held} KB were pulled for a caller that reads nothing`);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        assert.equal(pulled, held);
+        socket.resume();
+        await until(() => pulled === 20_000);
+        socket.destroy();
+    });
+
+    it("disconnects a caller that has stopped reading and aborts its call (I12)", async () => {
+        let aborted = false;
+        async function* large(_call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+            signal.addEventListener("abort", () => aborted = true);
+            for (let offset = 0;; offset += 65_536) {
+                yield { type: "text", offset, text: "x".repeat(65_536) };
+            }
+        }
+        await using front = await open(large, { limits: { writeTimeout: 200 } });
+        const socket = await dial(front);
+        socket.pause();
+        socket.write(rawChat({ ...question, stream: true }));
+        await until(() => aborted && front.openCalls() === 0);
+        socket.destroy();
+    });
+
+    it("aborts the call when the caller leaves, even if the answer ignores the signal", async () => {
+        let signal: AbortSignal | undefined;
+        async function* stuck(_call: Call, given: AbortSignal): AsyncGenerator<AnswerEvent> {
+            signal = given;
+            yield { type: "text", offset: 0, text: "a" };
+            await new Promise(() => undefined);
+        }
+        await using front = await open(stuck);
+        const socket = await dial(front);
+        socket.write(rawChat({ ...question, stream: true }));
+        await once(socket, "data");
+        socket.destroy();
+        await until(() => signal?.aborted === true && front.openCalls() === 0);
+    });
+
+    it("refuses a second request before the first answer has ended", async () => {
+        await using front = await open(async function*() {
+            await new Promise(resolve => setTimeout(resolve, 50));
+            yield* pieces("slow");
+        });
+        const received = await raw(front, rawChat(question) + rawChat(question));
+        assert.match(received, /slow[^]*400[^]*"code":4003/);
+    });
+
+    it("serves one request after another on a connection", async () => {
+        await using front = await open(() => pieces("a"));
+        const socket = await dial(front);
+        for (let turn = 0; turn < 20; turn += 1) {
+            socket.write(rawChat(question));
+            const [data] = await once(socket, "data") as [Buffer];
+            assert.match(data.toString(), /^HTTP\/1.1 200/);
+        }
+        socket.destroy();
+    });
+
+    it("keeps a silent stream open with comments", async () => {
+        await using front = await open(async function*() {
+            yield { type: "text", offset: 0, text: "a" } as const;
+            await new Promise(resolve => setTimeout(resolve, 100));
+            yield { type: "done", completion } as const;
+        }, { limits: { commentInterval: 20 } });
+        const answer = await chat(front, { ...question, stream: true });
+        assert.match(answer.text, /: waiting\n\n/);
+        assert.match(answer.text, /DONE/);
+    });
+});
--- a/packages/core/src/route.ts
+++ b/packages/core/src/route.ts
@@ -1,3 +1,5 @@
+import type { Refusal } from "./code.ts";
+
 /** A request to a route beside the calls, with its whole body. */
 export interface RouteRequest {
     readonly method: string;
@@ -20,7 +22,7 @@
 export interface Route {
     readonly method: "GET" | "PUT" | "POST" | "DELETE";
     readonly path: string;
-    /** Checked before the body is read; an answer given here is final. */
-    authorize?(headers: RouteRequest["headers"]): RouteAnswer | undefined;
+    /** Gives a refusal for a request that may not go on; asked before the body is read. */
+    authorize?(headers: RouteRequest["headers"]): Refusal | undefined;
     handle(request: RouteRequest): Promise<RouteAnswer>;
 }
