--- /dev/null
+++ b/packages/timeline/src/escape.ts
@@ -0,0 +1,14 @@
+import { plain } from "./format.ts";
+
+const entities: Readonly<Record<string, string>> = {
+    "&": "&amp;",
+    "<": "&lt;",
+    ">": "&gt;",
+    "\"": "&quot;",
+    "'": "&#39;",
+};
+
+/** Escapes text for HTML elements and quoted attributes, with control characters made visible. */
+export function escapeHtml(text: string): string {
+    return plain(text).replace(/[&<>"']/g, character => entities[character]!);
+}
--- /dev/null
+++ b/packages/timeline/src/golden.ts
@@ -0,0 +1,112 @@
+import { type Fields, sentenceOf } from "./event.ts";
+import { plain } from "./format.ts";
+import type { MergedEvent, MergedTimeline } from "./merge.ts";
+import { createView, type ProgramView, type RequestView } from "./view.ts";
+
+/** An answer as a caller saw it. */
+export interface CallerAnswer {
+    /** Key of the program, `<plan>/<program>`. */
+    readonly program: string;
+    readonly request: string;
+    /** The whole text, or the refusal as text. */
+    readonly text: string;
+}
+
+/** What differs between runs of one session without being a fault. */
+export interface GoldenOptions {
+    /** Names of fields to leave out, besides times. */
+    readonly drop?: readonly string[];
+    /** Text to replace, such as names of engines that are chosen by load; applied to whole lines in order. */
+    readonly replace?: readonly (readonly [RegExp, string])[];
+}
+
+/** Fields that differ in every run. */
+const volatile = /(?:Ms|port|address|incarnation|waiting|priority|load)$/i;
+
+/**
+ * A whole session as text that is the same in every correct run: no times, ports or random ids, programs by name, and
+ * the events of each request by causality. Concurrent events of different processes are ordered by their text.
+ */
+export function goldenText(
+    merged: MergedTimeline,
+    answers: readonly CallerAnswer[],
+    options: GoldenOptions = {},
+): string {
+    const { programs } = createView(merged);
+    const sorted = [...programs].sort((a, b) => a.program < b.program ? -1 : 1);
+    const lines = sorted.flatMap(program => programLines(program, answers, options));
+    const known = new Set(programs.flatMap(({ requests }) => requests.map(keyOf)));
+    const unrecorded = answers.filter(answer => !known.has(keyOf(answer))).map(({ program, text }) =>
+        `answer without events, program ${program}: ${text}`
+    );
+    const ids = new Map(
+        programs.flatMap(({ requests }) =>
+            requests.map(({ request }, index) => [request, `request ${index + 1}`] as const)
+        ),
+    );
+    return [...lines, ...unrecorded.sort()].map(line => normalise(line, ids, options)).join("\n") + "\n";
+}
+
+function programLines(view: ProgramView, answers: readonly CallerAnswer[], options: GoldenOptions): string[] {
+    return [
+        `program ${view.program}`,
+        ...byCausality(view.events, options).map(line => `  ${line}`),
+        ...view.requests.flatMap((request, index) => requestLines(request, index, answers, options)),
+    ];
+}
+
+function requestLines(
+    view: RequestView,
+    index: number,
+    answers: readonly CallerAnswer[],
+    options: GoldenOptions,
+): string[] {
+    const own = answers.filter(answer => keyOf(answer) === keyOf(view));
+    return [
+        `  request ${index + 1}: ${view.result}`,
+        ...byCausality(view.events, options).map(line => `    ${line}`),
+        ...own.map(({ text }) => `    answer: ${text}`),
+    ];
+}
+
+function keyOf({ program, request }: { readonly program: string; readonly request: string; }): string {
+    return JSON.stringify([program, request]);
+}
+
+/** Lines of events; an event follows its cause and the earlier events of its process, else the texts decide. */
+function byCausality(events: readonly MergedEvent[], options: GoldenOptions): string[] {
+    const open = events.map(event => ({ event, line: lineOf(event, options) }));
+    const result: string[] = [];
+    while (open.length > 0) {
+        const ready = open.filter(({ event }) => !open.some(other => precedes(other.event, event)));
+        // The input is ordered by causality already, so its first event is ready even if links contradict each other.
+        const [first = open[0]!] = ready.sort((a, b) => a.line < b.line ? -1 : a.line > b.line ? 1 : 0);
+        result.push(first.line);
+        open.splice(open.indexOf(first), 1);
+    }
+    return result;
+}
+
+function precedes(a: MergedEvent, b: MergedEvent): boolean {
+    const sameLine = a.process === b.process && a.incarnation === b.incarnation;
+    return sameLine ? a.sequence < b.sequence : b.cause === a.id && b.link === undefined;
+}
+
+function lineOf(event: MergedEvent, { drop = [] }: GoldenOptions): string {
+    const kept = Object.entries(event.fields ?? {}).filter(([name]) => !volatile.test(name) && !drop.includes(name));
+    const fields: Fields = Object.fromEntries(kept);
+    return `${event.process} ${event.part}: ${sentenceOf({ event: event.event, fields })}`;
+}
+
+function normalise(line: string, ids: ReadonlyMap<string, string>, { replace = [] }: GoldenOptions): string {
+    let text = plain(line);
+    for (const [id, name] of ids) {
+        // Short request identities are written by hand and stay the same; they may be part of other words.
+        text = id.length >= 8 ? text.replaceAll(id, name) : text;
+    }
+    text = text
+        .replace(/\b(?:\d{1,3}\.){3}\d{1,3}(?::\d+)?\b|\blocalhost:\d+\b/g, "<address>")
+        .replace(/\b[0-9a-f]{8}-(?:[0-9a-f]{4}-){3}[0-9a-f]{12}\b|\b(?=[a-f]*\d)[0-9a-f]{16,}\b/gi, "<id>")
+        .replace(/\b\d+(?:\.\d+)? ?ms\b/g, "<time>");
+    return replace.reduce((result, [from, to]) => result.replace(from, to), text);
+}
--- /dev/null
+++ b/packages/timeline/src/phase.ts
@@ -0,0 +1,89 @@
+import type { EventName } from "./event.ts";
+import type { MergedEvent } from "./merge.ts";
+
+/** What a request spends its time on, with words for the reader. */
+export const phases = {
+    admission: { label: "admission", explanation: "checks of the call, its program, its plan and the store" },
+    forward: { label: "forward", explanation: "between the daemon that holds the connection and the owner" },
+    order: { label: "waiting for order", explanation: "an earlier call of the program had to finish first" },
+    queue: { label: "queue", explanation: "no engine had room for the call" },
+    dispatch: { label: "dispatch", explanation: "preparing the call and connecting to the upstream" },
+    firstToken: { label: "first token", explanation: "the upstream had the call and had not answered yet" },
+    tokens: { label: "tokens", explanation: "the answer was arriving" },
+    commit: { label: "commit", explanation: "the answer was being stored" },
+    retry: { label: "retry", explanation: "after a failure, until the next attempt" },
+} as const satisfies Record<string, { readonly label: string; readonly explanation: string; }>;
+
+/** What a request spends its time on. */
+export type Phase = keyof typeof phases;
+
+/** Time in one phase, in milliseconds. */
+export interface PhaseTime {
+    readonly phase: Phase;
+    readonly duration: number;
+}
+
+/** The phase that each event begins. The other events change nothing. */
+const begins: Partial<Record<EventName, Phase>> = {
+    callReceived: "admission",
+    callForwarded: "forward",
+    callAccepted: "admission",
+    callWaiting: "order",
+    callQueued: "queue",
+    intentCommitted: "dispatch",
+    callDispatched: "dispatch",
+    upstreamConnected: "firstToken",
+    firstToken: "tokens",
+    callRetried: "retry",
+    callMoved: "retry",
+    callFinished: "commit",
+    turnCommitted: "forward",
+    callRefused: "forward",
+    outcomeUnknown: "forward",
+};
+
+/** After these the caller no longer waits. */
+const ends: ReadonlySet<EventName> = new Set<EventName>(["answerSent", "callCancelled"]);
+
+/**
+ * Splits the time of a request into phases; `events` are its events in order. The phases add up to the whole time, but
+ * for pauses between an answer and the next time that the caller asks.
+ */
+export function splitTime(events: readonly MergedEvent[]): PhaseTime[] {
+    const steps = events.filter(({ event }) => begins[event] !== undefined || ends.has(event));
+    const sums = new Map<Phase, number>();
+    let phase: Phase | undefined = "admission";
+    let since = events[0]?.time ?? 0;
+    const spend = (until: number) => {
+        if (phase !== undefined) {
+            sums.set(phase, (sums.get(phase) ?? 0) + Math.max(0, until - since));
+        }
+        since = Math.max(since, until);
+    };
+    steps.forEach((event, index) => {
+        if (index > 0 && event.event === "callReceived" && phase !== undefined) {
+            // The caller asked again, so whatever went on before had been given up.
+            phase = "retry";
+        }
+        spend(event.time);
+        phase = ends.has(event.event) ? undefined : phaseAfter(event, steps[index + 1]);
+    });
+    spend(endOf(events));
+    return (Object.keys(phases) as Phase[])
+        .map(name => ({ phase: name, duration: sums.get(name) ?? 0 }))
+        .filter(({ duration }) => duration > 0);
+}
+
+/** When a request ended: history that is stored after the answer was sent does not prolong it. */
+export function endOf(events: readonly MergedEvent[]): number {
+    const last = [...events].reverse().find(({ event }) => event === "answerSent" || event === "callReceived");
+    return (last?.event === "answerSent" ? last : events.at(-1))?.time ?? 0;
+}
+
+/** Upstreams that do not report the connection have all the time until their first token counted there. */
+function phaseAfter(event: MergedEvent, next: MergedEvent | undefined): Phase | undefined {
+    if (event.event === "callDispatched" && next?.event !== "upstreamConnected") {
+        return "firstToken";
+    }
+    return begins[event.event];
+}
