--- a/packages/peer/src/asks.ts
+++ b/packages/peer/src/asks.ts
@@ -30,6 +30,7 @@
     push: (message: WireMessage, flushed?: () => void) => void,
 ): Asks {
     const pending = new Map<number, Pending>();
+    const timers = new Map<number, NodeJS.Timeout>();
     let lastId = 0;
     let answering = 0;
     let failed: Reason | undefined;
@@ -57,8 +58,6 @@
         });
     }
 
-    const timers = new Map<number, NodeJS.Timeout>();
-
     function settle(id: number): Pending | undefined {
         const entry = pending.get(id);
         clearTimeout(timers.get(id));
@@ -67,30 +66,32 @@
         return entry;
     }
 
-    function reply(id: number, kind: string, body: unknown): void {
-        if (answering >= askLimit) {
-            push([kinds.failed, id, "too many asks at once"]);
-            return;
-        }
+    async function reply(id: number, kind: string, body: unknown): Promise<void> {
         answering += 1;
-        answer(peer, kind, body).then(
-            value => {
-                const bytes = pack(value);
-                push(bytes.length > settings.messageLimit
-                    ? [kinds.failed, id, "the answer is larger than the limit"]
-                    : [kinds.answer, id, bytes]);
-            },
-            (error: unknown) => push([kinds.failed, id, messageOf(error)]),
-        ).finally(() => {
+        try {
+            const bytes = pack(await answer(peer, kind, body));
+            push(bytes.length > settings.messageLimit
+                ? [kinds.failed, id, "the answer is larger than the limit"]
+                : [kinds.answer, id, bytes]);
+        }
+        catch (error) {
+            push([kinds.failed, id, messageOf(error)]);
+        }
+        finally {
             answering -= 1;
-        });
+        }
     }
 
     return {
         ask,
         receive(message) {
             if (message[0] === kinds.ask) {
-                reply(message[1], message[2], unpack(message[3]));
+                const body = unpack(message[3]);
+                if (answering >= askLimit) {
+                    push([kinds.failed, message[1], "too many asks at once"]);
+                    return;
+                }
+                void reply(message[1], message[2], body);
                 return;
             }
             const id = message[1] as number;
--- a/packages/peer/src/peers.ts
+++ b/packages/peer/src/peers.ts
@@ -139,7 +139,7 @@
             .filter(old => isReplaced(old, dialed, peer.incarnation, now, settings))
             .forEach(old => old.end("replaced", true));
         const link = createLink({ socket, peer, dialed, clock, settings, meter, events });
-        const wasUp = chosenLink(peers.get(peer.name) ?? before) !== undefined;
+        const wasUp = chosenLink(peers.get(peer.name) ?? emptyPeer(peer.name)) !== undefined;
         apply(peer.name, { type: "linked", link });
         if (!wasUp) {
             onLink?.(peer.name, "up", dialed ? "dialed" : "accepted");
--- /dev/null
+++ b/packages/peer/test/frame.test.ts
@@ -0,0 +1,143 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AskError } from "../src/index.ts";
+import { ProtocolError } from "../src/reason.ts";
+import { kinds, pack, readFrame } from "../src/wire.ts";
+import { callOf, closeCode, collect, completion, connectRaw, introduce, never, quiet, sleep,
+    start } from "./support.ts";
+
+const call = pack(callOf(1));
+
+/** Frames that break the protocol, with the code that the link is closed with. */
+const broken: readonly (readonly [what: string, frame: Buffer | string, code: number])[] = [
+    ["bytes that are not msgpack", Buffer.from([0xc1, 0xff, 0x00]), 4400],
+    ["an array cut short", Buffer.from([0xdc, 0xff, 0xff]), 4400],
+    ["bytes after the value", Buffer.concat([pack([]), pack([])]), 4400],
+    ["a frame that is no array", pack({ a: 1 }), 4400],
+    ["an unknown kind", pack([[99, 1]]), 4400],
+    ["a text frame", "hello", 4400],
+    ["a negative id", pack([[kinds.cancel, -1]]), 4400],
+    ["a call of the wrong shape", pack([[kinds.call, 1, pack({ plan: 7 })]]), 4400],
+    ["a heartbeat of the wrong shape", pack([[kinds.beat, false, pack([1, 2])]]), 4400],
+    ["an unknown engine number", pack([[kinds.beat, false, pack([null, 1, 1, false, [], [5, 1], null])]]), 4400],
+    ["a stream id used twice", pack([[kinds.call, 1, call], [kinds.call, 1, call]]), 4409],
+    ["a stream id that goes back", pack([[kinds.call, 2, call], [kinds.call, 1, call]]), 4409],
+    ["credit for a stream that was never opened", pack([[kinds.credit, 7, 1]]), 4409],
+    ["an event of a call that was never made", pack([[kinds.text, 1, 0, "x"]]), 4409],
+    ["an answer that was never asked for", pack([[kinds.answer, 1, pack(1)]]), 4409],
+    ["a frame that is too large", Buffer.alloc(2_000_000), 4413],
+];
+
+test("each broken frame closes its link with its number and nobody else's; guards against one bad peer", async () => {
+    await using a = await start("a");
+    await using b = await start("b", { messageLimit: 1_000_000 });
+    introduce({ a, b });
+    const steady = collect(a.call("b", callOf(30_000), never));
+    for (const [what, frame, code] of broken) {
+        const socket = await connectRaw("b", b.port);
+        socket.on("error", () => {});
+        const closed = closeCode(socket);
+        socket.send(frame);
+        // The receiver of the library closes with its own code 1009 before it has read a frame that is too large.
+        assert.equal(await closed, code === 4413 ? 1009 : code, what);
+    }
+    assert.equal((await steady).length, 30_001);
+    assert.equal(a.links()[0]?.up, true);
+});
+
+test("a peer that ignores its credit loses the link; guards against unbounded memory at the reader", async () => {
+    await using b = await start("b");
+    const socket = await connectRaw("b", b.port);
+    const events = b.call("raw", callOf(1), never)[Symbol.asyncIterator]();
+    socket.on("message", data => {
+        const opened = readFrame(data as Buffer).find(message => message[0] === kinds.call);
+        if (opened !== undefined) {
+            const text = "x".repeat(8192);
+            socket.send(pack(Array.from({ length: 6 }, (_, index) => [kinds.text, opened[1], 8192 * index, text])));
+        }
+    });
+    const closed = closeCode(socket);
+    await events.next();
+    assert.equal(await closed, 4414);
+});
+
+test("any bytes either read as a frame or fail as malformed; guards against a crash of the process", () => {
+    const bytes = fc.oneof(
+        fc.uint8Array({ maxLength: 200 }),
+        fc.array(fc.array(fc.jsonValue(), { maxLength: 5 })).map(value => new Uint8Array(pack(value))),
+    );
+    fc.assert(
+        fc.property(bytes, frame => {
+            try {
+                readFrame(frame);
+            }
+            catch (error) {
+                assert.ok(error instanceof ProtocolError);
+            }
+        }),
+        { numRuns: 2000 },
+    );
+});
+
+test("tokens of many streams share frames; guards against a frame for each token", async () => {
+    await using a = await start("a", { beatMs: 1000, silenceMs: 3000 });
+    await using b = await start("b", {
+        beatMs: 1000,
+        silenceMs: 3000,
+        serve: async function*() {
+            for (let index = 0; index < 50; index += 1) {
+                yield { type: "text", offset: index, text: "x" };
+                await sleep(1);
+            }
+            yield { type: "done", completion };
+        },
+    });
+    introduce({ a, b });
+    await a.ask("b", "echo", 1, 500);
+    const startedAt = performance.now();
+    const before = b.traffic().framesSent;
+    await Promise.all(Array.from({ length: 100 }, () => collect(a.call("b", callOf(1), never))));
+    const frames = b.traffic().framesSent - before;
+    const ticks = (performance.now() - startedAt) / 5;
+    assert.ok(frames <= ticks + 3, `${frames} frames for 5,100 events in ${ticks} ticks`);
+});
+
+test("a single call is not held for a tick; guards against added delay on an idle link", async () => {
+    const rare = { tickMs: 200, beatMs: 5000, silenceMs: 15_000 };
+    await using a = await start("a", rare);
+    await using b = await start("b", rare);
+    introduce({ a, b });
+    await a.ask("b", "echo", 1, 500);
+    await sleep(500);
+    const startedAt = performance.now();
+    await a.call("b", callOf(1), never)[Symbol.asyncIterator]().next();
+    const took = performance.now() - startedAt;
+    assert.ok(took < 100, `the first event took ${took} ms`);
+});
+
+test("a failed, late or large answer fails its ask only; guards against asks that never end", async () => {
+    await using a = await start("a", { messageLimit: 100_000 });
+    await using b = await start("b", {
+        messageLimit: 100_000,
+        answer: async (_from, kind) => {
+            if (kind === "late") {
+                await sleep(200);
+            }
+            if (kind === "fault") {
+                throw new Error("no such thing");
+            }
+            return kind === "large" ? "x".repeat(200_000) : kind === "function" ? () => 1 : 1;
+        },
+    });
+    introduce({ a, b });
+    for (const [kind, message] of [["late", /within 100 ms/], ["fault", /no such thing/], ["large",
+        /limit/]] as const) {
+        await assert.rejects(
+            a.ask("b", kind, undefined, 100),
+            (error: unknown) => error instanceof AskError && message.test(error.message),
+        );
+    }
+    await assert.rejects(a.ask("b", "plain", "x".repeat(200_000), 100), /4131/);
+    assert.equal(await a.ask("b", "plain", quiet, 100), 1);
+});
--- /dev/null
+++ b/packages/peer/test/handshake.test.ts
@@ -0,0 +1,100 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { WebSocket } from "ws";
+import { path } from "../src/connect.ts";
+import { createAccepter, createDialer } from "../src/handshake.ts";
+import { LinkError } from "../src/index.ts";
+import { kinds, pack } from "../src/wire.ts";
+import { callOf, closeCode, clusterKey, collect, connectRaw, countTo, member, never, sleep, start } from "./support.ts";
+
+test("a daemon with another key gets no link; guards against strangers running calls", async () => {
+    const served: string[] = [];
+    await using a = await start("a", { clusterKey: "not the key of the cluster", connectWaitMs: 200 });
+    await using b = await start("b", {
+        serve: from => {
+            served.push(from);
+            return countTo(1);
+        },
+    });
+    a.setMembers([member("b", b.port)]);
+    b.setMembers([member("a", a.port)]);
+    await assert.rejects(
+        collect(a.call("b", callOf(1), never)),
+        (error: unknown) => error instanceof LinkError && !error.sent,
+    );
+    assert.equal(a.links().some(link => link.up) || b.links().some(link => link.up), false);
+    assert.deepEqual(served, []);
+    await assert.rejects(connectRaw("b", b.port, "another key altogether"), /unauthenticated: 4401/);
+});
+
+test("a connection meant for another daemon is refused; guards against a reused address", async () => {
+    await using b = await start("b");
+    await assert.rejects(connectRaw("c", b.port), /wrong_name: 4403/);
+});
+
+test("a frame before the handshake closes the connection; guards against skipping the proof", async () => {
+    const served: string[] = [];
+    await using b = await start("b", {
+        serve: from => {
+            served.push(from);
+            return countTo(1);
+        },
+    });
+    const socket = new WebSocket(`ws://127.0.0.1:${b.port}${path}`);
+    await once(socket, "open");
+    socket.send(pack([[kinds.call, 1, pack(callOf(1))]]));
+    assert.equal(await closeCode(socket), 4401);
+    assert.deepEqual(served, []);
+});
+
+test("a connection that says nothing is closed in time; guards against held sockets", async () => {
+    await using b = await start("b");
+    const socket = new WebSocket(`ws://127.0.0.1:${b.port}${path}`);
+    await once(socket, "open");
+    const opened = performance.now();
+    assert.equal(await closeCode(socket), 4408);
+    assert.ok(performance.now() - opened < 600);
+});
+
+test("a large message before the handshake is cut off; guards against memory taken by strangers", async () => {
+    await using b = await start("b", { handshakeMs: 5000 });
+    const socket = new WebSocket(`ws://127.0.0.1:${b.port}${path}`);
+    socket.on("error", () => {});
+    await once(socket, "open");
+    socket.send("x".repeat(1_000_000));
+    assert.equal(await closeCode(socket), 1006);
+    const bare = connect(b.port, "127.0.0.1");
+    bare.on("error", () => {});
+    bare.write(`GET ${path} HTTP/1.1\r\nx: ${"x".repeat(20_000)}`);
+    bare.resume();
+    await once(bare, "close");
+});
+
+test("a proof is worth nothing in the other role or in another handshake; guards against reflection and replay", () => {
+    const key = Buffer.from("k".repeat(32));
+    const self = { name: "a", incarnation: "1" };
+    const other = { name: "b", incarnation: "1" };
+    const dialer = createDialer(self, "b", key);
+    const first = createAccepter(other, key);
+    const challenge = first.receive(dialer.first ?? "").send ?? "";
+    const proof = dialer.receive(challenge).send ?? "";
+    assert.throws(() => dialer.receive(proof), /4401/);
+    const second = createAccepter(other, key);
+    second.receive(dialer.first ?? "");
+    assert.throws(() => second.receive(proof), /4401/);
+    assert.deepEqual(first.receive(proof).identity, self);
+});
+
+test("a new incarnation replaces the link of the old one; guards against calls to a process that is gone", async () => {
+    const downs: string[] = [];
+    await using b = await start("b", { onLink: (peer, state) => downs.push(`${peer} ${state}`) });
+    const old = await connectRaw("b", b.port);
+    const closed = closeCode(old);
+    await sleep(20);
+    const fresh = await connectRaw("b", b.port, clusterKey, "2");
+    assert.equal(await closed, 4420);
+    assert.deepEqual(downs, ["raw up", "raw down", "raw up"]);
+    fresh.terminate();
+});
--- a/packages/peer/test/support.ts
+++ b/packages/peer/test/support.ts
@@ -1,5 +1,9 @@
 import { type AnswerEvent, type Call, type Completion, systemClock } from "@tamarackgauge/core";
-import { createPeers, type Member, type Peers, type PeersOptions } from "../src/index.ts";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import type { WebSocket } from "ws";
+import { dial } from "../src/connect.ts";
+import { createPeers, defaultSettings, type Member, type Peers, type PeersOptions } from "../src/index.ts";
+import { createMeter } from "../src/traffic.ts";
 
 export const clusterKey = "a key that only the tests use";
 
@@ -76,3 +80,50 @@
         await sleep(5);
     }
 }
+
+/** A loopback TCP forwarder that can cut its connections or stop forwarding while they stay open. */
+export async function forward(port: number): Promise<{
+    readonly port: number;
+    /** The connections open now carry nothing more; later ones work. */
+    silence(): void;
+    cut(): void;
+    [Symbol.asyncDispose](): Promise<void>;
+}> {
+    const pairs: [Socket, Socket][] = [];
+    const server = createServer(near => {
+        const far = connect(port, "127.0.0.1");
+        pairs.push([near, far]);
+        near.on("data", data => far.write(data)).on("close", () => far.destroy()).on("error", () => {});
+        far.on("data", data => near.write(data)).on("close", () => near.destroy()).on("error", () => {});
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        port: (server.address() as AddressInfo).port,
+        silence() {
+            for (const socket of pairs.flat()) {
+                socket.removeAllListeners("data").removeAllListeners("close").pause();
+            }
+        },
+        cut: () => pairs.flat().forEach(socket => socket.destroy()),
+        async [Symbol.asyncDispose]() {
+            pairs.flat().forEach(socket => socket.destroy());
+            await new Promise(resolve => server.close(resolve));
+        },
+    };
+}
+
+/** Connects and authenticates as a daemon of the given name, and then leaves the frames to the test. */
+export function connectRaw(to: string, port: number, key = clusterKey, incarnation = "1"): Promise<WebSocket> {
+    const credentials = { self: { name: "raw", incarnation }, key: Buffer.from(key, "utf8") };
+    return new Promise((resolve, reject) => {
+        dial(member(to, port), credentials, { ...defaultSettings, ...fast }, createMeter(), {
+            opened: resolve,
+            failed: (reason, detail) => reject(new Error(`${reason}: ${detail}`)),
+        });
+    });
+}
+
+/** The close code of a socket. */
+export function closeCode(socket: WebSocket): Promise<number> {
+    return new Promise(resolve => socket.once("close", resolve));
+}
