Add the daemon: entry, owner and peer in one process

Cause: there was no path from a caller to an upstream. Ruled out: one listener per wait on a drain signal (Node.js warned of a leak at 11 listeners): a drain waits on one promise.

--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -3,6 +3,7 @@
 import type { Table } from "@tamarackgauge/platform";
 import createDebug from "debug";
 import { keys, leaseRow, ledgerRow } from "./rows.ts";
+import { sleep } from "./wait.ts";
 
 const log = createDebug("tamarackgauge:budget");
 
@@ -198,7 +199,7 @@
                 adopt(account, after, used);
                 return;
             }
-            await pause(conflictPause * Math.random());
+            await sleep(conflictPause * Math.random());
         }
         throw new Error("too many daemons changed the row at once");
     }
@@ -301,7 +302,3 @@
 const spareTime = 5_000;
 /** A daemon never holds more spare tokens than this share of the budget. */
 const spareShare = 64;
-
-function pause(span: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, span));
-}
--- a/packages/daemon/src/committer.ts
+++ b/packages/daemon/src/committer.ts
@@ -3,6 +3,7 @@
 import type { Check, Table } from "@tamarackgauge/platform";
 import createDebug from "debug";
 import { keys, leaseRow, segmentRow } from "./rows.ts";
+import { sleep } from "./wait.ts";
 
 const log = createDebug("tamarackgauge:commit");
 
@@ -331,7 +332,3 @@
 
 /** The holder trusts its lease for less than the time to live, so that clocks may differ in speed by a tenth. */
 const leaseShare = 0.9;
-
-function sleep(span: number): Promise<void> {
-    return span <= 0 ? Promise.resolve() : new Promise(resolve => setTimeout(resolve, span));
-}
--- /dev/null
+++ b/packages/daemon/src/entry.ts
@@ -0,0 +1,286 @@
+import { partitionOf, refuse } from "@tamarackgauge/core";
+import type { AnswerEvent, Call, Clock, Ownership, Refusal, Run } from "@tamarackgauge/core";
+import { LinkError } from "@tamarackgauge/peer";
+import type { Peers } from "@tamarackgauge/peer";
+import type { Timeline } from "@tamarackgauge/timeline";
+import createDebug from "debug";
+import { programKey } from "./modelRun.ts";
+import { sleep } from "./wait.ts";
+
+const log = createDebug("tamarackgauge:entry");
+
+/** Takes callers' calls to the owner of their program, and goes after it when the owner changes. */
+export interface Entry {
+    serve(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent>;
+    endProgram(plan: string, program: string): Promise<Refusal | undefined>;
+    /** Whether the program is active at its owner. */
+    isActive(key: string): Promise<boolean>;
+}
+
+/** The owner role of this daemon, as the entry needs it. */
+export interface LocalOwner {
+    serve(call: Call, signal: AbortSignal): AsyncIterable<AnswerEvent>;
+    endProgram(plan: string, program: string): Promise<Refusal | undefined>;
+    isActive(key: string): Promise<boolean>;
+}
+
+/** Options of the entry; times in milliseconds. */
+export interface EntryOptions {
+    readonly name: string;
+    readonly partitions: number;
+    readonly map: () => Ownership | undefined;
+    readonly refreshMap: () => Promise<void>;
+    readonly local: () => LocalOwner | undefined;
+    readonly peers: () => Peers | undefined;
+    readonly timeline: Timeline;
+    readonly clock: Clock;
+}
+
+/** Kinds of questions that daemons ask each other. */
+export const asks = { endProgram: "endProgram", isActive: "isActive" } as const;
+
+/** A call whose owner cannot be found is given up after this time; a takeover takes a lease's time to live. */
+const patience = 20_000;
+const firstPause = 20;
+const longestPause = 500;
+const askTimeout = 2_000;
+const retryAfter = 1_000;
+
+interface Progress {
+    readonly call: Call;
+    /** Characters that the caller has. */
+    position: number;
+    /** All text of the answer, unless its start was delivered before this entry took the call. */
+    partial: string | undefined;
+    tokens: number;
+    /** What is known of earlier tries at other owners. */
+    run: Run;
+    movedAt: number;
+    cause: string;
+}
+
+/** Creates the entry role of a daemon. */
+export function createEntry(options: EntryOptions): Entry {
+    const { clock, timeline } = options;
+
+    async function* serve(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+        const progress: Progress = {
+            call,
+            position: call.offset,
+            partial: call.offset === 0 ? "" : undefined,
+            tokens: 0,
+            run: "notRun",
+            movedAt: clock.monotonic(),
+            cause: received(call),
+        };
+        let pause = firstPause;
+        while (!signal.aborted) {
+            const position = progress.position;
+            const ended = yield* attempt(progress, signal);
+            if (ended || signal.aborted) {
+                return;
+            }
+            if (clock.monotonic() - progress.movedAt > patience) {
+                yield { type: "refused", refusal: giveUp(progress) };
+                return;
+            }
+            pause = progress.position > position ? firstPause : Math.min(longestPause, pause * 2);
+            await sleep(pause * (0.5 + Math.random() / 2));
+            await options.refreshMap().catch(() => undefined);
+        }
+    }
+
+    function received(call: Call): string {
+        const target = call.target.kind === "model" ? call.target.model : call.target.service;
+        return timeline.record({
+            part: "entry",
+            event: "callReceived",
+            program: programKey(call),
+            request: call.request,
+            fields: { target, ...call.sequence === undefined ? {} : { sequence: call.sequence } },
+        });
+    }
+
+    function giveUp(progress: Progress): Refusal {
+        const refusal = refuse("owner_unreachable", progress.run, undefined, retryAfter);
+        recordRefusal(progress, refusal);
+        return refusal;
+    }
+
+    function recordRefusal(progress: Progress, refusal: Refusal): void {
+        timeline.record({
+            part: "entry",
+            event: "callRefused",
+            program: programKey(progress.call),
+            request: progress.call.request,
+            cause: progress.cause,
+            fields: { ...refusal },
+        });
+    }
+
+    /** One try at the present owner; true when the answer has ended. */
+    async function* attempt(progress: Progress, signal: AbortSignal): AsyncGenerator<AnswerEvent, boolean> {
+        const owner = ownerOf(programKey(progress.call));
+        if (owner === undefined) {
+            return false;
+        }
+        const leaving = new AbortController();
+        const joint = AbortSignal.any([signal, leaving.signal]);
+        try {
+            for await (const event of eventsOf(owner, progress, joint)) {
+                const next = accept(progress, event);
+                if (next === "again") {
+                    return false;
+                }
+                if (next !== undefined) {
+                    yield next;
+                }
+                if (event.type !== "text") {
+                    return true;
+                }
+            }
+            return false;
+        }
+        catch (error) {
+            if (!(error instanceof LinkError)) {
+                throw error;
+            }
+            log("The link to %s failed in a call: %s.", owner, error.message);
+            if (error.sent) {
+                progress.run = "unknown";
+            }
+            return false;
+        }
+        finally {
+            leaving.abort();
+        }
+    }
+
+    function ownerOf(key: string): string | undefined {
+        return options.map()?.owners[partitionOf(key, options.partitions)];
+    }
+
+    function eventsOf(owner: string, progress: Progress, signal: AbortSignal): AsyncIterable<AnswerEvent> {
+        const { call, partial, tokens } = progress;
+        if (owner !== options.name) {
+            progress.cause = timeline.record({
+                part: "entry",
+                event: "callForwarded",
+                program: programKey(call),
+                request: call.request,
+                cause: progress.cause,
+                fields: { owner },
+            });
+        }
+        const sent: Call = {
+            ...call,
+            offset: progress.position,
+            trace: { cause: progress.cause, stamp: timeline.stamp() },
+            ...partial === undefined || partial === "" ? {} : { partial, partialTokens: tokens },
+        };
+        const local = options.local();
+        const peers = options.peers();
+        if (owner === options.name && local !== undefined) {
+            return local.serve(sent, signal);
+        }
+        return owner !== options.name && peers !== undefined ? peers.call(owner, sent, signal) : nothing();
+    }
+
+    /** Checks an event against what the caller has; "again" when the owner is to be looked for anew. */
+    function accept(progress: Progress, event: AnswerEvent): AnswerEvent | "again" | undefined {
+        switch (event.type) {
+            case "text":
+                return acceptText(progress, event);
+            case "done":
+                if (event.completion.trace !== undefined) {
+                    timeline.observe(event.completion.trace.stamp);
+                }
+                timeline.record({
+                    part: "entry",
+                    event: "answerSent",
+                    program: programKey(progress.call),
+                    request: progress.call.request,
+                    cause: event.completion.trace?.cause ?? progress.cause,
+                    fields: { characters: progress.position },
+                });
+                return event;
+            case "refused":
+                return acceptRefusal(progress, event.refusal);
+        }
+    }
+
+    function acceptText(progress: Progress, event: Extract<AnswerEvent, { type: "text"; }>) {
+        if (event.offset > progress.position) {
+            return "again";
+        }
+        const text = event.text.slice(progress.position - event.offset);
+        if (text === "") {
+            return undefined;
+        }
+        const offset = progress.position;
+        progress.position += text.length;
+        progress.partial = progress.partial === undefined ? undefined : progress.partial + text;
+        progress.tokens = event.tokens ?? progress.tokens;
+        progress.movedAt = clock.monotonic();
+        progress.run = "unknown";
+        return { ...event, offset, text };
+    }
+
+    function acceptRefusal(progress: Progress, refusal: Refusal): AnswerEvent | "again" {
+        if (refusal.name === "owner_unreachable" || refusal.name === "leaving") {
+            progress.run = refusal.run === "unknown" ? "unknown" : progress.run;
+            return "again";
+        }
+        // For a call that may not be repeated the new owner's journal is the authority; another call may have run
+        // in part at an earlier owner.
+        const run = progress.call.atMostOnce ? refusal.run : worse(progress.run, refusal.run);
+        const final = { ...refusal, run };
+        recordRefusal(progress, final);
+        return { type: "refused", refusal: final };
+    }
+
+    async function endProgram(plan: string, program: string): Promise<Refusal | undefined> {
+        const deadline = clock.monotonic() + patience;
+        let refusal: Refusal | undefined = refuse("owner_unreachable", "notRun", undefined, retryAfter);
+        while (clock.monotonic() < deadline) {
+            refusal = await endAt(ownerOf(`${plan}/${program}`), plan, program);
+            if (refusal?.name !== "owner_unreachable") {
+                return refusal;
+            }
+            await sleep(longestPause);
+            await options.refreshMap().catch(() => undefined);
+        }
+        return refusal;
+    }
+
+    async function endAt(owner: string | undefined, plan: string, program: string): Promise<Refusal | undefined> {
+        try {
+            if (owner === options.name) {
+                return await options.local()?.endProgram(plan, program);
+            }
+            const answer = await options.peers()?.ask(owner ?? "", asks.endProgram, { plan, program }, askTimeout);
+            return (answer ?? undefined) as Refusal | undefined;
+        }
+        catch (error) {
+            return refuse("owner_unreachable", "unknown", (error as Error).message, retryAfter);
+        }
+    }
+
+    async function isActive(key: string): Promise<boolean> {
+        const owner = ownerOf(key);
+        if (owner === options.name) {
+            return await options.local()?.isActive(key) ?? false;
+        }
+        return await options.peers()?.ask(owner ?? "", asks.isActive, { key }, askTimeout) === true;
+    }
+
+    return { serve, endProgram, isActive };
+}
+
+function worse(left: Run, right: Run): Run {
+    return left === "unknown" ? left : right;
+}
+
+async function* nothing(): AsyncGenerator<AnswerEvent> {
+    // There is no way to the owner now; the entry tries again.
+}
--- a/packages/daemon/src/finish.ts
+++ b/packages/daemon/src/finish.ts
@@ -8,6 +8,7 @@
 import type { Live, Partition } from "./partition.ts";
 import { keys } from "./rows.ts";
 import type { Running } from "./running.ts";
+import { within } from "./wait.ts";
 
 /** Writes steps of a program in memory and to the journal. */
 export type Save = (partition: Partition, live: Live, steps: readonly ProgramStep[]) => Promise<void>;
@@ -80,7 +81,8 @@
         if (call.end) {
             options.endLive(partition, live, call);
         }
-        const durability = await withinPatience(stored);
+        // Rejects when the turn cannot be stored any more because ownership was lost.
+        const durability = await within(stored.then((): Durability => "stored"), commitPatience) ?? "caller";
         const cause = timeline.record({
             part: "owner",
             event: "turnCommitted",
@@ -94,21 +96,6 @@
         running.answer.finish({ type: "done", completion });
     }
 
-    /** Rejects when the turn cannot be stored any more because ownership was lost. */
-    async function withinPatience(stored: Promise<void>): Promise<Durability> {
-        let timer: NodeJS.Timeout | undefined;
-        const late = new Promise<Durability>(resolve => {
-            timer = setTimeout(() => resolve("caller"), commitPatience);
-        });
-        try {
-            return await Promise.race([stored.then((): Durability => "stored"), late]);
-        }
-        finally {
-            clearTimeout(timer);
-            stored.catch(() => undefined);
-        }
-    }
-
     function sealOf(live: Live): string {
         const { key, next } = live.program;
         return writeSeal(options.sealKey, key, { sequence: next, digest: live.digest });
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./daemon.ts";
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -16,6 +16,7 @@
 import type { Services } from "./services.ts";
 import { createStarter } from "./starter.ts";
 import { createToolRunner } from "./toolRun.ts";
+import { aborted } from "./wait.ts";
 
 const log = createDebug("tamarackgauge:owner");
 
@@ -345,23 +346,24 @@
             partition.draining = true;
             partition.programs.forEach(wakeWaiting);
         }
-        const idle = await Promise.all(partitions.map(partition => drainOne(partition, signal)));
-        await Promise.race([committer.flush().catch(() => undefined), aborted(signal)]);
+        const late = aborted(signal);
+        const idle = await Promise.all(partitions.map(partition => drainOne(partition, signal, late)));
+        await Promise.race([committer.flush().catch(() => undefined), late]);
         return signal.aborted ? [] : partitions.filter((_, index) => idle[index]).map(partition => partition.number);
     }
 
     /** Waits for calls that cannot move; then interrupts the others, which go on at the next owner. */
-    async function drainOne(partition: Partition, signal: AbortSignal): Promise<boolean> {
+    async function drainOne(partition: Partition, signal: AbortSignal, late: Promise<void>): Promise<boolean> {
         await partition.ready.catch(() => undefined);
         const running = () => [...partition.programs.values()].flatMap(live => live.running ?? []);
         const fixed = running().filter(each => !each.movable);
-        await Promise.race([Promise.all(fixed.map(each => each.answer.done)), aborted(signal)]);
+        await Promise.race([Promise.all(fixed.map(each => each.answer.done)), late]);
         if (signal.aborted) {
             return false;
         }
         const moved = running();
         moved.forEach(each => each.stop(movedRefusal("the partition is handed over", "unknown")));
-        await Promise.race([Promise.all(moved.map(each => each.answer.done)), aborted(signal)]);
+        await Promise.race([Promise.all(moved.map(each => each.answer.done)), late]);
         return !signal.aborted;
     }
 
@@ -488,12 +490,3 @@
 function causeOf(call: Call | undefined): { readonly cause?: string; } {
     return call?.trace === undefined ? {} : { cause: call.trace.cause };
 }
-
-function aborted(signal: AbortSignal): Promise<void> {
-    return new Promise(resolve => {
-        if (signal.aborted) {
-            resolve();
-        }
-        signal.addEventListener("abort", () => resolve(), { once: true });
-    });
-}
--- a/packages/daemon/src/partition.ts
+++ b/packages/daemon/src/partition.ts
@@ -5,6 +5,7 @@
 import type { Committer } from "./committer.ts";
 import { keys, segmentOf, segmentRow } from "./rows.ts";
 import type { Running } from "./running.ts";
+import { sleep } from "./wait.ts";
 
 /** A program in the memory of its owner. */
 export interface Live {
@@ -76,7 +77,7 @@
         }
         const page = await table.range(keys.journal(partition.number), after).catch(() => undefined);
         if (page === undefined) {
-            await new Promise(resolve => setTimeout(resolve, recoveryPause));
+            await sleep(recoveryPause);
             continue;
         }
         for (const row of page.rows) {
--- a/packages/daemon/src/releases.ts
+++ b/packages/daemon/src/releases.ts
@@ -1,5 +1,6 @@
 import type { EngineClient } from "@tamarackgauge/upstream";
 import createDebug from "debug";
+import { sleep } from "./wait.ts";
 
 const log = createDebug("tamarackgauge:release");
 
@@ -46,7 +47,7 @@
             }
             catch (error) {
                 log("%s did not release %s: %s.", engine, key, (error as Error).message);
-                await new Promise(resolve => setTimeout(resolve, retryPause));
+                await sleep(retryPause);
             }
         }
     }
--- a/packages/daemon/src/starter.ts
+++ b/packages/daemon/src/starter.ts
@@ -4,6 +4,7 @@
 import type { Finisher, Record, Save } from "./finish.ts";
 import type { Live, Partition } from "./partition.ts";
 import type { Running } from "./running.ts";
+import { sleep, within } from "./wait.ts";
 
 /** What every call needs before it is dispatched. */
 export interface Starter {
@@ -52,7 +53,7 @@
             if (clock.monotonic() >= deadline) {
                 return refusal;
             }
-            await new Promise(resolve => setTimeout(resolve, slotPause));
+            await sleep(slotPause);
         }
     }
 
@@ -74,7 +75,7 @@
             sequence,
             digest,
         }]);
-        if (!await withinPatience(stored)) {
+        if (await within(stored.then(() => true), intentPatience) === undefined) {
             withdrawIntent(partition, live, running);
             return refuse("store_unavailable", "notRun", undefined, intentPatience);
         }
@@ -94,18 +95,3 @@
 
     return { takeSlot, dropSlot, commitIntent, withdrawIntent };
 }
-
-/** Whether a write was stored in time; rejects when ownership was lost. */
-async function withinPatience(stored: Promise<void>): Promise<boolean> {
-    let timer: NodeJS.Timeout | undefined;
-    const late = new Promise<boolean>(resolve => {
-        timer = setTimeout(() => resolve(false), intentPatience);
-    });
-    try {
-        return await Promise.race([stored.then(() => true), late]);
-    }
-    finally {
-        clearTimeout(timer);
-        stored.catch(() => undefined);
-    }
-}
--- /dev/null
+++ b/packages/daemon/src/upstreams.ts
@@ -0,0 +1,112 @@
+import type { Clock, Policy } from "@tamarackgauge/core";
+import { acceptVms } from "@tamarackgauge/platform";
+import type { Vm, VmList, VmSource } from "@tamarackgauge/platform";
+import { createEngineClient } from "@tamarackgauge/upstream";
+import type { EngineClient } from "@tamarackgauge/upstream";
+import createDebug from "debug";
+import { concatMap, fromPromise, periodic, type Stream } from "most";
+import type { Services } from "./services.ts";
+
+const log = createDebug("tamarackgauge:upstream");
+
+/** The engines and services that the platform lists. */
+export interface Upstreams {
+    clientOf(engine: string): EngineClient | undefined;
+    engines(): readonly string[];
+    vms(): readonly Vm[];
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+/** Options; times in milliseconds. */
+export interface UpstreamsOptions {
+    readonly source: VmSource;
+    readonly policy: Policy;
+    readonly services: Services;
+    readonly clock: Clock;
+    /** Called after the policy was told something. */
+    readonly onChange: () => void;
+    readonly listInterval?: number;
+    readonly reportInterval?: number;
+}
+
+/** A leaving upstream gets no new work 3 s after it was listed so; two polls fit into that. */
+const defaultListInterval = 1_000;
+const defaultReportInterval = 2_000;
+
+interface Known {
+    readonly vm: Vm;
+    readonly client: EngineClient;
+}
+
+/** Starts following the VM list and the engines' load reports. */
+export function createUpstreams(options: UpstreamsOptions): Upstreams {
+    const { policy, services, clock } = options;
+    let known: ReadonlyMap<string, Known> = new Map();
+    let vms: readonly Vm[] = [];
+    let stopped = false;
+
+    function setVms(list: VmList): void {
+        vms = list.vms;
+        services.setVms(vms);
+        known = nextEngines(known, vms);
+        const engines = [...known.values()].map(({ vm }) => ({
+            name: vm.name,
+            dataCentre: vm.dataCentre,
+            models: vm.models ?? [],
+            leaving: vm.state === "leaving",
+        }));
+        policy.setEngines(engines, clock.monotonic());
+        options.onChange();
+    }
+
+    async function readReports(): Promise<void> {
+        await Promise.all([...known].map(async ([name, { client }]) => {
+            try {
+                policy.report(name, await client.load(), clock.monotonic());
+            }
+            catch (error) {
+                log("%s gave no load report: %s.", name, (error as Error).message);
+            }
+        }));
+        options.onChange();
+    }
+
+    const lists: Stream<VmList> = poll(options.listInterval ?? defaultListInterval, options.source)
+        .scan<VmList | undefined>((current, next) => next === undefined ? current : acceptVms(current, next), undefined)
+        .filter(list => list !== undefined)
+        .skipRepeats();
+    const reports = poll(options.reportInterval ?? defaultReportInterval, readReports);
+    void lists.takeWhile(() => !stopped).observe(setVms);
+    void reports.takeWhile(() => !stopped).drain();
+
+    function poll<Value>(interval: number, read: () => Promise<Value>): Stream<Value | undefined> {
+        const ticks = periodic(interval).takeWhile(() => !stopped);
+        return concatMap(() => fromPromise(read().catch(unread)), ticks);
+    }
+
+    function unread(error: unknown): undefined {
+        log("The VM list could not be read: %s.", (error as Error).message);
+        return undefined;
+    }
+
+    return {
+        clientOf: engine => known.get(engine)?.client,
+        engines: () => [...known.keys()],
+        vms: () => vms,
+        [Symbol.asyncDispose]: async () => {
+            stopped = true;
+            await Promise.all([...known.values()].map(({ client }) => client[Symbol.asyncDispose]()));
+        },
+    };
+}
+
+/** Keeps the clients of engines that stay where they are; those of others close with their last call. */
+function nextEngines(known: ReadonlyMap<string, Known>, vms: readonly Vm[]): ReadonlyMap<string, Known> {
+    const next = new Map<string, Known>();
+    for (const vm of vms.filter(each => each.kind === "engine")) {
+        const before = known.get(vm.name);
+        const same = before !== undefined && before.vm.address === vm.address && before.vm.port === vm.port;
+        next.set(vm.name, { vm, client: same ? before.client : createEngineClient(`http://${vm.address}:${vm.port}`) });
+    }
+    return next;
+}
