--- a/packages/standin/src/command.ts
+++ b/packages/standin/src/command.ts
@@ -1,4 +1,4 @@
-import { command, flag, number, option, optional, string, subcommands } from "cmd-ts";
+import { command, flag, number, oneOf, option, optional, string, subcommands } from "cmd-ts";
 import { readFileSync } from "node:fs";
 import { createEngine } from "./engine/engine.ts";
 import { createForwarder } from "./forwarder.ts";
@@ -43,7 +43,11 @@
         eventDropRate: numeric("event-drop-rate", "share of the cache events that are lost"),
         loadMs: numeric("load", "milliseconds that loading a model takes"),
         importRate: numeric("import-rate", "tokens per second that an import of a prefix takes in"),
-        fenced: text("fenced", "true: refuse orders with an old fencing token"),
+        fenced: option({
+            type: optional(oneOf(["true", "false"])),
+            long: "fenced",
+            description: "refuse orders with an old fencing token",
+        }),
         seed: numeric("seed", "engines with the same seed give the same answers"),
         scale: numeric("scale", "divides all times"),
     },
@@ -95,7 +99,10 @@
 }
 
 async function serve(name: string, starting: Promise<Standin>): Promise<void> {
-    const standin = await starting;
+    const standin = await starting.catch((error: unknown) => {
+        console.error(`${name} cannot start: ${String(error)}`);
+        process.exit(1);
+    });
     console.log(`${name} listening on ${standin.address}:${standin.port}`);
     await new Promise(resolve => {
         process.once("SIGTERM", resolve);
--- a/packages/standin/src/engine/batch.ts
+++ b/packages/standin/src/engine/batch.ts
@@ -22,6 +22,8 @@
     cancelled: boolean;
     /** Text produced and not yet sent. */
     pending: string;
+    /** Generated tokens that are counted already. */
+    counted: number;
     finished?: "stop" | "length";
 }
 
@@ -47,7 +49,7 @@
     cancel(sequence: Sequence): void;
     /** Admits calls and returns the length of the step in milliseconds; undefined when there is nothing to do. */
     startStep(): number | undefined;
-    /** Ends the step. Returns the sequences that generated a token. */
+    /** Ends the step. Returns the sequences that have new text or are finished. */
     finishStep(): Sequence[];
     running(): number;
     waiting(): number;
@@ -125,7 +127,7 @@
     function planPrefill(): number {
         let left = options.prefillChunk;
         computing = new Map();
-        for (const sequence of running) {
+        for (const sequence of running.toSorted((a, b) => a.priority - b.priority)) {
             const tokens = Math.min(left, sequence.prefill);
             if (tokens > 0) {
                 computing.set(sequence, tokens);
@@ -135,11 +137,10 @@
         return options.prefillChunk - left;
     }
 
-    /** Generates a token; false when the answer was already complete. */
-    function decode(sequence: Sequence): boolean {
+    function decode(sequence: Sequence): void {
         const to = Math.min(sequence.answer.length, sequence.position - sequence.position % tokenLength + tokenLength);
-        const produced = to > sequence.position;
-        if (produced) {
+        // A request can continue from a complete answer.
+        if (to > sequence.position) {
             sequence.pending += sequence.answer.slice(sequence.position, to);
             sequence.position = to;
             sequence.generated += 1;
@@ -151,7 +152,6 @@
         else if (sequence.generated >= sequence.maxTokens) {
             sequence.finished = "length";
         }
-        return produced;
     }
 
     return {
@@ -174,10 +174,10 @@
                 sequence.prefill -= tokens;
             }
             const decoding = running.filter(sequence => sequence.prefill === 0 && !sequence.cancelled);
-            const produced = decoding.filter(decode);
+            decoding.forEach(decode);
             running.filter(sequence => sequence.finished !== undefined).forEach(stop);
             running = running.filter(sequence => sequence.finished === undefined);
-            return produced;
+            return decoding;
         },
         running: () => running.length,
         waiting: () => waiting.length,
--- a/packages/standin/src/engine/cache.ts
+++ b/packages/standin/src/engine/cache.ts
@@ -86,6 +86,7 @@
         return used + tokens <= capacity;
     }
 
+    /** The entry of a program, made the newest. */
     function entryOf(key: string): Entry {
         const prefix = { key, model: "", segments: [] };
         const entry = entries.get(key) ?? { prefix, heldTokens: 0, reserved: 0, pins: 0, releasing: false };
@@ -131,6 +132,7 @@
             hold(entry, prefix);
         }
         if (entry.pins === 0) {
+            entryOf(key);
             update(entry, () => {
                 entry.reserved = 0;
             });
--- a/packages/standin/src/engine/engine.ts
+++ b/packages/standin/src/engine/engine.ts
@@ -114,20 +114,33 @@
     });
     const reports = createDelayed(load(), (options.reportLagMs ?? 0) / scale);
     const streams = new Map<Sequence, Stream>();
+    // Sequences with something to send.
+    const touched = new Set<Sequence>();
     let hung: { readonly promise: Promise<void>; readonly resolve: () => void; } | undefined;
     let identity = 0;
 
     function flush(): void {
         reports.set(load(), now());
-        for (const [sequence, stream] of streams) {
-            if (sequence.pending !== "") {
-                stream.reply.text(sequence.pending);
-                sequence.pending = "";
-            }
-            if (sequence.finished !== undefined) {
-                finish(stream, sequence.finished);
+        for (const sequence of touched) {
+            counter.generated(sequence.key, sequence.generated - sequence.counted);
+            sequence.counted = sequence.generated;
+            const stream = streams.get(sequence);
+            if (stream !== undefined) {
+                send(stream);
             }
         }
+        touched.clear();
+    }
+
+    function send(stream: Stream): void {
+        const { sequence, reply } = stream;
+        if (sequence.pending !== "") {
+            reply.text(sequence.pending);
+            sequence.pending = "";
+        }
+        if (sequence.finished !== undefined) {
+            finish(stream, sequence.finished);
+        }
     }
 
     function finish({ sequence, reply, promptTokens }: Stream, reason: "stop" | "length"): void {
@@ -144,7 +157,7 @@
             return length;
         },
         finish() {
-            batch.finishStep().forEach(sequence => counter.generated(sequence.key, 1));
+            batch.finishStep().forEach(sequence => touched.add(sequence));
         },
         flush,
     }, scale);
@@ -158,6 +171,9 @@
     }
 
     function chat(received: Received): void {
+        if (received.response.destroyed) {
+            return;
+        }
         const request = parseBody(received, chatRequest);
         if (!orders.serves(request.model)) {
             throw new HttpError(404, `the model ${request.model} is not loaded`);
@@ -331,6 +347,7 @@
         prefill: 0,
         cancelled: false,
         pending: "",
+        counted: 0,
     };
     return { sequence, foreign: answer.slice(0, partial.length) !== partial };
 }
--- a/packages/standin/src/etcd.ts
+++ b/packages/standin/src/etcd.ts
@@ -70,6 +70,17 @@
     return [...txn.compares.map(c => c.key), ...operations.map(o => o.type === "put" ? o.key : o.range.key)];
 }
 
+/** Bytes of all keys and values of a transaction, before base64. */
+export function bytesOfTxn(txn: Txn): number {
+    const values = [...txn.success, ...txn.failure].flatMap(o => o.type === "put" ? [o.value] : []);
+    return [...keysOfTxn(txn).map(key => key.length), ...values.map(decodedLength)].reduce((a, b) => a + b, 0);
+}
+
+/** Bytes that a base64 text stands for. */
+export function decodedLength(base64: string): number {
+    return Buffer.byteLength(base64, "base64");
+}
+
 /** The first key that one branch puts twice, or puts and deletes; etcd refuses such a transaction. */
 export function duplicateKey(operations: readonly Operation[]): string | undefined {
     const seen = new Set<string>();
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -1,7 +1,8 @@
 import { systemClock } from "@tamarackgauge/core";
 import { createHash } from "node:crypto";
 import { z } from "zod";
-import { answerRange, answerTxn, duplicateKey, isWrite, keysOfTxn, rangeRequest, txnOf, txnRequest } from "./etcd.ts";
+import { answerRange, answerTxn, bytesOfTxn, decodedLength, duplicateKey, isWrite, keysOfTxn, rangeRequest, txnOf,
+    txnRequest } from "./etcd.ts";
 import type { Txn } from "./etcd.ts";
 import { createFaults, fault } from "./faults.ts";
 import type { Answer, Fault } from "./faults.ts";
@@ -23,7 +24,7 @@
     readonly vms?: readonly Vm[];
 }
 
-/** What the platform has been asked. Requests that a fault struck count, throttled ones count only as such. */
+/** What the platform has done. A request that was throttled or that a fault kept from taking effect is no read or write. */
 export interface PlatformCounts {
     readonly reads: number;
     readonly writes: number;
@@ -84,21 +85,23 @@
 
     function range(received: Received): Promise<void> {
         const request = parseTable(received, rangeRequest);
-        take(readLimit);
-        counted.reads += 1;
-        return faults.run({ part: "range", keys: [request.key] }, received, () => ok(answerRange(table, request)));
+        return faults.run({ part: "range", keys: [request.key] }, received, () => {
+            take(readLimit);
+            counted.reads += 1;
+            return ok(answerRange(table, request));
+        });
     }
 
     function txn(received: Received): Promise<void> {
         const request = checkTxn(received);
         const write = isWrite(request);
-        take(write ? writeLimit : readLimit);
-        counted[write ? "writes" : "reads"] += 1;
         return faults.run({ part: "txn", keys: keysOfTxn(request) }, received, () => {
+            take(write ? writeLimit : readLimit);
+            counted[write ? "writes" : "reads"] += 1;
             const { body, ran } = answerTxn(table, request);
             const puts = ran.filter(operation => operation.type === "put");
             counted.writtenRows += puts.length;
-            counted.writtenBytes += puts.reduce((sum, put) => sum + put.value.length * 3 / 4, 0);
+            counted.writtenBytes += puts.reduce((sum, put) => sum + decodedLength(put.value), 0);
             return ok(body);
         });
     }
@@ -112,10 +115,11 @@
 
     function weight(received: Received): Promise<void> {
         const model = received.path.slice(1).join("/");
-        take(weightLimit);
-        weights[model] = (weights[model] ?? 0) + 1;
-        const digest = createHash("sha256").update(model).digest("hex");
-        return faults.run({ part: "weights", keys: [model] }, received, () => ok({ model, digest }));
+        return faults.run({ part: "weights", keys: [model] }, received, () => {
+            take(weightLimit);
+            weights[model] = (weights[model] ?? 0) + 1;
+            return ok({ model, digest: createHash("sha256").update(model).digest("hex") });
+        });
     }
 
     function vmList(received: Received): Promise<void> {
@@ -206,10 +210,10 @@
 }
 
 function checkTxn(received: Received): Txn {
-    if (received.body.length > maxTxnBytes) {
+    const txn = txnOf(parseTable(received, txnRequest));
+    if (bytesOfTxn(txn) > maxTxnBytes) {
         throw tableError("etcdserver: request is too large");
     }
-    const txn = txnOf(parseTable(received, txnRequest));
     if (Math.max(txn.compares.length, txn.success.length, txn.failure.length) > maxTxnOperations) {
         throw tableError("etcdserver: too many operations in txn request");
     }
--- a/packages/standin/src/vms.ts
+++ b/packages/standin/src/vms.ts
@@ -54,7 +54,7 @@
 
     function replace(vms: readonly Vm[], now: number): void {
         const list = { version: latest().version + 1, vms: z.array(vm).parse(vms) };
-        history = [...history.slice(-99), { at: now, list }];
+        history = [...history.slice(-999), { at: now, list }];
     }
 
     function indexOf(name: string): number {
