--- a/packages/caller/test/harness.ts
+++ b/packages/caller/test/harness.ts
@@ -84,7 +84,7 @@
 /** Opens a connection, sends raw text and gives all that comes back until it closes. */
 export async function raw(front: Front, text: string, finish = false): Promise<string> {
     const socket = await dial(front);
-    socket.write(text);
+    socket.write(text, "latin1");
     if (finish) {
         socket.end();
     }
