--- /dev/null
+++ b/packages/peer/test/support.ts
@@ -0,0 +1,129 @@
+import { type AnswerEvent, type Call, type Completion, systemClock } from "@tamarackgauge/core";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import type { WebSocket } from "ws";
+import { dial } from "../src/connect.ts";
+import { createPeers, defaultSettings, type Member, type Peers, type PeersOptions } from "../src/index.ts";
+import { createMeter } from "../src/traffic.ts";
+
+export const clusterKey = "a key that only the tests use";
+
+export const quiet = { configurationVersion: 1, ownershipVersion: 1, leaving: false, inFlight: {} };
+
+/** Short intervals, so that a test of silence takes less than a second. */
+export const fast = { beatMs: 100, silenceMs: 300, handshakeMs: 200, backoffMs: 20, backoffLimitMs: 100, yieldMs: 100,
+    checkMs: 20 };
+
+export function start(name: string, options: Partial<PeersOptions> = {}): Promise<Peers> {
+    return createPeers({
+        name,
+        incarnation: `${name}-1`,
+        address: "127.0.0.1",
+        port: 0,
+        clusterKey,
+        clock: systemClock,
+        beat: () => quiet,
+        onBeat: () => {},
+        serve: (_from, call) => countTo(call.offset),
+        answer: async (_from, _kind, body) => body,
+        ...fast,
+        ...options,
+    });
+}
+
+export function member(name: string, port: number): Member {
+    return { name, address: "127.0.0.1", port };
+}
+
+/** Lets each of the daemons know all of them. */
+export function introduce(daemons: Readonly<Record<string, Peers>>): void {
+    const members = Object.entries(daemons).map(([name, peers]) => member(name, peers.port));
+    Object.values(daemons).forEach(peers => peers.setMembers(members));
+}
+
+export function callOf(count: number, request = "r"): Call {
+    return { plan: "plan", program: "program", request, atMostOnce: false, end: false, offset: count, digest: "d",
+        target: { kind: "tool", service: "s", path: "/", body: "" } };
+}
+
+export const completion: Completion = { reason: "stop", status: 200, promptTokens: 1, cachedTokens: 0, tokens: 1,
+    durability: "stored", sequence: 0, upstream: "engine" };
+
+/** An answer of `count` texts of four characters. */
+export async function* countTo(count: number): AsyncGenerator<AnswerEvent> {
+    for (let index = 0; index < count; index += 1) {
+        yield { type: "text", offset: 4 * index, text: "text" };
+    }
+    yield { type: "done", completion };
+}
+
+export async function collect(events: AsyncIterable<AnswerEvent>): Promise<AnswerEvent[]> {
+    const all: AnswerEvent[] = [];
+    for await (const event of events) {
+        all.push(event);
+    }
+    return all;
+}
+
+export const never = new AbortController().signal;
+
+export function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** Waits until the condition holds; rejects after `ms`. */
+export async function until(condition: () => boolean, ms = 2000): Promise<void> {
+    const end = performance.now() + ms;
+    while (!condition()) {
+        if (performance.now() > end) {
+            throw new Error(`the condition did not hold within ${ms} ms`);
+        }
+        await sleep(5);
+    }
+}
+
+/** A loopback TCP forwarder that can cut its connections or stop forwarding while they stay open. */
+export async function forward(port: number): Promise<{
+    readonly port: number;
+    /** The connections open now carry nothing more; later ones work. */
+    silence(): void;
+    cut(): void;
+    [Symbol.asyncDispose](): Promise<void>;
+}> {
+    const pairs: [Socket, Socket][] = [];
+    const server = createServer(near => {
+        const far = connect(port, "127.0.0.1");
+        pairs.push([near, far]);
+        near.on("data", data => far.write(data)).on("close", () => far.destroy()).on("error", () => {});
+        far.on("data", data => near.write(data)).on("close", () => near.destroy()).on("error", () => {});
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        port: (server.address() as AddressInfo).port,
+        silence() {
+            for (const socket of pairs.flat()) {
+                socket.removeAllListeners("data").removeAllListeners("close").pause();
+            }
+        },
+        cut: () => pairs.flat().forEach(socket => socket.destroy()),
+        async [Symbol.asyncDispose]() {
+            pairs.flat().forEach(socket => socket.destroy());
+            await new Promise(resolve => server.close(resolve));
+        },
+    };
+}
+
+/** Connects and authenticates as a daemon of the given name, and then leaves the frames to the test. */
+export function connectRaw(to: string, port: number, key = clusterKey, incarnation = "1"): Promise<WebSocket> {
+    const credentials = { self: { name: "raw", incarnation }, key: Buffer.from(key, "utf8") };
+    return new Promise((resolve, reject) => {
+        dial(member(to, port), credentials, { ...defaultSettings, ...fast }, createMeter(), {
+            opened: resolve,
+            failed: (reason, detail) => reject(new Error(`${reason}: ${detail}`)),
+        });
+    });
+}
+
+/** The close code of a socket. */
+export function closeCode(socket: WebSocket): Promise<number> {
+    return new Promise(resolve => socket.once("close", resolve));
+}
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export * from "./command.ts";
+export * from "./event.ts";
+export * from "./golden.ts";
+export * from "./html.ts";
+export * from "./json.ts";
+export * from "./merge.ts";
+export * from "./phase.ts";
+export * from "./record.ts";
+export * from "./route.ts";
+export * from "./sink.ts";
+export * from "./text.ts";
+export * from "./timeline.ts";
+export * from "./view.ts";
