Add the operators' routes and commands

An operator applies a whole file on a stated version. The store decides races, since only it knows the identity of a change whose reply was lost; the answer to the later edit shows both versions. Handlers that write their own response, such as the timeline export, can be added to the front. The policy setting takes the names that createPolicy knows.

--- a/packages/caller/src/endpoint.ts
+++ b/packages/caller/src/endpoint.ts
@@ -1,9 +1,13 @@
-import type { Route } from "@tamarackgauge/core";
+/** A method and a path that the daemon adds. */
+export interface Addition {
+    readonly method: string;
+    readonly path: string;
+}
 
 /** What a method and path lead to. `rest` is the part of the path that names a service or a program. */
-export type Endpoint =
+export type Endpoint<Added extends Addition> =
     | { readonly kind: "chat" | "tool" | "program" | "health" | "ready" | "metrics"; readonly rest: string; }
-    | { readonly kind: "route"; readonly route: Route; }
+    | { readonly kind: "added"; readonly added: Added; }
     | { readonly kind: "otherMethod"; readonly allowed: readonly string[]; }
     | { readonly kind: "unknown"; };
 
@@ -24,7 +28,11 @@
 ];
 
 /** Finds what serves a request. The path is not normalised, so it cannot lead anywhere but where it is written. */
-export function findEndpoint(method: string, url: string, routes: readonly Route[]): Endpoint {
+export function findEndpoint<Added extends Addition>(
+    method: string,
+    url: string,
+    additions: readonly Added[],
+): Endpoint<Added> {
     const path = url.split("?", 1)[0] ?? "";
     const entry = entries.find(each => each.path.endsWith("/") ? path.startsWith(each.path) : path === each.path);
     if (entry !== undefined) {
@@ -32,10 +40,10 @@
             ? { kind: entry.kind, rest: url.slice(entry.path.length) }
             : { kind: "otherMethod", allowed: entry.methods };
     }
-    const candidates = routes.filter(route => route.path === path);
-    const route = candidates.find(each => each.method === method);
-    if (route !== undefined) {
-        return { kind: "route", route };
+    const candidates = additions.filter(each => each.path === path);
+    const added = candidates.find(each => each.method === method);
+    if (added !== undefined) {
+        return { kind: "added", added };
     }
     const allowed = candidates.map(each => each.method);
     return allowed.length === 0 ? { kind: "unknown" } : { kind: "otherMethod", allowed };
--- a/packages/caller/src/front.ts
+++ b/packages/caller/src/front.ts
@@ -1,5 +1,5 @@
 import { type AnswerEvent, type Call, type Clock, type Configuration, type Refusal, RefusalError, refuse, type Route,
-    systemClock } from "@tamarackgauge/core";
+    type RouteRequest, systemClock } from "@tamarackgauge/core";
 import debug from "debug";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
@@ -13,6 +13,15 @@
 
 const log = debug("tamarackgauge:caller");
 
+/** A path whose handler writes the response itself, such as a long export. */
+export interface Handler {
+    readonly method: string;
+    readonly path: string;
+    /** Gives a refusal for a request that may not go on. */
+    authorize?(headers: RouteRequest["headers"]): Refusal | undefined;
+    respond(request: IncomingMessage, response: ServerResponse): Promise<void>;
+}
+
 /** What the front is built from. */
 export interface FrontOptions {
     /** IP address and TCP port to listen on; port 0 takes a free one. */
@@ -32,7 +41,7 @@
     readonly unready?: () => string | undefined;
     /** The metrics in the text format of Prometheus. */
     readonly metrics?: () => Promise<string>;
-    readonly routes?: readonly Route[];
+    readonly routes?: readonly (Route | Handler)[];
     readonly clock?: Clock;
     /** Told of each refusal that a caller gets, for metrics. */
     readonly refused?: (refusal: Refusal) => void;
@@ -103,8 +112,8 @@
                 return sendReadiness(response);
             case "metrics":
                 return sendText(response, 200, await metrics?.() ?? "", "text/plain; version=0.0.4");
-            case "route":
-                return answerRoute(endpoint.route, request, response);
+            case "added":
+                return answerAdded(endpoint.added, request, response);
             default:
                 return calls.answer({ kind: endpoint.kind, rest: endpoint.rest, request, response });
         }
@@ -120,14 +129,18 @@
         return sendText(response, reason === undefined ? 200 : 503, `${reason ?? "ready"}\n`);
     }
 
+    async function answerAdded(added: Route | Handler, request: IncomingMessage, response: ServerResponse) {
+        const refusal = added.authorize?.(request.headers);
+        if (refusal !== undefined) {
+            throw new RefusalError(refusal);
+        }
+        await ("respond" in added ? added.respond(request, response) : answerRoute(added, request, response));
+    }
+
     async function answerRoute(route: Route, request: IncomingMessage, response: ServerResponse): Promise<void> {
         const controller = new AbortController();
         response.on("close", () => controller.abort());
         const { headers, method = "", url = "" } = request;
-        const refusal = route.authorize?.(headers);
-        if (refusal !== undefined) {
-            throw new RefusalError(refusal);
-        }
         const body = (await receive(request, response, limits.maxBody, arriving)).toString("utf8");
         const [path = "", query = ""] = url.split("?", 2);
         const { signal } = controller;
--- a/packages/caller/src/index.ts
+++ b/packages/caller/src/index.ts
@@ -1,2 +1,2 @@
-export { createFront, type Front, type FrontOptions } from "./front.ts";
+export { createFront, type Front, type FrontOptions, type Handler } from "./front.ts";
 export { type Limits, presetLimits } from "./limits.ts";
--- a/packages/caller/test/input.test.ts
+++ b/packages/caller/test/input.test.ts
@@ -304,11 +304,18 @@
                 path: "/operator/x",
                 authorize: headers => headers["if-match"] === "1" ? undefined : refuse("key_rejected", "notRun"),
                 handle: async ({ body, query }) => ({ status: 201, body: `${body} ${query.get("a")}` }),
+            }, {
+                method: "GET",
+                path: "/export",
+                respond: async (_request, response) => {
+                    response.end("long");
+                },
             }],
         });
         const answer = await send(front, "PUT", "/operator/x?a=b", "body", { "if-match": "1" });
         assert.deepEqual([answer.status, answer.text], [201, "body b"]);
         assert.equal(codeOf(await send(front, "PUT", "/operator/x", "body")), 4011);
         assert.equal(codeOf(await send(front, "GET", "/operator/x")), 4051);
+        assert.equal((await send(front, "GET", "/export?after=1")).text, "long");
     });
 });
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -101,7 +101,7 @@
 }
 
 /** One line of text for a problem. */
-export function problemText({ line, column, code, field, message }: Problem): string {
+export function problemText({ line, column, code, field, message }: Omit<Problem, "name">): string {
     return `${line}:${column} ${code} ${field}: ${message}`;
 }
 
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { policyNames } from "./policy/create.ts";
 
 /** A whole number within limits; text is accepted because flags and environment variables are text. */
 function integer(least: number, most: number, unit: string) {
@@ -47,8 +48,10 @@
     maxBody: integer(1024, 268_435_456, "bytes").default(4_194_304).describe("Largest body of a request"),
     maxHeader: integer(1024, 1_048_576, "bytes").default(16_384).describe("Largest head of a request"),
     maxStreams: integer(1, 1_000_000, "").default(4096).describe("Most calls of callers open at once"),
-    policy: text(/^[A-Za-z][A-Za-z0-9-]{0,31}$/, "the name of a policy").default("tamarackgauge")
-        .describe("Order of service and routing; other names are baselines to measure against"),
+    policy: z.enum(policyNames, { error: `one of ${policyNames.join(", ")}` })
+        .meta({ range: `one of ${policyNames.join(", ")}` })
+        .default("attainedService")
+        .describe("Order of service and routing; all but the first are baselines to measure against"),
 };
 
 /** The settings of a daemon. Times are in milliseconds, sizes in bytes. */
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export { createOperatorClient, type OperatorClient, type Reply } from "./client.ts";
+export { createOperatorCommands, exitCodes, keyVariable, type Terminal } from "./command.ts";
+export { type ConfigurationStore, createOperatorRoutes, type DaemonStatus, type OperatorOptions } from "./routes.ts";
--- /dev/null
+++ b/packages/operator/src/routes.ts
@@ -0,0 +1,120 @@
+import { bearerKey, checkConfiguration, type Configuration, equalHashes, hashKey, type Lists, problemText, type Refusal,
+    refuse, type Route, type RouteAnswer, type RouteRequest, statusOf } from "@tamarackgauge/core";
+import debug from "debug";
+import { randomUUID } from "node:crypto";
+import type { Either } from "purify-ts";
+
+const log = debug("tamarackgauge:operator");
+
+/** Where the configuration is kept. */
+export interface ConfigurationStore {
+    /** The configuration in force. */
+    read(): Promise<Configuration>;
+    /**
+     * Puts the lists into force if `expected` is the version in force, else gives `version_conflict`. Applying the same
+     * `changeId` again gives the result of the first time, so that a lost reply can be asked for again.
+     */
+    apply(expected: number, next: Lists, changeId: string): Promise<Either<Refusal, Configuration>>;
+}
+
+/** What a daemon says of itself to operators. */
+export interface DaemonStatus {
+    readonly daemon: string;
+    /** Version of the configuration in force on this daemon. */
+    readonly configurationVersion: number;
+    readonly ready: boolean;
+    /** Why the daemon is not ready. */
+    readonly reason?: string;
+    /** More for people to read. */
+    readonly details?: Readonly<Record<string, unknown>>;
+}
+
+/** What the operators' routes are built from. */
+export interface OperatorOptions {
+    /** sha-256 of the operators' key. */
+    readonly keyHash: string;
+    readonly store: ConfigurationStore;
+    readonly status: () => Promise<DaemonStatus>;
+}
+
+/** The routes for operators: read and apply the configuration, read the status. All need the operators' key. */
+export function createOperatorRoutes({ keyHash, store, status }: OperatorOptions): readonly Route[] {
+    const authorize = (headers: RouteRequest["headers"]): Refusal | undefined => {
+        const { authorization } = headers;
+        const key = bearerKey(typeof authorization === "string" ? authorization : undefined);
+        return equalHashes(hashKey(key ?? ""), keyHash) ? undefined : refuse("key_rejected", "notRun");
+    };
+    return [
+        {
+            method: "GET",
+            path: "/operator/v1/configuration",
+            authorize,
+            handle: async () => answerConfiguration(await store.read()),
+        },
+        {
+            method: "PUT",
+            path: "/operator/v1/configuration",
+            authorize,
+            handle: request => applyFile(store, request),
+        },
+        { method: "GET", path: "/operator/v1/status", authorize, handle: async () => answerJson(200, await status()) },
+    ];
+}
+
+async function applyFile(store: ConfigurationStore, { headers, body }: RouteRequest): Promise<RouteAnswer> {
+    const expected = expectedVersion(headers["if-match"]);
+    if (expected === undefined) {
+        return answerRefusal(
+            refuse("invalid_header", "notRun", "if-match must be the version that the file is based on"),
+        );
+    }
+    const given = headers["idempotency-key"];
+    const changeId = typeof given === "string" && /^[!-~]{1,128}$/.test(given) ? given : randomUUID();
+    return checkConfiguration(body).caseOf<Promise<RouteAnswer>>({
+        Left: async problems =>
+            answerRefusal(refuse("invalid_configuration", "notRun", problems[0] && problemText(problems[0])), {
+                problems,
+            }),
+        Right: async lists => applyLists(store, expected, lists, changeId),
+    });
+}
+
+/** The version is not compared here first: a repeat after a lost reply must reach the store, which knows the change. */
+async function applyLists(
+    store: ConfigurationStore,
+    expected: number,
+    { plans, allowances }: Lists,
+    changeId: string,
+): Promise<RouteAnswer> {
+    const result = await store.apply(expected, { plans, allowances }, changeId);
+    return result.caseOf<Promise<RouteAnswer>>({
+        Left: async refusal => refusal.name === "version_conflict" ? conflict(store, expected) : answerRefusal(refusal),
+        Right: async configuration => {
+            log("version %d is in force, change %s", configuration.version, changeId);
+            return answerConfiguration(configuration);
+        },
+    });
+}
+
+async function conflict(store: ConfigurationStore, expected: number): Promise<RouteAnswer> {
+    const { version } = await store.read();
+    const detail = `the file is based on version ${expected}, version ${version} is in force`;
+    return answerRefusal(refuse("version_conflict", "notRun", detail), { expected, inForce: version });
+}
+
+function expectedVersion(header: string | string[] | undefined): number | undefined {
+    const digits = /^"?(\d{1,15})"?$/.exec(typeof header === "string" ? header : "")?.[1];
+    return digits === undefined ? undefined : Number(digits);
+}
+
+function answerConfiguration(configuration: Configuration): RouteAnswer {
+    return answerJson(200, configuration, { etag: `"${configuration.version}"` });
+}
+
+function answerRefusal(refusal: Refusal, more: Readonly<Record<string, unknown>> = {}): RouteAnswer {
+    return answerJson(statusOf(refusal), { error: { ...refusal, ...more } });
+}
+
+function answerJson(status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): RouteAnswer {
+    return { status, headers: { "content-type": "application/json", ...headers }, body: JSON.stringify(value) };
+}
