Add a cluster of daemon processes for failure tests, and the run of a daemon

Cause: kills, pauses and cuts need daemons in processes of their own. Change: a test cluster with stand-ins in the test's process and daemons as children, and a streaming test caller; the daemon's run with operator routes and signals.

--- /dev/null
+++ b/packages/cli/src/run.ts
@@ -0,0 +1,39 @@
+import type { Route, Settings } from "@tamarackgauge/core";
+import { createDaemon } from "@tamarackgauge/daemon";
+import type { RouteParts } from "@tamarackgauge/daemon";
+import { createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
+import type { Terminal } from "@tamarackgauge/operator";
+import { createTimelineRoute } from "@tamarackgauge/timeline";
+
+/** Runs a daemon until SIGTERM or SIGINT and gives its exit code; a second signal ends the wait for streams. */
+export async function runDaemon(settings: Settings, terminal: Terminal): Promise<number> {
+    const daemon = await createDaemon({ settings, routes: parts => routesOf(settings, parts) });
+    terminal.out(`${settings.name} listening on ${settings.address}:${daemon.port}, peers on ${daemon.peerPort}`);
+    await nextSignal();
+    const hurry = new AbortController();
+    void nextSignal().then(() => hurry.abort());
+    const finished = await daemon.shutDown(hurry.signal);
+    await daemon[Symbol.asyncDispose]();
+    return finished ? exitCodes.done : exitCodes.failed;
+}
+
+function routesOf(settings: Settings, { configuration, status, timeline }: RouteParts): readonly Route[] {
+    return [
+        ...createOperatorRoutes({
+            keyHash: settings.operatorKeyHash,
+            store: configuration,
+            status: async () => {
+                const { name, ready, reason, configurationVersion, ...details } = status();
+                return { daemon: name, ready, configurationVersion, details, ...reason === undefined ? {} : { reason } };
+            },
+        }),
+        createTimelineRoute(timeline, settings.operatorKeyHash),
+    ];
+}
+
+function nextSignal(): Promise<void> {
+    return new Promise(resolve => {
+        process.once("SIGTERM", resolve);
+        process.once("SIGINT", resolve);
+    });
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -63,9 +63,12 @@
 export interface Status {
     readonly name: string;
     readonly ready: boolean;
+    /** Why it is not ready. */
+    readonly reason: string | undefined;
     readonly configurationVersion: number;
     readonly ownershipVersion: number;
-    readonly partitions: number;
+    /** Daemon that owns each partition, by partition number. */
+    readonly map: { readonly owners: readonly string[]; };
     readonly programs: number;
     /** Milliseconds since the store answered; undefined before the first answer. */
     readonly storeAge: number | undefined;
@@ -257,9 +260,10 @@
         return {
             name,
             ready: unready() === undefined,
+            reason: unready(),
             configurationVersion: configuration.version(),
             ownershipVersion: map?.version ?? 0,
-            partitions: map?.map.owners.filter(owner => owner === name).length ?? 0,
+            map: { owners: map?.map.owners ?? [] },
             programs: incarnation?.owner.programs() ?? 0,
             storeAge: storeAgeNow(),
             peers: peers.links().map(({ peer, up }) => ({ name: peer, up })),
--- /dev/null
+++ b/packages/daemon/test/client.ts
@@ -0,0 +1,178 @@
+import { readEvents } from "@tamarackgauge/upstream";
+import { Agent, request } from "undici";
+import { keyOf } from "./cluster.ts";
+
+/** A call as a test makes it. */
+export interface TestCall {
+    readonly plan?: string;
+    readonly program: string;
+    readonly request?: string;
+    readonly sequence?: number;
+    readonly headers?: Readonly<Record<string, string>>;
+    /** Content of the user message of a model call, or the body of a tool call. */
+    readonly content: string;
+    readonly maxTokens?: number;
+    /** Path of a tool call after `/v1/tools/`. */
+    readonly tool?: string;
+    readonly atMostOnce?: boolean;
+    readonly end?: boolean;
+    readonly offset?: number;
+    readonly signal?: AbortSignal;
+    /** Called with each piece of text and with the offset after it. */
+    readonly onText?: (text: string, offset: number) => void;
+}
+
+/** What a caller got. `lost` says that the connection broke before the end. */
+export interface TestAnswer {
+    readonly status: number;
+    readonly text: string;
+    readonly headers: Readonly<Record<string, unknown>>;
+    readonly done: boolean;
+    readonly lost: boolean;
+    readonly error: TestError | undefined;
+    readonly durability: string | undefined;
+    readonly seal: string | undefined;
+    readonly sequence: number | undefined;
+}
+
+/** A refusal as callers see it. */
+export interface TestError {
+    readonly code: number;
+    readonly name: string;
+    readonly run: string;
+    readonly retryAfterMs?: number;
+}
+
+/** A caller of one daemon. */
+export interface Client {
+    call(call: TestCall): Promise<TestAnswer>;
+    end(program: string, plan?: string): Promise<number>;
+}
+
+interface Chunk {
+    readonly choices?: readonly { readonly delta?: { readonly content?: string; }; }[];
+    readonly error?: TestError;
+    readonly tamarackgauge?: { readonly durability?: string; readonly seal?: string; readonly sequence?: number; };
+}
+
+/** Creates a caller of the daemon at a URL. */
+export function createClient(url: string): Client {
+    const agent = new Agent({ connections: 100, headersTimeout: 0, bodyTimeout: 0 });
+
+    async function call(wanted: TestCall): Promise<TestAnswer> {
+        try {
+            const response = await request(`${url}${pathOf(wanted)}`, {
+                method: "POST",
+                headers: headersOf(wanted),
+                body: bodyOf(wanted),
+                dispatcher: agent,
+                ...wanted.signal === undefined ? {} : { signal: wanted.signal },
+            });
+            const streamed = response.headers["content-type"]?.toString().startsWith("text/event-stream") === true;
+            return streamed
+                ? await readStream(response.statusCode, response.headers, response.body, wanted)
+                : readWhole(response.statusCode, response.headers, await response.body.text());
+        }
+        catch {
+            return { ...nothing, lost: true };
+        }
+    }
+
+    async function end(program: string, plan = "plan"): Promise<number> {
+        const response = await request(`${url}/v1/programs/${program}`, {
+            method: "DELETE",
+            headers: { authorization: `Bearer ${keyOf(plan)}` },
+            dispatcher: agent,
+        });
+        await response.body.dump();
+        return response.statusCode;
+    }
+
+    return { call, end };
+}
+
+const nothing: TestAnswer = {
+    status: 0,
+    text: "",
+    headers: {},
+    done: false,
+    lost: false,
+    error: undefined,
+    durability: undefined,
+    seal: undefined,
+    sequence: undefined,
+};
+
+function pathOf(wanted: TestCall): string {
+    return wanted.tool === undefined ? "/v1/chat/completions" : `/v1/tools/${wanted.tool}`;
+}
+
+function headersOf(wanted: TestCall): Record<string, string> {
+    return {
+        "authorization": `Bearer ${keyOf(wanted.plan ?? "plan")}`,
+        "content-type": "application/json",
+        "tg-program": wanted.program,
+        ...wanted.request === undefined ? {} : { "idempotency-key": wanted.request },
+        ...wanted.sequence === undefined ? {} : { "tg-sequence": String(wanted.sequence) },
+        ...wanted.atMostOnce === true ? { "tg-at-most-once": "true" } : {},
+        ...wanted.end === true ? { "tg-end": "true" } : {},
+        ...wanted.offset === undefined ? {} : { "last-event-id": String(wanted.offset) },
+        ...wanted.headers,
+    };
+}
+
+function bodyOf(wanted: TestCall): string {
+    return wanted.tool !== undefined ? wanted.content : JSON.stringify({
+        model: "model",
+        stream: true,
+        max_tokens: wanted.maxTokens ?? 64,
+        messages: [{ role: "user", content: wanted.content }],
+    });
+}
+
+async function readStream(
+    status: number,
+    headers: TestAnswer["headers"],
+    body: AsyncIterable<Uint8Array>,
+    wanted: TestCall,
+): Promise<TestAnswer> {
+    let answer: TestAnswer = { ...nothing, status, headers };
+    try {
+        for await (const event of readEvents(body)) {
+            if (event.data === "[DONE]") {
+                return { ...answer, done: true };
+            }
+            const chunk = JSON.parse(event.data) as Chunk;
+            const text = chunk.choices?.[0]?.delta?.content ?? "";
+            answer = {
+                ...answer,
+                text: answer.text + text,
+                error: chunk.error ?? answer.error,
+                durability: chunk.tamarackgauge?.durability ?? answer.durability,
+                seal: chunk.tamarackgauge?.seal ?? answer.seal,
+                sequence: chunk.tamarackgauge?.sequence ?? answer.sequence,
+            };
+            if (text !== "") {
+                wanted.onText?.(text, Number(event.id));
+            }
+        }
+    }
+    catch {
+        // The connection broke; the answer says so.
+    }
+    return { ...answer, lost: answer.error === undefined };
+}
+
+function readWhole(status: number, headers: TestAnswer["headers"], body: string): TestAnswer {
+    const error = status >= 400 ? parseError(body) : undefined;
+    return { ...nothing, status, headers, text: error === undefined ? body : "", done: error === undefined, error };
+}
+
+function parseError(body: string): TestError | undefined {
+    try {
+        return (JSON.parse(body) as { error?: TestError; }).error;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/daemon/test/cluster.ts
@@ -0,0 +1,263 @@
+import { createEngine, createPlatform, createService } from "@tamarackgauge/standin";
+import { buildSync } from "esbuild";
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { createHash } from "node:crypto";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { createClient } from "./client.ts";
+import type { Client } from "./client.ts";
+
+/** A daemon as a process of its own, so that it can be killed, paused and continued. */
+export interface DaemonProcess {
+    readonly name: string;
+    readonly port: number;
+    readonly pid: number;
+    readonly client: Client;
+    signal(signal: NodeJS.Signals): void;
+    /** Resolves with the exit code, undefined after a signal. */
+    readonly exited: Promise<number | undefined>;
+    stderr(): string;
+}
+
+/** Settings of a cluster. Times are in milliseconds. */
+export interface ClusterOptions {
+    readonly daemons?: number;
+    readonly engines?: number;
+    readonly stepMs?: number;
+    readonly services?: readonly string[];
+    readonly plans?: Readonly<Record<string, { readonly budgetTokens?: number; readonly programsAtOnce?: number; }>>;
+    /** Flags of every daemon, such as `--lease-ttl`. */
+    readonly flags?: readonly string[];
+    /** Environment of every daemon, such as `DEBUG`. */
+    readonly environment?: Readonly<Record<string, string>>;
+    /** URL of the platform as daemons see it, for instance through a forwarder. */
+    readonly platformUrl?: (port: number) => string;
+}
+
+/** Stand-ins in this process and daemons in processes of their own. */
+export interface Cluster {
+    readonly platform: Awaited<ReturnType<typeof createPlatform>>;
+    readonly engines: readonly Awaited<ReturnType<typeof createEngine>>[];
+    readonly services: ReadonlyMap<string, Awaited<ReturnType<typeof createService>>>;
+    readonly daemons: ReadonlyMap<string, DaemonProcess>;
+    daemon(name: string): DaemonProcess;
+    start(name: string): Promise<DaemonProcess>;
+    /** Waits until a condition holds; throws with its name after the time. */
+    until(what: string, holds: () => boolean | Promise<boolean>, time?: number): Promise<void>;
+    /** Name of the daemon that owns a program, as the ownership row says. */
+    ownerOf(program: string): Promise<string>;
+    apply(lists: unknown, expected: number): Promise<Response>;
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+/** The key of the operators in tests. */
+export const operatorKey = "operator-key-of-the-tests";
+
+/** The key of a plan's callers in tests. */
+export function keyOf(plan: string): string {
+    return `key-of-${plan}`;
+}
+
+/** The sha-256 of a key. */
+export function sha256(key: string): string {
+    return createHash("sha256").update(key).digest("hex");
+}
+
+const defaultFlags = ["--lease-ttl", "1500", "--lease-renewal", "300", "--commit-interval", "10"];
+
+/** Starts a cluster and waits until every daemon is ready and owns partitions. */
+export async function createCluster(options: ClusterOptions = {}): Promise<Cluster> {
+    const folder = mkdtempSync(join(tmpdir(), "tamarackgauge-"));
+    const program = join(folder, "tamarackgauge.cjs");
+    buildSync({
+        entryPoints: [join(import.meta.dirname, "../../cli/src/main.ts")],
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        outfile: program,
+        logLevel: "error",
+    });
+    const platform = await createPlatform({ port: 0 });
+    const engines = await Promise.all(Array.from({ length: options.engines ?? 2 }, (_, index) =>
+        createEngine({ port: 0, name: `engine${index}`, stepMs: options.stepMs ?? 5 })));
+    const services = new Map(
+        await Promise.all((options.services ?? ["waiver"]).map(async name =>
+            [name, await createService({ port: 0 })] as const
+        )),
+    );
+    const daemons = new Map<string, DaemonProcess>();
+    await setVms();
+
+    async function setVms(): Promise<void> {
+        const place = { address: "127.0.0.1", dataCentre: "dc1", state: "live" };
+        const vms = [
+            ...engines.map(({ port }, index) => ({
+                ...place,
+                name: `engine${index}`,
+                kind: "engine",
+                port,
+                models: ["model"],
+            })),
+            ...[...services].map(([name, { port }]) => ({ ...place, name, kind: "service", port })),
+        ];
+        const url = `http://127.0.0.1:${platform.port}/control/vms`;
+        await fetch(url, { method: "PUT", body: JSON.stringify(vms), headers: { "content-type": "application/json" } });
+    }
+
+    async function start(name: string): Promise<DaemonProcess> {
+        const url = options.platformUrl?.(platform.port) ?? `http://127.0.0.1:${platform.port}`;
+        const flags = ["--name", name, "--data-centre", "dc1", "--address", "127.0.0.1", "--port", "0",
+            "--peer-port", "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey),
+            ...defaultFlags, ...options.flags ?? []];
+        const child = spawn(process.execPath, [program, "daemon", ...flags], {
+            stdio: ["ignore", "pipe", "pipe"],
+            env: {
+                ...process.env,
+                TAMARACKGAUGE_CLUSTER_KEY: "cluster-key-of-the-tests",
+                TAMARACKGAUGE_SEAL_KEY: "seal-key-of-the-tests",
+                ...options.environment,
+            },
+        });
+        const daemon = await describeProcess(name, child);
+        daemons.set(name, daemon);
+        return daemon;
+    }
+
+    async function until(what: string, holds: () => boolean | Promise<boolean>, time = 20_000): Promise<void> {
+        const deadline = Date.now() + time;
+        while (!await holds()) {
+            if (Date.now() > deadline) {
+                throw new Error(`not within ${time} ms: ${what}`);
+            }
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+    }
+
+    async function status(name: string) {
+        const response = await fetch(`http://127.0.0.1:${daemons.get(name)?.port}/operator/v1/status`, {
+            headers: { authorization: `Bearer ${operatorKey}` },
+        });
+        return await response.json() as { ready: boolean; configurationVersion: number; details: { map?: Owners; }; };
+    }
+
+    async function ownerOf(key: string): Promise<string> {
+        for (const name of daemons.keys()) {
+            const found = await status(name).catch(() => undefined);
+            const owners = found?.details.map?.owners;
+            if (owners !== undefined) {
+                const { partitionOf } = await import("@tamarackgauge/core");
+                return owners[partitionOf(key, owners.length)] ?? "";
+            }
+        }
+        throw new Error("no daemon has an ownership map");
+    }
+
+    function apply(lists: unknown, expected: number): Promise<Response> {
+        const first = [...daemons.values()][0];
+        return fetch(`http://127.0.0.1:${first?.port}/operator/v1/configuration`, {
+            method: "PUT",
+            body: JSON.stringify(lists),
+            headers: {
+                "authorization": `Bearer ${operatorKey}`,
+                "content-type": "application/json",
+                "if-match": `"${expected}"`,
+            },
+        });
+    }
+
+    function daemon(name: string): DaemonProcess {
+        const found = daemons.get(name);
+        if (found === undefined) {
+            throw new Error(`no daemon ${name}`);
+        }
+        return found;
+    }
+
+    async function spread(): Promise<boolean> {
+        const states = await Promise.all([...daemons.keys()].map(name => status(name).catch(() => undefined)));
+        return states.every(state => {
+            const owners = new Set(state?.details.map?.owners ?? []);
+            return state?.ready === true && state.configurationVersion >= 1 && owners.size === daemons.size;
+        });
+    }
+
+    await Promise.all(Array.from({ length: options.daemons ?? 3 }, (_, index) => start(`d${index + 1}`)));
+    await until("the daemons take a configuration", async () =>
+        (await apply(listsOf(options.plans ?? { plan: {} }, [...services.keys()]), 0).catch(() => undefined))?.ok === true
+    );
+    await until("every daemon is ready and owns partitions", spread);
+
+    return {
+        platform,
+        engines,
+        services,
+        daemons,
+        daemon,
+        start,
+        until,
+        ownerOf,
+        apply,
+        [Symbol.asyncDispose]: async () => {
+            for (const each of daemons.values()) {
+                each.signal("SIGCONT");
+                each.signal("SIGKILL");
+                await each.exited;
+            }
+            await Promise.all([platform, ...engines, ...services.values()].map(each => each[Symbol.asyncDispose]()));
+            rmSync(folder, { recursive: true });
+        },
+    };
+}
+
+interface Owners {
+    readonly owners: readonly string[];
+}
+
+/** The two lists with one key and all models and services for each plan. */
+export function listsOf(plans: NonNullable<ClusterOptions["plans"]>, services: readonly string[]) {
+    return {
+        plans: Object.keys(plans).map(name => ({ name, keys: [sha256(keyOf(name))] })),
+        allowances: Object.entries(plans).map(([plan, limits]) => ({
+            plan,
+            models: ["model"],
+            services,
+            budgetTokens: limits.budgetTokens ?? 1_000_000,
+            programsAtOnce: limits.programsAtOnce ?? 1_000,
+        })),
+    };
+}
+
+async function describeProcess(name: string, child: ChildProcess): Promise<DaemonProcess> {
+    let stderr = "";
+    child.stderr?.on("data", bytes => {
+        stderr += String(bytes);
+    });
+    const exited = new Promise<number | undefined>(resolve => {
+        child.once("exit", code => resolve(code ?? undefined));
+    });
+    const port = await new Promise<number>((resolve, reject) => {
+        void exited.then(code => reject(new Error(`${name} exited with ${code}: ${stderr}`)));
+        const lines = createInterface({ input: child.stdout! });
+        lines.on("line", line => {
+            const found = /listening on [\d.]+:(\d+)/.exec(line);
+            if (found !== null) {
+                resolve(Number(found[1]));
+            }
+        });
+    });
+    return {
+        name,
+        port,
+        pid: child.pid ?? 0,
+        client: createClient(`http://127.0.0.1:${port}`),
+        signal: signal => {
+            child.kill(signal);
+        },
+        exited,
+        stderr: () => stderr,
+    };
+}
