--- a/packages/standin/src/command.ts
+++ b/packages/standin/src/command.ts
@@ -46,6 +46,7 @@
         fenced: option({
             type: optional(oneOf(["true", "false"])),
             long: "fenced",
+            env: variable("fenced"),
             description: "refuse orders with an old fencing token",
         }),
         seed: numeric("seed", "engines with the same seed give the same answers"),
@@ -71,7 +72,7 @@
     description: "TCP forwarder between loopback ports that can fail",
     args: {
         port,
-        target: option({ type: number, long: "target", description: "port to forward to" }),
+        target: option({ type: number, long: "target", env: variable("target"), description: "port to forward to" }),
         controlPort: numeric("control-port", "port of the HTTP control"),
         delayMs: numeric("delay", "milliseconds one way"),
     },
@@ -86,11 +87,16 @@
 });
 
 function numeric(long: string, description: string) {
-    return option({ type: optional(number), long, description });
+    return option({ type: optional(number), long, description, env: variable(long) });
 }
 
 function text(long: string, description: string) {
-    return option({ type: optional(string), long, description });
+    return option({ type: optional(string), long, description, env: variable(long) });
+}
+
+/** The environment variable of a flag. */
+function variable(long: string): string {
+    return `TAMARACKGAUGE_STANDIN_${long.toUpperCase().replaceAll("-", "_")}`;
 }
 
 function readVms(file: string): Vm[] {
@@ -103,10 +109,12 @@
         console.error(`${name} cannot start: ${String(error)}`);
         process.exit(1);
     });
-    console.log(`${name} listening on ${standin.address}:${standin.port}`);
-    await new Promise(resolve => {
+    // Listens for signals before it says that it runs, so that a signal sent at once ends it cleanly.
+    const ended = new Promise(resolve => {
         process.once("SIGTERM", resolve);
         process.once("SIGINT", resolve);
     });
+    console.log(`${name} listening on ${standin.address}:${standin.port}`);
+    await ended;
     await standin[Symbol.asyncDispose]();
 }
--- a/packages/standin/src/engine/batch.ts
+++ b/packages/standin/src/engine/batch.ts
@@ -2,6 +2,7 @@
 import type { PrefixCache } from "./cache.ts";
 import { segmentOf, tokenLength } from "./prompt.ts";
 import type { Prompt } from "./prompt.ts";
+import type { EngineSettings } from "./settings.ts";
 
 /** A call inside an engine. */
 export interface Sequence {
@@ -27,20 +28,11 @@
     finished?: "stop" | "length";
 }
 
-/** Speeds of an engine. Times in milliseconds, rates in tokens per second. */
-export interface BatchOptions {
-    /** Most sequences that run at once. */
-    readonly batch: number;
-    /** Time of a step with an empty batch. */
-    readonly stepMs: number;
-    /** Time that each decoding sequence adds to a step. */
-    readonly sequenceMs: number;
-    readonly prefillRate: number;
-    /** Most prompt tokens computed in one step. */
-    readonly prefillChunk: number;
-    /** Whether a waiting call of higher priority takes the place of a running one. */
-    readonly preempt: boolean;
-}
+/** The settings of an engine that batching depends on. */
+export type BatchOptions = Pick<
+    EngineSettings,
+    "batch" | "stepMs" | "sequenceMs" | "prefillRate" | "prefillChunk" | "preempt"
+>;
 
 /** Continuous batching, step by step. Time passes outside: a step starts, lasts as long as it says, and finishes. */
 export interface Batch {
--- a/packages/standin/src/engine/counts.ts
+++ b/packages/standin/src/engine/counts.ts
@@ -26,12 +26,12 @@
 
 /** Collects the counts of an engine. */
 export interface EngineCounter {
-    arrived(key: string, idempotencyKey: string | undefined): void;
+    /** `foreign`: the call continues from a text that this engine would not have produced. */
+    arrived(key: string, idempotencyKey: string | undefined, foreign: boolean): void;
     left(key: string, outcome: "finished" | "cancelled"): void;
     started(promptTokens: number, cachedTokens: number, seenTokens: number, historyTokens: number): void;
     generated(key: string, tokens: number): void;
     running(sequences: number): void;
-    foreignPartial(): void;
     order(outcome: "ordersDone" | "ordersRefused"): void;
     counts(): EngineCounts;
     reset(): void;
@@ -68,8 +68,9 @@
     }
 
     return {
-        arrived(key, idempotencyKey) {
+        arrived(key, idempotencyKey, foreign) {
             counted.requests += 1;
+            counted.foreignPartials += foreign ? 1 : 0;
             increase(counted.byProgram, key, 1);
             if (idempotencyKey !== undefined) {
                 increase(counted.byIdempotencyKey, idempotencyKey, 1);
@@ -93,9 +94,6 @@
         running(sequences) {
             counted.peakRunning = Math.max(counted.peakRunning, sequences);
         },
-        foreignPartial() {
-            counted.foreignPartials += 1;
-        },
         order(outcome) {
             counted[outcome] += 1;
         },
--- a/packages/standin/src/engine/orders.ts
+++ b/packages/standin/src/engine/orders.ts
@@ -1,5 +1,4 @@
 import { z } from "zod";
-import { HttpError } from "../listener.ts";
 
 /** Body of `/v1/orders`. For `role`, the role is in `role` or, without it, in `model`. */
 export const order = z.object({
@@ -21,8 +20,8 @@
 
 /** Carries out orders. */
 export interface Orders {
-    /** Throws `HttpError` 409 for an old fencing token, if the engine is fenced. */
-    give(wanted: z.infer<typeof order>): void;
+    /** Carries out an order; a fenced engine refuses an old fencing token and returns false. */
+    give(wanted: z.infer<typeof order>): boolean;
     state(): OrderState;
     serves(model: string): boolean;
 }
@@ -56,7 +55,7 @@
     return {
         give(wanted) {
             if (fenced && wanted.fence < fence) {
-                throw new HttpError(409, `the fencing token ${wanted.fence} is older than ${fence}`);
+                return false;
             }
             fence = Math.max(fence, wanted.fence);
             switch (wanted.action) {
@@ -70,6 +69,7 @@
                     role = wanted.role ?? wanted.model;
                     break;
             }
+            return true;
         },
         state: () => ({ fence, models: loaded, loading, role }),
         serves: model => loaded?.includes(model) ?? true,
--- /dev/null
+++ b/packages/standin/src/engine/settings.ts
@@ -0,0 +1,47 @@
+import { z } from "zod";
+
+const positive = z.number().positive();
+const count = z.number().int().positive();
+const time = z.number().nonnegative();
+
+/** Settings of the engine stand-in. Times are milliseconds before division by `scale`; sizes are tokens. */
+export const engineSettings = z.object({
+    port: z.number().int().min(0).max(65_535).default(0),
+    name: z.string().default("engine"),
+    /** Models served; without it, any model. */
+    models: z.array(z.string()).readonly().optional(),
+    /** Most sequences that run at once. */
+    batch: count.default(32),
+    /** Tokens of prefixes and running calls that the cache holds. */
+    cacheTokens: count.default(400_000),
+    /** Prompt tokens computed per second. */
+    prefillRate: positive.default(8000),
+    /** Most prompt tokens computed in one step. */
+    prefillChunk: count.default(256),
+    /** Time of a step with an empty batch. */
+    stepMs: time.default(12),
+    /** Time that each decoding sequence adds to a step. */
+    sequenceMs: time.default(0.5),
+    /** Whether a waiting call of higher priority takes the place of a running one. */
+    preempt: z.boolean().default(false),
+    reportLagMs: time.default(0),
+    eventDelayMs: time.default(0),
+    /** Share of the cache events that are lost. */
+    eventDropRate: z.number().min(0).max(1).default(0),
+    /** Time that loading a model takes. */
+    loadMs: time.default(2000),
+    /** Tokens per second that an import of a prefix takes in. */
+    importRate: positive.default(500_000),
+    /** Whether orders with an old fencing token are refused. */
+    fenced: z.boolean().default(false),
+    /** Engines with the same seed give the same answers. */
+    seed: z.number().int().default(1),
+    /** Divides all times. */
+    scale: positive.default(1),
+});
+
+/** Settings of the engine stand-in, as given. */
+export type EngineOptions = z.input<typeof engineSettings>;
+
+/** Settings of the engine stand-in, complete. */
+export type EngineSettings = z.output<typeof engineSettings>;
--- a/packages/standin/src/faults.ts
+++ b/packages/standin/src/faults.ts
@@ -42,6 +42,11 @@
     readonly bytes?: Buffer;
 }
 
+/** A JSON answer with status 200. */
+export function ok(body: unknown): Answer {
+    return { status: 200, body };
+}
+
 type Active = z.output<typeof fault>;
 
 /** No faults at first. */
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,8 +1,9 @@
 export { standinCommands } from "./command.ts";
 export type { EngineCounts } from "./engine/counts.ts";
 export { createEngine } from "./engine/engine.ts";
-export type { Engine, EngineOptions } from "./engine/engine.ts";
+export type { Engine } from "./engine/engine.ts";
 export type { OrderState } from "./engine/orders.ts";
+export type { EngineOptions } from "./engine/settings.ts";
 export type { Fault } from "./faults.ts";
 export { createForwarder } from "./forwarder.ts";
 export type { Direction, Forwarder, ForwarderCounts, ForwarderOptions, Silence } from "./forwarder.ts";
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -1,16 +1,14 @@
 import { systemClock } from "@tamarackgauge/core";
-import { createHash } from "node:crypto";
 import { z } from "zod";
-import { answerRange, answerTxn, bytesOfTxn, decodedLength, duplicateKey, isWrite, keysOfTxn, rangeRequest, txnOf,
-    txnRequest } from "./etcd.ts";
-import type { Txn } from "./etcd.ts";
-import { createFaults, fault } from "./faults.ts";
-import type { Answer, Fault } from "./faults.ts";
+import { createFaults, fault, ok } from "./faults.ts";
+import type { Fault } from "./faults.ts";
 import { HttpError, listen, parseBody, sendJson } from "./listener.ts";
 import type { Received, Standin } from "./listener.ts";
-import { createRateLimit } from "./rate.ts";
-import { createTable } from "./table.ts";
-import { createVms, vm } from "./vms.ts";
+import { createObjectStore, createWeightStore } from "./stores.ts";
+import type { ObjectCounts } from "./stores.ts";
+import { createTableService } from "./table-service.ts";
+import type { TableCounts } from "./table-service.ts";
+import { createVms, vm, vmChanges } from "./vms.ts";
 import type { Vm } from "./vms.ts";
 
 /** Settings of the platform stand-in. Rates are requests per second; without a rate nothing is limited. */
@@ -24,17 +22,12 @@
     readonly vms?: readonly Vm[];
 }
 
-/** What the platform has done. A request that was throttled or that a fault kept from taking effect is no read or write. */
-export interface PlatformCounts {
-    readonly reads: number;
-    readonly writes: number;
-    readonly writtenRows: number;
-    readonly writtenBytes: number;
-    readonly throttled: number;
-    readonly objectReads: number;
-    readonly objectWrites: number;
+/** What the platform has been asked and has done. */
+export interface PlatformCounts extends TableCounts, ObjectCounts {
     readonly vmReads: number;
+    /** Answered requests for weights, by model. */
     readonly weights: Readonly<Record<string, number>>;
+    /** Requests that a fault struck, by mode. */
     readonly faults: Readonly<Record<string, number>>;
 }
 
@@ -49,109 +42,53 @@
     counts(): PlatformCounts;
 }
 
-const maxTxnBytes = 1024 * 1024;
-const maxTxnOperations = 128;
+const faultsRequest = z.union([fault, z.array(fault)]);
+const vmsRequest = z.union([z.array(vm), z.object({ vms: z.array(vm) }).transform(list => list.vms)]);
+const lagRequest = z.object({ ms: z.number().nonnegative() });
 
 /** Starts a platform on a loopback port. */
 export async function createPlatform(options: PlatformOptions = {}): Promise<Platform> {
-    const table = createTable();
     const faults = createFaults();
+    const table = createTableService(faults, options.readsPerSecond, options.writesPerSecond);
+    const objects = createObjectStore(faults);
+    const weights = createWeightStore(faults, options.weightsPerSecond);
     const vms = createVms(options.vms ?? [], options.vmLagMs ?? 0);
-    const objects = new Map<string, Buffer>();
-    const readLimit = createRateLimit(options.readsPerSecond);
-    const writeLimit = createRateLimit(options.writesPerSecond);
-    const weightLimit = createRateLimit(options.weightsPerSecond);
     const now = () => systemClock.monotonic();
-    const weights: Record<string, number> = {};
-    const counted = {
-        reads: 0,
-        writes: 0,
-        writtenRows: 0,
-        writtenBytes: 0,
-        throttled: 0,
-        objectReads: 0,
-        objectWrites: 0,
-        vmReads: 0,
-    };
-    const counts = (): PlatformCounts => ({ ...counted, weights: { ...weights }, faults: faults.counts() });
-
-    function take(limit: { take(now: number): boolean; }): void {
-        if (!limit.take(now())) {
-            counted.throttled += 1;
-            const message = "too many requests";
-            throw new HttpError(429, message, { error: message, code: 8, message });
-        }
-    }
-
-    function range(received: Received): Promise<void> {
-        const request = parseTable(received, rangeRequest);
-        return faults.run({ part: "range", keys: [request.key] }, received, () => {
-            take(readLimit);
-            counted.reads += 1;
-            return ok(answerRange(table, request));
-        });
-    }
-
-    function txn(received: Received): Promise<void> {
-        const request = checkTxn(received);
-        const write = isWrite(request);
-        return faults.run({ part: "txn", keys: keysOfTxn(request) }, received, () => {
-            take(write ? writeLimit : readLimit);
-            counted[write ? "writes" : "reads"] += 1;
-            const { body, ran } = answerTxn(table, request);
-            const puts = ran.filter(operation => operation.type === "put");
-            counted.writtenRows += puts.length;
-            counted.writtenBytes += puts.reduce((sum, put) => sum + decodedLength(put.value), 0);
-            return ok(body);
-        });
-    }
-
-    function object(received: Received): Promise<void> {
-        const [, bucket, ...rest] = received.path;
-        const key = `${bucket}/${rest.join("/")}`;
-        counted[received.method === "GET" ? "objectReads" : "objectWrites"] += 1;
-        return faults.run({ part: "objects", keys: [key] }, received, () => objectAnswer(objects, key, received));
-    }
-
-    function weight(received: Received): Promise<void> {
-        const model = received.path.slice(1).join("/");
-        return faults.run({ part: "weights", keys: [model] }, received, () => {
-            take(weightLimit);
-            weights[model] = (weights[model] ?? 0) + 1;
-            return ok({ model, digest: createHash("sha256").update(model).digest("hex") });
-        });
-    }
+    let vmReads = 0;
+    const counts = (): PlatformCounts => ({
+        ...table.counts(),
+        ...objects.counts(),
+        vmReads,
+        weights: weights.counts(),
+        faults: faults.counts(),
+    });
 
     function vmList(received: Received): Promise<void> {
-        counted.vmReads += 1;
+        vmReads += 1;
         return faults.run({ part: "vms", keys: [] }, received, () => ok(vms.visible(now())));
     }
 
     function control(received: Received): void {
-        const [, what, name] = received.path;
+        const [, what, name = ""] = received.path;
         switch (`${received.method} ${what}`) {
             case "GET counts":
-                sendJson(received.response, 200, counts());
-                return;
+                return sendJson(received.response, 200, counts());
+            case "GET vms":
+                return sendJson(received.response, 200, vms.latest());
             case "POST faults":
-                faults.set(parseBody(received, z.union([fault, z.array(fault)])));
+                faults.set(parseBody(received, faultsRequest));
                 break;
-            case "GET vms":
-                sendJson(received.response, 200, vms.latest());
-                return;
-            case "PUT vms": {
-                const body = parseBody(received, z.union([z.array(vm), z.object({ vms: z.array(vm) })]));
-                vms.replace(Array.isArray(body) ? body : body.vms, now());
+            case "PUT vms":
+                vms.replace(parseBody(received, vmsRequest), now());
                 break;
-            }
             case "PATCH vms":
-                vms.change(name ?? "", parseBody(received, vmChanges), now());
+                vms.change(name, parseBody(received, vmChanges), now());
                 break;
             case "DELETE vms":
-                vms.remove(name ?? "", now());
+                vms.remove(name, now());
                 break;
             case "POST lag":
-                vms.setLag(parseBody(received, z.object({ ms: z.number().nonnegative() })).ms);
+                vms.setLag(parseBody(received, lagRequest).ms);
                 break;
             default:
                 throw new HttpError(404, "there is no such control");
@@ -159,26 +96,28 @@
         sendJson(received.response, 200, { ok: true });
     }
 
-    const standin = await listen(options.port ?? 0, received => {
+    function route(received: Received): Promise<void> | void {
         const { method, path } = received;
         switch (path[0]) {
             case "control":
                 return control(received);
             case "objects":
-                return object(received);
+                return objects.handle(received);
             case "weights":
-                return weight(received);
+                return weights.handle(received);
         }
         switch (`${method} /${path.join("/")}`) {
             case "POST /v3/kv/range":
-                return range(received);
+                return table.range(received);
             case "POST /v3/kv/txn":
-                return txn(received);
+                return table.txn(received);
             case "GET /v1/vms":
                 return vmList(received);
         }
         throw new HttpError(404, "there is no such path");
-    });
+    }
+
+    const standin = await listen(options.port ?? 0, route);
     return {
         ...standin,
         setFaults: wanted => faults.set(wanted),
@@ -189,54 +128,3 @@
         counts,
     };
 }
-
-const vmChanges = vm.extend({ state: z.enum(["live", "leaving"]) }).partial();
-
-function ok(body: unknown): Answer {
-    return { status: 200, body };
-}
-
-function tableError(message: string): HttpError {
-    return new HttpError(400, message, { error: message, code: 3, message });
-}
-
-function parseTable<Schema extends z.ZodType>(received: Received, schema: Schema): z.output<Schema> {
-    try {
-        return parseBody(received, schema);
-    }
-    catch (error) {
-        throw tableError((error as Error).message);
-    }
-}
-
-function checkTxn(received: Received): Txn {
-    const txn = txnOf(parseTable(received, txnRequest));
-    if (bytesOfTxn(txn) > maxTxnBytes) {
-        throw tableError("etcdserver: request is too large");
-    }
-    if (Math.max(txn.compares.length, txn.success.length, txn.failure.length) > maxTxnOperations) {
-        throw tableError("etcdserver: too many operations in txn request");
-    }
-    if (duplicateKey(txn.success) !== undefined || duplicateKey(txn.failure) !== undefined) {
-        throw tableError("etcdserver: duplicate key given in txn request");
-    }
-    return txn;
-}
-
-function objectAnswer(objects: Map<string, Buffer>, key: string, received: Received): Answer {
-    switch (received.method) {
-        case "GET": {
-            const bytes = objects.get(key);
-            return bytes === undefined ?
-                { status: 404, body: { error: { message: "no such object" } } }
-                : { status: 200, bytes };
-        }
-        case "PUT":
-            objects.set(key, received.body);
-            return ok({});
-        case "DELETE":
-            objects.delete(key);
-            return ok({});
-    }
-    throw new HttpError(405, "the path does not take this method");
-}
--- a/packages/standin/src/rate.ts
+++ b/packages/standin/src/rate.ts
@@ -1,3 +1,5 @@
+import { HttpError } from "./listener.ts";
+
 /** A token bucket. */
 export interface RateLimit {
     /** Takes one token; false when the rate is exceeded. `now` is in milliseconds. */
@@ -24,3 +26,9 @@
         },
     };
 }
+
+/** The answer to a request above the rate. */
+export function throttledError(): HttpError {
+    const message = "too many requests";
+    return new HttpError(429, message, { error: message, code: 8, message });
+}
--- a/packages/standin/src/vms.ts
+++ b/packages/standin/src/vms.ts
@@ -17,6 +17,9 @@
 /** A VM of the platform's list. */
 export type Vm = z.input<typeof vm>;
 
+/** Changes of a VM; what is left out stays. */
+export const vmChanges = vm.extend({ state: z.enum(["live", "leaving"]) }).partial();
+
 /** A version of the list. */
 export interface VmList {
     readonly version: number;
