--- /dev/null
+++ b/packages/standin/test/soak.test.ts
@@ -0,0 +1,29 @@
+import { createRandom } from "@tamarackgauge/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createEngine } from "../src/index.ts";
+import { ask, chat, until } from "./client.ts";
+
+void test("with cancellations, preemption and a small cache every finished answer is complete and nothing stays", async () => {
+    await using reference = await createEngine({ scale: 1000, batch: 64 });
+    await using engine = await createEngine({ scale: 50, batch: 4, cacheTokens: 400, preempt: true });
+    const random = createRandom(7);
+    const calls = Array.from({ length: 60 }, (_, index) => {
+        const text = `${"x".repeat(Math.floor(random() * 400))}[tokens=${1 + Math.floor(random() * 100)}]`;
+        const body = ask(`p${index % 3}/${index % 20}`, text, { priority: Math.floor(random() * 8) });
+        return { body, cancelled: random() < 0.3, delayMs: random() * 200 };
+    });
+    await Promise.all(calls.map(async ({ body, cancelled, delayMs }) => {
+        await new Promise(resolve => setTimeout(resolve, delayMs));
+        if (cancelled) {
+            await chat(engine, body, undefined, AbortSignal.timeout(20)).catch(() => {});
+            return;
+        }
+        assert.equal((await chat(engine, body)).text, (await chat(reference, body)).text);
+    }));
+    await until(() => engine.load().running + engine.load().waiting === 0);
+    assert.ok(engine.held().every(entry => !entry.pinned));
+    const { requests, finished, cancelled, peakRunning } = engine.counts();
+    assert.equal(finished + cancelled, requests);
+    assert.equal(peakRunning, 4);
+});
