--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,56 @@
+import { createOperatorCommands, exitCodes, type Terminal } from "@tamarackgauge/operator";
+import { standinCommands } from "@tamarackgauge/standin";
+import { timelineCommand } from "@tamarackgauge/timeline";
+import { runSafely, subcommands } from "cmd-ts";
+import { createDaemonCommand, type RunDaemon } from "./daemon.ts";
+
+/** All subcommands. A package that brings a command is added here, for instance `bench` and `replay`. */
+export function createCommands(terminal: Terminal, runDaemon: RunDaemon) {
+    return subcommands({
+        name: "tamarackgauge",
+        description: `Scheduler for agent programs. Exit codes: ${exitCodeText()}`,
+        cmds: {
+            daemon: createDaemonCommand(terminal, runDaemon),
+            ...createOperatorCommands(terminal),
+            timeline: timelineCommand,
+            standin: standinCommands,
+        },
+    });
+}
+
+/** Runs one command line and gives its exit code. */
+export async function runCommand(
+    terminal: Terminal,
+    runDaemon: RunDaemon,
+    words: readonly string[],
+): Promise<number> {
+    // Without a subcommand the parser would only complain; a person is better served by the list of commands.
+    const line = words.length === 0 ? ["--help"] : [...words];
+    const result = await runSafely(createCommands(terminal, runDaemon), line);
+    if ("value" in result) {
+        return exitCodeOf(result.value);
+    }
+    const { message, into, exitCode } = result.error.config;
+    if (into === "stderr") {
+        terminal.error(message);
+        return exitCodes.usage;
+    }
+    terminal.out(message);
+    return isHelp(line) ? exitCodes.done : exitCode;
+}
+
+function isHelp(words: readonly string[]): boolean {
+    return words.some(word => word === "--help" || word === "-h");
+}
+
+/** Handlers return an exit code or nothing; each level of subcommands wraps it once. */
+function exitCodeOf(result: unknown): number {
+    if (typeof result === "object" && result !== null && "value" in result) {
+        return exitCodeOf(result.value);
+    }
+    return typeof result === "number" ? result : exitCodes.done;
+}
+
+function exitCodeText(): string {
+    return Object.entries(exitCodes).map(([name, code]) => `${code} ${name}`).join(", ");
+}
--- /dev/null
+++ b/packages/cli/src/daemon.ts
@@ -0,0 +1,24 @@
+import type { Settings } from "@tamarackgauge/core";
+import { exitCodes, type Terminal } from "@tamarackgauge/operator";
+import { command } from "cmd-ts";
+import { faultText, readSettings, settingFlags } from "./settings.ts";
+
+/** Runs a daemon until it has been told to stop, and gives its exit code. */
+export type RunDaemon = (settings: Settings) => Promise<number>;
+
+/** The `daemon` command. `run` starts only with valid settings. */
+export function createDaemonCommand(terminal: Terminal, run: RunDaemon) {
+    return command({
+        name: "daemon",
+        description: "Run one daemon; each setting is a flag or an environment variable, the flag counts first",
+        args: settingFlags,
+        handler: async flags => {
+            const result = readSettings(flags, terminal.environment);
+            if ("settings" in result) {
+                return run(result.settings);
+            }
+            result.faults.forEach(fault => terminal.error(faultText(fault)));
+            return exitCodes.usage;
+        },
+    });
+}
--- /dev/null
+++ b/packages/cli/test/command.test.ts
@@ -0,0 +1,174 @@
+import { createFront, type Front } from "@tamarackgauge/caller";
+import { type Configuration, createConfiguration, hashKey, refuse, type Settings } from "@tamarackgauge/core";
+import { type ConfigurationStore, createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
+import assert from "node:assert/strict";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Readable } from "node:stream";
+import { describe, it } from "node:test";
+import { Left, Right } from "purify-ts";
+import { runCommand } from "../src/commands.ts";
+
+const key = "operator-key";
+
+/** Runs one command line and gives its exit code and what it printed. */
+async function run(words: string, environment: Record<string, string> = {}, input = "") {
+    const out: string[] = [];
+    const error: string[] = [];
+    const started: Settings[] = [];
+    const terminal = {
+        environment,
+        input: Readable.from([input]),
+        out: (line: string) => out.push(line),
+        error: (line: string) => error.push(line),
+    };
+    const code = await runCommand(terminal, async settings => started.push(settings) - 1,
+        words === "" ? [] : words.split(" "));
+    return { code, out: out.join("\n"), error: error.join("\n"), started };
+}
+
+/** A daemon's front with operators' routes over a configuration in memory. */
+async function openDaemon(name: string, version = 0, ready = true): Promise<Front> {
+    let now: Configuration = createConfiguration(version, { plans: [], allowances: [] });
+    const store: ConfigurationStore = {
+        read: async () => now,
+        apply: async (expected, next) => {
+            if (expected !== now.version) {
+                return Left(refuse("version_conflict", "notRun"));
+            }
+            now = createConfiguration(now.version + 1, next);
+            return Right(now);
+        },
+    };
+    const status = async () => ({ daemon: name, configurationVersion: now.version, ready, reason: "no store" });
+    return createFront({
+        address: "127.0.0.1",
+        port: 0,
+        configuration: () => now,
+        serve: async function*() {},
+        endProgram: async () => undefined,
+        routes: createOperatorRoutes({ keyHash: hashKey(key), store, status }),
+    });
+}
+
+const file = (version: number) =>
+    `{"version": ${version},
+"plans": [{"name": "dunes", "keys": []}],
+"allowances": [{"plan": "dunes", "models": [], "budgetTokens": 1, "programsAtOnce": 1}]}`;
+
+async function withFile(text: string, use: (path: string) => Promise<void>): Promise<void> {
+    const folder = await mkdtemp(join(tmpdir(), "tamarackgauge-"));
+    try {
+        const path = join(folder, "configuration.json");
+        await writeFile(path, text);
+        await use(path);
+    }
+    finally {
+        await rm(folder, { recursive: true });
+    }
+}
+
+describe("the operators' commands", () => {
+    const environment = { TAMARACKGAUGE_OPERATOR_KEY: key };
+
+    it("apply a file once, refuse it on a version that is past, and show what is in force", async () => {
+        await using daemon = await openDaemon("vm-1");
+        const url = `http://127.0.0.1:${daemon.port}`;
+        await withFile(file(0), async path => {
+            const first = await run(`configuration apply ${path} --to ${url}`, environment);
+            assert.deepEqual([first.code, first.out], [exitCodes.done, "version 1 is in force"]);
+            const second = await run(`configuration apply ${path} --expect 0 --to ${url}`, environment);
+            assert.equal(second.code, exitCodes.conflict);
+            assert.match(second.error, /4095 .*based on version 0, version 1 is in force/);
+        });
+        const shown = await run(`configuration show --to ${url}`, environment);
+        await withFile(shown.out, async path => {
+            const again = await run(`configuration apply ${path} --to ${url}`, environment);
+            assert.equal(again.out, "version 2 is in force", "what show prints can be edited and applied");
+        });
+    });
+
+    it("print each mistake of a file with its place and change nothing", async () => {
+        await withFile("{\"plans\": [],\n\"allowances\": [{\"plan\": 1}]}", async path => {
+            const checked = await run(`configuration check ${path}`);
+            assert.equal(checked.code, exitCodes.invalidFile);
+            assert.match(checked.error, /configuration.json:2:16 104 allowances\[0\].models: the field is missing/);
+            const applied = await run(`configuration apply ${path} --to http://127.0.0.1:1`, environment);
+            assert.equal(applied.code, exitCodes.invalidFile);
+        });
+        assert.equal((await run("configuration check /nowhere/file.json")).code, exitCodes.usage);
+    });
+
+    it("tell a wrong key from a missing one and from a daemon that does not answer", async () => {
+        await using daemon = await openDaemon("vm-1");
+        const line = `configuration show --to http://127.0.0.1:${daemon.port}`;
+        assert.equal((await run(line)).code, exitCodes.usage);
+        assert.equal((await run(line, { TAMARACKGAUGE_OPERATOR_KEY: "other" })).code, exitCodes.refused);
+        await withFile(file(0), async path => {
+            const result = await run(`configuration apply ${path} --to http://127.0.0.1:1`, environment);
+            assert.equal(result.code, exitCodes.unreachable);
+            assert.match(result.error, /not known whether the file was applied/);
+        });
+    });
+
+    it("show the version of each daemon and notice a daemon that is behind", async () => {
+        await using first = await openDaemon("vm-1", 7);
+        await using second = await openDaemon("vm-2", 6, false);
+        const [one, two] = [first, second].map(each => `--to http://127.0.0.1:${each.port}`);
+        const both = await run(`status ${one} ${two}`, environment);
+        assert.equal(both.code, exitCodes.versionsDiffer);
+        assert.match(both.out, /vm-1 version 7 ready\n.*vm-2 version 6 not ready: no store/);
+        assert.equal((await run(`status ${one} ${one}`, environment)).code, exitCodes.done);
+        assert.equal((await run(`status ${one} --to http://127.0.0.1:1`, environment)).code, exitCodes.unreachable);
+        assert.equal((await run("status", environment)).code, exitCodes.usage);
+    });
+
+    it("hash a key as the daemon does, without the line break that a terminal adds", async () => {
+        assert.equal((await run("key hash", {}, "secret\n")).out, hashKey("secret"));
+        assert.equal((await run("key hash", {}, "two words")).code, exitCodes.usage);
+    });
+});
+
+describe("the daemon command", () => {
+    const required = {
+        TAMARACKGAUGE_NAME: "vm-1",
+        TAMARACKGAUGE_DATA_CENTRE: "east",
+        TAMARACKGAUGE_ADDRESS: "127.0.0.1",
+        TAMARACKGAUGE_PLATFORM_URL: "http://127.0.0.1:2379",
+        TAMARACKGAUGE_CLUSTER_KEY: "cluster-key-of-16-or-more",
+        TAMARACKGAUGE_SEAL_KEY: "seal-key-of-16-or-more",
+        TAMARACKGAUGE_OPERATOR_KEY_HASH: "0".repeat(64),
+    };
+
+    it("reads variables and prefers flags", async () => {
+        const { code, started } = await run("daemon --lease-ttl 5000", { ...required,
+            TAMARACKGAUGE_LEASE_TTL: "4000" });
+        assert.equal(code, 0);
+        assert.equal(started[0]?.leaseTtl, 5000);
+        assert.equal(started[0]?.name, "vm-1");
+    });
+
+    it("starts nothing when a setting is wrong, names all of them and exits with 2", async () => {
+        const { code, error, started } = await run("daemon --port 70000 --policy best", {
+            ...required,
+            TAMARACKGAUGE_LEASE_TTL: "soon",
+        });
+        assert.deepEqual([code, started.length], [exitCodes.usage, 0]);
+        assert.deepEqual(error.split("\n").map(line => line.replace(/; expected.*/, "")), [
+            "--port (TAMARACKGAUGE_PORT) \"70000\" is not allowed",
+            "--lease-ttl (TAMARACKGAUGE_LEASE_TTL) \"soon\" is not allowed",
+            "--policy (TAMARACKGAUGE_POLICY) \"best\" is not allowed",
+        ]);
+        assert.equal((await run("daemon --no-such-flag 1", required)).code, exitCodes.usage);
+    });
+
+    it("explains itself without printing the values of keys", async () => {
+        const { code, out } = await run("daemon --help", { ...required,
+            TAMARACKGAUGE_SEAL_KEY: "seal-key-of-somebody" });
+        assert.equal(code, 0);
+        assert.match(out, /--seal-key/);
+        assert.doesNotMatch(out, /somebody/);
+        assert.equal((await run("")).code, 0);
+    });
+});
