Run the daemon from the command line, and test the whole path with processes

Cause: the path was only tried inside one process. Ruled out: top-level await in the main module, which the CommonJS bundle of the single executable cannot hold.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,6 @@
 import { exitCodes, type Terminal } from "@tamarackgauge/operator";
 import { runCommand } from "./commands.ts";
-import type { RunDaemon } from "./daemon.ts";
+import { runDaemon } from "./run.ts";
 
 const terminal: Terminal = {
     environment: process.env,
@@ -9,17 +9,18 @@
     error: line => process.stderr.write(`${line}\n`),
 };
 
-/** To be replaced by the composition of the daemon package. */
-const runDaemon: RunDaemon = async () => {
-    terminal.error("this build contains no daemon");
-    return exitCodes.failed;
-};
-
-try {
-    // Set instead of calling exit, so that output that is still being written is not cut off.
-    process.exitCode = await runCommand(terminal, runDaemon, process.argv.slice(2)) || process.exitCode;
-}
-catch (error) {
-    terminal.error(error instanceof Error ? error.stack ?? error.message : String(error));
-    process.exitCode = exitCodes.failed;
+// Top-level await does not exist in the CommonJS bundle of the single executable.
+async function main(): Promise<void> {
+    try {
+        const words = process.argv.slice(2);
+        const code = await runCommand(terminal, settings => runDaemon(settings, terminal), words);
+        // Set instead of calling exit, so that output that is still being written is not cut off.
+        process.exitCode = code || process.exitCode;
+    }
+    catch (error) {
+        terminal.error(error instanceof Error ? error.stack ?? error.message : String(error));
+        process.exitCode = exitCodes.failed;
+    }
 }
+
+void main();
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -3,7 +3,7 @@
 import type { RouteParts } from "@tamarackgauge/daemon";
 import { createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
 import type { Terminal } from "@tamarackgauge/operator";
-import { createTimelineRoute } from "@tamarackgauge/timeline";
+import { createTimelineRoute } from "./timelineRoute.ts";
 
 /** Runs a daemon until SIGTERM or SIGINT and gives its exit code; a second signal ends the wait for streams. */
 export async function runDaemon(settings: Settings, terminal: Terminal): Promise<number> {
@@ -24,7 +24,8 @@
             store: configuration,
             status: async () => {
                 const { name, ready, reason, configurationVersion, ...details } = status();
-                return { daemon: name, ready, configurationVersion, details, ...reason === undefined ? {} : { reason } };
+                return { daemon: name, ready, configurationVersion, details,
+                    ...reason === undefined ? {} : { reason } };
             },
         }),
         createTimelineRoute(timeline, settings.operatorKeyHash),
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -82,12 +82,14 @@
         logLevel: "error",
     });
     const platform = await createPlatform({ port: 0 });
-    const engines = await Promise.all(Array.from({ length: options.engines ?? 2 }, (_, index) =>
-        createEngine({ port: 0, name: `engine${index}`, stepMs: options.stepMs ?? 5 })));
+    const engines = await Promise.all(
+        Array.from({ length: options.engines ?? 2 },
+            (_, index) => createEngine({ port: 0, name: `engine${index}`, stepMs: options.stepMs ?? 5 })),
+    );
     const services = new Map(
-        await Promise.all((options.services ?? ["waiver"]).map(async name =>
-            [name, await createService({ port: 0 })] as const
-        )),
+        await Promise.all(
+            (options.services ?? ["waiver"]).map(async name => [name, await createService({ port: 0 })] as const),
+        ),
     );
     const daemons = new Map<string, DaemonProcess>();
     await setVms();
@@ -110,9 +112,9 @@
 
     async function start(name: string): Promise<DaemonProcess> {
         const url = options.platformUrl?.(platform.port) ?? `http://127.0.0.1:${platform.port}`;
-        const flags = ["--name", name, "--data-centre", "dc1", "--address", "127.0.0.1", "--port", "0",
-            "--peer-port", "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey),
-            ...defaultFlags, ...options.flags ?? []];
+        const flags = ["--name", name, "--data-centre", "dc1", "--address", "127.0.0.1", "--port", "0", "--peer-port",
+            "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey), ...defaultFlags,
+            ...options.flags ?? []];
         const child = spawn(process.execPath, [program, "daemon", ...flags], {
             stdio: ["ignore", "pipe", "pipe"],
             env: {
@@ -186,9 +188,10 @@
     }
 
     await Promise.all(Array.from({ length: options.daemons ?? 3 }, (_, index) => start(`d${index + 1}`)));
-    await until("the daemons take a configuration", async () =>
-        (await apply(listsOf(options.plans ?? { plan: {} }, [...services.keys()]), 0).catch(() => undefined))?.ok === true
-    );
+    await until("the daemons take a configuration",
+        async () =>
+            (await apply(listsOf(options.plans ?? { plan: {} }, [...services.keys()]), 0).catch(() => undefined))
+                ?.ok === true);
     await until("every daemon is ready and owns partitions", spread);
 
     return {
