--- /dev/null
+++ b/packages/cli/test/example.test.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { createClient, RefusedError } from "../../../examples/client.ts";
+
+type Answer = (request: IncomingMessage, response: ServerResponse, body: string) => void;
+
+/** Runs a client against daemons that answer the first, second, ... request as given, wherever it goes. */
+async function withDaemons(answers: Answer[], use: (daemons: string[]) => Promise<void>): Promise<IncomingMessage[]> {
+    const requests: IncomingMessage[] = [];
+    const servers = [0, 1].map(() =>
+        createServer((request, response) => {
+            requests.push(request);
+            const answer = answers.shift();
+            let body = "";
+            request.on("data", (piece: Buffer) => body += piece.toString());
+            request.on("end", () => answer?.(request, response, body) ?? response.end());
+        })
+    );
+    for (const server of servers) {
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    }
+    try {
+        await use(servers.map(server => `http://127.0.0.1:${(server.address() as AddressInfo).port}`));
+    }
+    finally {
+        servers.forEach(server => server.close().closeAllConnections());
+    }
+    return requests;
+}
+
+/** Streams pieces of an answer that starts after `offset` characters. */
+function streamed(offset: number, pieces: string[], end: "finish" | "break"): Answer {
+    return (_, response) => {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        for (const content of pieces) {
+            offset += content.length;
+            response.write(`id: ${offset}\ndata: ${JSON.stringify({ choices: [{ delta: { content } }] })}\n\n`);
+        }
+        if (end === "break") {
+            setTimeout(() => response.destroy(), 20);
+            return;
+        }
+        const last = { choices: [{ delta: {}, finish_reason: "stop" }], seal: "seal1" };
+        response.end(`id: ${offset}\ndata: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`);
+    };
+}
+
+function refused(code: number, run: string, retryAfterMs?: number): Answer {
+    return (_, response) => {
+        response.writeHead(Math.floor(code / 10));
+        response.end(JSON.stringify({ error: { code, name: "test", message: "test", run, retryAfterMs } }));
+    };
+}
+
+const message = [{ role: "user", content: "hello" }];
+
+test("a broken answer continues at another daemon (guards against text lost or doubled after a kill)", async () => {
+    const answers = [streamed(0, ["Dün", "enfahrt"], "break"), streamed(5, ["fahrt", " 🏜 am", " See"], "finish")];
+    const requests = await withDaemons(answers, async daemons => {
+        const retries: string[] = [];
+        const client = createClient({ daemons, key: "k", program: "p", onRetry: (_, daemon) => retries.push(daemon) });
+        assert.equal(await client.complete("m", message), "Dünenfahrt 🏜 am See");
+        assert.deepEqual(retries, [daemons[1]]);
+        await client.close();
+    });
+    const [first, second] = requests.map(request => request.headers);
+    assert.equal(first!["idempotency-key"], second!["idempotency-key"]);
+    assert.deepEqual([first!["last-event-id"], second!["last-event-id"]], [undefined, "10"]);
+    assert.equal(second!["tg-sequence"], "0");
+});
+
+test("an unknown outcome is not asked for again (guards against a call that runs twice)", async () => {
+    const requests = await withDaemons([refused(5041, "unknown", 10), refused(5001, "notRun")], async daemons => {
+        const client = createClient({ daemons, key: "k", program: "p" });
+        await assert.rejects(client.callTool("s", "sign", {}, { atMostOnce: true }), RefusedError);
+        await client.close();
+    });
+    assert.equal(requests.length, 1);
+});
+
+test("a lost history is sent whole with its seal (guards against a program that ends with its owner)", async () => {
+    const bodies: string[] = [];
+    const keep = (answer: Answer): Answer => (request, response, body) => {
+        bodies.push(body);
+        answer(request, response, body);
+    };
+    const answers = [streamed(0, ["one"], "finish"), refused(4092, "notRun"), streamed(0, ["two"], "finish")].map(keep);
+    const requests = await withDaemons(answers, async daemons => {
+        const client = createClient({ daemons, key: "k", program: "p" });
+        await client.complete("m", message);
+        assert.equal(await client.complete("m", message), "two");
+        await client.close();
+    });
+    const counts = bodies.map(body => (JSON.parse(body) as { messages: unknown[]; }).messages.length);
+    assert.deepEqual(counts, [1, 1, 3]);
+    assert.equal(requests[2]!.headers["tg-seal"], "seal1");
+});
