Admit by waits of calls under way; weigh recomputed tokens by the batch they delay

Cause: at the crest the engines were full, but callers left instead of being refused, and moved programs computed 5% of their prompts again, which cost a tenth of the engines' tokens. Change: openings come after calls under way while those wait; the wait of a new program is the openings without a first token over the rate of openings plus the recent wait of calls under way; recomputed tokens count once per call in flight on the engine.

--- a/packages/core/bench/world.ts
+++ b/packages/core/bench/world.ts
@@ -21,6 +21,9 @@
 export interface Outcome {
     readonly program: Program;
     readonly outcome: "done" | "refused" | "left";
+    /** Turns that were completed, and whether the last one had reached an engine. */
+    readonly turns: number;
+    readonly dispatched: boolean;
     readonly latencyMs: number;
     readonly endMs: number;
 }
@@ -174,7 +177,8 @@
         run.ended = true;
         this.runs.delete(run.program.name);
         const latencyMs = this.now - run.program.startMs;
-        this.outcomes.push({ program: run.program, outcome, latencyMs, endMs: this.now });
+        this.outcomes.push({ program: run.program, outcome, turns: run.turn, dispatched: run.engine !== undefined,
+            latencyMs, endMs: this.now });
         if (outcome !== "refused") {
             for (const name of this.policies[run.daemon]!.endProgram(run.program.name, this.now)) {
                 this.engines.get(name)!.release(run.program.name);
--- a/packages/core/src/policy/order.ts
+++ b/packages/core/src/policy/order.ts
@@ -71,6 +71,9 @@
 /** What became of an offered job: `placed` leaves the queue, `blocked` stays, `full` ends the offers. */
 export type Offer = "placed" | "blocked" | "full";
 
+/** Which waiting jobs are offered: first calls of programs, later ones, or both in order of level. */
+export type JobClass = "opening" | "underWay" | "all";
+
 /** The level of a waiting job with the levels gained by ageing. */
 export function agedLevel(waiting: Waiting, now: number): number {
     return Math.max(0, waiting.level - Math.floor((now - waiting.since) / ageingMs));
@@ -98,9 +101,11 @@
         }
     }
 
-    /** A reader that yields the waiting jobs in order of service. */
-    read(now: number): () => Waiting | undefined {
-        const readers = this.buckets.map(bucket => bucket.size === 0 ? undefined : bucket.values());
+    /** A reader that yields the waiting jobs of the class in order of service. */
+    read(now: number, take: JobClass): () => Waiting | undefined {
+        const readers = this.buckets.map((bucket, index) =>
+            bucket.size === 0 || !isTaken(index, take) ? undefined : bucket.values()
+        );
         const heads = readers.map(reader => reader?.next().value);
         return () => {
             const index = firstOf(heads, now);
@@ -115,6 +120,10 @@
     }
 }
 
+function isTaken(bucket: number, take: JobClass): boolean {
+    return take === "all" || (take === "opening") === (bucket % 2 === 1);
+}
+
 function firstOf(heads: readonly (Waiting | undefined)[], now: number): number {
     let first = 0;
     let lowest = Infinity;
@@ -164,10 +173,10 @@
     }
 
     /** Offers waiting jobs in order of service until none is left or the offers are blocked. */
-    offer(now: number, accept: (waiting: Waiting) => Offer): void {
+    offer(now: number, take: JobClass, accept: (waiting: Waiting) => Offer): void {
         const readers = new Map<PlanQueue, { read: () => Waiting | undefined; blocked: number; }>();
         for (const plan of this.backlogged) {
-            readers.set(plan, { read: plan.read(now), blocked: 0 });
+            readers.set(plan, { read: plan.read(now, take), blocked: 0 });
         }
         let blocked = 0;
         while (readers.size > 0 && blocked < blockedPerRound) {
--- a/packages/core/src/policy/routing.ts
+++ b/packages/core/src/policy/routing.ts
@@ -14,9 +14,6 @@
 /** Cost of one more call in the batch, in ms; small against a prefill, so that it only spreads equal choices. */
 const callMs = 5;
 
-/** A recomputed token also delays the other calls of the engine, so it counts this many times. */
-const recomputeWeight = 2;
-
 /** What is known of one engine. */
 export class EngineState {
     readonly window = new Window();
@@ -184,11 +181,15 @@
         return false;
     }
 
+    /** Calls in flight on the engine, own and of others. */
+    private total(state: EngineState, now: number): number {
+        return state.inFlight + (this.peers.total(state.engine.name, now) ?? state.reportedOthers(now));
+    }
+
     /** Estimated time to first token, in ms. */
     estimate(state: EngineState, uncached: number, now: number): number {
         const name = state.engine.name;
-        const others = this.peers.total(name, now) ?? state.reportedOthers(now);
-        const total = state.inFlight + others;
+        const total = this.total(state, now);
         const over = state.slots === undefined ? 0 : Math.max(0, total + 1 - state.slots);
         const batchWait = over === 0 ? 0 : over * this.speeds.callMs / state.slots!;
         const prefill = this.speeds.expectedFirstToken(uncached + state.pendingTokens);
@@ -212,10 +213,11 @@
         }
         const home = this.home(job, cached, usable);
         const homeUncached = home === undefined ? job.promptTokens : this.uncached(job, cached, home);
+        // Tokens computed again delay every call in the batch of the engine, not only this one.
         const cost = (state: EngineState) => {
             const uncached = this.uncached(job, cached, state);
             return this.estimate(state, uncached, now)
-                + recomputeWeight * this.speeds.prefillMs * Math.max(0, uncached - homeUncached);
+                + this.total(state, now) * this.speeds.prefillMs * Math.max(0, uncached - homeUncached);
         };
         const other = this.betterOfTwo(open.filter(state => state !== home), cost);
         const best = home !== undefined && (other === undefined || cost(home) <= cost(other)) ? home : other;
--- a/packages/core/src/policy/scheduler.ts
+++ b/packages/core/src/policy/scheduler.ts
@@ -3,7 +3,7 @@
 import type { Assignment, CacheEvent, Engine, Job, JobResult, LoadReport, Policy } from "../policy.ts";
 import { Admission } from "./admission.ts";
 import { Health } from "./health.ts";
-import { agedLevel, AttainedService, type Offer, type Waiting, WaitingQueue } from "./order.ts";
+import { agedLevel, AttainedService, levels, type Offer, type Waiting, WaitingQueue } from "./order.ts";
 import { type EngineState, type Route, Router } from "./routing.ts";
 
 /** Settings of the policy. */
@@ -40,6 +40,7 @@
     readonly level: number;
     readonly uncached: number;
     readonly believed: number;
+    readonly since: number;
     readonly sentAt: number;
     /** Tokens charged to the plan at dispatch. */
     readonly charged: number;
@@ -57,6 +58,8 @@
     private readonly queues = new Map<string, WaitingQueue>();
     private readonly waitingJobs = new Map<string, Waiting>();
     private readonly flights = new Map<string, Flight>();
+    /** Calls that open a program and have no first token yet. */
+    private openings = 0;
     private readonly programs = new Map<string, ProgramState>();
 
     constructor(private readonly settings: PolicySettings, random: Random) {
@@ -76,14 +79,17 @@
         this.programOf(job.program, job.root);
         const waiting = { job, level: this.service.level(job.root), since: now };
         this.waitingJobs.set(job.id, waiting);
+        this.openings += job.opening ? 1 : 0;
         this.queueOf(job.model).add(waiting);
         return undefined;
     }
 
-    withdraw(job: string): void {
+    withdraw(job: string, now: number): void {
         const waiting = this.waitingJobs.get(job);
         if (waiting !== undefined) {
+            this.countWait(waiting.job, now - waiting.since, now);
             this.waitingJobs.delete(job);
+            this.openings -= waiting.job.opening ? 1 : 0;
             this.queueOf(waiting.job.model).remove(waiting);
         }
     }
@@ -91,8 +97,13 @@
     next(now: number): readonly Assignment[] {
         const assignments: Assignment[] = [];
         if (this.waitingJobs.size > 0) {
+            const pressed = this.admission.isPressed(now);
             for (const queue of this.queues.values()) {
-                queue.offer(now, waiting => this.place(waiting, queue, assignments, now));
+                const accept = (waiting: Waiting) => this.place(waiting, queue, assignments, now);
+                queue.offer(now, pressed ? "underWay" : "all", accept);
+                if (pressed) {
+                    queue.offer(now, "opening", accept);
+                }
             }
         }
         return assignments;
@@ -116,6 +127,10 @@
         const expected = speeds.expectedFirstToken(uncached);
         state.window.adapt(ms > queuedFactor * expected + queuedMs);
         state.waited(Math.max(0, ms - expected), now);
+        this.countWait(flight.job, now - flight.since - expected, now);
+        if (flight.job.opening) {
+            this.admission.opened(this.openings > 0, now);
+        }
         speeds.learnFirstToken(uncached, ms);
         this.health.started(state.engine.name, now);
     }
@@ -140,6 +155,9 @@
         }
         this.flights.delete(job);
         this.leave(flight);
+        if (flight.startedAt === undefined) {
+            this.countWait(flight.job, now - flight.since, now);
+        }
         if (result.outcome === "failed") {
             this.health.failed(flight.state.engine.name);
         }
@@ -204,18 +222,21 @@
         }
         this.admission.countRequest();
         const retryAfterMs = job.opening
-            ? this.admission.refuses(this.waitingJobs.size, this.engineWait(now))
+            ? this.admission.refuses(this.openings, now)
             : undefined;
         return retryAfterMs === undefined ? undefined : refuse("overloaded", "notRun", undefined, retryAfterMs);
     }
 
-    private engineWait(_now: number): number {
-        return 0;
+    /** Waits of calls under way say whether more programs can be served; openings go before most of them. */
+    private countWait(job: Job, ms: number, now: number): void {
+        if (!job.opening) {
+            this.admission.waited(Math.max(0, ms), now);
+        }
     }
 
     private place(waiting: Waiting, queue: WaitingQueue, assignments: Assignment[], now: number): Offer {
         const { job } = waiting;
-        const level = agedLevel(waiting, now);
+        const level = job.opening && this.admission.isPressed(now) ? levels - 1 : agedLevel(waiting, now);
         const route = this.router.choose(job, this.programs.get(job.program)?.cached, level, now);
         if (route === undefined) {
             return "blocked";
@@ -223,12 +244,13 @@
         this.waitingJobs.delete(job.id);
         const charged = route.uncached + Math.min(job.maxTokens, this.router.speeds.outputTokens);
         queue.charge(job.plan, charged);
-        this.send(job, route, level, charged, now);
+        this.send(waiting, route, level, charged, now);
         assignments.push({ job, engine: route.state.engine.name, priority: level });
         return "placed";
     }
 
-    private send(job: Job, { state, uncached }: Route, level: number, charged: number, now: number): void {
+    private send(waiting: Waiting, { state, uncached }: Route, level: number, charged: number, now: number): void {
+        const { job, since } = waiting;
         const name = state.engine.name;
         const cached = this.programs.get(job.program)?.cached;
         const believed = Math.min(job.promptTokens, cached?.get(name) ?? 0);
@@ -237,11 +259,12 @@
         state.pendingTokens += uncached;
         state.window.add(level);
         this.health.dispatched(name, now);
-        this.flights.set(job.id, { job, state, level, uncached, believed, sentAt: now, charged, startedAt: undefined,
-            progressAt: now, tokens: 0 });
+        this.flights.set(job.id, { job, state, level, uncached, believed, since, sentAt: now, charged,
+            startedAt: undefined, progressAt: now, tokens: 0 });
     }
 
-    private leaveWindow({ state, level, uncached }: Flight): void {
+    private leaveWindow({ job, state, level, uncached }: Flight): void {
+        this.openings -= job.opening ? 1 : 0;
         state.window.remove(level);
         state.pendingTokens -= uncached;
     }
@@ -259,7 +282,6 @@
     private learn(flight: Flight, result: JobResult, now: number): void {
         const { state, believed, job } = flight;
         this.router.speeds.learnCall(now - flight.sentAt, result.tokens);
-        this.admission.completed(this.waitingJobs.size > 0, now);
         if (believed > 0) {
             const kept = Math.min(1, result.cachedTokens / believed);
             state.trust += 0.1 * (kept - state.trust);
