Give every call whose outcome is unknown a turn, and test at most once at each crash point

Cause: an intent without an outcome was kept only until the next turn or intent of its program replaced it. After that, a retry of the call without tg-sequence ran a second time, and one with tg-sequence got "notRun". A model call marked at-most-once whose engine failed after it was reached took its intent back, so that a retry ran it again. Ruled out: a list of open intents in the program. It leaves the sequence number of the call open, so the program's next call waits 30 s for it. Change: the owner records a turn without an answer when it recovers an intent or when a call ends without an outcome. A restored history keeps the identities of the calls known before. A repeated answer says "stored" only if the store confirmed the turn. A refusal on a further try says "unknown" if an earlier try reached an engine. A lease counts from the first try of a transaction whose reply was lost, and not at all from one that was not applied. Idempotency keys escape slashes in the request identity, because programs may contain them. A name of an ended and released program opens a new program. A history is taken from the seal that the front passes with it.

--- a/packages/core/src/program.ts
+++ b/packages/core/src/program.ts
@@ -98,7 +98,9 @@
 /** Applies a step; a program comes into being with `open`. Steps of an unknown program are ignored. */
 export function applyProgram(program: Program | undefined, step: ProgramStep): Program | undefined {
     if (step.type === "open") {
-        return program ?? openProgram(step.program, step.plan, step.parent);
+        // A name can be used again after its program has ended; steps of the first use may still be in the journal.
+        const known = program !== undefined && !(program.ended && program.released);
+        return known ? program : openProgram(step.program, step.plan, step.parent);
     }
     if (program === undefined) {
         return undefined;
@@ -148,14 +150,20 @@
 }
 
 function restored(program: Program, sequence: number, messages: readonly Message[]): Program {
-    if (sequence <= program.next) {
+    if (sequence < program.next) {
         return program;
     }
-    const turn: Turn = { request: `restored ${sequence}`, sequence: sequence - 1, digest: "", messages,
+    const turn: Turn = { request: `restored ${sequence}`, sequence: sequence - 1, digest: restoredDigest, messages,
         answer: undefined };
-    return { ...program, next: sequence, turns: [turn], intent: undefined };
+    // The calls known before keep their outcomes, so that none of them runs again; their messages are in the history.
+    const known = program.turns.filter(({ digest }) => digest !== restoredDigest)
+        .map(each => ({ ...each, messages: [] }));
+    return { ...program, next: sequence, turns: [...known, turn], intent: undefined };
 }
 
+/** Marks the turn that holds a restored history; no call has this digest. */
+const restoredDigest = "";
+
 /** The whole conversation, in order. */
 export function historyOf(program: Program): readonly Message[] {
     return program.turns.flatMap(turn => {
@@ -210,7 +218,10 @@
     }
     const sequence = call.sequence ?? program.next;
     if (sequence < program.next) {
-        return { type: "refuse", refusal: refuse("sequence_past", "notRun", `the next is ${program.next}`) };
+        // Of the calls in a restored history only the messages are known: this may be one of them.
+        const known = program.turns.some(turn => turn.sequence === sequence && turn.digest !== restoredDigest);
+        const run = known ? "notRun" : "unknown";
+        return { type: "refuse", refusal: refuse("sequence_past", run, `the next is ${program.next}`) };
     }
     return sequence > program.next ? { type: "wait" } : { type: "run", sequence };
 }
--- a/packages/daemon/src/committer.ts
+++ b/packages/daemon/src/committer.ts
@@ -208,6 +208,7 @@
             puts: [{ key: leaseKey, value: leaseRow.encode(next) }, ...puts],
             deletes,
         };
+        const first = clock.monotonic();
         while (!stopped || puts.length > 0) {
             const sent = clock.monotonic();
             try {
@@ -217,10 +218,12 @@
                 if (settled === "fenced") {
                     return "fenced";
                 }
-                confirmed = sent;
                 if (settled === "conflict") {
+                    // The lease row was not rewritten, so other daemons count on from the renewal before.
                     return { applied: false };
                 }
+                // After a lost reply it is not known which try renewed the lease; it may have been the first.
+                confirmed = result.applied ? sent : first;
                 revision = settled;
                 return { applied: true, revision };
             }
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -84,10 +84,11 @@
         }
     }
 
-    async function assign(job: Job, signal: AbortSignal): Promise<Assignment> {
+    /** `reached`: an earlier try may have run, so that no refusal can promise the contrary. */
+    async function assign(job: Job, reached: boolean, signal: AbortSignal): Promise<Assignment> {
         const refusal = policy.submit(job, clock.monotonic());
         if (refusal !== undefined) {
-            throw new RefusalError(refusal);
+            throw new RefusalError(reached ? { ...refusal, run: "unknown" } : refusal);
         }
         return new Promise((resolve, reject) => {
             const onAbort = () => {
@@ -118,7 +119,7 @@
             serial += 1;
             const job: Job = { ...wanted.job, id: `${wanted.job.id}/${serial}`, maxTokens: left,
                 excluded: [...excluded] };
-            const assignment = await assign(job, signal);
+            const assignment = await assign(job, reached, signal);
             yield { type: "dispatched", engine: assignment.engine, priority: assignment.priority, attempt };
             try {
                 for await (const event of attemptOn(assignment, wanted, partial, signal)) {
--- a/packages/daemon/src/finish.ts
+++ b/packages/daemon/src/finish.ts
@@ -27,6 +27,8 @@
     openStep(live: Live): readonly ProgramStep[];
     /** Records the turn of a running call, waits for the store for a limited time, and ends the answer. */
     finish(partition: Partition, live: Live, running: Running, answer: Answer): Promise<void>;
+    /** Records for good that the outcome of a call is unknown: its intent is there, and nothing followed. */
+    closeIntent(partition: Partition, live: Live): void;
     /** The recorded answer of a finished call. */
     replay(live: Live, turn: Turn): { readonly answer: Broadcast; }["answer"];
     /** Tells the policy what a recovered program has received. */
@@ -76,7 +78,9 @@
             messages,
             answer,
         };
-        const stored = save(partition, live, [...openStep(live), turn]);
+        const stored = save(partition, live, [...openStep(live), turn]).then(() => {
+            live.stored = Math.max(live.stored, sequence + 1);
+        });
         const seal = sealOf(live);
         if (call.end) {
             options.endLive(partition, live, call);
@@ -96,6 +100,13 @@
         running.answer.finish({ type: "done", completion });
     }
 
+    function closeIntent(partition: Partition, live: Live): void {
+        const { intent, key } = live.program;
+        if (intent !== undefined) {
+            save(partition, live, [{ type: "turn", program: key, ...intent, messages: [] }]).catch(() => undefined);
+        }
+    }
+
     function sealOf(live: Live): string {
         const { key, next } = live.program;
         return writeSeal(options.sealKey, key, { sequence: next, digest: live.digest });
@@ -106,7 +117,8 @@
         const { answer } = turn;
         if (answer !== undefined) {
             broadcast.append(answer.text, answer.tokens);
-            const completion = completionOf(answer, turn.sequence, "stored");
+            const durability = turn.sequence < live.stored ? "stored" : "caller";
+            const completion = completionOf(answer, turn.sequence, durability);
             const latest = turn.sequence + 1 === live.program.next;
             broadcast.finish({ type: "done", completion: latest ? { ...completion, seal: sealOf(live) } : completion });
         }
@@ -126,7 +138,7 @@
         }
     }
 
-    return { openStep, finish, replay, restorePolicy, deleteSegments };
+    return { openStep, finish, closeIntent, replay, restorePolicy, deleteSegments };
 }
 
 function completionOf(answer: Answer, sequence: number, durability: Durability): Completion {
--- a/packages/daemon/src/modelRun.ts
+++ b/packages/daemon/src/modelRun.ts
@@ -68,6 +68,7 @@
         let reservation = first;
         // What an engine generates after its stream broke is not seen, so a broken stream is charged in full.
         let charge = 0;
+        let reached = call.partial !== undefined;
         try {
             for await (const event of dispatcher.run(runOf(live, running, target), signal)) {
                 switch (event.type) {
@@ -87,13 +88,17 @@
                         break;
                     case "failed": {
                         running.cause = record(call, "callRetried", running.cause, { error: event.reason });
+                        reached ||= event.reached;
                         reservation.settle(event.reached ? charge : 0);
+                        charge = 0;
+                        if (call.atMostOnce) {
+                            break;
+                        }
                         const next = await budgets.reserve(call.plan, Math.max(1, target.maxTokens - answer.tokens()));
                         if ("code" in next) {
-                            return event.reached ? { ...next, run: "unknown" } : next;
+                            return reached ? { ...next, run: "unknown" } : next;
                         }
                         reservation = next;
-                        charge = 0;
                         break;
                     }
                     case "done":
@@ -111,14 +116,14 @@
             return undefined;
         }
         catch (error) {
-            return refusalOf(error, running, partition, live, charge > 0);
+            return refusalOf(error, running, partition, live);
         }
         finally {
             reservation.settle(charge);
         }
     }
 
-    function refusalOf(error: unknown, running: Running, partition: Partition, live: Live, dispatched: boolean) {
+    function refusalOf(error: unknown, running: Running, partition: Partition, live: Live) {
         if (running.answer.finished()) {
             // The call was stopped, and its readers know why.
             return undefined;
@@ -129,7 +134,8 @@
         if (!running.call.atMostOnce) {
             return error.refusal;
         }
-        if (dispatched && error.refusal.run === "unknown") {
+        if (error.refusal.run === "unknown") {
+            finisher.closeIntent(partition, live);
             return refuse("outcome_unknown", "unknown", error.refusal.message);
         }
         starter.withdrawIntent(partition, live, running);
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -1,5 +1,5 @@
 import { enginesOf, openProgram, partitionOf, partitionsOf, readSeal, refuse, ruleOn } from "@tamarackgauge/core";
-import type { AnswerEvent, Call, Clock, Ownership, Policy, ProgramStep, Refusal } from "@tamarackgauge/core";
+import type { AnswerEvent, Call, Clock, Ownership, Policy, ProgramStep, Refusal, Seal } from "@tamarackgauge/core";
 import type { Table } from "@tamarackgauge/platform";
 import type { Timeline } from "@tamarackgauge/timeline";
 import createDebug from "debug";
@@ -90,7 +90,7 @@
     const finisher = createFinisher({ ...options, save, endLive });
     const starter = createStarter({ ...options, finisher, record, save, isSubAgent });
     const runModel = createModelRunner({ ...options, finisher, starter, record });
-    const runTool = createToolRunner({ ...options, finisher, starter, record, save });
+    const runTool = createToolRunner({ ...options, finisher, starter, record });
     const sweeper = setInterval(sweep, sweepInterval);
 
     async function* serve(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
@@ -209,11 +209,13 @@
 
     /** History that was acknowledged to the caller alone comes back with its seal. */
     function restoreHistory(partition: Partition, live: Live, call: Call): Refusal | undefined {
-        const seal = call.seal === undefined ? undefined : readSeal(options.sealKey, live.program.key, call.seal);
-        if (seal === undefined || seal.sequence <= live.program.next || live.running !== undefined) {
+        const history = call.target.kind === "model" ? call.target.history : undefined;
+        const text = history?.seal ?? call.seal;
+        const seal = text === undefined ? undefined : readSeal(options.sealKey, live.program.key, text);
+        if (seal === undefined || live.running !== undefined || isCovered(live, seal)) {
             return undefined;
         }
-        const messages = call.target.kind === "model" ? call.target.history?.messages : undefined;
+        const messages = history?.messages;
         if (messages === undefined) {
             return refuse("history_needed", "notRun", `it ends before call ${seal.sequence}`);
         }
@@ -228,6 +230,12 @@
         return undefined;
     }
 
+    /** An outcome that is unknown has a sequence number and no messages, so the digest is compared as well. */
+    function isCovered(live: Live, seal: Seal): boolean {
+        const { next } = live.program;
+        return seal.sequence < next || (seal.sequence === next && seal.digest === live.digest);
+    }
+
     async function start(partition: Partition, live: Live, call: Call, sequence: number): Promise<Running> {
         const cause = record(call, "callAccepted", call.trace?.cause ?? "", { sequence });
         const running = createRunning(call, sequence, cause);
@@ -244,6 +252,7 @@
                 running.answer.finish({ type: "refused", refusal });
             })
             .finally(() => {
+                finisher.closeIntent(partition, live);
                 live.running = undefined;
                 live.touched = clock.monotonic();
                 wakeWaiting(live);
@@ -312,6 +321,8 @@
     /** After recovery: tells the policy what the programs have received, and finishes releases. */
     function settle(partition: Partition): void {
         for (const live of partition.programs.values()) {
+            // The owner before was lost between intent and outcome: the call may have run, and never runs again.
+            finisher.closeIntent(partition, live);
             const { program } = live;
             if (program.ended && !program.released) {
                 releaseCache(partition, live);
--- a/packages/daemon/src/partition.ts
+++ b/packages/daemon/src/partition.ts
@@ -14,6 +14,8 @@
     opened: boolean;
     /** Digest of the history, continued with each turn. */
     digest: string;
+    /** Sequence number up to which the store has confirmed the turns. */
+    stored: number;
     running: Running | undefined;
     /** Resolved when the program's state changes, for calls that wait for their turn. */
     readonly waiting: Set<() => void>;
@@ -59,6 +61,7 @@
         program,
         opened,
         digest: extendDigest(emptyDigest, historyOf(program)),
+        stored: program.next,
         running: undefined,
         waiting: new Set(),
         slot: false,
--- a/packages/daemon/src/starter.ts
+++ b/packages/daemon/src/starter.ts
@@ -3,6 +3,7 @@
 import type { Budgets } from "./budgets.ts";
 import type { Finisher, Record, Save } from "./finish.ts";
 import type { Live, Partition } from "./partition.ts";
+import { movedRefusal } from "./running.ts";
 import type { Running } from "./running.ts";
 import { sleep, within } from "./wait.ts";
 
@@ -66,6 +67,9 @@
 
     async function commitIntent(partition: Partition, live: Live, running: Running): Promise<Refusal | undefined> {
         const { call, sequence } = running;
+        if (running.signal.aborted) {
+            return stopped();
+        }
         running.movable = false;
         const { request, digest } = call;
         const stored = save(partition, live, [...finisher.openStep(live), {
@@ -81,13 +85,18 @@
         }
         running.cause = record(call, "intentCommitted", running.cause);
         // The lease may have expired while the intent was stored; a successor may be about to answer for the call.
-        const closed = gate(true);
+        const closed = running.signal.aborted ? stopped() : gate(true);
         if (closed !== undefined) {
             withdrawIntent(partition, live, running);
         }
         return closed;
     }
 
+    /** The readers of a stopped call have their answer; this one only ends its run. */
+    function stopped(): Refusal {
+        return movedRefusal("the call was stopped before it was dispatched");
+    }
+
     function withdrawIntent(partition: Partition, live: Live, running: Running): void {
         const { request } = running.call;
         save(partition, live, [{ type: "withdraw", program: live.program.key, request }]).catch(() => undefined);
--- a/packages/daemon/src/toolRun.ts
+++ b/packages/daemon/src/toolRun.ts
@@ -1,8 +1,8 @@
 import { refuse } from "@tamarackgauge/core";
-import type { ProgramStep, Refusal, ToolTarget } from "@tamarackgauge/core";
+import type { Refusal, ToolTarget } from "@tamarackgauge/core";
 import { ServiceError } from "@tamarackgauge/upstream";
 import type { ServiceAnswer } from "@tamarackgauge/upstream";
-import type { Finisher, Record, Save } from "./finish.ts";
+import type { Finisher, Record } from "./finish.ts";
 import type { Live, Partition } from "./partition.ts";
 import type { Running } from "./running.ts";
 import type { Services } from "./services.ts";
@@ -17,7 +17,6 @@
     readonly finisher: Finisher;
     readonly starter: Starter;
     readonly record: Record;
-    readonly save: Save;
     readonly toolTimeout: number;
 }
 
@@ -27,7 +26,7 @@
 
 /** Creates the runner. */
 export function createToolRunner(options: ToolRunnerOptions): ToolRunner {
-    const { services, finisher, starter, record, save, toolTimeout } = options;
+    const { services, finisher, starter, record, toolTimeout } = options;
 
     return async (partition, live, running, target) => {
         const refusal = await starter.takeSlot(live) ?? await run(partition, live, running, target);
@@ -63,7 +62,7 @@
                 throw error;
             }
             return error.sent
-                ? recordUnknown(partition, live, running, error)
+                ? recordUnknown(partition, live, error)
                 : withdraw(partition, live, running, error);
         }
     }
@@ -74,18 +73,8 @@
     }
 
     /** The call may have run: from now on this is its outcome, also for whoever asks again. */
-    async function recordUnknown(partition: Partition, live: Live, running: Running, error: ServiceError) {
-        const { call, sequence } = running;
-        const { request, digest } = call;
-        const turn: ProgramStep = {
-            type: "turn",
-            program: live.program.key,
-            request,
-            sequence,
-            digest,
-            messages: [],
-        };
-        save(partition, live, [turn]).catch(() => undefined);
+    function recordUnknown(partition: Partition, live: Live, error: ServiceError): Refusal {
+        finisher.closeIntent(partition, live);
         return refuse("outcome_unknown", "unknown", error.message);
     }
 
@@ -114,7 +103,7 @@
         const { service, path, body } = target;
         const { request } = running.call;
         running.cause = record(running.call, "callDispatched", running.cause, { upstream: service });
-        const idempotencyKey = `${live.program.key}/${request}`;
+        const idempotencyKey = `${live.program.key}/${escapeStep(request)}`;
         const { answer, upstream } = await services.call(
             service,
             { path, body, request: idempotencyKey, timeout: toolTimeout },
@@ -126,6 +115,11 @@
     }
 }
 
+/** Programs and requests may contain slashes; without this, two calls could share one key. */
+function escapeStep(request: string): string {
+    return request.replaceAll("%", "%25").replaceAll("/", "%2F");
+}
+
 function recordedAnswer(answer: ServiceAnswer, upstream: string) {
     const { body, status } = answer;
     return { text: body, reason: "tool", status, promptTokens: 0, cachedTokens: 0, tokens: 0, upstream };
--- /dev/null
+++ b/packages/daemon/test/atMostOnceCluster.test.ts
@@ -0,0 +1,204 @@
+import { partitionOf } from "@tamarackgauge/core";
+import assert from "node:assert/strict";
+import { after, before, describe, test } from "node:test";
+import { keys } from "../src/rows.ts";
+import type { TestAnswer } from "./client.ts";
+import { createCluster } from "./cluster.ts";
+import type { Cluster, DaemonProcess } from "./cluster.ts";
+
+let cluster: Cluster;
+const killed = new Set<string>();
+
+before(async () => {
+    cluster = await createCluster({ daemons: 9, services: ["waiver"], flags: ["--tool-timeout", "2500"] });
+});
+
+after(() => cluster[Symbol.asyncDispose]());
+
+/** The owner of a program and two daemons through which its caller comes. */
+async function partsOf(program: string) {
+    const owner = await cluster.ownerOf(`plan/${program}`);
+    const [entry, other] = [...cluster.daemons.values()].filter(({ name }) => name !== owner && !killed.has(name));
+    return { owner: cluster.daemon(owner), entry: entry!, other: other! };
+}
+
+function file(daemon: DaemonProcess, program: string, standin: object = {}): Promise<TestAnswer> {
+    const content = JSON.stringify({ rider: 1, standin });
+    return daemon.client.call({ program, request: "file", tool: "waiver/file", content, atMostOnce: true });
+}
+
+function ask(daemon: DaemonProcess, program: string): Promise<TestAnswer> {
+    return daemon.client.call({ program, request: "file", content: "Ask [tokens=8]", atMostOnce: true });
+}
+
+function service() {
+    return cluster.services.get("waiver")!;
+}
+
+function executions(program: string): number {
+    const ofService = service().counts().byIdempotencyKey[`plan/${program}/file`] ?? 0;
+    return cluster.engines.reduce((sum, engine) => sum + (engine.counts().byProgram[`plan/${program}`] ?? 0),
+        ofService);
+}
+
+function verdictOf({ done, error }: TestAnswer): string {
+    return done ? "answered" : `${error?.code} ${error?.run}`;
+}
+
+/** Stops the owner of a program after an intent was stored: it learns of nothing that it wrote. */
+function stopAfterIntent(owner: DaemonProcess, program: string): void {
+    cluster.platform.setFaults([
+        { mode: "loseReply", match: "txn", keyPrefix: journalOf(program) },
+        { mode: "hang", match: "range", keyPrefix: `lease/${owner.name}` },
+    ]);
+}
+
+function struck(mode: string): number {
+    return cluster.platform.counts().faults[mode] ?? 0;
+}
+
+function kill(daemon: DaemonProcess): void {
+    killed.add(daemon.name);
+    daemon.signal("SIGKILL");
+}
+
+/** The journal rows of a program's partition. */
+function journalOf(program: string): string {
+    return keys.journal(partitionOf(`plan/${program}`, 64));
+}
+
+const kinds = [{ kind: "service", call: file }, { kind: "model", call: ask }] as const;
+
+describe("a call that may not be repeated, with processes", () => {
+    for (const { kind, call } of kinds) {
+        test(`${kind}, owner killed before the intent is durable (guards against losing a call that never ran)`, async () => {
+            const program = `before-${kind}`;
+            const { owner, entry, other } = await partsOf(program);
+            const hung = struck("hang");
+            cluster.platform.setFaults({ mode: "hang", match: "txn", keyPrefix: journalOf(program) });
+            const first = call(entry, program);
+            await cluster.until("the intent was sent", () => struck("hang") > hung);
+            kill(owner);
+            cluster.platform.setFaults({ mode: "none" });
+            assert.equal(verdictOf(await first), "answered");
+            assert.equal(verdictOf(await call(other, program)), "answered");
+            assert.equal(executions(program), 1);
+            await cluster.settled();
+        });
+
+        test(`${kind}, owner killed between intent and dispatch (guards against a dispatch by a successor)`, async () => {
+            const program = `between-${kind}`;
+            const { owner, entry, other } = await partsOf(program);
+            const lost = struck("loseReply");
+            stopAfterIntent(owner, program);
+            const first = call(entry, program);
+            await cluster.until("the intent was stored", () => struck("loseReply") > lost);
+            kill(owner);
+            cluster.platform.setFaults({ mode: "none" });
+            assert.equal(verdictOf(await first), "5041 unknown");
+            assert.equal(verdictOf(await call(other, program)), "5041 unknown");
+            assert.equal(executions(program), 0);
+            await cluster.settled();
+        });
+
+        test(`${kind}, owner paused between intent and dispatch until it was taken over (guards against a late dispatch)`, async () => {
+            const program = `paused-${kind}`;
+            const { owner, entry, other } = await partsOf(program);
+            const lost = struck("loseReply");
+            stopAfterIntent(owner, program);
+            const first = call(entry, program);
+            await cluster.until("the intent was stored", () => struck("loseReply") > lost);
+            owner.signal("SIGSTOP");
+            cluster.platform.setFaults({ mode: "none" });
+            assert.equal(verdictOf(await call(other, program)), "5041 unknown");
+            owner.signal("SIGCONT");
+            assert.equal(verdictOf(await first), "5041 unknown");
+            await cluster.settled();
+            assert.equal(verdictOf(await call(owner, program)), "5041 unknown");
+            assert.equal(executions(program), 0);
+        });
+
+        test(`${kind}, reply to the write of the intent lost (guards against a refusal or a second run)`, async () => {
+            const program = `lost-${kind}`;
+            const { entry, other } = await partsOf(program);
+            const lost = struck("loseReply");
+            cluster.platform.setFaults({ mode: "loseReply", match: "txn", keyPrefix: journalOf(program), count: 1 });
+            const first = await call(entry, program);
+            assert.equal(struck("loseReply"), lost + 1);
+            assert.equal(verdictOf(first), "answered");
+            const again = await call(other, program);
+            assert.equal(again.text, first.text);
+            assert.equal(executions(program), 1);
+        });
+
+        test(`${kind}, store down (guards against a call without a stored intent)`, async () => {
+            const program = `down-${kind}`;
+            const { entry, other } = await partsOf(program);
+            // The program has its slot, so that the call gets as far as its intent.
+            assert.equal((await entry.client.call({ program, content: "Open [tokens=1]" })).done, true);
+            const ran = executions(program);
+            cluster.platform.setFaults({ mode: "down", match: "table" });
+            const refusals = await Promise.all([entry, other].map(each => call(each, program)));
+            for (const { error } of refusals) {
+                // An owner without a part of the plan's budget refuses a model call before it comes to the intent.
+                assert.ok(error?.code === 5031 || (kind === "model" && error?.code === 4291), JSON.stringify(error));
+                assert.equal(error?.run, "notRun");
+            }
+            assert.equal(executions(program), ran);
+            cluster.platform.setFaults({ mode: "none" });
+            await cluster.until("the call is answered", async () =>
+                verdictOf(await call(other, program)) === "answered");
+            assert.equal(executions(program), ran + 1);
+        });
+    }
+
+    test("owner killed during the execution (guards against a second execution by a successor)", async () => {
+        const program = "during";
+        const { owner, entry, other } = await partsOf(program);
+        const first = file(entry, program, { hang: "after" });
+        await cluster.until("the service executed", () => executions(program) === 1);
+        kill(owner);
+        assert.equal(verdictOf(await first), "5041 unknown");
+        assert.equal(verdictOf(await file(other, program, { hang: "after" })), "5041 unknown");
+        assert.equal(executions(program), 1);
+        await cluster.settled();
+    });
+
+    test("owner killed before the outcome is durable (guards against an answer that a retry contradicts)", async () => {
+        const program = "outcome";
+        const { owner, entry, other } = await partsOf(program);
+        const hung = struck("hang");
+        const first = file(entry, program, { delayMs: 300 });
+        await cluster.until("the service executes", () => executions(program) === 1);
+        cluster.platform.setFaults({ mode: "hang", match: "txn", keyPrefix: journalOf(program) });
+        await cluster.until("the outcome was sent", () => struck("hang") > hung);
+        kill(owner);
+        cluster.platform.setFaults({ mode: "none" });
+        assert.equal(verdictOf(await first), "5041 unknown");
+        assert.equal(verdictOf(await file(other, program, { delayMs: 300 })), "5041 unknown");
+        assert.equal(executions(program), 1);
+        await cluster.settled();
+    });
+
+    test("a tool that hangs (guards against a caller that waits for ever and against a second execution)", async () => {
+        const program = "hang";
+        const { entry, other } = await partsOf(program);
+        const [first, second] = await Promise.all([entry, other].map(each => file(each, program, { hang: "after" })));
+        assert.equal(verdictOf(first!), "5041 unknown");
+        assert.equal(verdictOf(second!), "5041 unknown");
+        assert.equal(verdictOf(await file(other, program, { hang: "after" })), "5041 unknown");
+        assert.equal(executions(program), 1);
+    });
+
+    test("entry killed during the execution (guards against a second execution by the caller's retry)", async () => {
+        const program = "entry";
+        const { entry, other } = await partsOf(program);
+        const first = file(entry, program, { delayMs: 600 });
+        await cluster.until("the service executes", () => executions(program) === 1);
+        kill(entry);
+        assert.equal((await first).lost, true);
+        assert.equal(verdictOf(await file(other, program, { delayMs: 600 })), "answered");
+        assert.equal(executions(program), 1);
+        await cluster.settled();
+    });
+});
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -49,6 +49,8 @@
     until(what: string, holds: () => boolean | Promise<boolean>, time?: number): Promise<void>;
     /** Name of the daemon that owns a program, as the ownership row says. */
     ownerOf(program: string): Promise<string>;
+    /** Waits until every daemon that runs is ready, has the same map and owns partitions. */
+    settled(): Promise<void>;
     apply(lists: unknown, expected: number): Promise<Response>;
     [Symbol.asyncDispose](): Promise<void>;
 }
@@ -92,6 +94,7 @@
         ),
     );
     const daemons = new Map<string, DaemonProcess>();
+    const gone = new Set<DaemonProcess>();
     await setVms();
 
     async function setVms(): Promise<void> {
@@ -126,6 +129,7 @@
         });
         const daemon = await describeProcess(name, child);
         daemons.set(name, daemon);
+        void daemon.exited.then(() => gone.add(daemon));
         return daemon;
     }
 
@@ -180,19 +184,25 @@
     }
 
     async function spread(): Promise<boolean> {
-        const states = await Promise.all([...daemons.keys()].map(name => status(name).catch(() => undefined)));
-        return states.every(state => {
+        const running = [...daemons.values()].filter(daemon => !gone.has(daemon));
+        const states = await Promise.all(running.map(({ name }) => status(name).catch(() => undefined)));
+        const maps = new Set(states.map(state => state?.details.map?.owners.join(" ")));
+        return maps.size === 1 && states.every(state => {
             const owners = new Set(state?.details.map?.owners ?? []);
-            return state?.ready === true && state.configurationVersion >= 1 && owners.size === daemons.size;
+            return state?.ready === true && state.configurationVersion >= 1 && owners.size === running.length;
         });
     }
 
+    function settled(): Promise<void> {
+        return until("every daemon is ready and owns partitions", spread);
+    }
+
     await Promise.all(Array.from({ length: options.daemons ?? 3 }, (_, index) => start(`d${index + 1}`)));
     await until("the daemons take a configuration",
         async () =>
             (await apply(listsOf(options.plans ?? { plan: {} }, [...services.keys()]), 0).catch(() => undefined))
                 ?.ok === true);
-    await until("every daemon is ready and owns partitions", spread);
+    await settled();
 
     return {
         platform,
@@ -203,6 +213,7 @@
         start,
         until,
         ownerOf,
+        settled,
         apply,
         [Symbol.asyncDispose]: async () => {
             for (const each of daemons.values()) {
--- /dev/null
+++ b/packages/daemon/test/node.ts
@@ -0,0 +1,255 @@
+import { createPolicy, createRandom, systemClock } from "@tamarackgauge/core";
+import type { Call, ProgramStep, Refusal } from "@tamarackgauge/core";
+import { TableError } from "@tamarackgauge/platform";
+import type { Table, Transaction } from "@tamarackgauge/platform";
+import { createTimeline } from "@tamarackgauge/timeline";
+import type { EngineClient } from "@tamarackgauge/upstream";
+import { createBudgets } from "../src/budgets.ts";
+import { createCommitter } from "../src/committer.ts";
+import { createDispatcher } from "../src/dispatcher.ts";
+import { judge } from "../src/gate.ts";
+import { createOwner } from "../src/owner.ts";
+import { segmentRow } from "../src/rows.ts";
+import type { Services } from "../src/services.ts";
+
+/** Rows shared by the nodes of a test. */
+export type Rows = Map<string, { readonly value: Buffer; readonly revision: string; }>;
+
+/** What a test does to the transactions of one node; a promise that never resolves is a crash at that point. */
+export interface TableHooks {
+    before?: (transaction: Transaction) => Promise<void> | undefined;
+    after?: (transaction: Transaction) => Promise<void> | undefined;
+}
+
+/** What an answer amounted to. */
+export interface Outcome {
+    readonly text: string;
+    readonly durability: string | undefined;
+    readonly seal: string | undefined;
+    readonly refusal: Refusal | undefined;
+}
+
+/** An owner with its journal in a shared table, without network. */
+export interface TestNode extends AsyncDisposable {
+    readonly owner: ReturnType<typeof createOwner>;
+    readonly committer: Awaited<ReturnType<typeof createCommitter>>;
+    /** Moves the clock, as a pause of the process does. */
+    skip(milliseconds: number): void;
+    call(call: Call): Promise<Outcome>;
+}
+
+/** Options of a node. */
+export interface TestNodeOptions {
+    readonly rows: Rows;
+    readonly name: string;
+    readonly hooks?: TableHooks;
+    readonly services?: Pick<Services, "call">;
+    readonly engines?: Readonly<Record<string, EngineClient["stream"]>>;
+    readonly budgetTokens?: number;
+    readonly programsAtOnce?: number;
+    readonly turnLimit?: number;
+}
+
+let revision = 0;
+
+/** A table over shared rows, with the hooks of one node. */
+export function createMemoryTable(rows: Rows, hooks: TableHooks = {}): Table {
+    function apply({ checks, puts, deletes }: Transaction): boolean {
+        if (!checks.every(({ key, revision: wanted }) => (rows.get(key)?.revision ?? "0") === wanted)) {
+            return false;
+        }
+        revision += 1;
+        puts.forEach(({ key, value }) => rows.set(key, { value, revision: String(revision) }));
+        deletes?.forEach(key => rows.delete(key));
+        return true;
+    }
+
+    return {
+        get: async key => {
+            const row = rows.get(key);
+            return row === undefined ? undefined : { key, ...row };
+        },
+        range: async (prefix, after = "") => {
+            const keys = [...rows.keys()].filter(key => key.startsWith(prefix) && key > after).sort();
+            return { rows: keys.map(key => ({ key, ...rows.get(key)! })), more: false };
+        },
+        commit: async transaction => {
+            await hooks.before?.(transaction);
+            const applied = apply(transaction);
+            await hooks.after?.(transaction);
+            return { applied, revision: String(revision) };
+        },
+        lastSuccess: () => 0,
+        [Symbol.asyncDispose]: async () => undefined,
+    };
+}
+
+/** Whether a transaction writes a step of a type to the journal. */
+export function writes(transaction: Transaction, type: ProgramStep["type"]): boolean {
+    return transaction.puts.some(({ key, value }) =>
+        key.startsWith("journal/") && segmentRow.decode(value).some(step => step.type === type)
+    );
+}
+
+/** The reply of a write that took effect is lost. */
+export function loseReply(): never {
+    throw new TableError("the reply was lost");
+}
+
+const member = { incarnation: "", address: "127.0.0.1", port: 1, dataCentre: "dc1", leaving: false };
+const ttl = 3_000;
+
+/** Starts a node; it owns nothing before `own`. */
+export async function createNode(options: TestNodeOptions): Promise<TestNode> {
+    const { rows, name, engines = {} } = options;
+    let skipped = 0;
+    const clock = { monotonic: () => performance.now() + skipped, wall: () => Date.now() };
+    const table = createMemoryTable(rows, options.hooks);
+    const committer = await createCommitter({
+        table,
+        name,
+        incarnation: `${name}-1`,
+        clock,
+        ttl,
+        renewal: 1_000,
+        interval: 0,
+        onFenced: () => owner.abandon(),
+    });
+    const policy = createPolicy("attainedService", { random: createRandom(1), settings: {} });
+    policy.setEngines(
+        Object.keys(engines).map(engine => ({ name: engine, dataCentre: "dc1", models: ["model"], leaving: false })),
+        clock.monotonic(),
+    );
+    const dispatcher = createDispatcher({ policy, clock, clientOf: engine => clientOf(engines[engine]) });
+    const { budgetTokens = 1_000_000, programsAtOnce = 100 } = options;
+    const budgets = createBudgets({
+        table: createMemoryTable(rows),
+        name,
+        incarnation: `${name}-1`,
+        clock,
+        limitsOf: () => ({ budgetTokens, programsAtOnce }),
+    });
+    // A peer reaches the store, so an owner without a valid lease must not serve.
+    const beat = { storeAge: 0, configurationVersion: 1, ownershipVersion: 1, leaving: false, inFlight: {} };
+    const owner = createOwner({
+        name,
+        table,
+        committer,
+        budgets,
+        dispatcher,
+        policy,
+        services: {
+            setVms: () => undefined,
+            has: service => options.services !== undefined && service !== "missing",
+            call: (service, call, signal) => options.services!.call(service, call, signal),
+            [Symbol.asyncDispose]: async () => undefined,
+        },
+        releases: {
+            release: (_key, _engines, done) => done(),
+            reconcile: async () => undefined,
+            [Symbol.asyncDispose]: async () => undefined,
+        },
+        timeline: createTimeline({ process: name, incarnation: 1, clock: systemClock }),
+        clock,
+        partitions: 1,
+        sealKey: "seal-key-of-the-tests",
+        turnLimit: options.turnLimit ?? 100,
+        idleTimeout: 600_000,
+        toolTimeout: 30_000,
+        gate: atMostOnce =>
+            judge({ leaseValid: committer.leaseValid(), ttl, members: 2, beats: [{ beat, age: 0 }], queuedBytes: 0 },
+                atMostOnce),
+        isParentActive: async () => false,
+        tokensOf: text => Math.ceil(text.length / 4),
+    });
+
+    async function call(wanted: Call): Promise<Outcome> {
+        let outcome: Outcome = { text: "", durability: undefined, seal: undefined, refusal: undefined };
+        for await (const event of owner.serve(wanted, new AbortController().signal)) {
+            outcome = event.type === "text"
+                ? { ...outcome, text: outcome.text + event.text }
+                : event.type === "done"
+                ? { ...outcome, durability: event.completion.durability, seal: event.completion.seal }
+                : { ...outcome, refusal: event.refusal };
+        }
+        return outcome;
+    }
+
+    return {
+        owner,
+        committer,
+        skip: milliseconds => {
+            skipped += milliseconds;
+        },
+        call,
+        [Symbol.asyncDispose]: async () => {
+            for (const part of [owner, budgets, dispatcher, committer]) {
+                await part[Symbol.asyncDispose]();
+            }
+        },
+    };
+}
+
+/** Gives the only partition to a node. */
+export function own(node: TestNode, name: string): void {
+    node.owner.setMap({ members: { [name]: member }, owners: [name] });
+}
+
+/** What a successor does to a dead owner's lease. */
+export function fence(rows: Rows, name: string): void {
+    rows.delete(`lease/${name}`);
+}
+
+function clientOf(stream: EngineClient["stream"] | undefined): EngineClient | undefined {
+    return stream === undefined ? undefined : {
+        stream,
+        release: async () => undefined,
+        held: async () => [],
+        load: async () => ({ running: 0, waiting: 0 }),
+        [Symbol.asyncDispose]: async () => undefined,
+    };
+}
+
+/** A tool call of program `p`. */
+export function toolCall(request: string, more: Partial<Call> = {}): Call {
+    return {
+        plan: "plan",
+        program: "p",
+        request,
+        atMostOnce: true,
+        end: false,
+        offset: 0,
+        digest: `digest of ${request}`,
+        target: { kind: "tool", service: "tool", path: "do", body: "{}" },
+        ...more,
+    };
+}
+
+/** A model call of program `p`. */
+export function modelCall(request: string, more: Partial<Call> = {}): Call {
+    const messages = [{ role: "user", content: request }];
+    return { ...toolCall(request, more),
+        target: more.target ?? { kind: "model", model: "model", messages, maxTokens: 10 } };
+}
+
+/** A point at which a test stops work: `reached` resolves when it got there, `release` lets it go on. */
+export function createHold() {
+    let reach = () => {};
+    let release = () => {};
+    const reached = new Promise<void>(resolve => {
+        reach = resolve;
+    });
+    const released = new Promise<void>(resolve => {
+        release = resolve;
+    });
+    let struck = false;
+    /** Stops the first that comes by. */
+    const stop = async (): Promise<void> => {
+        if (!struck) {
+            struck = true;
+            reach();
+            await released;
+        }
+    };
+    return { reached, release, stop };
+}
