Let a caller send its seal without its history

Cause: a caller that sends the seal of its last completion with each call tells a new owner at once that history was lost; the front accepted a seal only together with the whole history, so a loss showed only after the 30 s in which a missing call is waited for. Ruled out: sending the whole history with each call, up to 600 KB. Change: a seal without an answer among the messages goes to the owner alone.

--- a/packages/caller/src/calls.ts
+++ b/packages/caller/src/calls.ts
@@ -111,14 +111,14 @@
     }
 
     function createCall({ kind, rest, request }: Incoming, plan: string, head: CallHead, body: Buffer) {
-        const { seal, ...identity } = head;
+        const identity = head;
         const digest = digestOf(request.method ?? "", request.url ?? "", body);
         if (kind === "tool") {
             const target = orThrow(parseTool(rest, body));
             refusePartial(head, false);
             return { call: { ...identity, plan, digest, target }, stream: false };
         }
-        const { target, stream } = orThrow(parseChat(body, seal, limits.presetTokens));
+        const { target, stream } = orThrow(parseChat(body, identity.seal, limits.presetTokens));
         refusePartial(head, stream);
         return { call: { ...identity, plan, digest, target }, stream };
     }
--- a/packages/caller/src/parse.ts
+++ b/packages/caller/src/parse.ts
@@ -19,9 +19,7 @@
 });
 
 /** What the headers say of a call. */
-export interface CallHead extends Omit<Call, "plan" | "digest" | "target" | "partial"> {
-    readonly seal?: string;
-}
+export type CallHead = Omit<Call, "plan" | "digest" | "target" | "partial">;
 
 type RawHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -49,7 +47,7 @@
         atMostOnce: given["tg-at-most-once"],
         end: given["tg-end"] || program === undefined,
         offset: given["last-event-id"],
-        seal: given["tg-seal"],
+        ...given["tg-seal"] === undefined ? {} : { seal: given["tg-seal"] },
     });
 }
 
@@ -77,7 +75,10 @@
 /** Nested values are copied recursively on their way; deeper ones could exhaust the stack. */
 const depthLimit = 64;
 
-/** Reads a chat-completions body. With a seal, the messages up to the last answer are the history. */
+/**
+ * Reads a chat-completions body. With a seal, messages up to the last answer are the history; without an answer among
+ * them the seal only tells the owner how far the history must reach.
+ */
 export function parseChat(body: Buffer, seal: string | undefined, presetTokens: number): Either<Refusal, ChatRequest> {
     return parseText(body).chain(parseValue).chain(value => {
         const parsed = chatBody.safeParse(value);
@@ -98,7 +99,10 @@
         return Right(target);
     }
     const split = target.messages.findLastIndex(each => each.role === "assistant") + 1;
-    if (split === 0 || split === target.messages.length) {
+    if (split === 0) {
+        return Right(target);
+    }
+    if (split === target.messages.length) {
         return malformed("with tg-seal, messages must be the history, which ends with an answer, and a new message");
     }
     const history = { messages: target.messages.slice(0, split), seal };
