Abort calls whose response never gets a turn on its connection

Cause: Node tells only the current response that its connection closed, so a pipelined call behind a refused one waited for ever. Calls now watch the connection itself, and no request is served after connection: close.

--- a/packages/caller/src/calls.ts
+++ b/packages/caller/src/calls.ts
@@ -66,6 +66,9 @@
             throw new RefusalError(refuse("too_many_streams", "notRun", undefined, 1000));
         }
         const controller = new AbortController();
+        // Not only the response: one that waits behind another on its connection is never told that it closed.
+        const abort = () => controller.abort();
+        incoming.request.socket.once("close", abort);
         const served = answerCall(incoming, plan, configuration, controller);
         open.set(controller, served.catch(() => undefined));
         try {
@@ -73,6 +76,7 @@
         }
         finally {
             open.delete(controller);
+            incoming.request.socket.off("close", abort);
         }
     }
 
--- a/packages/caller/src/connections.ts
+++ b/packages/caller/src/connections.ts
@@ -54,8 +54,10 @@
         claim: (request, response) => {
             const before = current.get(request.socket);
             // `writableEnded`, not `finish`: the caller may send its next request before the write is reported back.
-            if (before !== undefined && !before.writableEnded) {
+            const occupied = before !== undefined && !before.writableEnded;
+            if (occupied || before?.getHeader("connection") === "close") {
                 response.setHeader("connection", "close");
+                current.set(request.socket, response);
                 throw new RefusalError(
                     refuse("malformed_request", "notRun", "the connection still carries another answer"),
                 );
--- a/packages/caller/src/front.ts
+++ b/packages/caller/src/front.ts
@@ -63,7 +63,7 @@
 export async function createFront(options: FrontOptions): Promise<Front> {
     const limits: Limits = { ...presetLimits, ...options.limits };
     const { refused = () => undefined, clock = systemClock, routes = [], unready, metrics } = options;
-    const arriving: Arriving = { used: 0, limit: limits.maxArriving };
+    const arriving: Arriving = { used: 0, limit: Math.max(limits.maxArriving, limits.maxBody) };
     const calls = createCalls({ ...options, limits, arriving, clock, refused });
     const server = createServer(serverOptions(limits));
     const connections = watchConnections(server, limits, refused);
--- a/packages/caller/test/answers.test.ts
+++ b/packages/caller/test/answers.test.ts
@@ -191,6 +191,15 @@
         assert.match(received, /slow[^]*400[^]*"code":4003/);
     });
 
+    it("forgets requests behind a refused one, whose responses are never told that the connection closed", async () => {
+        await using front = await open(() => pieces("a"));
+        const bad = rawChat({ ...question, n: 2 });
+        for (let round = 0; round < 20; round += 1) {
+            await raw(front, bad + bad + rawChat(question) + rawChat(question), true);
+        }
+        await until(() => front.openCalls() === 0);
+    });
+
     it("serves one request after another on a connection", async () => {
         await using front = await open(() => pieces("a"));
         const socket = await dial(front);
