--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -69,7 +69,8 @@
             position: call.offset,
             partial: call.offset === 0 ? "" : undefined,
             tokens: 0,
-            run: "notRun",
+            // Whoever resumes an answer has seen a part of it.
+            run: call.offset > 0 ? "unknown" : "notRun",
             movedAt: clock.monotonic(),
             cause: received(call),
         };
--- a/packages/daemon/test/node.ts
+++ b/packages/daemon/test/node.ts
@@ -8,6 +8,7 @@
 import { createCommitter } from "../src/committer.ts";
 import { createDispatcher } from "../src/dispatcher.ts";
 import { judge } from "../src/gate.ts";
+import type { Standing } from "../src/gate.ts";
 import { createOwner } from "../src/owner.ts";
 import { segmentRow } from "../src/rows.ts";
 import type { Services } from "../src/services.ts";
@@ -35,7 +36,7 @@
     readonly committer: Awaited<ReturnType<typeof createCommitter>>;
     /** Moves the clock, as a pause of the process does. */
     skip(milliseconds: number): void;
-    call(call: Call): Promise<Outcome>;
+    call(call: Call, signal?: AbortSignal): Promise<Outcome>;
 }
 
 /** Options of a node. */
@@ -48,6 +49,8 @@
     readonly budgetTokens?: number;
     readonly programsAtOnce?: number;
     readonly turnLimit?: number;
+    /** What differs from an owner with a valid lease beside a peer that reaches the store. */
+    readonly standing?: Partial<Standing>;
 }
 
 let revision = 0;
@@ -157,15 +160,15 @@
         idleTimeout: 600_000,
         toolTimeout: 30_000,
         gate: atMostOnce =>
-            judge({ leaseValid: committer.leaseValid(), ttl, members: 2, beats: [{ beat, age: 0 }], queuedBytes: 0 },
-                atMostOnce),
+            judge({ leaseValid: committer.leaseValid(), ttl, members: 2, beats: [{ beat, age: 0 }], queuedBytes: 0,
+                ...options.standing }, atMostOnce),
         isParentActive: async () => false,
         tokensOf: text => Math.ceil(text.length / 4),
     });
 
-    async function call(wanted: Call): Promise<Outcome> {
+    async function call(wanted: Call, signal = new AbortController().signal): Promise<Outcome> {
         let outcome: Outcome = { text: "", durability: undefined, seal: undefined, refusal: undefined };
-        for await (const event of owner.serve(wanted, new AbortController().signal)) {
+        for await (const event of owner.serve(wanted, signal)) {
             outcome = event.type === "text"
                 ? { ...outcome, text: outcome.text + event.text }
                 : event.type === "done"
