--- a/packages/caller/test/answers.test.ts
+++ b/packages/caller/test/answers.test.ts
@@ -2,7 +2,8 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { describe, it } from "node:test";
-import { chat, codeOf, completion, dial, open, pieces, question, raw, rawChat, send, until } from "./harness.ts";
+import { chat, codeOf, completion, dial, done, events, open, pause, pieces, question, raw, rawChat, send, streamed,
+    text, until } from "./harness.ts";
 
 /** The text that a caller puts together from the chunks of a stream. */
 function textOf(stream: string): string {
@@ -14,16 +15,12 @@
         .join("");
 }
 
-async function* events(...list: readonly AnswerEvent[]): AsyncGenerator<AnswerEvent> {
-    yield* list;
-}
-
 describe("answers", () => {
     it("streams in the chat-completions shape with resumable ids, usage, durability and an end mark", async () => {
         await using front = await open(() => pieces("Dobrý ", "deň 🏜"), {
             clock: { wall: () => 5000, monotonic: () => 0 },
         });
-        const answer = await chat(front, { ...question, stream: true }, {
+        const answer = await chat(front, streamed, {
             "tg-program": "p",
             "idempotency-key": "r",
         });
@@ -52,8 +49,7 @@
 
     it("gives a tool's own status and body, so that a failing tool does not look like a failing scheduler", async () => {
         await using front = await open(() =>
-            events({ type: "text", offset: 0, text: "{\"no\":1}" }, { type: "done",
-                completion: { ...completion, status: 409 } })
+            events(text(0, "{\"no\":1}"), { type: "done", completion: { ...completion, status: 409 } })
         );
         const answer = await send(front, "POST", "/v1/tools/waiver/sign?x=1", "body", { "tg-program": "p" });
         assert.equal(answer.status, 409);
@@ -63,24 +59,22 @@
     });
 
     it("gives each character once and in order when pieces repeat, overlap, come early or late (I5)", async () => {
-        const text = (offset: number, value: string): AnswerEvent => ({ type: "text", offset, text: value });
         await using front = await open(() =>
             events(text(0, "ab"), text(0, "ab"), text(1, "bcd"), text(6, "gh"), text(5, "fgh"), text(4, "ef"),
-                text(2, "cd"), { type: "done", completion })
+                text(2, "cd"), done)
         );
-        assert.equal(textOf((await chat(front, { ...question, stream: true })).text), "abcdefgh");
+        assert.equal(textOf((await chat(front, streamed)).text), "abcdefgh");
     });
 
     it("resumes after last-event-id, whether the owner starts there or at the beginning", async () => {
         await using front = await open(call =>
             call.program === "whole" ? pieces("abc", "def") : events(
-                { type: "text", offset: call.offset, text: "ef" },
-                { type: "done", completion },
+                text(call.offset, "ef"),
+                done,
             )
         );
         for (const program of ["whole", "rest"]) {
-            const answer = await chat(front, { ...question, stream: true }, { "last-event-id": "4",
-                "tg-program": program });
+            const answer = await chat(front, streamed, { "last-event-id": "4", "tg-program": program });
             assert.equal(textOf(answer.text), "ef");
             assert.match(answer.text, /^id: 6$/m);
         }
@@ -89,12 +83,10 @@
     });
 
     it("never presents an answer with a gap as complete (I5)", async () => {
-        await using front = await open(() =>
-            events({ type: "text", offset: 3, text: "d" }, { type: "done", completion })
-        );
+        await using front = await open(() => events(text(3, "d"), done));
         assert.equal(codeOf(await chat(front, question)), 5001);
-        await using cut = await open(() => events({ type: "text", offset: 0, text: "d" }));
-        const stream = await chat(cut, { ...question, stream: true });
+        await using cut = await open(() => events(text(0, "d")));
+        const stream = await chat(cut, streamed);
         assert.match(stream.text, /event: error\ndata: \{"error":\{"code":5001,.*"run":"unknown"/);
         assert.doesNotMatch(stream.text, /DONE/);
     });
@@ -103,16 +95,16 @@
         const refusal = refuse("overloaded", "notRun", undefined, 1200);
         await using front = await open(call =>
             call.program === "late"
-                ? events({ type: "text", offset: 0, text: "a" }, { type: "refused", refusal })
+                ? events(text(0, "a"), { type: "refused", refusal })
                 : events({ type: "refused", refusal })
         );
-        const early = await chat(front, { ...question, stream: true });
+        const early = await chat(front, streamed);
         assert.equal(early.status, 429);
         assert.equal(early.headers.get("retry-after"), "2");
         assert.deepEqual(JSON.parse(early.text), {
             error: { code: 4293, name: "overloaded", message: refusal.message, run: "notRun", retryAfterMs: 1200 },
         });
-        const late = await chat(front, { ...question, stream: true }, { "tg-program": "late" });
+        const late = await chat(front, streamed, { "tg-program": "late" });
         assert.equal(late.status, 200);
         assert.match(late.text, /event: error\ndata: \{"error":\{"code":4293,/);
     });
@@ -134,17 +126,17 @@
             for (; pulled < 20_000; pulled += 1) {
                 yield { type: "text", offset: pulled * 1024, text: "x".repeat(1024) };
             }
-            yield { type: "done", completion };
+            yield done;
         }
         await using front = await open(large);
         const socket = await dial(front);
         socket.pause();
-        socket.write(rawChat({ ...question, stream: true }));
+        socket.write(rawChat(streamed));
         await until(() => pulled > 0);
-        await new Promise(resolve => setTimeout(resolve, 300));
+        await pause(300);
         const held = pulled;
         assert.ok(held < 15_000, `${held} KB were pulled for a caller that reads nothing`);
-        await new Promise(resolve => setTimeout(resolve, 100));
+        await pause(100);
         assert.equal(pulled, held);
         socket.resume();
         await until(() => pulled === 20_000);
@@ -162,7 +154,7 @@
         await using front = await open(large, { limits: { writeTimeout: 200 } });
         const socket = await dial(front);
         socket.pause();
-        socket.write(rawChat({ ...question, stream: true }));
+        socket.write(rawChat(streamed));
         await until(() => aborted && front.openCalls() === 0);
         socket.destroy();
     });
@@ -171,12 +163,12 @@
         let signal: AbortSignal | undefined;
         async function* stuck(_call: Call, given: AbortSignal): AsyncGenerator<AnswerEvent> {
             signal = given;
-            yield { type: "text", offset: 0, text: "a" };
+            yield text(0, "a");
             await new Promise(() => undefined);
         }
         await using front = await open(stuck);
         const socket = await dial(front);
-        socket.write(rawChat({ ...question, stream: true }));
+        socket.write(rawChat(streamed));
         await once(socket, "data");
         socket.destroy();
         await until(() => signal?.aborted === true && front.openCalls() === 0);
@@ -184,7 +176,7 @@
 
     it("refuses a second request before the first answer has ended", async () => {
         await using front = await open(async function*() {
-            await new Promise(resolve => setTimeout(resolve, 50));
+            await pause(50);
             yield* pieces("slow");
         });
         const received = await raw(front, rawChat(question) + rawChat(question));
@@ -213,11 +205,11 @@
 
     it("keeps a silent stream open with comments", async () => {
         await using front = await open(async function*() {
-            yield { type: "text", offset: 0, text: "a" } as const;
-            await new Promise(resolve => setTimeout(resolve, 100));
-            yield { type: "done", completion } as const;
+            yield text(0, "a");
+            await pause(100);
+            yield done;
         }, { limits: { commentInterval: 20 } });
-        const answer = await chat(front, { ...question, stream: true });
+        const answer = await chat(front, streamed);
         assert.match(answer.text, /: waiting\n\n/);
         assert.match(answer.text, /DONE/);
     });
--- a/packages/caller/test/harness.ts
+++ b/packages/caller/test/harness.ts
@@ -26,14 +26,19 @@
     seal: "s",
 } as const;
 
+export const done: AnswerEvent = { type: "done", completion };
+
+export function text(offset: number, value: string): AnswerEvent {
+    return { type: "text", offset, text: value };
+}
+
+export async function* events(...list: readonly AnswerEvent[]): AsyncGenerator<AnswerEvent> {
+    yield* list;
+}
+
 /** An answer that consists of these pieces of text. */
-export async function* pieces(...texts: readonly string[]): AsyncGenerator<AnswerEvent> {
-    let offset = 0;
-    for (const text of texts) {
-        yield { type: "text", offset, text };
-        offset += text.length;
-    }
-    yield { type: "done", completion };
+export function pieces(...texts: readonly string[]): AsyncGenerator<AnswerEvent> {
+    return events(...texts.map((each, at) => text(texts.slice(0, at).join("").length, each)), done);
 }
 
 /** Opens a front on a free port that answers each call with `serve`. */
@@ -74,8 +79,15 @@
     return { status: response.status, headers: response.headers, text: await response.text() };
 }
 
+/** Resolves after `time` ms. */
+export function pause(time: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, time));
+}
+
 export const question = { model: "m1", messages: [{ role: "user", content: "hi" }] };
 
+export const streamed = { ...question, stream: true };
+
 /** The result code of a refusal. */
 export function codeOf(answer: Answer): number {
     return (JSON.parse(answer.text) as { error: { code: number; }; }).error.code;
@@ -114,12 +126,12 @@
         if (Date.now() > deadline) {
             throw new Error("the condition did not hold within 5 s");
         }
-        await new Promise(resolve => setTimeout(resolve, 5));
+        await pause(5);
     }
 }
 
 /** A call that lasts until its signal is aborted. */
 export async function* endless(_call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
-    yield { type: "text", offset: 0, text: "a" };
+    yield text(0, "a");
     await once(signal, "abort");
 }
--- a/packages/caller/test/input.test.ts
+++ b/packages/caller/test/input.test.ts
@@ -1,8 +1,8 @@
-import { type Call, type Refusal, refuse } from "@tamarackgauge/core";
+import { type Call, type Refusal, refuse, type ToolTarget } from "@tamarackgauge/core";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { type Answer, chat, codeOf, configuration, dial, endless, key, open, otherKey, pieces, question, raw, rawChat,
-    send, until } from "./harness.ts";
+import { type Answer, chat, codeOf, configuration, dial, endless, key, open, otherKey, pause, pieces, question, raw,
+    rawChat, send, streamed, text, until } from "./harness.ts";
 
 /** Opens a front that records the calls it would serve. */
 async function record() {
@@ -29,21 +29,9 @@
         const [{ digest, ...call }] = recorded.calls as [Call];
         assert.match(digest, /^[0-9a-f]{64}$/);
         assert.deepEqual(call, {
-            plan: "dunes",
-            program: "p/1",
-            request: "r1",
-            sequence: 3,
-            parent: "root",
-            atMostOnce: true,
-            end: true,
-            offset: 0,
-            target: {
-                kind: "model",
-                model: "m1",
-                messages: question.messages,
-                maxTokens: 9,
-                parameters: { temperature: 0.5 },
-            },
+            ...{ plan: "dunes", program: "p/1", request: "r1", sequence: 3, parent: "root" },
+            ...{ atMostOnce: true, end: true, offset: 0 },
+            target: { kind: "model", ...question, maxTokens: 9, parameters: { temperature: 0.5 } },
         });
     });
 
@@ -83,12 +71,9 @@
     it("of a tool keeps its path and body, and cannot lead out of the service", async () => {
         await using recorded = await record();
         await send(recorded.front, "POST", "/v1/tools/waiver/v1/sign%20it?x=1", "{\"a\":1}");
-        assert.deepEqual(recorded.calls[0]?.target, {
-            kind: "tool",
-            service: "waiver",
-            path: "v1/sign%20it?x=1",
-            body: "{\"a\":1}",
-        });
+        const { path, ...target } = recorded.calls[0]?.target as ToolTarget;
+        assert.equal(path, "v1/sign%20it?x=1");
+        assert.deepEqual(target, { kind: "tool", service: "waiver", body: "{\"a\":1}" });
         for (const path of ["waiver/../admin", "waiver/a/%2E%2e/b", "waiver/..%2fadmin", "%zz/a", ""]) {
             const text = await raw(recorded.front, requestText("POST", `/v1/tools/${path}`));
             assert.match(text, /^HTTP\/1.1 40[034] [^]*"code":4003/, path);
@@ -231,7 +216,7 @@
         const half = requestText("POST", "/v1/chat/completions", "content-length: 4000\r\n") + "x".repeat(3000);
         const first = await dial(front);
         first.write(half);
-        await new Promise(resolve => setTimeout(resolve, 100));
+        await pause(100);
         assert.match(await raw(front, half), /^HTTP\/1.1 429 [^]*"code":4293/);
         first.destroy();
         await until(() => front.openCalls() === 0);
@@ -241,7 +226,7 @@
     it("in too many streams or connections is refused with 4295", async () => {
         await using front = await open(endless, { limits: { maxStreams: 2, maxConnections: 3 } });
         const sockets = [await dial(front), await dial(front)];
-        sockets.forEach(socket => socket.write(rawChat({ ...question, stream: true })));
+        sockets.forEach(socket => socket.write(rawChat(streamed)));
         await until(() => front.openCalls() === 2);
         assert.match(await raw(front, requestText("POST", "/v1/chat/completions", "content-length: 0\r\n")),
             /"code":4295/);
@@ -268,11 +253,11 @@
         let release: () => void = () => undefined;
         const gate = new Promise<void>(resolve => release = resolve);
         await using front = await open(async function*() {
-            yield { type: "text", offset: 0, text: "a" } as const;
+            yield text(0, "a");
             await gate;
             yield* pieces("a", "b");
         });
-        const stream: Promise<Answer> = chat(front, { ...question, stream: true });
+        const stream: Promise<Answer> = chat(front, streamed);
         await until(() => front.openCalls() === 1);
         let drained = false;
         const drain = front.drain().then(() => drained = true);
@@ -288,7 +273,7 @@
 
     it("when closed ends open streams with an answer, so that no caller waits for a daemon that is gone", async () => {
         const front = await open(endless);
-        const stream = chat(front, { ...question, stream: true });
+        const stream = chat(front, streamed);
         await until(() => front.openCalls() === 1);
         await front[Symbol.asyncDispose]();
         assert.match((await stream).text, /event: error\ndata: \{"error":\{"code":5035,/);
