--- a/packages/standin/src/command.ts
+++ b/packages/standin/src/command.ts
@@ -1,4 +1,4 @@
-import { command, flag, number, option, optional, string, subcommands } from "cmd-ts";
+import { command, flag, number, oneOf, option, optional, string, subcommands } from "cmd-ts";
 import { readFileSync } from "node:fs";
 import { createEngine } from "./engine/engine.ts";
 import { createForwarder } from "./forwarder.ts";
@@ -43,7 +43,12 @@
         eventDropRate: numeric("event-drop-rate", "share of the cache events that are lost"),
         loadMs: numeric("load", "milliseconds that loading a model takes"),
         importRate: numeric("import-rate", "tokens per second that an import of a prefix takes in"),
-        fenced: text("fenced", "true: refuse orders with an old fencing token"),
+        fenced: option({
+            type: optional(oneOf(["true", "false"])),
+            long: "fenced",
+            env: variable("fenced"),
+            description: "refuse orders with an old fencing token",
+        }),
         seed: numeric("seed", "engines with the same seed give the same answers"),
         scale: numeric("scale", "divides all times"),
     },
@@ -67,7 +72,7 @@
     description: "TCP forwarder between loopback ports that can fail",
     args: {
         port,
-        target: option({ type: number, long: "target", description: "port to forward to" }),
+        target: option({ type: number, long: "target", env: variable("target"), description: "port to forward to" }),
         controlPort: numeric("control-port", "port of the HTTP control"),
         delayMs: numeric("delay", "milliseconds one way"),
     },
@@ -82,11 +87,16 @@
 });
 
 function numeric(long: string, description: string) {
-    return option({ type: optional(number), long, description });
+    return option({ type: optional(number), long, description, env: variable(long) });
 }
 
 function text(long: string, description: string) {
-    return option({ type: optional(string), long, description });
+    return option({ type: optional(string), long, description, env: variable(long) });
+}
+
+/** The environment variable of a flag. */
+function variable(long: string): string {
+    return `TAMARACKGAUGE_STANDIN_${long.toUpperCase().replaceAll("-", "_")}`;
 }
 
 function readVms(file: string): Vm[] {
@@ -95,11 +105,16 @@
 }
 
 async function serve(name: string, starting: Promise<Standin>): Promise<void> {
-    const standin = await starting;
-    console.log(`${name} listening on ${standin.address}:${standin.port}`);
-    await new Promise(resolve => {
+    const standin = await starting.catch((error: unknown) => {
+        console.error(`${name} cannot start: ${String(error)}`);
+        process.exit(1);
+    });
+    // Listens for signals before it says that it runs, so that a signal sent at once ends it cleanly.
+    const ended = new Promise(resolve => {
         process.once("SIGTERM", resolve);
         process.once("SIGINT", resolve);
     });
+    console.log(`${name} listening on ${standin.address}:${standin.port}`);
+    await ended;
     await standin[Symbol.asyncDispose]();
 }
--- a/packages/standin/src/engine/batch.ts
+++ b/packages/standin/src/engine/batch.ts
@@ -2,6 +2,7 @@
 import type { PrefixCache } from "./cache.ts";
 import { segmentOf, tokenLength } from "./prompt.ts";
 import type { Prompt } from "./prompt.ts";
+import type { EngineSettings } from "./settings.ts";
 
 /** A call inside an engine. */
 export interface Sequence {
@@ -22,23 +23,16 @@
     cancelled: boolean;
     /** Text produced and not yet sent. */
     pending: string;
+    /** Generated tokens that are counted already. */
+    counted: number;
     finished?: "stop" | "length";
 }
 
-/** Speeds of an engine. Times in milliseconds, rates in tokens per second. */
-export interface BatchOptions {
-    /** Most sequences that run at once. */
-    readonly batch: number;
-    /** Time of a step with an empty batch. */
-    readonly stepMs: number;
-    /** Time that each decoding sequence adds to a step. */
-    readonly sequenceMs: number;
-    readonly prefillRate: number;
-    /** Most prompt tokens computed in one step. */
-    readonly prefillChunk: number;
-    /** Whether a waiting call of higher priority takes the place of a running one. */
-    readonly preempt: boolean;
-}
+/** The settings of an engine that batching depends on. */
+export type BatchOptions = Pick<
+    EngineSettings,
+    "batch" | "stepMs" | "sequenceMs" | "prefillRate" | "prefillChunk" | "preempt"
+>;
 
 /** Continuous batching, step by step. Time passes outside: a step starts, lasts as long as it says, and finishes. */
 export interface Batch {
@@ -47,7 +41,7 @@
     cancel(sequence: Sequence): void;
     /** Admits calls and returns the length of the step in milliseconds; undefined when there is nothing to do. */
     startStep(): number | undefined;
-    /** Ends the step. Returns the sequences that generated a token. */
+    /** Ends the step. Returns the sequences that have new text or are finished. */
     finishStep(): Sequence[];
     running(): number;
     waiting(): number;
@@ -125,7 +119,7 @@
     function planPrefill(): number {
         let left = options.prefillChunk;
         computing = new Map();
-        for (const sequence of running) {
+        for (const sequence of running.toSorted((a, b) => a.priority - b.priority)) {
             const tokens = Math.min(left, sequence.prefill);
             if (tokens > 0) {
                 computing.set(sequence, tokens);
@@ -135,11 +129,10 @@
         return options.prefillChunk - left;
     }
 
-    /** Generates a token; false when the answer was already complete. */
-    function decode(sequence: Sequence): boolean {
+    function decode(sequence: Sequence): void {
         const to = Math.min(sequence.answer.length, sequence.position - sequence.position % tokenLength + tokenLength);
-        const produced = to > sequence.position;
-        if (produced) {
+        // A request can continue from a complete answer.
+        if (to > sequence.position) {
             sequence.pending += sequence.answer.slice(sequence.position, to);
             sequence.position = to;
             sequence.generated += 1;
@@ -151,7 +144,6 @@
         else if (sequence.generated >= sequence.maxTokens) {
             sequence.finished = "length";
         }
-        return produced;
     }
 
     return {
@@ -174,10 +166,10 @@
                 sequence.prefill -= tokens;
             }
             const decoding = running.filter(sequence => sequence.prefill === 0 && !sequence.cancelled);
-            const produced = decoding.filter(decode);
+            decoding.forEach(decode);
             running.filter(sequence => sequence.finished !== undefined).forEach(stop);
             running = running.filter(sequence => sequence.finished === undefined);
-            return produced;
+            return decoding;
         },
         running: () => running.length,
         waiting: () => waiting.length,
--- a/packages/standin/src/vms.ts
+++ b/packages/standin/src/vms.ts
@@ -17,6 +17,9 @@
 /** A VM of the platform's list. */
 export type Vm = z.input<typeof vm>;
 
+/** Changes of a VM; what is left out stays. */
+export const vmChanges = vm.extend({ state: z.enum(["live", "leaving"]) }).partial();
+
 /** A version of the list. */
 export interface VmList {
     readonly version: number;
@@ -54,7 +57,7 @@
 
     function replace(vms: readonly Vm[], now: number): void {
         const list = { version: latest().version + 1, vms: z.array(vm).parse(vms) };
-        history = [...history.slice(-99), { at: now, list }];
+        history = [...history.slice(-999), { at: now, list }];
     }
 
     function indexOf(name: string): number {
