--- a/packages/caller/test/input.test.ts
+++ b/packages/caller/test/input.test.ts
@@ -1,4 +1,4 @@
-import { type Call, type Refusal, refuse, type ToolTarget } from "@tamarackgauge/core";
+import { type Call, createRandom, type Refusal, refuse, type ToolTarget } from "@tamarackgauge/core";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { type Answer, chat, codeOf, configuration, dial, endless, key, open, otherKey, pause, pieces, question, raw,
@@ -201,6 +201,25 @@
         neighbour.destroy();
     });
 
+    it("damaged at random leaves no call open and disturbs no other caller", async () => {
+        await using front = await open(() => pieces("ok"));
+        const random = createRandom(7);
+        const upTo = (limit: number) => Math.floor(random() * limit);
+        const damaged = () => {
+            const bytes = Buffer.from(rawChat(question).repeat(3), "latin1");
+            for (let count = 1 + upTo(5); count > 0; count -= 1) {
+                bytes[upTo(bytes.length)] = upTo(256);
+            }
+            return bytes.toString("latin1", 0, random() < 0.5 ? upTo(bytes.length) : bytes.length);
+        };
+        for (let round = 0; round < 20; round += 1) {
+            const texts = Array.from({ length: 20 }, damaged);
+            const [answer] = await Promise.all([chat(front, question), ...texts.map(text => raw(front, text, true))]);
+            assert.equal(answer.status, 200);
+        }
+        await until(() => front.openCalls() === 0);
+    });
+
     it("that is too large is refused with 4131 and 4311, announced or not", async () => {
         await using front = await open(() => pieces("ok"), { limits: { maxBody: 2000, maxHeader: 2000 } });
         const large = JSON.stringify({ ...question, x: "x".repeat(3_000_000) });
