--- a/packages/peer/bench/link.ts
+++ b/packages/peer/bench/link.ts
@@ -182,7 +182,7 @@
             events += event.type === "text" ? 1 : 0;
         }
     });
-    readers.forEach(reader => reader.catch(() => {}));
+    readers.forEach(reader => void reader.catch(() => {}));
     await sleep(500);
     const other = await ask({ type: "sample" }) as Sample;
     const [ownCpu, ownTraffic, ownEvents] = [cpu(), peers.traffic(), events];
@@ -243,7 +243,7 @@
     const abort = new AbortController();
     setMaxListeners(0, abort.signal);
     const readers = calls ? listed.map(member => count(peers.call(member.name, callOf("stall"), abort.signal))) : [];
-    readers.forEach(reader => reader.catch(() => {}));
+    readers.forEach(reader => void reader.catch(() => {}));
     // The rate of beats is low, so that the runtime needs some seconds until their code is compiled.
     await sleep(5000);
     const [before, traffic] = [cpu(), peers.traffic()];
