Leave optional parts out of the bundle

Cause: the executable printed a warning of Node.js at each start, since the bundle still required supports-color, so the test of the binary, which wants an empty standard error, failed. Ruled out: silencing warnings in the executable. Change: the four optional modules resolve to a part that throws, which their users catch. Conclusion: the binary starts silently.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -46,12 +46,23 @@
         // CommonJS has no import.meta; libraries use its URL to load files beside them.
         define: { "import.meta.url": "importMetaUrl", "import.meta.dirname": "__dirname" },
         banner: { js: "const importMetaUrl = require(\"node:url\").pathToFileURL(__filename).href;" },
-        // Optional native parts, which the libraries do without when they are absent.
-        external: ["bufferutil", "utf-8-validate", "msgpackr-extract", "supports-color"],
+        plugins: [{ name: "absent parts", setup: leaveOut }],
         logLevel: "warning",
     });
 }
 
+/**
+ * Optional parts that the libraries do without when they cannot be loaded. A `require` left in the bundle would make
+ * the executable warn at every start.
+ */
+function leaveOut({ onResolve, onLoad }) {
+    const absent = /^(bufferutil|utf-8-validate|msgpackr-extract|supports-color)$/;
+    onResolve({ filter: absent }, ({ path }) => ({ path, namespace: "absent" }));
+    onLoad({ filter: /.*/, namespace: "absent" }, ({ path }) => ({
+        contents: `throw new Error("${path} is not part of the build")`,
+    }));
+}
+
 /** Puts the bundle into a copy of the running Node.js. */
 async function writeExecutable() {
     const blob = join(out, "tamarackgauge.blob");
