Compact the journals of partitions

Cause: one long program kept every segment in which it had a turn, with all the ended programs beside it.

--- a/packages/core/src/program.ts
+++ b/packages/core/src/program.ts
@@ -164,6 +164,26 @@
 /** Marks the turn that holds a restored history; no call has this digest. */
 const restoredDigest = "";
 
+/** The steps that make a program what it is, so that they can replace all that the journal has of it. */
+export function stepsOf(program: Program): readonly ProgramStep[] {
+    const { key, plan, parent, intent, endedAt } = program;
+    return [
+        { type: "open", program: key, plan, at: 0, ...parent === undefined ? {} : { parent } },
+        ...program.turns.map(({ request, sequence, digest, messages, answer: reply }): ProgramStep => ({
+            type: "turn",
+            program: key,
+            request,
+            sequence,
+            digest,
+            messages: [...messages],
+            ...reply === undefined ? {} : { answer: reply },
+        })),
+        ...intent === undefined ? [] : [{ type: "intent", program: key, ...intent } as const],
+        ...endedAt === undefined ? [] : [{ type: "end", program: key, at: endedAt } as const],
+        ...program.released ? [{ type: "released", program: key } as const] : [],
+    ];
+}
+
 /** The whole conversation, in order. */
 export function historyOf(program: Program): readonly Message[] {
     return program.turns.flatMap(turn => {
--- a/packages/daemon/src/committer.ts
+++ b/packages/daemon/src/committer.ts
@@ -17,6 +17,12 @@
 /** How a change ended: applied with a revision, or a row was not as the change expected. */
 export type ChangeResult = { readonly applied: true; readonly revision: string; } | { readonly applied: false; };
 
+/** A segment of a journal that the store has; its size is in bytes. */
+export interface StoredSegment {
+    readonly number: number;
+    readonly bytes: number;
+}
+
 /** The daemon lost its lease: a successor has taken over, and nothing more can be written. */
 export class FencedError extends Error {}
 
@@ -27,10 +33,10 @@
 export interface Committer {
     readonly incarnation: string;
     /**
-     * Queues steps of a partition's journal; resolves with the number of their segment when they are stored, and
+     * Queues steps of a partition's journal; resolves with the segment that holds them when they are stored, and
      * throws a `FencedError` otherwise.
      */
-    append(partition: number, steps: readonly ProgramStep[]): Promise<number>;
+    append(partition: number, steps: readonly ProgramStep[]): Promise<StoredSegment>;
     /** Applies a change after what was queued before; throws a `FencedError`, retries while the store is silent. */
     change(change: Change): Promise<ChangeResult>;
     /** Sets the number of the next segment of a partition, after its journal was read. */
@@ -68,7 +74,7 @@
     readonly partition: number;
     readonly steps: readonly ProgramStep[];
     readonly bytes: number;
-    readonly resolve: (segment: number) => void;
+    readonly resolve: (segment: StoredSegment) => void;
     readonly reject: (error: Error) => void;
 }
 
@@ -138,7 +144,7 @@
             return;
         }
         const batch = takeBatch();
-        const { puts, numbers } = segmentsOf(batch);
+        const { puts, stored } = segmentsOf(batch);
         const result = await transact(puts, [], []);
         if (typeof result === "string") {
             settle(batch, result);
@@ -146,7 +152,7 @@
         }
         for (const entry of batch) {
             queued -= entry.bytes;
-            entry.resolve(numbers.get(entry.partition) ?? 0);
+            entry.resolve(stored.get(entry.partition) ?? { number: 0, bytes: 0 });
         }
     }
 
@@ -183,14 +189,15 @@
         for (const { partition, steps } of batch) {
             byPartition.set(partition, [...byPartition.get(partition) ?? [], ...steps]);
         }
-        const numbers = new Map<number, number>();
+        const stored = new Map<number, StoredSegment>();
         const puts = [...byPartition].map(([partition, steps]) => {
             const number = segments.get(partition) ?? 0;
             segments.set(partition, number + 1);
-            numbers.set(partition, number);
-            return { key: keys.segment(partition, number), value: segmentRow.encode(steps) };
+            const value = segmentRow.encode(steps);
+            stored.set(partition, { number, bytes: value.length });
+            return { key: keys.segment(partition, number), value };
         });
-        return { puts, numbers };
+        return { puts, stored };
     }
 
     /**
@@ -275,7 +282,7 @@
         wake = undefined;
     }
 
-    function append(partition: number, steps: readonly ProgramStep[]): Promise<number> {
+    function append(partition: number, steps: readonly ProgramStep[]): Promise<StoredSegment> {
         const bytes = segmentRow.encode([...steps]).length;
         queued += bytes;
         return enqueue((resolve, reject) => ({ type: "entry", partition, steps, bytes, resolve, reject }));
--- a/packages/daemon/src/finish.ts
+++ b/packages/daemon/src/finish.ts
@@ -4,9 +4,7 @@
 import type { Timeline } from "@tamarackgauge/timeline";
 import { createBroadcast } from "./broadcast.ts";
 import type { Broadcast } from "./broadcast.ts";
-import type { Committer } from "./committer.ts";
 import type { Live, Partition } from "./partition.ts";
-import { keys } from "./rows.ts";
 import type { Running } from "./running.ts";
 import { within } from "./wait.ts";
 
@@ -33,12 +31,10 @@
     replay(live: Live, turn: Turn): { readonly answer: Broadcast; }["answer"];
     /** Tells the policy what a recovered program has received. */
     restorePolicy(program: Program): void;
-    deleteSegments(partition: number, segments: readonly number[]): void;
 }
 
 /** Options of the finisher. */
 export interface FinisherOptions {
-    readonly committer: Committer;
     readonly policy: Policy;
     readonly timeline: Timeline;
     readonly clock: Clock;
@@ -49,12 +45,10 @@
 
 /** The last event of an answer waits this long for the store, in milliseconds. */
 const commitPatience = 1_000;
-/** Operations that one transaction of the table service takes, with room for the lease row. */
-const deletesAtOnce = 100;
 
 /** Creates the finisher. */
 export function createFinisher(options: FinisherOptions): Finisher {
-    const { committer, policy, timeline, clock, save } = options;
+    const { policy, timeline, clock, save } = options;
 
     function openStep(live: Live): readonly ProgramStep[] {
         if (live.opened) {
@@ -131,14 +125,7 @@
         policy.restoreProgram(program.key, root, attainedTokens(program), engine, clock.monotonic());
     }
 
-    function deleteSegments(partition: number, segments: readonly number[]): void {
-        for (let start = 0; start < segments.length; start += deletesAtOnce) {
-            const deletes = segments.slice(start, start + deletesAtOnce).map(number => keys.segment(partition, number));
-            committer.change({ puts: [], deletes }).catch(() => undefined);
-        }
-    }
-
-    return { openStep, finish, closeIntent, replay, restorePolicy, deleteSegments };
+    return { openStep, finish, closeIntent, replay, restorePolicy };
 }
 
 function completionOf(answer: Answer, sequence: number, durability: Durability): Completion {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -5,6 +5,7 @@
 import createDebug from "debug";
 import type { Budgets } from "./budgets.ts";
 import type { Committer } from "./committer.ts";
+import { createCompactor } from "./compactor.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { createFinisher } from "./finish.ts";
 import { createModelRunner } from "./modelRun.ts";
@@ -91,6 +92,7 @@
     const starter = createStarter({ ...options, finisher, record, save, isSubAgent });
     const runModel = createModelRunner({ ...options, finisher, starter, record });
     const runTool = createToolRunner({ ...options, finisher, starter, record });
+    const compactor = createCompactor(committer);
     const sweeper = setInterval(sweep, sweepInterval);
 
     async function* serve(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
@@ -267,7 +269,7 @@
         }
         applySteps(live, steps);
         return committer.append(partition.number, steps).then(segment => {
-            noteSegment(partition, segment, live.program.key);
+            noteSegment(partition, segment.number, segment.bytes, live.program.key);
         });
     }
 
@@ -397,7 +399,8 @@
         for (const partition of owned.values()) {
             if (!partition.lost && !partition.draining) {
                 partition.programs.forEach(live => sweepProgram(partition, live, now));
-                collectSegments(partition);
+                compactor.collect(partition);
+                void compactor.compact(partition);
             }
         }
     }
@@ -427,18 +430,6 @@
         }
     }
 
-    /** Deletes segments whose programs are all gone from memory. */
-    function collectSegments(partition: Partition): void {
-        const dead = [...partition.segments]
-            .filter(([, programs]) => [...programs].every(key => !partition.programs.has(key)))
-            .map(([segment]) => segment);
-        if (dead.length === 0) {
-            return;
-        }
-        dead.forEach(segment => partition.segments.delete(segment));
-        finisher.deleteSegments(partition.number, dead);
-    }
-
     async function endProgram(plan: string, program: string): Promise<Refusal | undefined> {
         const key = `${plan}/${program}`;
         const partition = owned.get(partitionOf(key, options.partitions));
--- a/packages/daemon/src/partition.ts
+++ b/packages/daemon/src/partition.ts
@@ -25,12 +25,21 @@
     touched: number;
 }
 
+/** A segment of a partition's journal. */
+export interface Segment {
+    readonly bytes: number;
+    /** Keys of the programs whose steps in it are still needed. */
+    readonly programs: Set<string>;
+}
+
 /** A partition in the memory of its owner. */
 export interface Partition {
     readonly number: number;
     readonly programs: Map<string, Live>;
-    /** Keys of the programs with steps in a segment, by segment number. */
-    readonly segments: Map<number, Set<string>>;
+    /** What each segment of the journal holds, by segment number. */
+    readonly segments: Map<number, Segment>;
+    /** A compaction is under way. */
+    compacting: boolean;
     /** Resolves when the journal has been read; rejects when ownership was lost before. */
     ready: Promise<void>;
     /** No call is taken while the partition is handed over. */
@@ -48,6 +57,7 @@
         number,
         programs: new Map(),
         segments: new Map(),
+        compacting: false,
         ready: Promise.resolve(),
         draining: false,
         lost: false,
@@ -85,7 +95,7 @@
         }
         for (const row of page.rows) {
             const segment = segmentOf(row.key);
-            replay(programs, segmentRow.decode(row.value), partition, segment);
+            replay(programs, segmentRow.decode(row.value), partition, segment, row.value.length);
             after = row.key;
             next = segment + 1;
         }
@@ -105,9 +115,10 @@
     steps: readonly ProgramStep[],
     partition: Partition,
     segment: number,
+    bytes: number,
 ): void {
     for (const step of steps) {
-        noteSegment(partition, segment, step.program);
+        noteSegment(partition, segment, bytes, step.program);
         const next = applyProgram(programs.get(step.program), step);
         if (next !== undefined) {
             programs.set(step.program, next);
@@ -116,10 +127,14 @@
 }
 
 /** Remembers that a segment holds steps of a program. */
-export function noteSegment(partition: Partition, segment: number, program: string): void {
-    const present = partition.segments.get(segment) ?? new Set();
-    present.add(program);
-    partition.segments.set(segment, present);
+export function noteSegment(partition: Partition, segment: number, bytes: number, program: string): void {
+    const present = partition.segments.get(segment);
+    if (present === undefined) {
+        partition.segments.set(segment, { bytes, programs: new Set([program]) });
+    }
+    else {
+        present.programs.add(program);
+    }
 }
 
 /** Applies steps to a program in memory and continues its digest. */
