Refuse new programs when openings wait although the limit has room; add the policy tests

Cause: with a crowd before two batch places no call under way waited, so the limit stayed open: 18 programs done, none refused, 102 left after their patience. With six long programs before two places their waits closed the limit, and short programs waited behind them (8.4 s) or were refused. A round of offers cost 318 us with 4,800 waiting jobs, as every job was routed although no engine had room.

--- a/packages/core/src/policy/admission.ts
+++ b/packages/core/src/policy/admission.ts
@@ -1,6 +1,6 @@
 import type { Random } from "../clock.ts";
 
-/** Time constant of the learned rates of programs begun and ended, in ms. */
+/** Time constant of the learned rates of programs served first and ended, in ms. */
 const rateWindowMs = 3_000;
 
 /** New programs are refused when the wait exceeds this share of the patience, as the estimate errs by some. */
@@ -13,6 +13,12 @@
 const decrease = 0.9;
 const decreaseMs = 1_000;
 
+/** Openings queued for less than this say nothing of capacity: the rates of an idle daemon are low, in ms. */
+const startMs = 1_000;
+
+/** The limit is dropped after this time without a wait that says anything of it, in ms. */
+const forgetMs = 5_000;
+
 /** Retries allowed per request, and the most that can be saved up. */
 const retryShare = 0.1;
 const mostRetries = 10;
@@ -36,23 +42,28 @@
 }
 
 /**
- * Capacity learned from completions: how many programs may be under way, and how many begin and end per second.
+ * Capacity learned from completions: how many programs may be under way, and how many are served first and end per second.
  * Programs under way go before new ones: a new one waits until the limit has room, or is refused at once.
  */
 export class Admission {
-    private readonly begun = new Rate();
+    private readonly served = new Rate();
     private readonly ended = new Rate();
     private limit = Infinity;
     private decreasedAt = -Infinity;
+    private waitedAt = -Infinity;
     private programs = 0;
     private retries = mostRetries;
 
     constructor(private readonly patienceMs: number, private readonly random: Random) {}
 
-    /** A program began to be served. */
-    begin(now: number): void {
+    /** A program's first call was dispatched. */
+    begin(): void {
         this.programs += 1;
-        this.begun.count(now);
+    }
+
+    /** A program's first call got its first token. */
+    serve(now: number): void {
+        this.served.count(now);
     }
 
     end(now: number): void {
@@ -68,6 +79,7 @@
     /** A call under way waited this long for its first token, its prefill not counted; adapts the limit. */
     waited(ms: number, now: number): void {
         const bound = waitShare * this.patienceMs;
+        this.waitedAt = now;
         if (ms <= bound) {
             const inUse = this.programs > this.limit - 2;
             this.limit += inUse ? (ms < bound / 4 ? 4 : 1) / this.limit : 0;
@@ -78,12 +90,18 @@
         }
     }
 
-    /** Whether a new program is refused at once behind those that wait; returns after how many ms to come back. */
-    refuses(openings: number, now: number): number | undefined {
-        if (this.hasRoom()) {
+    /**
+     * Whether a new program is refused at once behind the openings without a first token, of which there has been one
+     * for `queuedMs`; returns after how many ms to come back.
+     */
+    refuses(openings: number, queuedMs: number, now: number): number | undefined {
+        if (now - this.waitedAt > forgetMs) {
+            this.limit = Infinity;
+        }
+        if (openings === 0 || (this.hasRoom() && queuedMs < startMs)) {
             return undefined;
         }
-        const rate = Math.max(0.1, this.begun.perSecond(now), this.ended.perSecond(now));
+        const rate = Math.max(0.1, this.served.perSecond(now), this.ended.perSecond(now));
         const wait = 1_000 * (openings + 1) / rate;
         if (wait <= admittedShare * this.patienceMs) {
             return undefined;
--- a/packages/core/src/policy/order.ts
+++ b/packages/core/src/policy/order.ts
@@ -68,8 +68,11 @@
     readonly since: number;
 }
 
-/** What became of an offered job: `placed` leaves the queue, `blocked` stays, `full` ends the offers. */
-export type Offer = "placed" | "blocked" | "full";
+/**
+ * What became of an offered job: `placed` leaves the queue, `blocked` stays, `closed` stays and ends the offers of
+ * its plan, `full` ends all offers.
+ */
+export type Offer = "placed" | "blocked" | "closed" | "full";
 
 /** Which waiting jobs are offered: first calls of programs, later ones, or both in order of level. */
 export type JobClass = "opening" | "underWay" | "all";
@@ -138,6 +141,11 @@
     return first;
 }
 
+interface Reader {
+    readonly read: () => Waiting | undefined;
+    blocked: number;
+}
+
 /** The queue of one model: plans by weighted deficit, then levels within the plan. */
 export class WaitingQueue {
     private readonly plans = new Map<string, PlanQueue>();
@@ -174,17 +182,16 @@
 
     /** Offers waiting jobs in order of service until none is left or the offers are blocked. */
     offer(now: number, take: JobClass, accept: (waiting: Waiting) => Offer): void {
-        const readers = new Map<PlanQueue, { read: () => Waiting | undefined; blocked: number; }>();
-        for (const plan of this.backlogged) {
-            readers.set(plan, { read: plan.read(now, take), blocked: 0 });
-        }
+        const readers = new Map<PlanQueue, Reader>();
+        const open = new Set(this.backlogged);
         let blocked = 0;
-        while (readers.size > 0 && blocked < blockedPerRound) {
-            const plan = leastServed(readers.keys());
-            const reader = readers.get(plan)!;
+        while (open.size > 0 && blocked < blockedPerRound) {
+            const plan = leastServed(open);
+            const reader = readers.get(plan) ?? { read: plan.read(now, take), blocked: 0 };
+            readers.set(plan, reader);
             const waiting = reader.read();
             if (waiting === undefined) {
-                readers.delete(plan);
+                open.delete(plan);
                 continue;
             }
             const before = plan.served;
@@ -192,16 +199,16 @@
             if (outcome === "full") {
                 return;
             }
-            if (outcome === "blocked") {
-                blocked += 1;
-                reader.blocked += 1;
-                if (reader.blocked >= blockedPerPlan) {
-                    readers.delete(plan);
-                }
+            if (outcome === "placed") {
+                this.floor = Math.max(this.floor, before);
+                this.remove(waiting);
                 continue;
             }
-            this.floor = Math.max(this.floor, before);
-            this.remove(waiting);
+            blocked += 1;
+            reader.blocked += 1;
+            if (outcome === "closed" || reader.blocked >= blockedPerPlan) {
+                open.delete(plan);
+            }
         }
     }
 
--- a/packages/core/src/policy/routing.ts
+++ b/packages/core/src/policy/routing.ts
@@ -181,6 +181,16 @@
         return false;
     }
 
+    /** Whether any engine of the model takes one more call of the level. */
+    hasRoom(model: string, level: number): boolean {
+        for (const { engine, window } of this.states.values()) {
+            if (!engine.leaving && window.hasRoom(level) && engine.models.includes(model)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Calls in flight on the engine, own and of others. */
     private total(state: EngineState, now: number): number {
         return state.inFlight + (this.peers.total(state.engine.name, now) ?? state.reportedOthers(now));
--- a/packages/core/src/policy/scheduler.ts
+++ b/packages/core/src/policy/scheduler.ts
@@ -20,6 +20,9 @@
 /** A job that waits is offered again after this time, as estimates change with time; in ms. */
 const offerMs = 50;
 
+/** Up to this level (8,192 tokens) a program counts as short. */
+const shortLevel = 3;
+
 /** An eviction is ignored when an own call of the program ended there within the usual lag of events, in ms. */
 const eventLagMs = 2_000;
 
@@ -28,7 +31,6 @@
 const queuedMs = 20;
 
 interface ProgramState {
-    readonly root: string;
     /** Tokens believed cached per engine that served the program, and when that was learned. */
     readonly cached: Map<string, number>;
     learnedAt: number;
@@ -51,6 +53,14 @@
     tokens: number;
 }
 
+/** One round of offers of the jobs of one model. */
+interface Round {
+    readonly queue: WaitingQueue;
+    readonly assignments: Assignment[];
+    /** The lowest level at which no engine has room. */
+    fullLevel: number;
+}
+
 /** Least attained service per program tree, with routing, health, windows and admission. */
 export class AttainedServicePolicy implements Policy {
     private readonly service = new AttainedService();
@@ -60,8 +70,9 @@
     private readonly queues = new Map<string, WaitingQueue>();
     private readonly waitingJobs = new Map<string, Waiting>();
     private readonly flights = new Map<string, Flight>();
-    /** Waiting calls that open a program. */
+    /** Calls that open a program and have no first token, and since when there was always one. */
     private openings = 0;
+    private openingsSince = 0;
     private readonly programs = new Map<string, ProgramState>();
 
     constructor(private readonly settings: PolicySettings, random: Random) {
@@ -81,7 +92,10 @@
         this.programOf(job.program, job.root);
         const waiting = { job, level: this.service.level(job.root), since: now };
         this.waitingJobs.set(job.id, waiting);
-        this.openings += job.opening ? 1 : 0;
+        if (job.opening) {
+            this.openingsSince = this.openings === 0 ? now : this.openingsSince;
+            this.openings += 1;
+        }
         this.queueOf(job.model).add(waiting);
         return undefined;
     }
@@ -101,7 +115,8 @@
         if (this.waitingJobs.size > 0) {
             const take = this.admission.hasRoom() ? "all" : "underWay";
             for (const queue of this.queues.values()) {
-                queue.offer(now, take, waiting => this.place(waiting, queue, assignments, now));
+                const round = { queue, assignments, fullLevel: Infinity };
+                queue.offer(now, take, waiting => this.place(waiting, round, now));
             }
         }
         return assignments;
@@ -126,6 +141,9 @@
         state.window.adapt(ms > queuedFactor * expected + queuedMs);
         state.waited(Math.max(0, ms - expected), now);
         this.countWait(flight.job, now - flight.since - expected, now);
+        if (flight.job.opening) {
+            this.admission.serve(now);
+        }
         speeds.learnFirstToken(uncached, ms);
         this.health.started(state.engine.name, now);
     }
@@ -221,44 +239,55 @@
         }
         this.admission.countRequest();
         const retryAfterMs = job.opening
-            ? this.admission.refuses(this.openings, now)
+            ? this.admission.refuses(this.openings, now - this.openingsSince, now)
             : undefined;
         return retryAfterMs === undefined ? undefined : refuse("overloaded", "notRun", undefined, retryAfterMs);
     }
 
-    /** Waits of calls under way say whether more programs can be served; openings go before most of them. */
+    /** Waits of short programs under way say whether more can be served; new ones do not wait for long ones. */
     private countWait(job: Job, ms: number, now: number): void {
-        if (!job.opening) {
+        if (!job.opening && this.service.level(job.root) <= shortLevel) {
             this.admission.waited(Math.max(0, ms), now);
         }
     }
 
-    private place(waiting: Waiting, queue: WaitingQueue, assignments: Assignment[], now: number): Offer {
+    private place(waiting: Waiting, round: Round, now: number): Offer {
         const { job } = waiting;
         if (job.opening && !this.admission.hasRoom()) {
             return "blocked";
         }
         const level = agedLevel(waiting, now);
+        if (level >= round.fullLevel) {
+            return "closed";
+        }
         const route = this.router.choose(job, this.programs.get(job.program)?.cached, level, now);
         if (route === undefined) {
-            return "blocked";
+            return this.blocked(job, level, round);
         }
         this.waitingJobs.delete(job.id);
-        this.openings -= job.opening ? 1 : 0;
         const charged = route.uncached + Math.min(job.maxTokens, this.router.speeds.outputTokens);
-        queue.charge(job.plan, charged);
+        round.queue.charge(job.plan, charged);
         this.send(waiting, route, level, charged, now);
-        assignments.push({ job, engine: route.state.engine.name, priority: level });
+        round.assignments.push({ job, engine: route.state.engine.name, priority: level });
         return "placed";
     }
 
+    /** When no engine of the model has room at a level, no job of this or a higher level can be placed. */
+    private blocked(job: Job, level: number, round: Round): Offer {
+        if (this.router.hasRoom(job.model, level)) {
+            return "blocked";
+        }
+        round.fullLevel = level;
+        return level === 0 ? "full" : "closed";
+    }
+
     private send(waiting: Waiting, { state, uncached }: Route, level: number, charged: number, now: number): void {
         const { job, since } = waiting;
         const name = state.engine.name;
         const program = this.programs.get(job.program);
         if (program !== undefined && !program.begun) {
             program.begun = true;
-            this.admission.begin(now);
+            this.admission.begin();
         }
         const cached = program?.cached;
         const believed = Math.min(job.promptTokens, cached?.get(name) ?? 0);
@@ -271,7 +300,8 @@
             startedAt: undefined, progressAt: now, tokens: 0 });
     }
 
-    private leaveWindow({ state, level, uncached }: Flight): void {
+    private leaveWindow({ job, state, level, uncached }: Flight): void {
+        this.openings -= job.opening ? 1 : 0;
         state.window.remove(level);
         state.pendingTokens -= uncached;
     }
@@ -303,7 +333,7 @@
     private programOf(name: string, root: string): ProgramState {
         let program = this.programs.get(name);
         if (program === undefined) {
-            program = { root, cached: new Map(), learnedAt: -Infinity, begun: false };
+            program = { cached: new Map(), learnedAt: -Infinity, begun: false };
             this.programs.set(name, program);
             this.service.join(name, root);
         }
--- /dev/null
+++ b/packages/core/test/admission.test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRandom } from "../src/index.ts";
+import { Admission } from "../src/policy/admission.ts";
+import { createTested, done, job } from "./support.ts";
+
+/** Ten programs under way, one ended per second, and calls that wait beyond the bound. */
+function overloaded(): Admission {
+    const admission = new Admission(5_000, createRandom(3));
+    for (let index = 0; index < 10; index += 1) {
+        admission.begin();
+        admission.begin();
+        admission.serve(1_000 * index);
+        admission.end(1_000 * index);
+    }
+    admission.waited(4_000, 10_000);
+    return admission;
+}
+
+test("guards against new programs that wait in vain, and against refusals without overload", () => {
+    const idle = new Admission(5_000, createRandom(3));
+    assert.equal(idle.refuses(100, 0, 0), undefined);
+    const admission = overloaded();
+    assert.equal(admission.hasRoom(), false);
+    assert.equal(admission.refuses(1, 500, 10_000), undefined);
+    assert.notEqual(admission.refuses(20, 500, 10_000), undefined);
+});
+
+test("guards against short programs held back by an overload that long programs no longer report", () => {
+    const admission = overloaded();
+    assert.equal(admission.refuses(1, 500, 16_000), undefined);
+    assert.equal(admission.hasRoom(), true);
+});
+
+test("guards against refused callers that all come back at the same moment", () => {
+    const admission = overloaded();
+    const times = Array.from({ length: 100 }, () => admission.refuses(20, 500, 10_000)!);
+    assert.ok(Math.max(...times) > 1.8 * Math.min(...times));
+    assert.ok(new Set(times).size > 90);
+});
+
+test("guards against a limit that stays low after the overload, or falls to nothing", () => {
+    const admission = overloaded();
+    for (let now = 11_000; now < 100_000; now += 1_000) {
+        admission.waited(4_000, now);
+    }
+    for (let index = 0; index < 9; index += 1) {
+        admission.end(100_000);
+    }
+    assert.equal(admission.hasRoom(), false);
+    admission.end(100_000);
+    assert.equal(admission.hasRoom(), true);
+    admission.begin();
+    for (let index = 0; index < 20; index += 1) {
+        admission.waited(10, 101_000);
+    }
+    assert.equal(admission.hasRoom(), true);
+});
+
+test("guards against retries beyond a tenth of the requests when engines fail", () => {
+    const policy = createTested(["a", "b"]);
+    let retried = 0;
+    for (let index = 0; index < 200; index += 1) {
+        assert.equal(policy.submit(job(`${index}`), index), undefined);
+        for (const { job: { id }, engine } of policy.next(index)) {
+            policy.finish(id, done({ outcome: "failed" }), index);
+            const refusal = policy.submit(job(id, { excluded: [engine] }), index);
+            retried += refusal === undefined ? 1 : 0;
+            assert.ok(refusal === undefined || refusal.run === "unknown");
+            policy.withdraw(id, index);
+        }
+        policy.withdraw(`${index}`, index);
+    }
+    assert.ok(retried >= 10 && retried <= 30, `${retried}`);
+});
--- /dev/null
+++ b/packages/core/test/order.test.ts
@@ -0,0 +1,93 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { agedLevel, AttainedService, levelOf, type Waiting, WaitingQueue } from "../src/policy/order.ts";
+import { job } from "./support.ts";
+
+function waiting(id: string, level: number, since = 0, plan = "p", opening = false): Waiting {
+    return { job: job(id, { plan, opening }), level, since };
+}
+
+function drain(queue: WaitingQueue, now: number, tokens = 100): string[] {
+    const order: string[] = [];
+    queue.offer(now, "all", offered => {
+        order.push(offered.job.id);
+        queue.charge(offered.job.plan, tokens);
+        return "placed";
+    });
+    return order;
+}
+
+test("guards against levels that are not powers of two or leave the range", () => {
+    assert.deepEqual([0, 1_023, 1_024, 2_047, 2_048, 4_096, 65_535, 65_536, 1e9].map(levelOf), [0, 0, 1, 1, 2, 3, 6, 7,
+        7]);
+});
+
+test("guards against sub-agents that escape the service of their root, and against trees that are never dropped", () => {
+    const service = new AttainedService();
+    service.join("root", "root");
+    service.join("child", "root");
+    service.charge("root", 5_000);
+    service.end("root");
+    assert.equal(service.level("root"), 3);
+    service.end("child");
+    assert.equal(service.level("root"), 0);
+});
+
+test("guards against starvation: a call gains a level per 10 s of waiting", () => {
+    assert.deepEqual([0, 9_999, 10_000, 25_000, 90_000].map(now => agedLevel(waiting("a", 3), now)), [3, 3, 2, 1, 0]);
+    const queue = new WaitingQueue(() => 1);
+    queue.add(waiting("old", 2, 0));
+    queue.add(waiting("new", 1, 20_000));
+    assert.deepEqual(drain(queue, 20_000), ["old", "new"]);
+});
+
+test("guards against new programs before calls under way of the same level, and long work before short", () => {
+    const queue = new WaitingQueue(() => 1);
+    queue.add(waiting("long", 5));
+    queue.add(waiting("opening", 0, 0, "p", true));
+    queue.add(waiting("underWay", 0, 1));
+    assert.deepEqual(drain(queue, 1), ["underWay", "opening", "long"]);
+});
+
+test("guards against a plan that takes more than its weight, or saves up service while it is idle", () => {
+    const queue = new WaitingQueue(plan => plan === "big" ? 2 : 1);
+    queue.charge("other", 1_000_000);
+    for (let index = 0; index < 30; index += 1) {
+        queue.add(waiting(`b${index}`, 0, 0, "big"));
+        queue.add(waiting(`s${index}`, 0, 0, "small"));
+    }
+    const first = drain(queue, 0).slice(0, 30);
+    assert.equal(first.filter(id => id.startsWith("b")).length, 20);
+    queue.add(waiting("late", 0, 0, "idle"));
+    queue.add(waiting("s", 0, 0, "small"));
+    queue.add(waiting("late2", 0, 0, "idle"));
+    assert.equal(new Set(drain(queue, 0)).size, 3);
+});
+
+test("guards against jobs that are lost, served twice or served after they were taken back", () => {
+    const entry = fc.record({ level: fc.nat(7), plan: fc.constantFrom("a", "b", "c"), opening: fc.boolean(),
+        fate: fc.constantFrom("placed", "blocked", "removed") });
+    fc.assert(
+        fc.property(fc.array(entry, { maxLength: 60 }), entries => {
+            const queue = new WaitingQueue(() => 1);
+            const all = entries.map(({ level, plan, opening }, index) => waiting(`${index}`, level, 0, plan, opening));
+            all.forEach(one => queue.add(one));
+            all.forEach((one, index) => entries[index]!.fate === "removed" && queue.remove(one));
+            const served: string[] = [];
+            const offered = (take: (id: number) => boolean) =>
+                queue.offer(0, "all", ({ job: { id } }) => {
+                    if (!take(Number(id))) {
+                        return "blocked";
+                    }
+                    served.push(id);
+                    return "placed";
+                });
+            offered(id => entries[id]!.fate === "placed");
+            offered(() => true);
+            const expected = all.filter((_, index) => entries[index]!.fate !== "removed").map(one => one.job.id);
+            assert.deepEqual(served.sort(), expected.sort());
+        }),
+        { seed: 11, numRuns: 200 },
+    );
+});
