--- a/packages/core/src/policy/order.ts
+++ b/packages/core/src/policy/order.ts
@@ -14,6 +14,11 @@
     return Math.min(levels - 1, 32 - Math.clz32(Math.floor(tokens / firstLevelTokens)));
 }
 
+/** Whether the job is the first of a program tree; the first call of a sub-agent belongs to a program under way. */
+export function opensTree(job: Job): boolean {
+    return job.opening && job.root === job.program;
+}
+
 interface Tree {
     tokens: number;
     programs: number;
@@ -119,7 +124,7 @@
     }
 
     private bucketOf(waiting: Waiting): Map<string, Waiting> {
-        return this.buckets[2 * waiting.level + (waiting.job.opening ? 1 : 0)]!;
+        return this.buckets[2 * waiting.level + (opensTree(waiting.job) ? 1 : 0)]!;
     }
 }
 
@@ -132,7 +137,7 @@
     let lowest = Infinity;
     for (let index = 0; index < heads.length; index += 1) {
         const head = heads[index];
-        const rank = head === undefined ? Infinity : 2 * agedLevel(head, now) + (head.job.opening ? 1 : 0);
+        const rank = head === undefined ? Infinity : 2 * agedLevel(head, now) + (opensTree(head.job) ? 1 : 0);
         if (rank < lowest) {
             lowest = rank;
             first = index;
--- a/packages/core/src/policy/scheduler.ts
+++ b/packages/core/src/policy/scheduler.ts
@@ -3,7 +3,7 @@
 import type { Assignment, CacheEvent, Engine, Job, JobResult, LoadReport, Policy } from "../policy.ts";
 import { Admission } from "./admission.ts";
 import { Health } from "./health.ts";
-import { agedLevel, AttainedService, type Offer, type Waiting, WaitingQueue } from "./order.ts";
+import { agedLevel, AttainedService, type Offer, opensTree, type Waiting, WaitingQueue } from "./order.ts";
 import { type EngineState, type Route, Router } from "./routing.ts";
 
 /** Settings of the policy. */
@@ -20,7 +20,7 @@
 /** A job that waits is offered again after this time, as estimates change with time; in ms. */
 const offerMs = 50;
 
-/** Up to this level (8,192 tokens) a program counts as short. */
+/** Up to this level (below 8,192 tokens) a program counts as short. */
 const shortLevel = 3;
 
 /** An eviction is ignored when an own call of the program ended there within the usual lag of events, in ms. */
@@ -92,7 +92,7 @@
         this.programOf(job.program, job.root);
         const waiting = { job, level: this.service.level(job.root), since: now };
         this.waitingJobs.set(job.id, waiting);
-        if (job.opening) {
+        if (opensTree(job)) {
             this.openingsSince = this.openings === 0 ? now : this.openingsSince;
             this.openings += 1;
         }
@@ -105,7 +105,7 @@
         if (waiting !== undefined) {
             this.countWait(waiting.job, now - waiting.since, now);
             this.waitingJobs.delete(job);
-            this.openings -= waiting.job.opening ? 1 : 0;
+            this.openings -= opensTree(waiting.job) ? 1 : 0;
             this.queueOf(waiting.job.model).remove(waiting);
         }
     }
@@ -141,7 +141,7 @@
         state.window.adapt(ms > queuedFactor * expected + queuedMs);
         state.waited(Math.max(0, ms - expected), now);
         this.countWait(flight.job, now - flight.since - expected, now);
-        if (flight.job.opening) {
+        if (opensTree(flight.job)) {
             this.admission.serve(now);
         }
         speeds.learnFirstToken(uncached, ms);
@@ -238,7 +238,7 @@
                 : refuse("upstream_failed", "unknown", "the retry budget is spent");
         }
         this.admission.countRequest();
-        const retryAfterMs = job.opening
+        const retryAfterMs = opensTree(job)
             ? this.admission.refuses(this.openings, now - this.openingsSince, now)
             : undefined;
         return retryAfterMs === undefined ? undefined : refuse("overloaded", "notRun", undefined, retryAfterMs);
@@ -246,14 +246,14 @@
 
     /** Waits of short programs under way say whether more can be served; new ones do not wait for long ones. */
     private countWait(job: Job, ms: number, now: number): void {
-        if (!job.opening && this.service.level(job.root) <= shortLevel) {
+        if (!opensTree(job) && this.service.level(job.root) <= shortLevel) {
             this.admission.waited(Math.max(0, ms), now);
         }
     }
 
     private place(waiting: Waiting, round: Round, now: number): Offer {
         const { job } = waiting;
-        if (job.opening && !this.admission.hasRoom()) {
+        if (opensTree(job) && !this.admission.hasRoom()) {
             return "blocked";
         }
         const level = agedLevel(waiting, now);
@@ -301,7 +301,7 @@
     }
 
     private leaveWindow({ job, state, level, uncached }: Flight): void {
-        this.openings -= job.opening ? 1 : 0;
+        this.openings -= opensTree(job) ? 1 : 0;
         state.window.remove(level);
         state.pendingTokens -= uncached;
     }
--- a/packages/core/test/admission.test.ts
+++ b/packages/core/test/admission.test.ts
@@ -73,3 +73,12 @@
     }
     assert.ok(retried >= 10 && retried <= 30, `${retried}`);
 });
+
+test("guards against refusing the first call of a sub-agent as if it were a new program", () => {
+    const policy = createTested(["a"], { patienceMs: 1_000 });
+    const crowd = Array.from({ length: 30 }, (_, index) => job(`${index}`));
+    crowd.forEach(one => policy.submit(one, 0));
+    policy.next(0);
+    assert.equal(policy.submit(job("new"), 5_000)?.name, "overloaded");
+    assert.equal(policy.submit(job("agent", { root: "p/0" }), 5_000), undefined);
+});
