Merge pairs of levels while the limit on programs is reached

Cause: at the crest calls under way of the higher levels waited beyond the patience of their callers. Change: the level of a call is halved while the limit is reached.

--- a/packages/core/src/policy/scheduler.ts
+++ b/packages/core/src/policy/scheduler.ts
@@ -256,7 +256,7 @@
         if (opensTree(job) && !this.admission.hasRoom()) {
             return "blocked";
         }
-        const level = agedLevel(waiting, now);
+        const level = this.levelOf(waiting, now);
         if (level >= round.fullLevel) {
             return "closed";
         }
@@ -272,6 +272,12 @@
         return "placed";
     }
 
+    /** Pairs of levels are merged in overload: fewer calls under way then wait beyond the patience of their callers. */
+    private levelOf(waiting: Waiting, now: number): number {
+        const level = agedLevel(waiting, now);
+        return this.admission.hasRoom() ? level : level >> 1;
+    }
+
     /** When no engine of the model has room at a level, no job of this or a higher level can be placed. */
     private blocked(job: Job, level: number, round: Round): Offer {
         if (this.router.hasRoom(job.model, level)) {
