--- /dev/null
+++ b/packages/bench/src/caller.ts
@@ -0,0 +1,192 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { Pool } from "undici";
+import type { CallStep } from "./program.ts";
+import { readData } from "./sse.ts";
+
+/** A call of a program. */
+export interface ProgramCall {
+    readonly plan: string;
+    readonly program: string;
+    readonly parent?: string;
+    readonly sequence: number;
+    /** The program ends with this call. */
+    readonly end: boolean;
+    readonly step: CallStep;
+    /** The caller hangs up when the first token takes longer; ms. */
+    readonly patienceMs?: number;
+    /** Ends the call, as when the run is stopped. */
+    readonly stopped?: AbortSignal;
+}
+
+/** How a call ended. Times are in ms from sending, with the network delay both ways. */
+export interface CallResult {
+    readonly outcome: "done" | "refused" | "left" | "failed";
+    readonly firstTokenMs: number;
+    readonly wholeMs: number;
+    readonly tokens: number;
+    readonly code?: number;
+    readonly retryAfterMs?: number;
+}
+
+/** Callers of a group of daemons. */
+export interface Caller {
+    /** Sends a call to the next daemon in turn, or to the given one. Never rejects. */
+    call(call: ProgramCall, daemon?: number): Promise<CallResult>;
+    /** Ends a program that its caller gives up. */
+    end(plan: string, program: string): Promise<void>;
+    close(): Promise<void>;
+}
+
+/** Options of callers. */
+export interface CallerOptions {
+    readonly daemons: readonly string[];
+    /** One way; ms. */
+    readonly delayMs: number;
+    readonly keyOf: (plan: string) => string;
+}
+
+const tokenLength = 4;
+/** Connections to one daemon. A browser or a load balancer would open as many as it has calls. */
+const connections = 1_000;
+
+interface Chunk {
+    readonly choices?: readonly { readonly delta?: { readonly content?: string; }; }[];
+    readonly error?: { readonly code?: number; readonly retryAfterMs?: number; };
+}
+
+/** Creates callers that take the daemons in turn, call by call, as a load balancer does. */
+export function createCaller({ daemons, delayMs, keyOf }: CallerOptions): Caller {
+    const pools = daemons.map(url => new Pool(url, { connections, headersTimeout: 0, bodyTimeout: 0 }));
+    let turn = 0;
+
+    function nextPool(daemon?: number): Pool {
+        turn += 1;
+        return pools[(daemon ?? turn) % pools.length]!;
+    }
+
+    async function call(wanted: ProgramCall, daemon?: number): Promise<CallResult> {
+        const hangUp = new AbortController();
+        const stop = () => hangUp.abort();
+        wanted.stopped?.addEventListener("abort", stop, { once: true });
+        const timer = wanted.patienceMs === undefined ? undefined : setTimeout(stop, wanted.patienceMs);
+        const sentAt = performance.now();
+        const reading: Reading = { sentAt, delayMs, firstTokenMs: undefined, characters: 0, error: undefined,
+            done: false, onFirst: () => clearTimeout(timer) };
+        try {
+            await delay(delayMs);
+            const response = await nextPool(daemon).request({
+                method: "POST",
+                path: wanted.step.type === "tool" ? `/v1/tools/${wanted.step.service}/call` : "/v1/chat/completions",
+                headers: headersOf(wanted, keyOf(wanted.plan)),
+                body: bodyOf(wanted.step),
+                signal: hangUp.signal,
+            });
+            await read(response, reading);
+            await delay(delayMs);
+        }
+        catch {
+            // The outcome below tells a hang-up from a broken connection.
+        }
+        finally {
+            clearTimeout(timer);
+            wanted.stopped?.removeEventListener("abort", stop);
+        }
+        return resultOf(reading, hangUp.signal.aborted);
+    }
+
+    async function end(plan: string, program: string): Promise<void> {
+        const headers = { authorization: `Bearer ${keyOf(plan)}` };
+        const path = `/v1/programs/${program}`;
+        await nextPool().request({ method: "DELETE", path, headers })
+            .then(({ body }) => body.dump())
+            .catch(() => undefined);
+    }
+
+    return {
+        call,
+        end,
+        close: async () => {
+            await Promise.all(pools.map(pool => pool.destroy()));
+        },
+    };
+}
+
+interface Reading {
+    readonly sentAt: number;
+    readonly delayMs: number;
+    readonly onFirst: () => void;
+    firstTokenMs: number | undefined;
+    characters: number;
+    error: Chunk["error"];
+    done: boolean;
+}
+
+async function read(response: Awaited<ReturnType<Pool["request"]>>, reading: Reading): Promise<void> {
+    const { statusCode, headers, body } = response;
+    if (headers["content-type"]?.toString().startsWith("text/event-stream") !== true) {
+        const text = await body.text();
+        reading.onFirst();
+        reading.error = statusCode < 400 ? undefined : (JSON.parse(text) as Chunk).error ?? {};
+        reading.done = statusCode < 400;
+        return;
+    }
+    for await (const data of readData(body)) {
+        if (data === "[DONE]") {
+            reading.done = true;
+            continue;
+        }
+        const chunk = JSON.parse(data) as Chunk;
+        const length = chunk.choices?.[0]?.delta?.content?.length ?? 0;
+        if (length > 0 && reading.firstTokenMs === undefined) {
+            reading.firstTokenMs = performance.now() - reading.sentAt + reading.delayMs;
+            reading.onFirst();
+        }
+        reading.characters += length;
+        reading.error ??= chunk.error;
+    }
+}
+
+function resultOf(reading: Reading, aborted: boolean): CallResult {
+    const wholeMs = performance.now() - reading.sentAt;
+    const { error, done } = reading;
+    const outcome = done ? "done" : error !== undefined ? "refused" : aborted ? "left" : "failed";
+    return {
+        outcome,
+        firstTokenMs: reading.firstTokenMs ?? wholeMs,
+        wholeMs,
+        tokens: Math.ceil(reading.characters / tokenLength),
+        ...error?.code === undefined ? {} : { code: error.code },
+        ...error?.retryAfterMs === undefined ? {} : { retryAfterMs: error.retryAfterMs },
+    };
+}
+
+function headersOf(call: ProgramCall, key: string): Record<string, string> {
+    return {
+        "authorization": `Bearer ${key}`,
+        "content-type": "application/json",
+        "tg-program": call.program,
+        "tg-sequence": String(call.sequence),
+        "idempotency-key": `${call.program}-${call.sequence}`,
+        ...call.parent === undefined ? {} : { "tg-parent": call.parent },
+        ...call.step.type === "tool" && call.step.atMostOnce ? { "tg-at-most-once": "true" } : {},
+        ...call.end ? { "tg-end": "true" } : {},
+    };
+}
+
+/** The body of a call. The engine stand-in reads the wanted length of its answer from the message. */
+export function bodyOf(step: CallStep): string {
+    if (step.type === "tool") {
+        return JSON.stringify({ question: "past claims" });
+    }
+    // A message counts its role, `user` and a line break, as well.
+    const length = step.promptTokens * tokenLength - 5;
+    const content = `[tokens=${step.outputTokens}] `.padEnd(length, "word");
+    return JSON.stringify({ model: step.model, stream: true, max_tokens: step.outputTokens,
+        messages: [{ role: "user", content }] });
+}
+
+async function delay(ms: number): Promise<void> {
+    if (ms > 0) {
+        await sleep(ms);
+    }
+}
--- /dev/null
+++ b/packages/bench/src/generate.ts
@@ -0,0 +1,108 @@
+import { createRandom } from "@tamarackgauge/core";
+import type { Random } from "@tamarackgauge/core";
+import type { Experiment, Kind } from "./experiment.ts";
+import type { CallStep, Program, Step } from "./program.ts";
+import { callsOf, engineTime } from "./work.ts";
+
+/** A time span in ms of model time with a load in shares of what the first pool can do. */
+export interface Phase {
+    readonly fromMs: number;
+    readonly toMs: number;
+    readonly load: number;
+}
+
+/** Programs drawn to find the mean engine time of the mix, from which the rate of arrivals follows. */
+const sampled = 2_000;
+
+/** Programs with Poisson arrivals over the phases; the same for the same experiment, seed and phases. */
+export function generateTrace(experiment: Experiment, seed: number, phases: readonly Phase[]): readonly Program[] {
+    const meanMs = meanEngineTime(experiment);
+    const random = createRandom(seed);
+    const programs: Program[] = [];
+    for (const { fromMs, toMs, load } of phases) {
+        const gapMs = meanMs / (experiment.pools[0].engines * load);
+        const next = (at: number) => at - gapMs * Math.log(1 - random());
+        for (let at = next(fromMs); at < toMs; at = next(at)) {
+            programs.push(programOf(experiment, `p${programs.length}`, at, random));
+        }
+    }
+    return programs;
+}
+
+/** The phases of the steady runs. */
+export function steadyPhases({ steadyMs }: Experiment, load: number): readonly Phase[] {
+    return [{ fromMs: 0, toMs: steadyMs, load }];
+}
+
+/** The phases of the crest run: a usual load, a burst, and the usual load again. */
+export function crestPhases({ crest }: Experiment): readonly Phase[] {
+    const { load, burstLoad, fromMs, lengthMs, tailMs } = crest;
+    const toMs = fromMs + lengthMs;
+    return [
+        { fromMs: 0, toMs: fromMs, load },
+        { fromMs, toMs, load: burstLoad },
+        { fromMs: toMs, toMs: toMs + tailMs, load },
+    ];
+}
+
+function meanEngineTime(experiment: Experiment): number {
+    // A seed of its own keeps the rate of arrivals the same for every seed of the trace.
+    const random = createRandom(0);
+    let sum = 0;
+    for (let index = 0; index < sampled; index += 1) {
+        sum += engineTime(callsOf(programOf(experiment, "p", 0, random)), experiment.pools[0]);
+    }
+    return sum / sampled;
+}
+
+function programOf(experiment: Experiment, name: string, startMs: number, random: Random): Program {
+    const kind = kindOf(experiment.kinds, random);
+    const turns = draw(kind.turns, random);
+    const agentAt = random() < kind.agentShare ? Math.floor(random() * turns) : -1;
+    const steps: Step[] = [];
+    for (let turn = 0; turn < turns; turn += 1) {
+        steps.push(...turnOf(experiment, kind, turn, random));
+        if (turn === agentAt) {
+            steps.push(agentOf(experiment, kind, random));
+        }
+    }
+    const last = steps.at(-1)!;
+    // A program ends with a model turn, whose request carries the end of the program.
+    const complete = last.type === "model" ? steps : [...steps, modelStep(experiment.pools[0].model, kind, 1, random)];
+    return { name, plan: kind.plan, kind: kind.kind, long: kind.long, startMs, steps: complete };
+}
+
+function turnOf(experiment: Experiment, kind: Kind, turn: number, random: Random): CallStep[] {
+    const model = modelStep(experiment.pools[0].model, kind, turn, random);
+    if (random() >= kind.toolShare) {
+        return [model];
+    }
+    const atMostOnce = random() < kind.atMostOnceShare;
+    return [model, { type: "tool", service: experiment.service, atMostOnce, pauseMs: 0 }];
+}
+
+function agentOf(experiment: Experiment, kind: Kind, random: Random): Step {
+    const { model } = experiment.pools[1];
+    const steps = Array.from({ length: draw(kind.agentTurns, random) },
+        (_, turn) => modelStep(model, kind, turn, random));
+    return { type: "agent", steps };
+}
+
+function modelStep(model: string, kind: Kind, turn: number, random: Random): CallStep {
+    return {
+        type: "model",
+        model,
+        promptTokens: draw(turn === 0 ? kind.firstTokens : kind.promptTokens, random),
+        outputTokens: draw(kind.outputTokens, random),
+        pauseMs: draw(kind.pauseMs, random),
+    };
+}
+
+function kindOf(kinds: readonly Kind[], random: Random): Kind {
+    let left = random() * kinds.reduce((sum, { share }) => sum + share, 0);
+    return kinds.find(({ share }) => (left -= share) < 0) ?? kinds.at(-1)!;
+}
+
+function draw([low, high]: readonly [number, number], random: Random): number {
+    return Math.max(1, Math.floor(low + random() * (high - low + 1)));
+}
--- /dev/null
+++ b/packages/bench/src/idle.ts
@@ -0,0 +1,91 @@
+import { partitionOf } from "@tamarackgauge/core";
+import { Pool } from "undici";
+import { bodyOf, type Caller } from "./caller.ts";
+import type { CallStep } from "./program.ts";
+import type { IdleRecord } from "./record.ts";
+import { readData } from "./sse.ts";
+import { getJson, type Target } from "./target.ts";
+
+/** Calls of each kind; the p99 of a hundred calls is the second slowest. */
+const calls = 200;
+/** Turns of a program; the first call of each also takes a slot. */
+const turns = 20;
+
+interface Status {
+    readonly daemon: string;
+    readonly details: { readonly map?: { readonly owners: readonly string[]; }; };
+}
+
+/** Options of the measurement with idle engines. */
+export interface IdleOptions {
+    readonly target: Target;
+    readonly caller: Caller;
+    readonly model: string;
+    readonly plan: string;
+    readonly prefix: string;
+    /** Key of the operators, with which the owners are read. */
+    readonly operatorKey: string;
+}
+
+/** Makes calls one at a time, in turn at an engine, at the owner of the program, and at another daemon. */
+export async function measureIdle(options: IdleOptions): Promise<IdleRecord> {
+    const { target, caller, model, plan, prefix } = options;
+    const ownerOf = await readOwners(options);
+    const engine = new Pool(target.engines.get(model)?.[0] ?? "");
+    const step: CallStep = { type: "model", model, promptTokens: 40, outputTokens: 2, pauseMs: 0 };
+    const record = emptyRecord();
+    for (let index = 0; index < calls; index += 1) {
+        add(record, "direct", await callEngine(engine, step, `${plan}/${prefix}.direct${index}`));
+        for (const way of ["owner", "forwarded"] as const) {
+            const program = `${prefix}.${way}${Math.floor(index / turns)}`;
+            const owner = ownerOf(`${plan}/${program}`);
+            const daemon = way === "owner" ? owner : owner + 1;
+            const sequence = index % turns;
+            const end = sequence === turns - 1;
+            const result = await caller.call({ plan, program, sequence, end, step }, daemon);
+            if (result.outcome === "done") {
+                add(record, way, result);
+            }
+        }
+    }
+    await engine.close();
+    return record;
+}
+
+type Times = { readonly firstTokenMs: number; readonly wholeMs: number; };
+
+function emptyRecord(): IdleRecord {
+    return {
+        firstToken: { direct: [], owner: [], forwarded: [] },
+        whole: { direct: [], owner: [], forwarded: [] },
+    };
+}
+
+function add(record: IdleRecord, way: keyof IdleRecord["whole"], { firstTokenMs, wholeMs }: Times): void {
+    record.firstToken[way].push(firstTokenMs);
+    record.whole[way].push(wholeMs);
+}
+
+async function callEngine(engine: Pool, step: CallStep, key: string): Promise<Times> {
+    const sentAt = performance.now();
+    let firstTokenMs: number | undefined;
+    const body = JSON.stringify({ ...JSON.parse(bodyOf(step)) as object, cache_salt: key });
+    const headers = { "content-type": "application/json" };
+    const response = await engine.request({ method: "POST", path: "/v1/chat/completions", headers, body });
+    for await (const data of readData(response.body)) {
+        firstTokenMs ??= data.includes(`"content":"`) ? performance.now() - sentAt : undefined;
+    }
+    const wholeMs = performance.now() - sentAt;
+    return { firstTokenMs: firstTokenMs ?? wholeMs, wholeMs };
+}
+
+/** Gives the index of the daemon that owns a program, as the ownership map says. */
+async function readOwners({ target, operatorKey }: IdleOptions): Promise<(key: string) => number> {
+    const headers = { authorization: `Bearer ${operatorKey}` };
+    const states = await Promise.all(
+        target.daemons.map(url => getJson(`${url}/operator/v1/status`, headers) as Promise<Status>),
+    );
+    const names = states.map(({ daemon }) => daemon);
+    const owners = states[0]?.details.map?.owners ?? [];
+    return key => Math.max(0, names.indexOf(owners[partitionOf(key, owners.length)] ?? ""));
+}
--- /dev/null
+++ b/packages/bench/src/record.ts
@@ -0,0 +1,79 @@
+import { z } from "zod";
+
+/** One model turn: ms from sending to the first token and to the end, tokens received. */
+const turnRecord = z.object({ firstTokenMs: z.number(), wholeMs: z.number(), tokens: z.number() });
+
+/** What became of a program; times in ms of real time from the start of the run. */
+export const programRecord = z.object({
+    name: z.string(),
+    kind: z.string(),
+    long: z.boolean(),
+    startMs: z.number(),
+    endMs: z.number(),
+    /** `left`: the caller hung up; `unfinished`: the run was stopped before. */
+    outcome: z.enum(["completed", "refused", "left", "failed", "unfinished"]),
+    /** Of the refusal that ended the program. */
+    code: z.number().optional(),
+    /** Times from sending to each refusal. */
+    refusalMs: z.array(z.number()),
+    turns: z.array(turnRecord),
+});
+
+/** What became of a program; times in ms of real time from the start of the run. */
+export type ProgramRecord = z.infer<typeof programRecord>;
+/** One model turn. */
+export type TurnRecord = z.infer<typeof turnRecord>;
+
+/** What one run gave. Sums are over all engines, or over all daemons. */
+export const runRecord = z.object({
+    name: z.string(),
+    programs: z.array(programRecord),
+    engines: z.object({
+        promptTokens: z.number(),
+        recomputedTokens: z.number(),
+        recomputedHistoryTokens: z.number(),
+        generatedTokens: z.number(),
+        requests: z.number(),
+    }),
+    /** Processor time of all daemons in ms; undefined when their process ids were not given. */
+    daemonCpuMs: z.number().optional(),
+    /** p99 of the delay of the event loop of the caller in ms, and the share of one core that it used. */
+    loopDelayMs: z.number(),
+    callerCpu: z.number(),
+    wallMs: z.number(),
+    /** Load average of the machine over the last minute, at the end of the run. */
+    loadAverage: z.number(),
+    /** Of the crest run: most programs that the engines could complete. */
+    bound: z.number().optional(),
+});
+
+/** What one run gave. */
+export type RunRecord = z.infer<typeof runRecord>;
+
+/** Calls to idle engines in ms: at the engine itself, through the owner, and through another daemon and the owner. */
+export const idleRecord = z.object({
+    firstToken: z.object({ direct: z.array(z.number()), owner: z.array(z.number()), forwarded: z.array(z.number()) }),
+    whole: z.object({ direct: z.array(z.number()), owner: z.array(z.number()), forwarded: z.array(z.number()) }),
+});
+
+/** Calls to idle engines. */
+export type IdleRecord = z.infer<typeof idleRecord>;
+
+/** The runs of one policy with one seed. */
+export const seedRecord = z.object({ seed: z.number(), runs: z.array(runRecord), idle: idleRecord.optional() });
+
+/** The runs of one policy with one seed. */
+export type SeedRecord = z.infer<typeof seedRecord>;
+
+/** The file that `bench run` writes. */
+export const policyRecord = z.object({
+    experiment: z.string(),
+    title: z.string(),
+    policy: z.string(),
+    scale: z.number(),
+    daemons: z.number(),
+    seeds: z.array(seedRecord),
+});
+
+/** All runs of one policy. */
+export type PolicyRecord = z.infer<typeof policyRecord>;
--- /dev/null
+++ b/packages/bench/src/replay/command.ts
@@ -0,0 +1,47 @@
+import { command, flag, positional, string } from "cmd-ts";
+import { readFile, writeFile } from "node:fs/promises";
+import { firstDifference } from "./compare.ts";
+import { readReplay, type Replay, writeReplay } from "./file.ts";
+import { simulate } from "./simulate.ts";
+
+/** Exit codes: 1 when the outcomes differ, 2 for a file that cannot be used. */
+const differs = 1;
+const unusable = 2;
+
+/** `replay FILE`: checks the stated outcomes of a recorded trace against the policy core, on virtual time. */
+export const replayCommand = command({
+    name: "replay",
+    description: "Check the stated outcomes of a recorded trace against the policy core on virtual time; "
+        + "exit code 0: the same, 1: they differ, 2: the file cannot be used",
+    args: {
+        file: positional({ type: string, displayName: "file", description: "Replay file (NDJSON)" }),
+        record: flag({ long: "record", description: "Write the outcomes into the file instead of checking them" }),
+    },
+    handler: async ({ file, record }) => {
+        const text = await readFile(file, "utf8").catch((error: unknown) => String(error));
+        return readReplay(text).caseOf({
+            Left: async mistake => {
+                process.stderr.write(`${file}: ${mistake}\n`);
+                return unusable;
+            },
+            Right: async replay => record ? write(file, replay) : check(file, replay),
+        });
+    },
+});
+
+async function write(file: string, replay: Replay): Promise<number> {
+    const outcomes = simulate(replay);
+    await writeFile(file, writeReplay({ ...replay, outcomes }));
+    process.stdout.write(`${outcomes.length} outcomes written to ${file}\n`);
+    return 0;
+}
+
+async function check(file: string, replay: Replay): Promise<number> {
+    const difference = firstDifference(replay.outcomes, simulate(replay));
+    if (difference === undefined) {
+        process.stdout.write(`${file}: ${replay.outcomes.length} outcomes are as stated\n`);
+        return 0;
+    }
+    process.stderr.write(`${file}: ${difference}\n`);
+    return differs;
+}
--- /dev/null
+++ b/packages/bench/src/runs.ts
@@ -0,0 +1,89 @@
+import { loadavg } from "node:os";
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Caller } from "./caller.ts";
+import type { Experiment } from "./experiment.ts";
+import { crestPhases, generateTrace, steadyPhases } from "./generate.ts";
+import { play } from "./play.ts";
+import type { Program } from "./program.ts";
+import type { ProgramRecord, RunRecord } from "./record.ts";
+import { readDaemonCpu, resetCounts, slowEngines, sumCounts, type Target } from "./target.ts";
+import { mostCompleted } from "./work.ts";
+
+/** The runs of an experiment, in the order in which they are made. */
+export const runNames = ["load20", "load80", "alone", "slowed", "crest"] as const;
+
+/** Name of a run. */
+export type RunName = (typeof runNames)[number];
+
+/** Options of a run. */
+export interface RunOptions {
+    readonly experiment: Experiment;
+    readonly seed: number;
+    readonly target: Target;
+    readonly caller: Caller;
+    readonly drainMs: number;
+}
+
+/** Between two runs, so that the engines are idle and caches are released. */
+const restMs = 300;
+
+/** The trace of a run. Loads are shares of what the first pool can do with full batches and every prefix cached. */
+export function traceOf(experiment: Experiment, name: RunName, seed: number): readonly Program[] {
+    switch (name) {
+        case "load20":
+            return generateTrace(experiment, seed, steadyPhases(experiment, 0.2));
+        case "load80":
+        case "slowed":
+            return generateTrace(experiment, seed, steadyPhases(experiment, 0.8));
+        case "alone":
+            return traceOf(experiment, "load80", seed).filter(({ long }) => !long);
+        case "crest":
+            return generateTrace(experiment, seed, crestPhases(experiment));
+    }
+}
+
+/** Plays one run and reads the counts. */
+export async function makeRun(name: RunName, options: RunOptions): Promise<RunRecord> {
+    const { experiment, seed, target, caller, drainMs } = options;
+    const { scale, retries, patienceMs, pools } = experiment;
+    const programs = traceOf(experiment, name, seed);
+    const crest = name === "crest";
+    await resetCounts(target);
+    const slowing = name === "slowed" ? slowLater(options) : undefined;
+    const watched = await watch(target,
+        () =>
+            play({ caller, programs, prefix: `s${seed}.${name}`, scale, drainMs, retries,
+                ...crest ? { patienceMs: patienceMs / scale } : {} }));
+    await slowing;
+    const engines = await sumCounts(target, pools[0].model);
+    await sleep(restMs);
+    return { name, engines, ...watched, ...crest ? { bound: mostCompleted(programs, pools[0], patienceMs) } : {} };
+}
+
+async function slowLater({ experiment, target }: RunOptions): Promise<void> {
+    const { slow, scale, pools } = experiment;
+    await sleep(slow.fromMs / scale);
+    await slowEngines(target, pools[0].model, { ...slow, ms: slow.lengthMs / scale });
+}
+
+async function watch(target: Target, run: () => Promise<readonly ProgramRecord[]>) {
+    const delay = monitorEventLoopDelay({ resolution: 1 });
+    const cpuBefore = readDaemonCpu(target);
+    const callerBefore = process.cpuUsage();
+    const started = performance.now();
+    delay.enable();
+    const programs = [...await run()];
+    delay.disable();
+    const wallMs = performance.now() - started;
+    const { user, system } = process.cpuUsage(callerBefore);
+    const cpuAfter = readDaemonCpu(target);
+    return {
+        programs,
+        wallMs,
+        loadAverage: loadavg()[0] ?? 0,
+        loopDelayMs: delay.percentile(99) / 1e6,
+        callerCpu: (user + system) / 1_000 / wallMs,
+        ...cpuBefore === undefined || cpuAfter === undefined ? {} : { daemonCpuMs: cpuAfter - cpuBefore },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/target.ts
@@ -0,0 +1,105 @@
+import type { EngineCounts } from "@tamarackgauge/standin";
+import { readFileSync } from "node:fs";
+import { request } from "undici";
+import type { RunRecord } from "./record.ts";
+
+/** What a run is played against. */
+export interface Target {
+    readonly daemons: readonly string[];
+    /** Engines of each model, in the order of the VM list. */
+    readonly engines: ReadonlyMap<string, readonly string[]>;
+    /** Process ids of the daemons; without them their processor time is not known. */
+    readonly daemonPids: readonly number[];
+}
+
+interface Vm {
+    readonly kind: string;
+    readonly address: string;
+    readonly port: number;
+    readonly models?: readonly string[];
+}
+
+/** Reads the engines from the VM list of the platform stand-in. */
+export async function findEngines(platformUrl: string): Promise<Target["engines"]> {
+    const { vms } = await getJson(`${platformUrl}/v1/vms`) as { readonly vms: readonly Vm[]; };
+    const engines = new Map<string, string[]>();
+    for (const { kind, address, port, models } of vms) {
+        for (const model of kind === "engine" ? models ?? [] : []) {
+            engines.set(model, [...engines.get(model) ?? [], `http://${address}:${port}`]);
+        }
+    }
+    return engines;
+}
+
+/** Sets the counts of all engines to zero. */
+export async function resetCounts({ engines }: Target): Promise<void> {
+    await Promise.all([...engines.values()].flat().map(url => send(`${url}/control/counts`, "DELETE")));
+}
+
+/** Sums the counts of the engines of a model. */
+export async function sumCounts({ engines }: Target, model: string): Promise<RunRecord["engines"]> {
+    const counts = await Promise.all(
+        (engines.get(model) ?? []).map(url => getJson(`${url}/control/counts`) as Promise<EngineCounts>),
+    );
+    const sum = (pick: (counted: EngineCounts) => number) => counts.reduce((total, each) => total + pick(each), 0);
+    return {
+        promptTokens: sum(each => each.promptTokens),
+        recomputedTokens: sum(each => each.recomputedTokens),
+        recomputedHistoryTokens: sum(each => each.recomputedHistoryTokens),
+        generatedTokens: sum(each => each.generatedTokens),
+        requests: sum(each => each.requests),
+    };
+}
+
+/** Makes the first engines of a model slower for a time in ms. */
+export async function slowEngines(
+    { engines }: Target,
+    model: string,
+    slow: { readonly engines: number; readonly factor: number; readonly ms: number; },
+): Promise<void> {
+    const { factor, ms } = slow;
+    await Promise.all((engines.get(model) ?? []).slice(0, slow.engines)
+        .map(url => send(`${url}/control/slow`, "POST", { factor, ms })));
+}
+
+/** Ticks of processor time in /proc are hundredths of a second. */
+const tickMs = 10;
+
+/** Processor time that the daemons have used so far in ms; undefined when it cannot be read. */
+export function readDaemonCpu({ daemonPids }: Target): number | undefined {
+    try {
+        const ticks = daemonPids.map(pid => {
+            // The name of the command, in parentheses, may contain spaces; user and system time follow it.
+            const fields = readFileSync(`/proc/${pid}/stat`, "utf8").replace(/^.*\) /s, "").split(" ");
+            return Number(fields[11]) + Number(fields[12]);
+        });
+        return daemonPids.length === 0 ? undefined : tickMs * ticks.reduce((sum, each) => sum + each, 0);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Fetches JSON; rejects on another status than 200. */
+export async function getJson(url: string, headers: Record<string, string> = {}): Promise<unknown> {
+    const { statusCode, body } = await request(url, { headers });
+    const text = await body.text();
+    if (statusCode !== 200) {
+        throw new Error(`${url} answered with HTTP status ${statusCode}`);
+    }
+    return JSON.parse(text);
+}
+
+async function send(url: string, method: "POST" | "DELETE", content?: object): Promise<void> {
+    const { statusCode, body } = await request(url, {
+        method,
+        ...content === undefined ? {} : {
+            body: JSON.stringify(content),
+            headers: { "content-type": "application/json" },
+        },
+    });
+    await body.dump();
+    if (statusCode !== 200) {
+        throw new Error(`${url} answered with HTTP status ${statusCode}`);
+    }
+}
--- /dev/null
+++ b/packages/bench/src/trace.ts
@@ -0,0 +1,38 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Program, program } from "./program.ts";
+
+/** Writes a trace as newline-delimited JSON, one program a line. */
+export function writeTrace(programs: readonly Program[]): string {
+    return programs.map(each => `${JSON.stringify(each)}\n`).join("");
+}
+
+/** Reads a trace. Gives the first mistake as `line N, field: message`. */
+export function readTrace(text: string): Either<string, readonly Program[]> {
+    const programs: Program[] = [];
+    for (const [index, line] of text.split("\n").entries()) {
+        if (line.trim() !== "") {
+            const read = readLine(line);
+            if ("message" in read) {
+                return Left(`line ${index + 1}, ${read.message}`);
+            }
+            programs.push(read.program);
+        }
+    }
+    return programs.length === 0 ? Left("line 1, (file): has no program") : Right(programs);
+}
+
+function readLine(line: string): { readonly program: Program; } | { readonly message: string; } {
+    let value: unknown;
+    try {
+        value = JSON.parse(line);
+    }
+    catch (error) {
+        return { message: `(line): ${error instanceof Error ? error.message : "not JSON"}` };
+    }
+    const parsed = program.safeParse(value);
+    if (parsed.success) {
+        return { program: parsed.data };
+    }
+    const issue = parsed.error.issues[0];
+    return { message: `${issue?.path.join(".") || "(line)"}: ${issue?.message}` };
+}
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,10 +1,11 @@
+import { benchCommands, replayCommand } from "@tamarackgauge/bench";
 import { createOperatorCommands, exitCodes, type Terminal } from "@tamarackgauge/operator";
 import { standinCommands } from "@tamarackgauge/standin";
 import { timelineCommand } from "@tamarackgauge/timeline";
 import { runSafely, subcommands } from "cmd-ts";
 import { createDaemonCommand, type RunDaemon } from "./daemon.ts";
 
-/** All subcommands. A package that brings a command is added here, for instance `bench` and `replay`. */
+/** All subcommands. A package that brings a command is added here. */
 export function createCommands(terminal: Terminal, runDaemon: RunDaemon) {
     return subcommands({
         name: "tamarackgauge",
@@ -14,6 +15,8 @@
             ...createOperatorCommands(terminal),
             timeline: timelineCommand,
             standin: standinCommands,
+            bench: benchCommands,
+            replay: replayCommand,
         },
     });
 }
--- /dev/null
+++ b/scripts/bench.mjs
@@ -0,0 +1,232 @@
+// Starts stand-ins and daemons as child processes, measures each policy with `tamarackgauge bench run`, prints one
+// table with `bench report`, and ends every process that it started by its id.
+//
+// node scripts/bench.mjs --experiment packages/bench/experiments/zahorie.json [--seeds 5] [--first-seed 1]
+//     [--daemons 4] [--scale N] [--policies attainedService,leastConnections,...] [--all-runs] [--out FOLDER]
+//     [--profile POLICY]
+import { buildSync } from "esbuild";
+import { spawn } from "node:child_process";
+import { createHash } from "node:crypto";
+import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { availableParallelism } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { parseArgs } from "node:util";
+
+const { values: flags } = parseArgs({
+    options: {
+        "experiment": { type: "string" },
+        "seeds": { type: "string", default: "5" },
+        "first-seed": { type: "string", default: "1" },
+        "daemons": { type: "string", default: "4" },
+        "scale": { type: "string" },
+        "policies": { type: "string", default: "attainedService,leastConnections,roundRobin,consistentHash" },
+        "all-runs": { type: "boolean", default: false },
+        "out": { type: "string", default: "dist/bench" },
+        "profile": { type: "string" },
+    },
+});
+
+const operatorKey = "operator-key-of-the-bench";
+const sha256 = text => createHash("sha256").update(text).digest("hex");
+const program = join(flags.out, "tamarackgauge.cjs");
+
+/** The runs of each policy: all for the policy under test, and for the baselines those that are compared. */
+const runsOf = {
+    attainedService: "idle,load20,load80,alone,slowed,crest",
+    leastConnections: "load20,load80,crest",
+    roundRobin: "load80",
+    consistentHash: "load80",
+};
+
+const children = new Set();
+
+/** Starts a process of the program; resolves with its ports once it says that it listens. */
+function start(words, environment = {}, nodeFlags = []) {
+    const child = spawn(process.execPath, [...nodeFlags, program, ...words], {
+        stdio: ["ignore", "pipe", "inherit"],
+        env: { ...process.env, ...environment },
+    });
+    children.add(child);
+    child.once("exit", () => children.delete(child));
+    return new Promise((resolve, reject) => {
+        child.once("exit", code => reject(new Error(`${words[0]} ${words[1]} exited with ${code}`)));
+        createInterface({ input: child.stdout }).on("line", line => {
+            const found = /listening on [\d.]+:(\d+)/.exec(line);
+            if (found !== null) {
+                resolve({ child, port: Number(found[1]) });
+            }
+        });
+    });
+}
+
+/** Runs a command to its end and gives its exit code. */
+function run(words, environment = {}) {
+    const child = spawn(process.execPath, [program, ...words], {
+        stdio: "inherit",
+        env: { ...process.env, ...environment },
+    });
+    children.add(child);
+    return new Promise(resolve => {
+        child.once("exit", code => {
+            children.delete(child);
+            resolve(code ?? 1);
+        });
+    });
+}
+
+async function stopAll() {
+    const exits = [...children].map(child => new Promise(resolve => child.once("exit", resolve)));
+    // The second signal ends the wait of a daemon for its streams.
+    children.forEach(child => child.kill("SIGTERM"));
+    await new Promise(resolve => setTimeout(resolve, 500));
+    children.forEach(child => child.kill("SIGTERM"));
+    const timer = setTimeout(() => children.forEach(child => child.kill("SIGKILL")), 5_000);
+    await Promise.all(exits);
+    clearTimeout(timer);
+}
+
+async function startStandins(experiment) {
+    const platform = await start(["standin", "platform"]);
+    const place = { address: "127.0.0.1", dataCentre: "dc1", state: "live" };
+    const service = await start(["standin", "service", "--delay", String(100 / experiment.scale)]);
+    const vms = [{ ...place, name: experiment.service, kind: "service", port: service.port }];
+    for (const pool of experiment.pools) {
+        const settings = ["--models", pool.model, "--batch", pool.batch, "--step", pool.stepMs, "--sequence-step",
+            pool.sequenceMs, "--prefill-rate", pool.prefillRate, "--prefill-chunk", pool.prefillChunk, "--cache-tokens",
+            pool.cacheTokens, "--scale", experiment.scale].map(String);
+        const engines = await Promise.all(
+            Array.from({ length: pool.engines }, (_, index) =>
+                start(["standin", "engine", "--name", `${pool.model}${index}`, ...settings])),
+        );
+        engines.forEach(({ port }, index) =>
+            vms.push({ ...place, name: `${pool.model}${index}`, kind: "engine", port, models: [pool.model] })
+        );
+    }
+    await send(`http://127.0.0.1:${platform.port}/control/vms`, vms);
+    return platform;
+}
+
+async function startDaemons(experiment, platform, policy) {
+    const environment = {
+        TAMARACKGAUGE_CLUSTER_KEY: "cluster-key-of-the-bench",
+        TAMARACKGAUGE_SEAL_KEY: "seal-key-of-the-bench",
+    };
+    const profile = flags.profile === policy ? ["--cpu-prof", "--cpu-prof-dir", flags.out] : [];
+    return Promise.all(Array.from({ length: Number(flags.daemons) }, (_, index) =>
+        start([
+            "daemon",
+            "--name",
+            `d${index + 1}`,
+            "--data-centre",
+            "dc1",
+            "--address",
+            "127.0.0.1",
+            "--port",
+            "0",
+            "--peer-port",
+            "0",
+            "--platform-url",
+            `http://127.0.0.1:${platform.port}`,
+            "--operator-key-hash",
+            sha256(operatorKey),
+            "--policy",
+            policy,
+            "--patience",
+            String(Math.round(experiment.patienceMs / experiment.scale)),
+        ], environment, profile)));
+}
+
+async function send(url, content, headers = {}) {
+    return fetch(url, { method: "PUT", body: JSON.stringify(content),
+        headers: { "content-type": "application/json", ...headers } });
+}
+
+async function configure(experiment, urls) {
+    const plans = [...new Set(experiment.kinds.map(({ plan }) => plan))];
+    const lists = {
+        plans: plans.map(name => ({ name, keys: [sha256(`key-of-${name}`)] })),
+        allowances: plans.map(plan => ({ plan, models: experiment.pools.map(({ model }) => model),
+            services: [experiment.service], budgetTokens: 1e12, programsAtOnce: 1e6 })
+        ),
+    };
+    const authorization = `Bearer ${operatorKey}`;
+    await until("a configuration is applied",
+        async () =>
+            (await send(`${urls[0]}/operator/v1/configuration`, lists, { authorization, "if-match": "\"0\"" })).ok);
+    await until("every daemon is ready and owns partitions", async () => {
+        const states = await Promise.all(
+            urls.map(async url => (await fetch(`${url}/operator/v1/status`, { headers: { authorization } })).json()),
+        );
+        return states.every(({ ready, configurationVersion, details }) =>
+            ready && configurationVersion >= 1 && new Set(details.map?.owners).size === urls.length
+        );
+    });
+}
+
+async function until(what, holds) {
+    const deadline = Date.now() + 30_000;
+    while (!await holds().catch(() => false)) {
+        if (Date.now() > deadline) {
+            throw new Error(`not within 30 s: ${what}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+}
+
+/** Each policy gets daemons and engines of its own, so that none starts with the caches of another. */
+async function measure(experiment, policy) {
+    const platform = await startStandins(experiment);
+    const daemons = await startDaemons(experiment, platform, policy);
+    const urls = daemons.map(({ port }) => `http://127.0.0.1:${port}`);
+    await configure(experiment, urls);
+    const out = join(flags.out, `${experiment.name}-${policy}.json`);
+    const runs = flags["all-runs"] ? runsOf.attainedService : runsOf[policy] ?? runsOf.attainedService;
+    const code = await run(["bench", "run", "--experiment", flags.experiment, "--policy", policy, "--platform",
+        `http://127.0.0.1:${platform.port}`, "--daemon", urls.join(","), "--scale", String(experiment.scale), "--seeds",
+        flags.seeds, "--first-seed", flags["first-seed"], "--runs", runs, "--pids",
+        daemons.map(({ child }) => child.pid).join(","), "--out", out], { TAMARACKGAUGE_OPERATOR_KEY: operatorKey });
+    await stopAll();
+    return { out, code };
+}
+
+async function main() {
+    if (flags.experiment === undefined) {
+        process.stderr.write("--experiment FILE is needed\n");
+        return 2;
+    }
+    mkdirSync(flags.out, { recursive: true });
+    buildSync({ entryPoints: ["packages/cli/src/main.ts"], bundle: true, platform: "node", target: "node20",
+        format: "cjs", outfile: program, logLevel: "error" });
+    const experiment = JSON.parse(readFileSync(flags.experiment, "utf8"));
+    experiment.scale = Number(flags.scale ?? experiment.scale);
+    process.stdout.write(`${experiment.name}: seeds ${flags["first-seed"]} and following, ${flags.seeds} in all; `
+        + `scale ${experiment.scale}; ${flags.daemons} daemons; ${availableParallelism()} cores\n`);
+    const started = Date.now();
+    const files = [];
+    let worst = 0;
+    for (const policy of flags.policies.split(",")) {
+        const { out, code } = await measure(experiment, policy);
+        worst = Math.max(worst, code);
+        files.push(out);
+    }
+    const base = join(flags.out, experiment.name);
+    const code = await run(["bench", "report", "--from", files.join(","), "--html", `${base}.html`, "--json",
+        `${base}.json`, "--markdown", `${base}.md`]);
+    process.stdout.write(`whole experiment: ${Math.round((Date.now() - started) / 1000)} s; page: ${base}.html\n`);
+    return Math.max(worst, code);
+}
+
+for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => void stopAll().then(() => process.exit(1)));
+}
+try {
+    process.exitCode = await main();
+}
+catch (error) {
+    process.stderr.write(`${error.message}\n`);
+    process.exitCode = 1;
+}
+finally {
+    await stopAll();
+}
