--- a/packages/bench/src/idle.ts
+++ b/packages/bench/src/idle.ts
@@ -1,15 +1,19 @@
 import { partitionOf } from "@tamarackgauge/core";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Pool } from "undici";
 import { bodyOf, type Caller } from "./caller.ts";
 import type { CallStep } from "./program.ts";
 import type { IdleRecord } from "./record.ts";
 import { readData } from "./sse.ts";
-import { getJson, type Target } from "./target.ts";
+import { getJson, readDaemonCpu, type Target } from "./target.ts";
 
 /** Calls of each kind; the p99 of a hundred calls is the second slowest. */
 const calls = 200;
 /** Turns of a program; the first call of each also takes a slot. */
 const turns = 20;
+/** Time for the releases of the calls before to pass, and time over which the quiet daemons are watched; ms. */
+const settleMs = 1_000;
+const quietMs = 4_000;
 
 interface Status {
     readonly daemon: string;
@@ -49,7 +53,19 @@
         }
     }
     await engine.close();
-    return record;
+    const quietCpu = await measureQuiet(target);
+    return { ...record, ...quietCpu === undefined ? {} : { quietCpu } };
+}
+
+/** Processor time of a daemon without calls: heartbeats, leases, polls. A share of one core. */
+async function measureQuiet(target: Target): Promise<number | undefined> {
+    await sleep(settleMs);
+    const [before, from] = [readDaemonCpu(target), performance.now()];
+    await sleep(quietMs);
+    const after = readDaemonCpu(target);
+    return before === undefined || after === undefined
+        ? undefined
+        : (after - before) / (performance.now() - from) / target.daemonPids.length;
 }
 
 type Times = { readonly firstTokenMs: number; readonly wholeMs: number; };
--- a/packages/bench/src/measures.ts
+++ b/packages/bench/src/measures.ts
@@ -106,6 +106,8 @@
     { name: `p50 against ${baselinePolicy}, 20% load`, unit: "", target: most(1), of: against("load20", 50) },
     { name: `p99 against ${baselinePolicy}, 20% load`, unit: "", target: most(1), of: against("load20", 99) },
     { name: "added to a first token by one hop, p99", unit: "ms", target: most(3), of: added("owner", 1) },
+    { name: "control per daemon, share of a core without calls", unit: "", target: most(0.017),
+        of: ({ idle }) => idle?.quietCpu },
     { name: "added to a first token by two hops, p99, per hop", unit: "ms", target: most(3),
         of: added("forwarded", 2) },
 ];
--- a/packages/bench/src/record.ts
+++ b/packages/bench/src/record.ts
@@ -54,6 +54,8 @@
 export const idleRecord = z.object({
     firstToken: z.object({ direct: z.array(z.number()), owner: z.array(z.number()), forwarded: z.array(z.number()) }),
     whole: z.object({ direct: z.array(z.number()), owner: z.array(z.number()), forwarded: z.array(z.number()) }),
+    /** Share of a core that a daemon uses without calls; undefined when process ids were not given. */
+    quietCpu: z.number().optional(),
 });
 
 /** Calls to idle engines. */
--- a/scripts/bench.mjs
+++ b/scripts/bench.mjs
@@ -75,15 +75,21 @@
     });
 }
 
-async function stopAll() {
-    const exits = [...children].map(child => new Promise(resolve => child.once("exit", resolve)));
-    // The second signal ends the wait of a daemon for its streams.
-    children.forEach(child => child.kill("SIGTERM"));
-    await new Promise(resolve => setTimeout(resolve, 500));
-    children.forEach(child => child.kill("SIGTERM"));
-    const timer = setTimeout(() => children.forEach(child => child.kill("SIGKILL")), 5_000);
+/** Ends processes by SIGTERM, and after 8 s by SIGKILL. The second signal ends the wait of a daemon for its streams. */
+async function stop(group) {
+    const exits = group.map(child => new Promise(resolve => child.once("exit", resolve)));
+    const kill = signal => group.filter(child => children.has(child)).forEach(child => child.kill(signal));
+    kill("SIGTERM");
+    const timers = [setTimeout(() => kill("SIGTERM"), 2_000), setTimeout(() => kill("SIGKILL"), 8_000)];
     await Promise.all(exits);
-    clearTimeout(timer);
+    timers.forEach(clearTimeout);
+}
+
+/** Daemons end first: without the table service they could not hand over their partitions. */
+async function stopAll() {
+    const isDaemon = child => child.spawnargs.includes("daemon");
+    await stop([...children].filter(isDaemon));
+    await stop([...children].filter(child => !isDaemon(child)));
 }
 
 async function startStandins(experiment) {
