--- a/packages/caller/src/calls.ts
+++ b/packages/caller/src/calls.ts
@@ -66,6 +66,9 @@
             throw new RefusalError(refuse("too_many_streams", "notRun", undefined, 1000));
         }
         const controller = new AbortController();
+        // Not only the response: one that waits behind another on its connection is never told that it closed.
+        const abort = () => controller.abort();
+        incoming.request.socket.once("close", abort);
         const served = answerCall(incoming, plan, configuration, controller);
         open.set(controller, served.catch(() => undefined));
         try {
@@ -73,6 +76,7 @@
         }
         finally {
             open.delete(controller);
+            incoming.request.socket.off("close", abort);
         }
     }
 
@@ -111,14 +115,14 @@
     }
 
     function createCall({ kind, rest, request }: Incoming, plan: string, head: CallHead, body: Buffer) {
-        const { seal, ...identity } = head;
+        const identity = head;
         const digest = digestOf(request.method ?? "", request.url ?? "", body);
         if (kind === "tool") {
             const target = orThrow(parseTool(rest, body));
             refusePartial(head, false);
             return { call: { ...identity, plan, digest, target }, stream: false };
         }
-        const { target, stream } = orThrow(parseChat(body, seal, limits.presetTokens));
+        const { target, stream } = orThrow(parseChat(body, identity.seal, limits.presetTokens));
         refusePartial(head, stream);
         return { call: { ...identity, plan, digest, target }, stream };
     }
--- a/packages/core/src/policy/admission.ts
+++ b/packages/core/src/policy/admission.ts
@@ -1,7 +1,17 @@
 import type { Random } from "../clock.ts";
 
-/** Time constant of the learned rate of completions, in ms. */
-const rateWindowMs = 2_000;
+/** Time constant of the learned rates of programs begun and ended, in ms. */
+const rateWindowMs = 3_000;
+
+/** New programs are refused when the wait exceeds this share of the patience, as the estimate errs by some. */
+const admittedShare = 0.8;
+
+/** Calls under way are to wait for this share of the patience at most. */
+const waitShare = 0.4;
+
+/** The limit of programs falls by this factor, at most once per interval in ms, so that a fall can take effect. */
+const decrease = 0.9;
+const decreaseMs = 1_000;
 
 /** Retries allowed per request, and the most that can be saved up. */
 const retryShare = 0.1;
@@ -10,31 +20,72 @@
 /** Shortest time after which a refused caller is asked to come back, in ms. */
 const shortestRetryMs = 500;
 
-/** Capacity learned from completions, and the decisions that depend on it. */
+/** Events per second, averaged over the window; exponentially weighted. */
+class Rate {
+    private value = 0;
+    private at = 0;
+
+    count(now: number): void {
+        this.value = this.perSecond(now) + 1_000 / rateWindowMs;
+        this.at = now;
+    }
+
+    perSecond(now: number): number {
+        return this.value * Math.exp((this.at - now) / rateWindowMs);
+    }
+}
+
+/**
+ * Capacity learned from completions: how many programs may be under way, and how many begin and end per second.
+ * Programs under way go before new ones: a new one waits until the limit has room, or is refused at once.
+ */
 export class Admission {
-    private rate = 0;
-    private countedAt: number | undefined;
+    private readonly begun = new Rate();
+    private readonly ended = new Rate();
+    private limit = Infinity;
+    private decreasedAt = -Infinity;
+    private programs = 0;
     private retries = mostRetries;
 
     constructor(private readonly patienceMs: number, private readonly random: Random) {}
 
-    /** A call was completed; `busy` says that calls waited, so that the rate of completions is the capacity. */
-    completed(busy: boolean, now: number): void {
-        const elapsed = now - (this.countedAt ?? now);
-        this.countedAt = now;
-        const decayed = this.rate * Math.exp(-elapsed / rateWindowMs) + 1_000 / rateWindowMs;
-        this.rate = busy ? decayed : Math.max(this.rate, decayed);
+    /** A program began to be served. */
+    begin(now: number): void {
+        this.programs += 1;
+        this.begun.count(now);
     }
 
-    /** Estimated wait of a new program behind calls that wait, in ms. */
-    estimatedWait(waiting: number): number {
-        return this.rate === 0 ? 0 : 1_000 * waiting / this.rate;
+    end(now: number): void {
+        this.programs -= 1;
+        this.ended.count(now);
     }
 
-    /** Whether a new program is refused at once; returns after how many ms to come back. */
-    refuses(waiting: number, engineWaitMs: number): number | undefined {
-        const wait = this.estimatedWait(waiting) + engineWaitMs;
-        if (wait <= this.patienceMs) {
+    /** Whether one more program may begin. */
+    hasRoom(): boolean {
+        return this.programs < this.limit;
+    }
+
+    /** A call under way waited this long for its first token, its prefill not counted; adapts the limit. */
+    waited(ms: number, now: number): void {
+        const bound = waitShare * this.patienceMs;
+        if (ms <= bound) {
+            const inUse = this.programs > this.limit - 2;
+            this.limit += inUse ? (ms < bound / 4 ? 4 : 1) / this.limit : 0;
+        }
+        else if (now - this.decreasedAt >= decreaseMs) {
+            this.limit = Math.max(1, Math.min(this.limit, this.programs) * decrease);
+            this.decreasedAt = now;
+        }
+    }
+
+    /** Whether a new program is refused at once behind those that wait; returns after how many ms to come back. */
+    refuses(openings: number, now: number): number | undefined {
+        if (this.hasRoom()) {
+            return undefined;
+        }
+        const rate = Math.max(0.1, this.begun.perSecond(now), this.ended.perSecond(now));
+        const wait = 1_000 * (openings + 1) / rate;
+        if (wait <= admittedShare * this.patienceMs) {
             return undefined;
         }
         return Math.round(Math.max(shortestRetryMs, wait) * (1 + this.random()));
--- a/packages/core/src/policy/scheduler.ts
+++ b/packages/core/src/policy/scheduler.ts
@@ -32,6 +32,8 @@
     /** Tokens believed cached per engine that served the program, and when that was learned. */
     readonly cached: Map<string, number>;
     learnedAt: number;
+    /** A call of the program has been dispatched, so the program counts as under way. */
+    begun: boolean;
 }
 
 interface Flight {
@@ -40,6 +42,7 @@
     readonly level: number;
     readonly uncached: number;
     readonly believed: number;
+    readonly since: number;
     readonly sentAt: number;
     /** Tokens charged to the plan at dispatch. */
     readonly charged: number;
@@ -57,6 +60,8 @@
     private readonly queues = new Map<string, WaitingQueue>();
     private readonly waitingJobs = new Map<string, Waiting>();
     private readonly flights = new Map<string, Flight>();
+    /** Waiting calls that open a program. */
+    private openings = 0;
     private readonly programs = new Map<string, ProgramState>();
 
     constructor(private readonly settings: PolicySettings, random: Random) {
@@ -76,14 +81,17 @@
         this.programOf(job.program, job.root);
         const waiting = { job, level: this.service.level(job.root), since: now };
         this.waitingJobs.set(job.id, waiting);
+        this.openings += job.opening ? 1 : 0;
         this.queueOf(job.model).add(waiting);
         return undefined;
     }
 
-    withdraw(job: string): void {
+    withdraw(job: string, now: number): void {
         const waiting = this.waitingJobs.get(job);
         if (waiting !== undefined) {
+            this.countWait(waiting.job, now - waiting.since, now);
             this.waitingJobs.delete(job);
+            this.openings -= waiting.job.opening ? 1 : 0;
             this.queueOf(waiting.job.model).remove(waiting);
         }
     }
@@ -91,8 +99,9 @@
     next(now: number): readonly Assignment[] {
         const assignments: Assignment[] = [];
         if (this.waitingJobs.size > 0) {
+            const take = this.admission.hasRoom() ? "all" : "underWay";
             for (const queue of this.queues.values()) {
-                queue.offer(now, waiting => this.place(waiting, queue, assignments, now));
+                queue.offer(now, take, waiting => this.place(waiting, queue, assignments, now));
             }
         }
         return assignments;
@@ -116,6 +125,7 @@
         const expected = speeds.expectedFirstToken(uncached);
         state.window.adapt(ms > queuedFactor * expected + queuedMs);
         state.waited(Math.max(0, ms - expected), now);
+        this.countWait(flight.job, now - flight.since - expected, now);
         speeds.learnFirstToken(uncached, ms);
         this.health.started(state.engine.name, now);
     }
@@ -140,6 +150,9 @@
         }
         this.flights.delete(job);
         this.leave(flight);
+        if (flight.startedAt === undefined) {
+            this.countWait(flight.job, now - flight.since, now);
+        }
         if (result.outcome === "failed") {
             this.health.failed(flight.state.engine.name);
         }
@@ -172,8 +185,12 @@
         this.router.peers.set(daemon, inFlight, now);
     }
 
-    endProgram(program: string): readonly string[] {
-        const engines = [...this.programs.get(program)?.cached.keys() ?? []];
+    endProgram(program: string, now: number): readonly string[] {
+        const state = this.programs.get(program);
+        const engines = [...state?.cached.keys() ?? []];
+        if (state?.begun === true) {
+            this.admission.end(now);
+        }
         this.programs.delete(program);
         this.service.end(program);
         return engines;
@@ -204,41 +221,54 @@
         }
         this.admission.countRequest();
         const retryAfterMs = job.opening
-            ? this.admission.refuses(this.waitingJobs.size, this.engineWait(now))
+            ? this.admission.refuses(this.openings, now)
             : undefined;
         return retryAfterMs === undefined ? undefined : refuse("overloaded", "notRun", undefined, retryAfterMs);
     }
 
-    private engineWait(_now: number): number {
-        return 0;
+    /** Waits of calls under way say whether more programs can be served; openings go before most of them. */
+    private countWait(job: Job, ms: number, now: number): void {
+        if (!job.opening) {
+            this.admission.waited(Math.max(0, ms), now);
+        }
     }
 
     private place(waiting: Waiting, queue: WaitingQueue, assignments: Assignment[], now: number): Offer {
         const { job } = waiting;
+        if (job.opening && !this.admission.hasRoom()) {
+            return "blocked";
+        }
         const level = agedLevel(waiting, now);
         const route = this.router.choose(job, this.programs.get(job.program)?.cached, level, now);
         if (route === undefined) {
             return "blocked";
         }
         this.waitingJobs.delete(job.id);
+        this.openings -= job.opening ? 1 : 0;
         const charged = route.uncached + Math.min(job.maxTokens, this.router.speeds.outputTokens);
         queue.charge(job.plan, charged);
-        this.send(job, route, level, charged, now);
+        this.send(waiting, route, level, charged, now);
         assignments.push({ job, engine: route.state.engine.name, priority: level });
         return "placed";
     }
 
-    private send(job: Job, { state, uncached }: Route, level: number, charged: number, now: number): void {
+    private send(waiting: Waiting, { state, uncached }: Route, level: number, charged: number, now: number): void {
+        const { job, since } = waiting;
         const name = state.engine.name;
-        const cached = this.programs.get(job.program)?.cached;
+        const program = this.programs.get(job.program);
+        if (program !== undefined && !program.begun) {
+            program.begun = true;
+            this.admission.begin(now);
+        }
+        const cached = program?.cached;
         const believed = Math.min(job.promptTokens, cached?.get(name) ?? 0);
         cached?.set(name, cached.get(name) ?? 0);
         state.inFlight += 1;
         state.pendingTokens += uncached;
         state.window.add(level);
         this.health.dispatched(name, now);
-        this.flights.set(job.id, { job, state, level, uncached, believed, sentAt: now, charged, startedAt: undefined,
-            progressAt: now, tokens: 0 });
+        this.flights.set(job.id, { job, state, level, uncached, believed, since, sentAt: now, charged,
+            startedAt: undefined, progressAt: now, tokens: 0 });
     }
 
     private leaveWindow({ state, level, uncached }: Flight): void {
@@ -259,7 +289,6 @@
     private learn(flight: Flight, result: JobResult, now: number): void {
         const { state, believed, job } = flight;
         this.router.speeds.learnCall(now - flight.sentAt, result.tokens);
-        this.admission.completed(this.waitingJobs.size > 0, now);
         if (believed > 0) {
             const kept = Math.min(1, result.cachedTokens / believed);
             state.trust += 0.1 * (kept - state.trust);
@@ -274,7 +303,7 @@
     private programOf(name: string, root: string): ProgramState {
         let program = this.programs.get(name);
         if (program === undefined) {
-            program = { root, cached: new Map(), learnedAt: -Infinity };
+            program = { root, cached: new Map(), learnedAt: -Infinity, begun: false };
             this.programs.set(name, program);
             this.service.join(name, root);
         }
--- a/packages/peer/src/calls.ts
+++ b/packages/peer/src/calls.ts
@@ -6,8 +6,8 @@
 
 /** The calls that this daemon opened on a link. */
 export interface Calls {
-    /** Opens a call when the iterable is first pulled. */
-    open(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent, void>;
+    /** Opens a call when the iterator is first pulled. */
+    open(call: Call, signal: AbortSignal): AsyncIterator<AnswerEvent, void>;
     receive(message: WireMessage): void;
     /** Ends every call with LinkError, after the events that already arrived. */
     fail(reason: Reason): void;
@@ -33,6 +33,7 @@
 ): Calls {
     const streams = new Map<number, Stream>();
     let lastId = 0;
+    let unfinished = 0;
     let failed: Reason | undefined;
 
     function start(call: Call): Stream | undefined {
@@ -41,6 +42,7 @@
             return undefined;
         }
         lastId += 1;
+        unfinished += 1;
         const stream: Stream = { id: lastId, events: [], held: 0, sent: false, ended: false, failure: undefined,
             wake: () => {} };
         streams.set(stream.id, stream);
@@ -50,58 +52,103 @@
         return stream;
     }
 
-    async function* open(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent, void> {
-        signal.throwIfAborted();
-        if (failed !== undefined) {
-            throw new LinkError(peer, failed, false);
+    /** Written as an iterator: generators within generators took twice the CPU time for each event. */
+    function open(call: Call, signal: AbortSignal): AsyncIterator<AnswerEvent, void> {
+        let stream: Stream | undefined;
+        let events: readonly AnswerEvent[] = [];
+        let position = 0;
+        let used = 0;
+        let finished = false;
+
+        function next(): Promise<IteratorResult<AnswerEvent, void>> {
+            if (finished) {
+                return Promise.resolve({ done: true, value: undefined });
+            }
+            if (signal.aborted) {
+                finish();
+                return Promise.reject(signal.reason as Error);
+            }
+            if (stream === undefined) {
+                return begin();
+            }
+            if (used >= settings.window / 4) {
+                giveBack(stream, used);
+                used = 0;
+            }
+            if (position === events.length) {
+                events = stream.events;
+                stream.events = [];
+                position = 0;
+            }
+            const event = events[position];
+            return event === undefined ? wait(stream) : deliver(event);
         }
-        const stream = start(call);
-        if (stream === undefined) {
-            yield { type: "refused", refusal: refuse("body_too_large", "notRun") };
-            return;
+
+        function begin(): Promise<IteratorResult<AnswerEvent, void>> {
+            if (failed !== undefined) {
+                finished = true;
+                return Promise.reject(new LinkError(peer, failed, false));
+            }
+            stream = start(call);
+            if (stream === undefined) {
+                finished = true;
+                return Promise.resolve({ done: false,
+                    value: { type: "refused", refusal: refuse("body_too_large", "notRun") } });
+            }
+            signal.addEventListener("abort", abort);
+            return next();
+        }
+
+        function deliver(event: AnswerEvent): Promise<IteratorResult<AnswerEvent, void>> {
+            position += 1;
+            if (event.type === "text") {
+                used += costOf(event.text);
+            }
+            else {
+                finish();
+            }
+            return Promise.resolve({ done: false, value: event });
+        }
+
+        function wait(current: Stream): Promise<IteratorResult<AnswerEvent, void>> {
+            if (current.failure !== undefined) {
+                finish();
+                return Promise.reject(current.failure);
+            }
+            return new Promise(resolve => {
+                current.wake = () => {
+                    current.wake = () => {};
+                    resolve(next());
+                };
+            });
         }
-        const abort = () => stream.wake();
-        signal.addEventListener("abort", abort);
-        try {
-            yield* drainStream(stream, signal);
+
+        function abort(): void {
+            stream?.wake();
         }
-        finally {
+
+        function finish(): void {
+            finished = true;
             signal.removeEventListener("abort", abort);
+            if (stream === undefined) {
+                return;
+            }
             streams.delete(stream.id);
             if (!stream.ended && stream.failure === undefined) {
+                unfinished -= 1;
                 push([kinds.cancel, stream.id]);
             }
         }
-    }
 
-    async function* drainStream(stream: Stream, signal: AbortSignal): AsyncGenerator<AnswerEvent, void> {
-        let used = 0;
-        for (;;) {
-            const events = stream.events;
-            stream.events = [];
-            for (const event of events) {
-                signal.throwIfAborted();
-                yield event;
-                if (event.type !== "text") {
-                    return;
+        return {
+            next,
+            return() {
+                if (!finished) {
+                    finish();
                 }
-                used += costOf(event.text);
-                if (used >= settings.window / 4) {
-                    giveBack(stream, used);
-                    used = 0;
-                }
-            }
-            signal.throwIfAborted();
-            if (stream.events.length > 0) {
-                continue;
-            }
-            if (stream.failure !== undefined) {
-                throw stream.failure;
-            }
-            await new Promise<void>(resolve => {
-                stream.wake = resolve;
-            });
-        }
+                return Promise.resolve({ done: true, value: undefined });
+            },
+        };
     }
 
     function giveBack(stream: Stream, bytes: number): void {
@@ -138,20 +185,25 @@
                 stream.events.push({ type: "text", offset: message[2], text: message[3] });
                 return;
             case kinds.done:
-                stream.events.push({ type: "done", completion: readCompletion(message[2]) });
-                stream.ended = true;
+                endWith(stream, { type: "done", completion: readCompletion(message[2]) });
                 return;
             case kinds.refused:
-                stream.events.push({ type: "refused", refusal: readRefusal(message[2]) });
-                stream.ended = true;
+                endWith(stream, { type: "refused", refusal: readRefusal(message[2]) });
         }
     }
 
+    function endWith(stream: Stream, event: AnswerEvent): void {
+        stream.events.push(event);
+        stream.ended = true;
+        unfinished -= 1;
+    }
+
     return {
         open,
         receive,
         fail(reason) {
             failed = reason;
+            unfinished = 0;
             for (const stream of streams.values()) {
                 if (!stream.ended) {
                     stream.failure = new LinkError(peer, reason, stream.sent);
@@ -159,6 +211,6 @@
                 }
             }
         },
-        count: () => [...streams.values()].filter(stream => !stream.ended).length,
+        count: () => unfinished,
     };
 }
