Let most programs start without a round trip to the plan's row

The first call of every program updated the plan's row, and each update read the lease of every other holder one after the other: two round trips plus one per daemon, and conflicts when daemons do so at once. Seen in a profile and in the first-call figures; routing and the commit path were ruled out, since later calls of the same programs lack the delay. Leases are now read at once and only when a grant falls short, and a daemon holds spare slots: as many as it uses, at most 1/64 of the limit, given up at once when the limit is lowered. Limits under 64 have no spare slots, as before.

--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -44,6 +44,8 @@
     /** Tokens that waiting calls need beyond what is free. */
     wanted: number;
     slots: number;
+    /** Slots that the plan's row grants; more than `slots` while some are being given back. */
+    slotsGranted: number;
     slotsUsed: number;
     slotsWanted: number;
     serial: number;
@@ -76,6 +78,7 @@
                 allotment: emptyAllotment,
                 wanted: 0,
                 slots: 0,
+                slotsGranted: 0,
                 slotsUsed: 0,
                 slotsWanted: 0,
                 serial: 0,
@@ -182,18 +185,14 @@
                 adopt(account, before, used);
                 return;
             }
-            const alive = await buryDead(before);
             const wish = wishOf(account, limits);
             lower(account, used, wish);
-            const after = applyLedger(alive, {
-                type: "update",
-                holder: name,
-                incarnation,
-                serial,
-                used,
-                ...wish,
-                limits: limits ?? { budgetTokens: 0, programsAtOnce: 0 },
-            });
+            const step = { type: "update" as const, holder: name, incarnation, serial, used, ...wish,
+                limits: limits ?? { budgetTokens: 0, programsAtOnce: 0 } };
+            let after = applyLedger(before, step);
+            if (isShort(after, wish)) {
+                after = applyLedger(await buryDead(before), step);
+            }
             const result = await commitRow(account.plan, row?.revision ?? "0", after);
             if (result) {
                 adopt(account, after, used);
@@ -204,6 +203,15 @@
         throw new Error("too many daemons changed the row at once");
     }
 
+    /**
+     * Only when a grant falls short can the parts of dead holders matter. Reading every holder's lease for each new
+     * program cost one round trip per daemon.
+     */
+    function isShort(row: Ledger, wish: { readonly tokens: number; readonly slots: number; }): boolean {
+        const own = row.holders[name];
+        return own === undefined || own.tokens < wish.tokens || own.slots < wish.slots;
+    }
+
     /**
      * What is about to be given back must not be reserved while the update is under way, nor afterwards if its
      * reply is lost.
@@ -235,23 +243,43 @@
         }
         // Near its end the budget is shared in small parts, so that no daemon holds what another one needs.
         const spare = Math.min(account.rate * allotmentSeconds, limits.budgetTokens / spareShare);
-        return { tokens: Math.ceil(open + spare), slots: account.slotsUsed + account.slotsWanted };
+        const slots = account.slotsUsed + account.slotsWanted;
+        // Spare slots let most programs start without the store; a small limit is never held back by them.
+        return { tokens: Math.ceil(open + spare), slots: slots + Math.min(slots, mostSpareSlots(limits)) };
     }
 
     function adopt(account: Account, row: Ledger, settled: number): void {
         const own = row.holders[name];
         const { used, reserved } = account.allotment;
         account.allotment = { granted: own?.tokens ?? 0, used: used - settled, reserved };
-        account.slots = own?.slots ?? 0;
+        account.slotsGranted = own?.slots ?? 0;
+        account.slots = Math.min(account.slotsGranted, account.slotsUsed + account.slotsWanted + spareSlotsOf(account));
+    }
+
+    function spareSlotsOf({ plan }: Account): number {
+        const limits = options.limitsOf(plan);
+        return limits === undefined ? 0 : mostSpareSlots(limits);
+    }
+
+    /** Spare slots under an old limit must not start programs beyond a lowered one, so they are given up at once. */
+    function limitsChanged(): void {
+        for (const account of accounts.values()) {
+            const most = account.slotsUsed + spareSlotsOf(account);
+            if (account.slots > most) {
+                account.slots = most;
+                settle(account);
+            }
+        }
+        settleAll();
     }
 
     async function buryDead(row: Ledger): Promise<Ledger> {
         let next = row;
-        for (const [other, holder] of Object.entries(row.holders)) {
-            if (other === name || (holder.tokens === 0 && holder.slots === 0)) {
-                continue;
-            }
-            const lease = await table.get(keys.lease(other));
+        const others = Object.entries(row.holders)
+            .filter(([other, holder]) => other !== name && (holder.tokens > 0 || holder.slots > 0));
+        const leases = await Promise.all(others.map(([other]) => table.get(keys.lease(other))));
+        for (const [index, [other, holder]] of others.entries()) {
+            const lease = leases[index];
             if (lease === undefined || leaseRow.decode(lease.value).incarnation !== holder.incarnation) {
                 log("%s is gone; %d tokens count as spent.", other, holder.tokens);
                 next = applyLedger(next, { type: "bury", holder: other });
@@ -264,17 +292,23 @@
         const now = clock.monotonic();
         for (const account of accounts.values()) {
             if (account.updating === undefined && isDue(account, now)) {
-                update(account).catch((error: unknown) => {
-                    log("The budget of %s could not be settled: %s.", account.plan, (error as Error).message);
-                });
+                settle(account);
             }
         }
     }
 
-    /** Slots are given back at once, since others wait for them; tokens when they have not been needed for a while. */
+    function settle(account: Account): void {
+        update(account).catch((error: unknown) => {
+            log("The budget of %s could not be settled: %s.", account.plan, (error as Error).message);
+        });
+    }
+
+    /** Many spare slots are given back at once, since others wait for them; a few, and tokens, after a while. */
     function isDue(account: Account, now: number): boolean {
-        const spare = account.allotment.granted > account.allotment.reserved;
-        return account.slots > account.slotsUsed || (spare && now - account.updated >= spareTime);
+        const spareSlots = account.slots - account.slotsUsed;
+        const spare = account.allotment.granted > account.allotment.reserved || spareSlots > 0;
+        return spareSlots > spareSlotsOf(account) || account.slotsGranted > account.slots
+            || (spare && now - account.updated >= spareTime);
     }
 
     async function leave(): Promise<void> {
@@ -290,7 +324,7 @@
         reserve: reserveTokens,
         takeSlot,
         freeSlot,
-        limitsChanged: settleAll,
+        limitsChanged,
         leave,
         [Symbol.asyncDispose]: async () => {
             clearInterval(timer);
@@ -300,5 +334,9 @@
 
 /** Milliseconds after which spare tokens go back to the plan. */
 const spareTime = 5_000;
-/** A daemon never holds more spare tokens than this share of the budget. */
+/** A daemon never holds more spare tokens or slots than this share of the limit. */
 const spareShare = 64;
+
+function mostSpareSlots({ programsAtOnce }: Limits): number {
+    return Math.floor(programsAtOnce / spareShare);
+}
