--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -4,7 +4,7 @@
 import type { Peers } from "@tamarackgauge/peer";
 import type { Timeline } from "@tamarackgauge/timeline";
 import createDebug from "debug";
-import { programKey } from "./modelRun.ts";
+import { estimateTokens, programKey } from "./modelRun.ts";
 import { sleep } from "./wait.ts";
 
 const log = createDebug("tamarackgauge:entry");
@@ -221,7 +221,8 @@
         const offset = progress.position;
         progress.position += text.length;
         progress.partial = progress.partial === undefined ? undefined : progress.partial + text;
-        progress.tokens = event.tokens ?? progress.tokens;
+        // Links carry no token counts; without a count a new owner would allow the whole `max_tokens` once more.
+        progress.tokens = event.tokens ?? estimateTokens(progress.partial ?? "");
         progress.movedAt = clock.monotonic();
         progress.run = "unknown";
         return { ...event, offset, text };
--- a/packages/daemon/src/modelRun.ts
+++ b/packages/daemon/src/modelRun.ts
@@ -1,4 +1,4 @@
-import { historyOf, RefusalError, refuse } from "@tamarackgauge/core";
+import { enginesOf, historyOf, RefusalError, refuse } from "@tamarackgauge/core";
 import type { Answer, Call, ModelTarget, Refusal } from "@tamarackgauge/core";
 import type { EngineResult } from "@tamarackgauge/upstream";
 import type { Budgets, Reservation } from "./budgets.ts";
@@ -38,7 +38,12 @@
     async function runWithBudget(partition: Partition, live: Live, running: Running, target: ModelTarget) {
         const { call } = running;
         const left = target.maxTokens - (call.partialTokens ?? 0);
-        const reservation = await budgets.reserve(call.plan, Math.max(1, left));
+        if (left <= 0) {
+            // The earlier owner was lost between the last token and the end; an engine would generate one more.
+            await finisher.finish(partition, live, running, answerAtLimit(live, running));
+            return undefined;
+        }
+        const reservation = await budgets.reserve(call.plan, left);
         if ("code" in reservation) {
             return reservation;
         }
@@ -182,6 +187,14 @@
     };
 }
 
+/** The answer whose tokens an earlier owner delivered all; the engine is not known, so the last one stands for it. */
+function answerAtLimit(live: Live, running: Running): Answer {
+    const { partialTokens: tokens = 0 } = running.call;
+    const upstream = enginesOf(live.program).at(-1) ?? "";
+    const text = running.answer.text();
+    return { text, reason: "length", status: 200, promptTokens: 0, cachedTokens: 0, tokens, upstream };
+}
+
 /** Estimates the tokens of a text at four characters each. */
 export function estimateTokens(text: string): number {
     return Math.ceil(text.length / charactersPerToken);
--- a/packages/daemon/test/client.ts
+++ b/packages/daemon/test/client.ts
@@ -12,6 +12,8 @@
     /** Content of the user message of a model call, or the body of a tool call. */
     readonly content: string;
     readonly maxTokens?: number;
+    /** Messages before the user message: a history that is sent back. */
+    readonly history?: readonly object[];
     /** Path of a tool call after `/v1/tools/`. */
     readonly tool?: string;
     readonly atMostOnce?: boolean;
@@ -126,7 +128,7 @@
         model: "model",
         stream: true,
         max_tokens: wanted.maxTokens ?? 64,
-        messages: [{ role: "user", content: wanted.content }],
+        messages: [...wanted.history ?? [], { role: "user", content: wanted.content }],
     });
 }
 
