Decide which engine loads which model

Cause: nothing says which engine is to load a model when demand shifts, and a planned model whose engines are gone stays unserved.

Change: a pure decision, the same on every daemon, with hysteresis, a limit on loads and a kept last engine.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./lease.ts";
 export * from "./ownership.ts";
 export * from "./peer.ts";
+export * from "./placement.ts";
 export * from "./policy.ts";
 export * from "./policy/baselines.ts";
 export * from "./policy/create.ts";
--- a/packages/core/src/peer.ts
+++ b/packages/core/src/peer.ts
@@ -7,4 +7,6 @@
     readonly leaving: boolean;
     /** Calls in flight of this daemon on each engine, to keep daemons from choosing the same one. */
     readonly inFlight: Readonly<Record<string, number>>;
+    /** Calls of this daemon that wait for an engine, by model; undefined when none waits. */
+    readonly waiting?: Readonly<Record<string, number>> | undefined;
 }
--- /dev/null
+++ b/packages/core/test/placement.test.ts
@@ -0,0 +1,117 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decidePlacement, noPlacement, usualPlacement } from "../src/index.ts";
+import type { Demand, EngineModels, Move, PlacementInput } from "../src/index.ts";
+
+function engine(name: string, models: readonly string[] | undefined, more: Partial<EngineModels> = {}): EngineModels {
+    return { name, models, loading: [], leaving: false, ...more };
+}
+
+function input(
+    planned: readonly string[],
+    engines: readonly EngineModels[],
+    demand: Readonly<Record<string, Partial<Demand>>> = {},
+): PlacementInput {
+    const entries = Object.entries(demand).map(([model, each]) =>
+        [model, { waiting: 0, running: 0, ...each }] as const
+    );
+    return { planned: new Set(planned), engines, demand: new Map(entries) };
+}
+
+/** Decides every 5 s and gives the moves with their times, with `at(seconds)` as input. */
+function movesOver(seconds: number, at: (second: number) => PlacementInput): readonly (readonly [number, Move])[] {
+    let state = noPlacement;
+    const found: (readonly [number, Move])[] = [];
+    for (let second = 0; second <= seconds; second += 5) {
+        const decided = decidePlacement(state, at(second), second * 1_000);
+        state = decided.state;
+        found.push(...decided.moves.map(move => [second, move] as const));
+    }
+    return found;
+}
+
+const once = (given: PlacementInput) => decidePlacement(noPlacement, given, 0).moves;
+
+test("a planned model without a live engine gets one at once; guards against refusing every call of a model", () => {
+    assert.deepEqual(once(input(["a"], [engine("e1", [])])), [{ engine: "e1", load: "a", unload: undefined }]);
+    const spare = once(input(["a", "b"], [engine("e1", ["a"]), engine("e2", ["a"]), engine("e3", ["old"])]));
+    assert.deepEqual(spare, [{ engine: "e3", load: "b", unload: "old" }], "a model of no plan gives way first");
+    const left = once(input(["a"], [engine("e1", ["a"], { leaving: true }), engine("e2", [])]));
+    assert.deepEqual(left, [{ engine: "e2", load: "a", unload: undefined }], "a leaving engine does not count");
+});
+
+test("engines that serve any model get no orders; guards against narrowing such an engine to one model", () => {
+    assert.deepEqual(once(input(["a", "b"], [engine("e1", undefined), engine("e2", undefined)])), []);
+    assert.deepEqual(once(input(["a", "b"], [engine("e1", undefined), engine("e2", ["a"])])), []);
+});
+
+test("the last engine of a model is never taken; guards against a model losing all", () => {
+    assert.deepEqual(once(input(["a", "b"], [engine("e1", ["a"])])), []);
+    const two = once(input(["a", "b", "c"], [engine("e1", ["a"]), engine("e2", ["a"])]));
+    assert.equal(two.length, 1, "one of two engines may go, the other one stays");
+    const names = fc.constantFrom("a", "b", "c", "d", "old");
+    const lists = fc.array(fc.uniqueArray(names, { maxLength: 2 }), { minLength: 1, maxLength: 8 });
+    const waits = fc.dictionary(names, fc.record({ waiting: fc.nat(200), running: fc.nat(50) }));
+    fc.assert(
+        fc.property(lists, waits, (models, demand) => {
+            const engines = models.map((each, index) => engine(`e${index}`, each));
+            const given = input(["a", "b", "c", "d"], engines, demand);
+            const limits = { ...usualPlacement, holdMs: 0, settleMs: 0, loadsAtOnce: 8 };
+            const { moves } = decidePlacement(noPlacement, given, 0, limits);
+            for (const model of given.planned) {
+                const before = engines.filter(each => each.models?.includes(model) === true);
+                const after = before.filter(({ name }) =>
+                    !moves.some(move => move.engine === name && move.unload === model)
+                );
+                assert.ok(before.length === 0 || after.length > 0, `${model} lost its last engine`);
+            }
+        }),
+        { seed: 11, numRuns: 500 },
+    );
+});
+
+test("a model that waits for 30 s gets one more engine, then rests; guards against loads that follow every burst", () => {
+    const engines = ["e1", "e2", "e3", "e4"].map(name => engine(name, name === "e1" ? ["a"] : ["b"]));
+    const busy = { a: { waiting: 40, running: 8 }, b: { running: 1 } };
+    const moves = movesOver(40, () => input(["a", "b"], engines, busy));
+    assert.deepEqual(moves[0]?.[0], 30);
+    assert.equal(moves[0]?.[1].load, "a");
+    assert.equal(moves[0]?.[1].unload, "b");
+    const burst = movesOver(120, second => input(["a", "b"], engines, second % 30 < 25 ? busy : {}));
+    assert.deepEqual(burst, [], "25 s of waiting are left to the queue");
+    const both = movesOver(120, () => input(["a", "b"], engines, { a: { waiting: 40 }, b: { waiting: 40 } }));
+    assert.deepEqual(both, [], "a model that is in need itself gives nothing away");
+});
+
+test("demand that swings between two models moves engines at most once a minute; guards against flapping", () => {
+    let holds = new Map([["e1", "a"], ["e2", "a"], ["e3", "b"], ["e4", "b"]]);
+    let state = noPlacement;
+    const times: number[] = [];
+    for (let second = 0; second <= 600; second += 5) {
+        const hot = Math.floor(second / 40) % 2 === 0 ? "a" : "b";
+        const engines = [...holds].map(([name, model]) => engine(name, [model]));
+        const decided = decidePlacement(state, input(["a", "b"], engines, { [hot]: { waiting: 60 } }), second * 1_000);
+        state = decided.state;
+        for (const move of decided.moves) {
+            times.push(second);
+            holds = new Map(holds).set(move.engine, move.load);
+        }
+    }
+    const gaps = times.slice(1).map((time, index) => time - times[index]!);
+    assert.ok(times.length > 0 && gaps.every(gap => gap >= 60), `moves at ${times.join(", ")} s`);
+});
+
+test("at most two loads run at once; guards against loads that time out at the rate-limited weight store", () => {
+    const empty = ["e1", "e2", "e3", "e4"].map(name => engine(name, []));
+    assert.equal(once(input(["a", "b", "c", "d"], empty)).length, 2);
+    const loading = [engine("e0", [], { loading: ["x", "y"] }), ...empty];
+    assert.deepEqual(once(input(["a", "b", "c", "d"], loading)), []);
+});
+
+test("every daemon decides the same whatever the order of its input; guards against two engines for one need", () => {
+    const engines = Array.from({ length: 9 }, (_, index) => engine(`e${index}`, index < 5 ? ["a"] : []));
+    const given = input(["a", "b", "c"], engines);
+    const turned = input(["c", "b", "a"], [...engines].reverse());
+    assert.deepEqual(once(given), once(turned));
+});
