Tell peers how many calls wait for each model

Cause: placement needs the waiting calls of all daemons, and heartbeats carry calls in flight by engine only.

Change: a heartbeat has an optional last part of pairs (model number, waiting calls); models share the numbers of engine names. Clients of engines can read and give orders, read cache events and the cache with its tokens. An unexpected answer to a control request is an EngineError, and 404 counts as success for DELETE only.

Figures: 33 waiting models add at most 70 bytes to a heartbeat, one adds at most 4, none adds 0 (beat.test.ts).

--- a/packages/peer/src/beat.ts
+++ b/packages/peer/src/beat.ts
@@ -32,6 +32,8 @@
     numbers,
     /** Versions higher than the sender's own, with their holders: version, holder, version, holder. */
     z.tuple([version, z.string().max(128), version, z.string().max(128)]).nullish(),
+    /** Pairs of model number and waiting calls, left out when none waits; models share the numbers of engines. */
+    numbers.optional(),
 ]);
 
 /** Most engine names in the table of a link; later names are left out of heartbeats. */
@@ -45,19 +47,8 @@
     const numbers = new Map<string, number>();
     return (beat, news) => {
         const names: string[] = [];
-        const counts: number[] = [];
-        for (const [engine, count] of busiest(beat.inFlight, engineLimit)) {
-            let number = numbers.get(engine);
-            if (number === undefined) {
-                if (numbers.size >= nameLimit) {
-                    continue;
-                }
-                number = numbers.size;
-                numbers.set(engine, number);
-                names.push(engine);
-            }
-            counts.push(number, count);
-        }
+        const counts = pairsOf(beat.inFlight, engineLimit, numbers, names);
+        const waiting = pairsOf(beat.waiting ?? {}, engineLimit, numbers, names);
         const age = beat.storeAge === undefined ? null : Math.max(0, Math.round(beat.storeAge));
         const body: unknown[] = [age, beat.configurationVersion, beat.ownershipVersion, beat.leaving, names, counts];
         if (news.configuration.version > beat.configurationVersion || news.ownership.version > beat.ownershipVersion) {
@@ -67,26 +58,60 @@
         else {
             body.push(null);
         }
+        if (waiting.length > 0) {
+            body.push(waiting);
+        }
         return pack(body);
     };
 }
 
+/** Pairs of the number of a name and its count; names without a number get the next one and are added to `added`. */
+function pairsOf(
+    counts: Readonly<Record<string, number>>,
+    limit: number,
+    numbers: Map<string, number>,
+    added: string[],
+): number[] {
+    const pairs: number[] = [];
+    for (const [name, count] of busiest(counts, limit)) {
+        let number = numbers.get(name);
+        if (number === undefined) {
+            if (numbers.size >= nameLimit) {
+                continue;
+            }
+            number = numbers.size;
+            numbers.set(name, number);
+            added.push(name);
+        }
+        pairs.push(number, count);
+    }
+    return pairs;
+}
+
 /** Reads the heartbeats of one link, in order. Throws ProtocolError. */
 export function createBeatReader(): (bytes: Uint8Array) => { readonly beat: Beat; readonly news: News | undefined; } {
     const engines: string[] = [];
     return bytes => {
-        const [age, configurationVersion, ownershipVersion, leaving, names, counts, news] = read(
+        const [age, configurationVersion, ownershipVersion, leaving, names, counts, news, waiting] = read(
             heartbeat,
             bytes,
             "heartbeat",
         );
-        if (engines.length + names.length > nameLimit || counts.length % 2 !== 0) {
+        if (engines.length + names.length > nameLimit || counts.length % 2 !== 0 ||
+            (waiting?.length ?? 0) % 2 !== 0) {
             throw new ProtocolError("malformed", "the heartbeat has the wrong engine numbers");
         }
         engines.push(...names);
         const storeAge = age ?? undefined;
         return {
-            beat: { storeAge, configurationVersion, ownershipVersion, leaving, inFlight: countsOf(engines, counts) },
+            beat: {
+                storeAge,
+                configurationVersion,
+                ownershipVersion,
+                leaving,
+                inFlight: countsOf(engines, counts),
+                ...waiting === undefined ? {} : { waiting: countsOf(engines, waiting) },
+            },
             news: news === null || news === undefined ? undefined : {
                 configuration: { version: news[0], holder: news[1] },
                 ownership: { version: news[2], holder: news[3] },
@@ -107,7 +132,7 @@
     return Object.fromEntries(pairs);
 }
 
-function busiest(inFlight: Beat["inFlight"], limit: number): readonly (readonly [string, number])[] {
+function busiest(inFlight: Readonly<Record<string, number>>, limit: number): readonly (readonly [string, number])[] {
     const busy = Object.entries(inFlight).filter(([, count]) => count > 0);
     return busy.length <= limit ? busy : busy.sort((left, right) => right[1] - left[1]).slice(0, limit);
 }
--- a/packages/peer/test/beat.test.ts
+++ b/packages/peer/test/beat.test.ts
@@ -76,3 +76,20 @@
     const size = wide({ ...quiet, storeAge: 100, inFlight: full }, noNews).length;
     assert.ok(size < 100, `a heartbeat with 23 engines takes ${size} bytes`);
 });
+
+test("waiting calls by model take 2 bytes a model and may be absent; guards against a heartbeat above its budget", () => {
+    const write = createBeatWriter(64);
+    const read = createBeatReader();
+    const waiting = Object.fromEntries(Array.from({ length: 33 }, (_, index) => [`model-${index}@v2`, index + 1]));
+    const beat = { ...quiet, storeAge: 13, inFlight: { "engine-1": 2 } };
+    const plain = write(beat, noNews);
+    assert.deepEqual(read(plain).beat, beat);
+    assert.deepEqual(read(write({ ...beat, waiting }, noNews)).beat, { ...beat, waiting });
+    const again = write({ ...beat, waiting }, noNews);
+    assert.deepEqual(read(again).beat, { ...beat, waiting });
+    assert.deepEqual(read(write({ ...beat, waiting: { "model-3@v2": 0 } }, noNews)).beat, beat);
+    const later = write(beat, noNews).length;
+    assert.ok(again.length - later <= 70, `33 models take ${again.length - later} bytes`);
+    const small = write({ ...beat, waiting: { "model-3@v2": 5 } }, noNews).length;
+    assert.ok(small - later <= 4, `one model takes ${small - later} bytes`);
+});
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -1,4 +1,4 @@
-import type { LoadReport, Message } from "@tamarackgauge/core";
+import type { CacheEvent, LoadReport, Message } from "@tamarackgauge/core";
 import { Agent, request } from "undici";
 import { z } from "zod";
 import { readEvents } from "./events.ts";
@@ -43,6 +43,26 @@
     }
 }
 
+/** What an engine says of its models. `models` is undefined when it serves any. */
+export interface EngineOrders {
+    /** Highest fencing token seen, by engines that keep it. */
+    readonly fence: number;
+    readonly models: readonly string[] | undefined;
+    readonly loading: readonly string[];
+}
+
+/** An idempotent statement of what an engine is to hold. */
+export interface EngineOrder {
+    readonly fence: number;
+    readonly action: "load" | "unload";
+    readonly model: string;
+}
+
+/** A cache event with its number; a number that is left out is a lost event. */
+export interface NumberedCacheEvent extends CacheEvent {
+    readonly sequence: number;
+}
+
 /** Client of one model engine. Every method throws an `EngineError`. */
 export interface EngineClient {
     stream(call: EngineCall, signal: AbortSignal): AsyncIterable<EngineEvent>;
@@ -51,6 +71,13 @@
     /** Keys of the programs for which the engine holds memory. */
     held(): Promise<readonly string[]>;
     load(): Promise<LoadReport>;
+    orders(): Promise<EngineOrders>;
+    /** Gives an order; false when the engine refuses its fencing token as too old. */
+    order(order: EngineOrder): Promise<boolean>;
+    /** Cache events after a number, and the size of the answer in bytes. */
+    events(after: number): Promise<{ readonly events: readonly NumberedCacheEvent[]; readonly bytes: number; }>;
+    /** Tokens held by key of the program, and the size of the answer in bytes. */
+    cache(): Promise<{ readonly held: ReadonlyMap<string, number>; readonly bytes: number; }>;
     [Symbol.asyncDispose](): Promise<void>;
 }
 
@@ -83,7 +110,22 @@
     cacheCapacity: z.number().optional(),
 });
 
-const heldCache = z.object({ entries: z.array(z.looseObject({ key: z.string() })) });
+const heldCache = z.object({ entries: z.array(z.looseObject({ key: z.string(), tokens: z.number().default(0) })) });
+
+const ordersState = z.object({
+    fence: z.number().default(0),
+    models: z.array(z.string()).optional(),
+    loading: z.array(z.string()).default([]),
+});
+
+const cacheEvents = z.object({
+    events: z.array(z.object({
+        sequence: z.number(),
+        kind: z.enum(["stored", "evicted"]),
+        program: z.string(),
+        tokens: z.number(),
+    })),
+});
 
 /** Creates a client of the engine at an address, `http://<address>:<port>`. */
 export function createEngineClient(url: string): EngineClient {
@@ -118,31 +160,73 @@
         }
     }
 
-    async function control(method: "GET" | "DELETE", path: string): Promise<unknown> {
+    async function control(method: "GET" | "DELETE" | "POST", path: string, body?: unknown) {
         try {
             const response = await request(`${url}${path}`, {
                 method,
                 dispatcher: agent,
                 signal: AbortSignal.timeout(controlTimeout),
+                ...body === undefined
+                    ? {}
+                    : { headers: { "content-type": "application/json" }, body: JSON.stringify(body) },
             });
             const text = await response.body.text();
-            if (response.statusCode >= 300 && response.statusCode !== 404) {
+            // What is to be deleted and is unknown has been deleted.
+            if (response.statusCode >= 300 && !(method === "DELETE" && response.statusCode === 404)) {
                 throw new EngineError(`status ${response.statusCode}`, response.statusCode, true);
             }
-            return text === "" ? undefined : JSON.parse(text);
+            return { value: text === "" ? undefined : JSON.parse(text) as unknown, bytes: Buffer.byteLength(text) };
         }
         catch (error) {
             throw error instanceof EngineError ? error : new EngineError((error as Error).message, undefined, true);
         }
     }
 
+    /** Reads and checks an answer. */
+    async function readState<Value>(path: string, schema: z.ZodType<Value>) {
+        const { value, bytes } = await control("GET", path);
+        const checked = schema.safeParse(value);
+        if (!checked.success) {
+            throw new EngineError(`unexpected answer to ${path}`, undefined, true);
+        }
+        return { value: checked.data, bytes };
+    }
+
+    async function order(wanted: EngineOrder): Promise<boolean> {
+        try {
+            await control("POST", "/v1/orders", wanted);
+            return true;
+        }
+        catch (error) {
+            if (error instanceof EngineError && error.status === 409) {
+                return false;
+            }
+            throw error;
+        }
+    }
+
+    async function cache() {
+        const { value, bytes } = await readState("/v1/cache", heldCache);
+        return { held: new Map(value.entries.map(({ key, tokens }) => [key, tokens])), bytes };
+    }
+
     return {
         stream,
         release: async key => {
             await control("DELETE", `/v1/cache/${encodeURIComponent(key)}`);
         },
-        held: async () => heldCache.parse(await control("GET", "/v1/cache")).entries.map(entry => entry.key),
-        load: async () => loadReport.parse(await control("GET", "/v1/load")),
+        held: async () => [...(await cache()).held.keys()],
+        load: async () => (await readState("/v1/load", loadReport)).value,
+        orders: async () => {
+            const { models, ...rest } = (await readState("/v1/orders", ordersState)).value;
+            return { ...rest, models };
+        },
+        order,
+        events: async after => {
+            const { value, bytes } = await readState(`/v1/events?after=${after}`, cacheEvents);
+            return { events: value.events, bytes };
+        },
+        cache,
         [Symbol.asyncDispose]: () => agent.destroy(),
     };
 }
