Double a plan's allotment while calls are opened in a burst

Every call is given its slot and tokens before the policy is asked, and the daemons' updates of the plan's row conflict, which is a likely part of that time besides the load of the machine (average 19). With spare slots, the tokens still needed a row update each few calls. An allotment now has a spare part as large as what open calls reserve, still at most 1/64 of the budget.

--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -241,8 +241,10 @@
         if (left || limits === undefined) {
             return { tokens: account.allotment.reserved, slots: left ? 0 : account.slotsUsed };
         }
+        // Doubling what is open lets a burst ask for tokens a few times only; updates of several daemons conflict.
+        const useful = Math.max(open, account.rate * allotmentSeconds);
         // Near its end the budget is shared in small parts, so that no daemon holds what another one needs.
-        const spare = Math.min(account.rate * allotmentSeconds, limits.budgetTokens / spareShare);
+        const spare = Math.min(useful, limits.budgetTokens / spareShare);
         const slots = account.slotsUsed + account.slotsWanted;
         // Spare slots let most programs start without the store; a small limit is never held back by them.
         return { tokens: Math.ceil(open + spare), slots: slots + Math.min(slots, mostSpareSlots(limits)) };
