Test order and shutdown, and hand over idle partitions while others are busy

Cause: the exit waited for a timer of one lease TTL (15 s in the test). A leaving or rebalancing owner handed over nothing to a daemon while one tool call in any of the partitions ran. Steps written after the hand-over was queued could overwrite the next owner's segment. A shutdown without a store ignored its deadline and the second signal. An incarnation that failed to join kept running and, once fenced by the next, ended that one. Ruled out: a shorter pause of the entry for every owner that is not reached; it would multiply reads of the map during a takeover. Change: the idle partitions move after 100 ms, the busy ones when they are idle; a partition that is about to move is closed for writes; the entry asks a leaving owner every 100 ms; the waits of the shutdown end with its deadline.

--- a/packages/daemon/src/committer.ts
+++ b/packages/daemon/src/committer.ts
@@ -3,7 +3,7 @@
 import type { Check, Table } from "@tamarackgauge/platform";
 import createDebug from "debug";
 import { keys, leaseRow, segmentRow } from "./rows.ts";
-import { sleep } from "./wait.ts";
+import { sleep, within } from "./wait.ts";
 
 const log = createDebug("tamarackgauge:commit");
 
@@ -95,6 +95,7 @@
     let confirmed = clock.monotonic();
     let fenced = false;
     let stopped = false;
+    let abandoned = false;
     let wake: (() => void) | undefined;
     let idle: Promise<void> = Promise.resolve();
 
@@ -209,7 +210,7 @@
             deletes,
         };
         const first = clock.monotonic();
-        while (!stopped || puts.length > 0) {
+        while (!abandoned && (!stopped || puts.length > 0)) {
             const sent = clock.monotonic();
             try {
                 const result = await table.commit(transaction);
@@ -328,7 +329,9 @@
         [Symbol.asyncDispose]: async () => {
             stopped = true;
             wake?.();
-            await Promise.race([idle, sleep(ttl)]);
+            await within(idle, ttl);
+            // By now the lease has expired; further tries would keep the process alive for as long as the store is down.
+            abandoned = true;
         },
     };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -100,6 +100,7 @@
     let map: { readonly map: Ownership; readonly version: number; } | undefined;
     let serial = 0;
     let leaving = false;
+    let joining = false;
     let stopped = false;
     let storeDownSince: number | undefined;
 
@@ -322,16 +323,18 @@
 
     /** Joins, and joins again with a new incarnation whenever the lease was lost. */
     async function keepJoined(): Promise<void> {
+        joining = true;
         while (!stopped && !leaving) {
             try {
                 await joinOnce();
-                return;
+                break;
             }
             catch (error) {
                 log("The daemon could not join: %s.", (error as Error).message);
                 await sleep(rejoinPause);
             }
         }
+        joining = false;
     }
 
     async function joinOnce(): Promise<void> {
@@ -356,20 +359,28 @@
             gate,
             isParentActive: key => entry.isActive(key),
             onMap,
-            onFenced: () => void rejoin(),
+            onFenced: () => void rejoin(next),
             onCommit,
         });
         incarnation = next;
-        await next.ownership.join();
+        try {
+            await next.ownership.join();
+        }
+        catch (error) {
+            incarnation = undefined;
+            await next[Symbol.asyncDispose]();
+            throw error;
+        }
         log("%s has joined as %s.", name, next.committer.incarnation);
     }
 
-    async function rejoin(): Promise<void> {
-        const old = incarnation;
-        incarnation = undefined;
-        if (old !== undefined) {
-            await old[Symbol.asyncDispose]();
+    /** An incarnation that was given up before it joined is fenced by the next one, which stays. */
+    async function rejoin(old: Incarnation): Promise<void> {
+        if (incarnation !== old || joining) {
+            return;
         }
+        incarnation = undefined;
+        await old[Symbol.asyncDispose]();
         await keepJoined();
     }
 
@@ -379,7 +390,8 @@
         const deadline = AbortSignal.timeout(settings.shutdownDeadline);
         const signal = hurry === undefined ? deadline : AbortSignal.any([deadline, hurry]);
         const streams = Promise.all([front.drain(), peers.drain()]);
-        await incarnation?.leave(signal);
+        // Without a store nothing can be handed over.
+        await Promise.race([incarnation?.leave(signal), aborted(signal)]);
         const finished = await Promise.race([streams.then(() => true), aborted(signal).then(() => false)]);
         timeline.record({ part: "daemon", event: "shutdownFinished", fields: { code: finished ? 0 : 1 } });
         return finished;
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -43,6 +43,8 @@
 const patience = 20_000;
 const firstPause = 20;
 const longestPause = 500;
+/** A leaving owner hands over at once, and its programs' next calls are to be served within 1 s. */
+const leavingPause = 100;
 const askTimeout = 2_000;
 const retryAfter = 1_000;
 
@@ -55,6 +57,8 @@
     tokens: number;
     /** What is known of earlier tries at other owners. */
     run: Run;
+    /** The last owner asked hands over its programs. */
+    ownerLeaves: boolean;
     movedAt: number;
     cause: string;
 }
@@ -71,6 +75,7 @@
             tokens: 0,
             // Whoever resumes an answer has seen a part of it.
             run: call.offset > 0 ? "unknown" : "notRun",
+            ownerLeaves: false,
             movedAt: clock.monotonic(),
             cause: received(call),
         };
@@ -85,7 +90,8 @@
                 yield { type: "refused", refusal: giveUp(progress) };
                 return;
             }
-            pause = progress.position > position ? firstPause : Math.min(longestPause, pause * 2);
+            const longest = progress.ownerLeaves ? leavingPause : longestPause;
+            pause = progress.position > position ? firstPause : Math.min(longest, pause * 2);
             await sleep(pause * (0.5 + Math.random() / 2));
             await options.refreshMap().catch(() => undefined);
         }
@@ -231,6 +237,7 @@
     function acceptRefusal(progress: Progress, refusal: Refusal): AnswerEvent | "again" {
         if (refusal.name === "owner_unreachable" || refusal.name === "leaving") {
             progress.run = refusal.run === "unknown" ? "unknown" : progress.run;
+            progress.ownerLeaves = refusal.name === "leaving";
             return "again";
         }
         // For a call that may not be repeated the new owner's journal is the authority; another call may have run
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -262,7 +262,7 @@
 
     /** Applies steps in memory and queues them for the journal; resolves when they are stored. */
     function save(partition: Partition, live: Live, steps: readonly ProgramStep[]): Promise<void> {
-        if (partition.lost) {
+        if (partition.lost || partition.closed) {
             return Promise.reject(new Error("the partition has moved"));
         }
         applySteps(live, steps);
@@ -358,24 +358,28 @@
             partition.programs.forEach(wakeWaiting);
         }
         const late = aborted(signal);
-        const idle = await Promise.all(partitions.map(partition => drainOne(partition, signal, late)));
+        const idle = await Promise.all(partitions.map(partition => drainOne(partition, late)));
+        const moving = partitions.filter((_, index) => idle[index]);
+        // The hand-over is queued behind what was written so far. What came later could overwrite segments of the
+        // next owner.
+        moving.forEach(partition => {
+            partition.closed = true;
+        });
         await Promise.race([committer.flush().catch(() => undefined), late]);
-        return signal.aborted ? [] : partitions.filter((_, index) => idle[index]).map(partition => partition.number);
+        return moving.map(partition => partition.number);
     }
 
     /** Waits for calls that cannot move; then interrupts the others, which go on at the next owner. */
-    async function drainOne(partition: Partition, signal: AbortSignal, late: Promise<void>): Promise<boolean> {
-        await partition.ready.catch(() => undefined);
+    async function drainOne(partition: Partition, late: Promise<void>): Promise<boolean> {
+        await Promise.race([partition.ready.catch(() => undefined), late]);
         const running = () => [...partition.programs.values()].flatMap(live => live.running ?? []);
-        const fixed = running().filter(each => !each.movable);
-        await Promise.race([Promise.all(fixed.map(each => each.answer.done)), late]);
-        if (signal.aborted) {
+        const fixed = () => running().filter(each => !each.movable && !each.answer.finished());
+        await Promise.race([Promise.all(fixed().map(each => each.answer.done)), late]);
+        if (fixed().length > 0) {
             return false;
         }
-        const moved = running();
-        moved.forEach(each => each.stop(movedRefusal("the partition is handed over", "unknown")));
-        await Promise.race([Promise.all(moved.map(each => each.answer.done)), late]);
-        return !signal.aborted;
+        running().forEach(each => each.stop(movedRefusal("the partition is handed over", "unknown")));
+        return true;
     }
 
     function resume(numbers: readonly number[]): void {
@@ -383,6 +387,7 @@
             const partition = owned.get(number);
             if (partition !== undefined) {
                 partition.draining = false;
+                partition.closed = false;
             }
         }
     }
@@ -453,6 +458,9 @@
         if (live.running !== undefined) {
             live.running.stop(refuse("program_ended", "unknown"));
             await live.running.answer.done;
+            if (partition.lost || partition.closed) {
+                return movedRefusal("the partition has moved");
+            }
         }
         endLive(partition, live);
         return undefined;
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -53,6 +53,8 @@
 const mapPolls = 5;
 /** A partition with calls that cannot move is left alone after this time; it is tried again later. */
 const rebalanceDrain = 2_000;
+/** A leaving daemon hands over what is idle after this time, and tries again for what is not. */
+const leaveDrain = 100;
 
 /** Creates the keeper; it starts watching once `join` has been called. */
 export function createOwnershipKeeper(options: OwnershipOptions): OwnershipKeeper {
@@ -234,7 +236,8 @@
         while (!signal.aborted && others() &&
             partitionsOf(current?.map ?? { members: {}, owners: [] }, name).length > 0) {
             const moves = [...misplaced(current?.map ?? { members: {}, owners: [] }, name)];
-            await Promise.all(moves.map(([to, partitions]) => handOver(partitions, to, signal)));
+            const round = AbortSignal.any([signal, AbortSignal.timeout(leaveDrain)]);
+            await Promise.all(moves.map(([to, partitions]) => handOver(partitions, to, round)));
         }
         while (!signal.aborted && others() && !await apply({ type: "remove", name })) {
             // As above.
--- a/packages/daemon/src/partition.ts
+++ b/packages/daemon/src/partition.ts
@@ -35,6 +35,8 @@
     ready: Promise<void>;
     /** No call is taken while the partition is handed over. */
     draining: boolean;
+    /** Nothing is written any more: the partition is about to have another owner. */
+    closed: boolean;
     lost: boolean;
     /** The journal has been read. */
     recovered: boolean;
@@ -50,6 +52,7 @@
         segments: new Map(),
         ready: Promise.resolve(),
         draining: false,
+        closed: false,
         lost: false,
         recovered: false,
     };
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -68,7 +68,12 @@
     return createHash("sha256").update(key).digest("hex");
 }
 
-const defaultFlags = ["--lease-ttl", "1500", "--lease-renewal", "300", "--commit-interval", "10"];
+const defaultFlags = [["--lease-ttl", "1500"], ["--lease-renewal", "300"], ["--commit-interval", "10"]] as const;
+
+/** The flags of a test with the defaults that it does not set. */
+function withFlags(flags: readonly string[]): readonly string[] {
+    return [...defaultFlags.filter(([name]) => !flags.includes(name)).flat(), ...flags];
+}
 
 /** Starts a cluster and waits until every daemon is ready and owns partitions. */
 export async function createCluster(options: ClusterOptions = {}): Promise<Cluster> {
@@ -116,8 +121,7 @@
     async function start(name: string): Promise<DaemonProcess> {
         const url = options.platformUrl?.(platform.port) ?? `http://127.0.0.1:${platform.port}`;
         const flags = ["--name", name, "--data-centre", "dc1", "--address", "127.0.0.1", "--port", "0", "--peer-port",
-            "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey), ...defaultFlags,
-            ...options.flags ?? []];
+            "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey), ...withFlags(options.flags ?? [])];
         const child = spawn(process.execPath, [program, "daemon", ...flags], {
             stdio: ["ignore", "pipe", "pipe"],
             env: {
--- /dev/null
+++ b/packages/daemon/test/conversation.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import type { TestAnswer, TestCall } from "./client.ts";
+import type { Cluster, DaemonProcess } from "./cluster.ts";
+
+/** What an engine answers when nothing fails: it depends on the program and its messages only. */
+export async function undisturbed(cluster: Cluster, key: string, messages: readonly object[],
+    maxTokens = 64): Promise<string> {
+    const response = await fetch(`${cluster.engines[0]?.url}/v1/chat/completions`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({ model: "model", messages, max_tokens: maxTokens, cache_salt: key }),
+    });
+    const body = await response.json() as { choices: { message: { content: string; }; }[]; };
+    return body.choices[0]?.message.content ?? "";
+}
+
+/** The caller's side of a conversation, which checks each answer against the undisturbed one. */
+export function createConversation(cluster: Cluster, program: string, plan = "plan") {
+    const history: object[] = [];
+    let sequence = 0;
+    let seal = "";
+
+    async function say(daemon: DaemonProcess, content: string, more: Partial<TestCall> = {}): Promise<TestAnswer> {
+        const call = { program, plan, request: `r${sequence}`, sequence, content, ...more };
+        const answer = await daemon.client.call(call);
+        if (answer.done) {
+            const user = { role: "user", content };
+            assert.equal(answer.text,
+                await undisturbed(cluster, `${plan}/${program}`, [...history, user], call.maxTokens));
+            history.push(user, { role: "assistant", content: answer.text });
+            seal = answer.seal ?? "";
+            sequence += 1;
+        }
+        return answer;
+    }
+
+    return { say, history, seal: () => seal };
+}
--- a/packages/daemon/test/history.test.ts
+++ b/packages/daemon/test/history.test.ts
@@ -2,9 +2,10 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { keys } from "../src/rows.ts";
-import type { TestAnswer, TestCall } from "./client.ts";
+import type { TestAnswer } from "./client.ts";
 import { createCluster } from "./cluster.ts";
 import type { Cluster, DaemonProcess } from "./cluster.ts";
+import { createConversation } from "./conversation.ts";
 
 let cluster: Cluster;
 const killed = new Set<string>();
@@ -15,39 +16,6 @@
 
 after(() => cluster[Symbol.asyncDispose]());
 
-/** What an engine answers when nothing fails: it depends on the program and its messages only. */
-async function undisturbed(key: string, messages: readonly object[], maxTokens = 64): Promise<string> {
-    const response = await fetch(`${cluster.engines[0]?.url}/v1/chat/completions`, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify({ model: "model", messages, max_tokens: maxTokens, cache_salt: key }),
-    });
-    const body = await response.json() as { choices: { message: { content: string; }; }[]; };
-    return body.choices[0]?.message.content ?? "";
-}
-
-/** The caller's side of a conversation, which checks each answer against the undisturbed one. */
-function createConversation(program: string, plan = "plan") {
-    const history: object[] = [];
-    let sequence = 0;
-    let seal = "";
-
-    async function say(daemon: DaemonProcess, content: string, more: Partial<TestCall> = {}): Promise<TestAnswer> {
-        const call = { program, plan, request: `r${sequence}`, sequence, content, ...more };
-        const answer = await daemon.client.call(call);
-        if (answer.done) {
-            const user = { role: "user", content };
-            assert.equal(answer.text, await undisturbed(`${plan}/${program}`, [...history, user], call.maxTokens));
-            history.push(user, { role: "assistant", content: answer.text });
-            seal = answer.seal ?? "";
-            sequence += 1;
-        }
-        return answer;
-    }
-
-    return { say, history, seal: () => seal };
-}
-
 async function partsOf(program: string) {
     const owner = await cluster.ownerOf(`plan/${program}`);
     const others = [...cluster.daemons.values()].filter(({ name }) => name !== owner && !killed.has(name));
@@ -81,7 +49,7 @@
 
 describe("the history of a program", () => {
     test("the same program name under two plans (guards against one history for both)", async () => {
-        const [mine, theirs] = [createConversation("same"), createConversation("same", "other")];
+        const [mine, theirs] = [createConversation(cluster, "same"), createConversation(cluster, "same", "other")];
         const { entry, other } = await partsOf("same");
         for (const content of ["First", "Second"]) {
             assertComplete(await mine.say(entry, content));
@@ -91,7 +59,7 @@
     });
 
     test("reply to the write of a turn lost (guards against losing or doubling a turn)", async () => {
-        const talk = createConversation("reply");
+        const talk = createConversation(cluster, "reply");
         const { entry, other } = await partsOf("reply");
         const lost = struck("loseReply");
         const keyPrefix = keys.journal(partitionOf("plan/reply", 64));
@@ -102,7 +70,7 @@
     });
 
     test("owner killed between turns (guards against a history that only its owner knew)", async () => {
-        const talk = createConversation("between");
+        const talk = createConversation(cluster, "between");
         const { owner, entry, other } = await partsOf("between");
         assertComplete(await talk.say(entry, "First"));
         assertComplete(await talk.say(other, "Second"));
@@ -113,7 +81,7 @@
 
     for (const { name, maxTokens } of [{ name: "during", maxTokens: 400 }, { name: "limit", maxTokens: 60 }]) {
         test(`owner killed during a turn, ${name} (guards against a broken, repeated or longer answer)`, async () => {
-            const talk = createConversation(name);
+            const talk = createConversation(cluster, name);
             const { owner, entry, other } = await partsOf(name);
             assertComplete(await talk.say(entry, "First"));
             const onText = afterPieces(10, () => kill(owner));
@@ -124,7 +92,7 @@
     }
 
     test("owner killed before the turn is stored (guards against a second ending of a complete text)", async () => {
-        const talk = createConversation("commit");
+        const talk = createConversation(cluster, "commit");
         const { owner, entry, other } = await partsOf("commit");
         assertComplete(await talk.say(entry, "First"));
         const hung = struck("hang");
@@ -140,7 +108,7 @@
     });
 
     test("owner paused past its lease during a turn and continued (guards against two owners of one history)", async () => {
-        const talk = createConversation("paused");
+        const talk = createConversation(cluster, "paused");
         const { owner, entry, other } = await partsOf("paused");
         assertComplete(await talk.say(entry, "First"));
         const onText = afterPieces(10, () => owner.signal("SIGSTOP"));
@@ -155,7 +123,7 @@
     });
 
     test("store down, then owner killed before it returns (guards against a stored turn that is lost and a caller's turn that cannot come back)", async () => {
-        const talk = createConversation("outage");
+        const talk = createConversation(cluster, "outage");
         const { owner, entry, other } = await partsOf("outage");
         assertComplete(await talk.say(entry, "First"));
         cluster.platform.setFaults({ mode: "down", match: "table" });
--- a/packages/daemon/test/node.ts
+++ b/packages/daemon/test/node.ts
@@ -49,6 +49,8 @@
     readonly budgetTokens?: number;
     readonly programsAtOnce?: number;
     readonly turnLimit?: number;
+    /** Takes what is to be called when the engines have released a program's cache; by default that is at once. */
+    readonly onRelease?: (done: () => void) => void;
     /** What differs from an owner with a valid lease beside a peer that reaches the store. */
     readonly standing?: Partial<Standing>;
 }
@@ -148,7 +150,7 @@
             [Symbol.asyncDispose]: async () => undefined,
         },
         releases: {
-            release: (_key, _engines, done) => done(),
+            release: (_key, _engines, done) => options.onRelease === undefined ? done() : options.onRelease(done),
             reconcile: async () => undefined,
             [Symbol.asyncDispose]: async () => undefined,
         },
