Hand over to all daemons by one change of the map, and retry a reservation that another call took

Cause: a leaving owner changed the map once for each receiver, and all but one of these changes conflicted, so that five receivers took up to 15 transactions. Ruled out: a limit of 1 s in the test. Change: one change of the map for all receivers; a reservation asks again, three times at most, unless the plan had less than was asked for.

--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -51,6 +51,8 @@
     rate: number;
     updated: number;
     updating: Promise<void> | undefined;
+    /** The plan had less than this daemon asked for last. */
+    short: boolean;
 }
 
 /** An allotment covers this many seconds of recent use, so that a busy plan does not ask for every call. */
@@ -58,6 +60,8 @@
 const defaultSettleInterval = 1_000;
 const conflictPause = 20;
 const conflictTries = 50;
+/** A call that came during the update may take what was granted for another; that one asks again. */
+const reserveTries = 3;
 const retryAfter = 1_000;
 
 /** Creates the budgets of a daemon's incarnation. */
@@ -82,6 +86,7 @@
                 rate: 0,
                 updated: clock.monotonic(),
                 updating: undefined,
+                short: false,
             };
             accounts.set(plan, account);
         }
@@ -94,17 +99,31 @@
         if (held !== undefined) {
             return held;
         }
+        let reservation: Reservation | undefined;
+        for (let attempt = 0; attempt < reserveTries && reservation === undefined; attempt += 1) {
+            const granted = await topUp(account, tokens);
+            reservation = tryReserve(account, tokens);
+            if (!granted) {
+                break;
+            }
+        }
+        return reservation ?? refuse("budget_spent", "notRun", undefined, retryAfter);
+    }
+
+    /** Asks for tokens; whether the plan had as many as were asked for. */
+    async function topUp(account: Account, tokens: number): Promise<boolean> {
         account.wanted += tokens;
         try {
             await update(account);
+            return !account.short;
         }
         catch (error) {
-            log("The budget of %s could not be read: %s.", plan, (error as Error).message);
+            log("The budget of %s could not be read: %s.", account.plan, (error as Error).message);
+            return false;
         }
         finally {
             account.wanted -= tokens;
         }
-        return tryReserve(account, tokens) ?? refuse("budget_spent", "notRun", undefined, retryAfter);
     }
 
     function tryReserve(account: Account, tokens: number): Reservation | undefined {
@@ -196,6 +215,7 @@
             });
             const result = await commitRow(account.plan, row?.revision ?? "0", after);
             if (result) {
+                account.short = (after.holders[name]?.tokens ?? 0) < wish.tokens;
                 adopt(account, after, used);
                 return;
             }
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -89,12 +89,19 @@
         }
     }
 
-    /** Changes the map by a step; false when another daemon changed it first. */
-    async function apply(step: OwnershipStep, alsoDelete?: { readonly key: string; readonly revision: string; }) {
+    /** Changes the map by steps; false when another daemon changed it first. */
+    function apply(...steps: readonly OwnershipStep[]): Promise<boolean> {
+        return change(steps, undefined);
+    }
+
+    async function change(
+        steps: readonly OwnershipStep[],
+        alsoDelete: { readonly key: string; readonly revision: string; } | undefined,
+    ): Promise<boolean> {
         if (current === undefined) {
             return false;
         }
-        const next = applyOwnership(current.map, step);
+        const next = steps.reduce(applyOwnership, current.map);
         const result = await committer.change({
             checks: [
                 { key: keys.ownership, revision: String(current.version) },
@@ -190,7 +197,7 @@
 
     async function takeOver(dead: string, row: { readonly key: string; readonly revision: string; }): Promise<void> {
         const partitions = current === undefined ? 0 : partitionsOf(current.map, dead).length;
-        if (await apply({ type: "remove", name: dead }, row)) {
+        if (await change([{ type: "remove", name: dead }], row)) {
             sightings.delete(dead);
             log("Took over %d partitions of %s.", partitions, dead);
             options.onTakeover?.(dead, partitions);
@@ -201,25 +208,39 @@
         if (current === undefined) {
             return;
         }
-        for (const [to, partitions] of misplaced(current.map, name)) {
-            await handOver(partitions, to, AbortSignal.timeout(rebalanceDrain));
+        const moves = misplaced(current.map, name);
+        if (moves.size > 0) {
+            await handOver(moves, AbortSignal.timeout(rebalanceDrain));
         }
     }
 
-    async function handOver(partitions: readonly number[], to: string, signal: AbortSignal): Promise<void> {
-        const idle = await options.drain(partitions, signal);
-        let moved = false;
+    /** Hands over what is idle, to all receivers by one change of the map. */
+    async function handOver(moves: ReadonlyMap<string, readonly number[]>, signal: AbortSignal): Promise<void> {
+        const wanted = [...moves.values()].flat();
+        const idle = new Set(await options.drain(wanted, signal));
+        const steps = [...moves].map(([to, partitions]): OwnershipStep => ({
+            type: "handOver",
+            from: name,
+            partitions: partitions.filter(partition => idle.has(partition)),
+            to,
+        }));
+        const receives = () => [...moves.keys()].some(to => current?.map.members[to] !== undefined);
         try {
-            while (idle.length > 0 && !moved && current?.map.members[to] !== undefined) {
-                moved = await apply({ type: "handOver", from: name, partitions: idle, to });
+            while (idle.size > 0 && receives() && !await apply(...steps)) {
+                // Another daemon changed the map first; the newer map has been read.
             }
         }
         finally {
-            options.resume(moved ? partitions.filter(partition => !idle.includes(partition)) : partitions);
+            const kept = new Set(current === undefined ? [] : partitionsOf(current.map, name));
+            options.resume(wanted.filter(partition => kept.has(partition)));
+            [...moves].forEach(([to, partitions]) => reportMoved(to, partitions.filter(each => !kept.has(each))));
         }
-        if (moved) {
-            log("Handed %d partitions over to %s.", idle.length, to);
-            options.onHandOver?.(to, idle.length);
+    }
+
+    function reportMoved(to: string, partitions: readonly number[]): void {
+        if (partitions.length > 0) {
+            log("Handed %d partitions over to %s.", partitions.length, to);
+            options.onHandOver?.(to, partitions.length);
         }
     }
 
@@ -235,9 +256,9 @@
         const others = () => Object.values(current?.map.members ?? {}).some(other => !other.leaving);
         while (!signal.aborted && others() &&
             partitionsOf(current?.map ?? { members: {}, owners: [] }, name).length > 0) {
-            const moves = [...misplaced(current?.map ?? { members: {}, owners: [] }, name)];
+            const moves = misplaced(current?.map ?? { members: {}, owners: [] }, name);
             const round = AbortSignal.any([signal, AbortSignal.timeout(leaveDrain)]);
-            await Promise.all(moves.map(([to, partitions]) => handOver(partitions, to, round)));
+            await handOver(moves, round);
         }
         while (!signal.aborted && others() && !await apply({ type: "remove", name })) {
             // As above.
