--- a/packages/daemon/test/journal.test.ts
+++ b/packages/daemon/test/journal.test.ts
@@ -23,6 +23,11 @@
 test("an owner writes nothing after its hand-over (guards against overwriting the next owner's journal)", async () => {
     const rows: Rows = new Map();
     const releases: (() => void)[] = [];
+    const executed: string[] = [];
+    const services = { call: async (_service: string, { request }: { readonly request: string; }) => {
+        executed.push(request);
+        return { answer: { status: 200, body: "done" }, upstream: "tool" };
+    } };
     await using first = await createNode({ rows, name: "first", services, onRelease: done => releases.push(done) });
     await using second = await createNode({ rows, name: "second", services });
     own(first, "first");
@@ -39,6 +44,7 @@
     assert.equal((await third.call(toolCall("turn"))).durability, "stored");
     assert.equal((await third.call(toolCall("later", { sequence: 1 }))).durability, "stored",
         "the turn at the second owner is in the journal");
+    assert.deepEqual(executed, ["plan/ended/ended", "plan/p/turn", "plan/p/later"]);
 });
 
 test("a lease counts from the first try of a renewal whose reply was lost (guards against two valid owners)", async () => {
