--- a/packages/core/src/policy/order.ts
+++ b/packages/core/src/policy/order.ts
@@ -14,6 +14,11 @@
     return Math.min(levels - 1, 32 - Math.clz32(Math.floor(tokens / firstLevelTokens)));
 }
 
+/** Whether the job is the first of a program tree; the first call of a sub-agent belongs to a program under way. */
+export function opensTree(job: Job): boolean {
+    return job.opening && job.root === job.program;
+}
+
 interface Tree {
     tokens: number;
     programs: number;
@@ -68,8 +73,11 @@
     readonly since: number;
 }
 
-/** What became of an offered job: `placed` leaves the queue, `blocked` stays, `full` ends the offers. */
-export type Offer = "placed" | "blocked" | "full";
+/**
+ * What became of an offered job: `placed` leaves the queue, `blocked` stays, `closed` stays and ends the offers of
+ * its plan, `full` ends all offers.
+ */
+export type Offer = "placed" | "blocked" | "closed" | "full";
 
 /** Which waiting jobs are offered: first calls of programs, later ones, or both in order of level. */
 export type JobClass = "opening" | "underWay" | "all";
@@ -116,7 +124,7 @@
     }
 
     private bucketOf(waiting: Waiting): Map<string, Waiting> {
-        return this.buckets[2 * waiting.level + (waiting.job.opening ? 1 : 0)]!;
+        return this.buckets[2 * waiting.level + (opensTree(waiting.job) ? 1 : 0)]!;
     }
 }
 
@@ -129,7 +137,7 @@
     let lowest = Infinity;
     for (let index = 0; index < heads.length; index += 1) {
         const head = heads[index];
-        const rank = head === undefined ? Infinity : 2 * agedLevel(head, now) + (head.job.opening ? 1 : 0);
+        const rank = head === undefined ? Infinity : 2 * agedLevel(head, now) + (opensTree(head.job) ? 1 : 0);
         if (rank < lowest) {
             lowest = rank;
             first = index;
@@ -138,6 +146,11 @@
     return first;
 }
 
+interface Reader {
+    readonly read: () => Waiting | undefined;
+    blocked: number;
+}
+
 /** The queue of one model: plans by weighted deficit, then levels within the plan. */
 export class WaitingQueue {
     private readonly plans = new Map<string, PlanQueue>();
@@ -174,17 +187,16 @@
 
     /** Offers waiting jobs in order of service until none is left or the offers are blocked. */
     offer(now: number, take: JobClass, accept: (waiting: Waiting) => Offer): void {
-        const readers = new Map<PlanQueue, { read: () => Waiting | undefined; blocked: number; }>();
-        for (const plan of this.backlogged) {
-            readers.set(plan, { read: plan.read(now, take), blocked: 0 });
-        }
+        const readers = new Map<PlanQueue, Reader>();
+        const open = new Set(this.backlogged);
         let blocked = 0;
-        while (readers.size > 0 && blocked < blockedPerRound) {
-            const plan = leastServed(readers.keys());
-            const reader = readers.get(plan)!;
+        while (open.size > 0 && blocked < blockedPerRound) {
+            const plan = leastServed(open);
+            const reader = readers.get(plan) ?? { read: plan.read(now, take), blocked: 0 };
+            readers.set(plan, reader);
             const waiting = reader.read();
             if (waiting === undefined) {
-                readers.delete(plan);
+                open.delete(plan);
                 continue;
             }
             const before = plan.served;
@@ -192,16 +204,16 @@
             if (outcome === "full") {
                 return;
             }
-            if (outcome === "blocked") {
-                blocked += 1;
-                reader.blocked += 1;
-                if (reader.blocked >= blockedPerPlan) {
-                    readers.delete(plan);
-                }
+            if (outcome === "placed") {
+                this.floor = Math.max(this.floor, before);
+                this.remove(waiting);
                 continue;
             }
-            this.floor = Math.max(this.floor, before);
-            this.remove(waiting);
+            blocked += 1;
+            reader.blocked += 1;
+            if (outcome === "closed" || reader.blocked >= blockedPerPlan) {
+                open.delete(plan);
+            }
         }
     }
 
