Settle lost ledger updates once, give back what a lowered budget no longer covers

Cause: an update of a plan's ledger whose reply was lost, and whose outcome could not be read at once, was settled again by the next update, so that used tokens counted twice. Further faults found: - A call refused at the end of a budget kept a rest that served nobody while demand went on: three daemons left up to 15 tokens each unused for more than 20 s with calls of 16 tokens. Now the rest goes back at once. - Each refused call wrote the ledger: 100 calls refused together cost 100 writes one after another, now at most 2. - After the budget was lowered, spare tokens of the old budget were still used. Now they are given back, and not used while the store does not answer. - A daemon whose lease was lost could take the place of its next incarnation in the ledger row. - A call resumed at another owner was charged max_tokens instead of what it had reserved.

Ruled out: tokens beyond the budget; no run of the old or the new code used more than the budget.

--- a/packages/core/src/budget.ts
+++ b/packages/core/src/budget.ts
@@ -62,6 +62,13 @@
     return Object.values(row.holders).reduce((sum, entry) => sum + entry.slots, 0);
 }
 
+/** Tokens that a holder can hold at most after it has accounted for `used` tokens. */
+export function grantableTokens(row: Ledger, holder: string, used: number, budgetTokens: number): number {
+    const held = row.holders[holder]?.tokens ?? 0;
+    const free = budgetTokens - committedTokens(row) - Math.max(0, used - held);
+    return Math.max(0, held - used) + Math.max(0, free);
+}
+
 /**
  * Applies a step; the given ledger stays as it is.
  * Invariant: spent + granted tokens never grow beyond the budget, whatever a holder does later.
@@ -83,9 +90,7 @@
         return row;
     }
     const spent = row.spent + step.used;
-    const kept = Math.max(0, entry.tokens - step.used);
-    const free = Math.max(0, step.limits.budgetTokens - committedTokens(row) - Math.max(0, step.used - entry.tokens));
-    const tokens = Math.min(step.tokens, kept + free);
+    const tokens = Math.min(step.tokens, grantableTokens(row, step.holder, step.used, step.limits.budgetTokens));
     const openSlots = Math.max(0, step.limits.programsAtOnce - takenSlots(row));
     // A lowered limit takes no slot away: programs under way go on.
     const slots = Math.min(step.slots, entry.slots + openSlots);
--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -1,4 +1,5 @@
-import { applyLedger, emptyAllotment, emptyLedger, freeTokens, refuse, release, reserve } from "@tamarackgauge/core";
+import { applyLedger, committedTokens, emptyAllotment, emptyLedger, freeTokens, grantableTokens, refuse, release,
+    reserve } from "@tamarackgauge/core";
 import type { Allotment, Clock, Ledger, Limits, Refusal } from "@tamarackgauge/core";
 import type { Table } from "@tamarackgauge/platform";
 import createDebug from "debug";
@@ -9,6 +10,7 @@
 
 /** Tokens reserved for a call at its worst case. */
 export interface Reservation {
+    readonly tokens: number;
     /** Ends the reservation; `used` tokens were generated. Further calls have no effect. */
     settle(used: number): void;
 }
@@ -24,6 +26,8 @@
     limitsChanged(): void;
     /** Gives everything back. */
     leave(): Promise<void>;
+    /** Reserves and writes nothing more: the lease was lost, and what this daemon holds counts as spent. */
+    abandon(): void;
     [Symbol.asyncDispose](): Promise<void>;
 }
 
@@ -41,16 +45,22 @@
 interface Account {
     readonly plan: string;
     allotment: Allotment;
-    /** Tokens that waiting calls need beyond what is free. */
-    wanted: number;
+    /** Tokens that each waiting call needs. */
+    readonly wanted: Set<{ readonly tokens: number; }>;
     slots: number;
     slotsUsed: number;
     slotsWanted: number;
     serial: number;
+    /** Tokens settled by each update whose reply was lost, by serial number; at most one of them was applied. */
+    readonly unconfirmed: Map<number, number>;
+    /** The budget at the last look. */
+    budget: number | undefined;
     /** Use of tokens per second, smoothed over some seconds. */
     rate: number;
     updated: number;
     updating: Promise<void> | undefined;
+    /** The update after that, for callers that came too late for it. */
+    next: Promise<void> | undefined;
 }
 
 /** An allotment covers this many seconds of recent use, so that a busy plan does not ask for every call. */
@@ -67,6 +77,7 @@
     const settleInterval = options.settleInterval ?? defaultSettleInterval;
     const timer = setInterval(settleAll, settleInterval);
     let left = false;
+    let abandoned = false;
 
     function accountOf(plan: string): Account {
         let account = accounts.get(plan);
@@ -74,14 +85,17 @@
             account = {
                 plan,
                 allotment: emptyAllotment,
-                wanted: 0,
+                wanted: new Set(),
                 slots: 0,
                 slotsUsed: 0,
                 slotsWanted: 0,
                 serial: 0,
+                unconfirmed: new Map(),
+                budget: options.limitsOf(plan)?.budgetTokens,
                 rate: 0,
                 updated: clock.monotonic(),
                 updating: undefined,
+                next: undefined,
             };
             accounts.set(plan, account);
         }
@@ -94,7 +108,8 @@
         if (held !== undefined) {
             return held;
         }
-        account.wanted += tokens;
+        const want = { tokens };
+        account.wanted.add(want);
         try {
             await update(account);
         }
@@ -102,19 +117,20 @@
             log("The budget of %s could not be read: %s.", plan, (error as Error).message);
         }
         finally {
-            account.wanted -= tokens;
+            account.wanted.delete(want);
         }
         return tryReserve(account, tokens) ?? refuse("budget_spent", "notRun", undefined, retryAfter);
     }
 
     function tryReserve(account: Account, tokens: number): Reservation | undefined {
         const next = reserve(account.allotment, tokens);
-        if (next === undefined || left) {
+        if (next === undefined || left || abandoned) {
             return undefined;
         }
         account.allotment = next;
         let settled = false;
         return {
+            tokens,
             settle: used => {
                 if (!settled) {
                     settled = true;
@@ -138,7 +154,7 @@
                 account.slotsWanted -= 1;
             }
         }
-        if (account.slotsUsed >= account.slots || left) {
+        if (account.slotsUsed >= account.slots || left || abandoned) {
             return refuse("programs_at_once", "notRun", undefined, retryAfter);
         }
         account.slotsUsed += 1;
@@ -151,52 +167,37 @@
     }
 
     /** Updates the plan's row; callers that come meanwhile share the next update. */
-    async function update(account: Account): Promise<void> {
-        while (account.updating !== undefined) {
-            await account.updating.catch(() => undefined);
-            if (freeTokens(account.allotment) >= account.wanted &&
-                account.slotsUsed + account.slotsWanted <= account.slots) {
-                return;
-            }
+    function update(account: Account): Promise<void> {
+        if (account.updating === undefined) {
+            return startUpdate(account);
         }
+        account.next ??= account.updating.catch(() => undefined).then(() => {
+            account.next = undefined;
+            const enough = freeTokens(account.allotment) >= wantedTokens(account) &&
+                account.slotsUsed + account.slotsWanted <= account.slots;
+            return enough ? undefined : startUpdate(account);
+        });
+        return account.next;
+    }
+
+    function startUpdate(account: Account): Promise<void> {
         account.updating = updateRow(account).finally(() => {
             account.updating = undefined;
         });
-        await account.updating;
+        return account.updating;
     }
 
     async function updateRow(account: Account): Promise<void> {
-        const limits = options.limitsOf(account.plan);
-        const now = clock.monotonic();
-        const used = account.allotment.used;
-        const elapsed = Math.max(now - account.updated, 100) / 1000;
-        account.rate = account.rate * 0.5 + (used / elapsed) * 0.5;
-        account.updated = now;
-        account.serial += 1;
-        const serial = account.serial;
-        for (let attempt = 0; attempt < conflictTries; attempt += 1) {
+        measureRate(account);
+        const earlier = account.serial;
+        for (let attempt = 0; attempt < conflictTries && !abandoned; attempt += 1) {
             const row = await table.get(keys.ledger(account.plan));
             const before = row === undefined ? emptyLedger : ledgerRow.decode(row.value);
-            const own = before.holders[name];
-            if (own?.incarnation === incarnation && own.serial >= serial) {
-                adopt(account, before, used);
+            await checkLease(before.holders[name]?.incarnation);
+            if (settleUnconfirmed(account, before) > earlier) {
                 return;
             }
-            const alive = await buryDead(before);
-            const wish = wishOf(account, limits);
-            lower(account, used, wish);
-            const after = applyLedger(alive, {
-                type: "update",
-                holder: name,
-                incarnation,
-                serial,
-                used,
-                ...wish,
-                limits: limits ?? { budgetTokens: 0, programsAtOnce: 0 },
-            });
-            const result = await commitRow(account.plan, row?.revision ?? "0", after);
-            if (result) {
-                adopt(account, after, used);
+            if (await tryUpdate(account, before, row?.revision ?? "0")) {
                 return;
             }
             await sleep(conflictPause * Math.random());
@@ -204,6 +205,69 @@
         throw new Error("too many daemons changed the row at once");
     }
 
+    function measureRate(account: Account): void {
+        const now = clock.monotonic();
+        const elapsed = Math.max(now - account.updated, 100) / 1000;
+        account.rate = account.rate * 0.5 + (account.allotment.used / elapsed) * 0.5;
+        account.updated = now;
+    }
+
+    /**
+     * A paused daemon whose lease was taken over must not take the place of its next incarnation in the row, whose
+     * slots would count as free. Read only when the row does not show this incarnation.
+     */
+    async function checkLease(holder: string | undefined): Promise<void> {
+        if (holder === incarnation) {
+            return;
+        }
+        const lease = await table.get(keys.lease(name));
+        if (lease === undefined || leaseRow.decode(lease.value).incarnation !== incarnation) {
+            throw new Error("the lease was lost");
+        }
+    }
+
+    /**
+     * The serial number in the row tells which update with a lost reply was applied; what it settled must not be
+     * settled again. Returns that number, or 0.
+     */
+    function settleUnconfirmed(account: Account, row: Ledger): number {
+        const own = row.holders[name];
+        const settled = own?.incarnation === incarnation ? account.unconfirmed.get(own.serial) : undefined;
+        if (own === undefined || settled === undefined) {
+            return 0;
+        }
+        adopt(account, row, settled);
+        return own.serial;
+    }
+
+    async function tryUpdate(account: Account, before: Ledger, revision: string): Promise<boolean> {
+        const limits = options.limitsOf(account.plan);
+        const alive = await buryDead(before);
+        const wish = wishOf(account, limits, alive);
+        const { used } = account.allotment;
+        lower(account, used, wish);
+        account.serial += 1;
+        const { serial } = account;
+        const after = applyLedger(alive, {
+            type: "update",
+            holder: name,
+            incarnation,
+            serial,
+            used,
+            ...wish,
+            limits: limits ?? { budgetTokens: 0, programsAtOnce: 0 },
+        });
+        account.unconfirmed.set(serial, used);
+        const applied = await commitRow(account.plan, revision, after);
+        if (applied === true) {
+            adopt(account, after, used);
+        }
+        else if (applied === false) {
+            account.unconfirmed.delete(serial);
+        }
+        return applied === true;
+    }
+
     /**
      * What is about to be given back must not be reserved while the update is under way, nor afterwards if its
      * reply is lost.
@@ -215,8 +279,8 @@
         account.slots = Math.min(account.slots, wish.slots);
     }
 
-    /** A lost reply is resolved by reading the row again: the serial number tells whether it was applied. */
-    async function commitRow(plan: string, revision: string, row: Ledger): Promise<boolean> {
+    /** Whether the row was written; undefined when the reply was lost. */
+    async function commitRow(plan: string, revision: string, row: Ledger): Promise<boolean | undefined> {
         const key = keys.ledger(plan);
         try {
             return (await table.commit({ checks: [{ key, revision }], puts: [{ key, value: ledgerRow.encode(row) }] }))
@@ -224,18 +288,26 @@
         }
         catch (error) {
             log("The store did not confirm an update of %s: %s.", plan, (error as Error).message);
-            return false;
+            return undefined;
         }
     }
 
-    function wishOf(account: Account, limits: Limits | undefined) {
-        const open = account.allotment.reserved + account.wanted;
+    function wishOf(account: Account, limits: Limits | undefined, row: Ledger) {
+        const { reserved, used } = account.allotment;
         if (left || limits === undefined) {
-            return { tokens: account.allotment.reserved, slots: left ? 0 : account.slotsUsed };
+            return { tokens: reserved, slots: left ? 0 : account.slotsUsed };
+        }
+        const slots = account.slotsUsed + account.slotsWanted;
+        // After the budget was lowered, tokens granted before are given back instead of used. And a rest that serves
+        // none of the waiting calls is of use only together with what other daemons give back.
+        const grantable = grantableTokens(row, name, used, limits.budgetTokens);
+        const least = Math.min(...[...account.wanted].map(({ tokens }) => tokens));
+        if (committedTokens(row) > limits.budgetTokens || (account.wanted.size > 0 && grantable < reserved + least)) {
+            return { tokens: reserved, slots };
         }
         // Near its end the budget is shared in small parts, so that no daemon holds what another one needs.
         const spare = Math.min(account.rate * allotmentSeconds, limits.budgetTokens / spareShare);
-        return { tokens: Math.ceil(open + spare), slots: account.slotsUsed + account.slotsWanted };
+        return { tokens: Math.ceil(reserved + wantedTokens(account) + spare), slots };
     }
 
     function adopt(account: Account, row: Ledger, settled: number): void {
@@ -243,6 +315,7 @@
         const { used, reserved } = account.allotment;
         account.allotment = { granted: own?.tokens ?? 0, used: used - settled, reserved };
         account.slots = own?.slots ?? 0;
+        account.unconfirmed.clear();
     }
 
     async function buryDead(row: Ledger): Promise<Ledger> {
@@ -277,6 +350,27 @@
         return account.slots > account.slotsUsed || (spare && now - account.updated >= spareTime);
     }
 
+    /** Until the row has granted it anew, what is not reserved of a lowered budget is not used. */
+    function limitsChanged(): void {
+        for (const account of accounts.values()) {
+            const budget = options.limitsOf(account.plan)?.budgetTokens ?? 0;
+            if (account.budget !== undefined && budget < account.budget) {
+                const { used, reserved, granted } = account.allotment;
+                account.allotment = { used, reserved, granted: Math.min(granted, used + reserved) };
+                update(account).catch((error: unknown) => {
+                    log("The budget of %s could not be lowered: %s.", account.plan, (error as Error).message);
+                });
+            }
+            account.budget = budget;
+        }
+        settleAll();
+    }
+
+    function abandon(): void {
+        abandoned = true;
+        clearInterval(timer);
+    }
+
     async function leave(): Promise<void> {
         left = true;
         clearInterval(timer);
@@ -290,14 +384,19 @@
         reserve: reserveTokens,
         takeSlot,
         freeSlot,
-        limitsChanged: settleAll,
+        limitsChanged,
         leave,
+        abandon,
         [Symbol.asyncDispose]: async () => {
-            clearInterval(timer);
+            abandon();
         },
     };
 }
 
+function wantedTokens(account: Account): number {
+    return [...account.wanted].reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
 /** Milliseconds after which spare tokens go back to the plan. */
 const spareTime = 5_000;
 /** A daemon never holds more spare tokens than this share of the budget. */
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -63,6 +63,7 @@
         onFenced: () => {
             timeline.record({ part: "owner", event: "leaseFenced", fields: { daemon: name } });
             owner.abandon();
+            budgets.abandon();
             options.onFenced();
         },
         onCommit: options.onCommit,
--- a/packages/daemon/src/modelRun.ts
+++ b/packages/daemon/src/modelRun.ts
@@ -72,7 +72,7 @@
             for await (const event of dispatcher.run(runOf(live, running, target), signal)) {
                 switch (event.type) {
                     case "dispatched":
-                        charge = target.maxTokens;
+                        charge = reservation.tokens;
                         running.cause = record(call, "callDispatched", running.cause, {
                             upstream: event.engine,
                             priority: event.priority,
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -50,9 +50,20 @@
     /** Name of the daemon that owns a program, as the ownership row says. */
     ownerOf(program: string): Promise<string>;
     apply(lists: unknown, expected: number): Promise<Response>;
+    /** What a daemon says about itself to operators. */
+    status(name: string): Promise<DaemonStatus>;
+    /** Takes a daemon whose process has ended out of the list. */
+    forget(name: string): void;
     [Symbol.asyncDispose](): Promise<void>;
 }
 
+/** What a test needs of a daemon's status. */
+export interface DaemonStatus {
+    readonly ready: boolean;
+    readonly configurationVersion: number;
+    readonly details: { readonly map?: Owners; };
+}
+
 /** The key of the operators in tests. */
 export const operatorKey = "operator-key-of-the-tests";
 
@@ -139,11 +150,11 @@
         }
     }
 
-    async function status(name: string) {
+    async function status(name: string): Promise<DaemonStatus> {
         const response = await fetch(`http://127.0.0.1:${daemons.get(name)?.port}/operator/v1/status`, {
             headers: { authorization: `Bearer ${operatorKey}` },
         });
-        return await response.json() as { ready: boolean; configurationVersion: number; details: { map?: Owners; }; };
+        return await response.json() as DaemonStatus;
     }
 
     async function ownerOf(key: string): Promise<string> {
@@ -204,6 +215,10 @@
         until,
         ownerOf,
         apply,
+        status,
+        forget: name => {
+            daemons.delete(name);
+        },
         [Symbol.asyncDispose]: async () => {
             for (const each of daemons.values()) {
                 each.signal("SIGCONT");
--- /dev/null
+++ b/packages/daemon/test/fakeTable.ts
@@ -0,0 +1,85 @@
+import type { Random } from "@tamarackgauge/core";
+import { TableError } from "@tamarackgauge/platform";
+import type { Row, Table, Transaction, TransactionResult } from "@tamarackgauge/platform";
+
+/** The rows of a fake table service, shared by the clients of several daemons. */
+export interface FakeStore {
+    readonly rows: Map<string, Row>;
+    /** Chances from 0 to 1 of each fault of a request. */
+    faults: Faults;
+    /** A client; its faults follow the random source. */
+    connect(random: Random): Table;
+}
+
+/** Chances of faults. */
+export interface Faults {
+    /** The request fails without effect. */
+    readonly fail: number;
+    /** The write takes effect, but its reply is lost. */
+    readonly loseReply: number;
+    /** The reply is lost, and the write takes effect some milliseconds later if its checks still hold. */
+    readonly late: number;
+    /** The request takes some milliseconds. */
+    readonly slow: number;
+}
+
+/** No faults. */
+export const healthy: Faults = { fail: 0, loseReply: 0, late: 0, slow: 0 };
+
+const slowest = 4;
+
+/** Creates an empty store. */
+export function createFakeStore(): FakeStore {
+    const rows = new Map<string, Row>();
+    let revision = 0;
+    const store: FakeStore = { rows, faults: healthy, connect };
+
+    function apply({ checks, puts, deletes }: Transaction): TransactionResult {
+        if (!checks.every(check => (rows.get(check.key)?.revision ?? "0") === check.revision)) {
+            return { applied: false, revision: String(revision) };
+        }
+        revision += 1;
+        puts.forEach(({ key, value }) => rows.set(key, { key, value, revision: String(revision) }));
+        deletes?.forEach(key => rows.delete(key));
+        return { applied: true, revision: String(revision) };
+    }
+
+    function connect(random: Random): Table {
+        const strikes = (chance: number) => random() < chance;
+        const pause = () => new Promise(resolve => setTimeout(resolve, random() * slowest));
+
+        async function get(key: string): Promise<Row | undefined> {
+            await (strikes(store.faults.slow) ? pause() : undefined);
+            if (strikes(store.faults.fail)) {
+                throw new TableError("no answer");
+            }
+            return rows.get(key);
+        }
+
+        async function commit(transaction: Transaction): Promise<TransactionResult> {
+            await (strikes(store.faults.slow) ? pause() : undefined);
+            if (strikes(store.faults.fail)) {
+                throw new TableError("no answer");
+            }
+            if (strikes(store.faults.late)) {
+                void pause().then(() => apply(transaction));
+                throw new TableError("no answer");
+            }
+            const result = apply(transaction);
+            if (strikes(store.faults.loseReply)) {
+                throw new TableError("no answer");
+            }
+            return result;
+        }
+
+        return {
+            get,
+            commit,
+            range: () => Promise.reject(new TableError("not part of the fake")),
+            lastSuccess: () => undefined,
+            [Symbol.asyncDispose]: async () => undefined,
+        };
+    }
+
+    return store;
+}
