--- a/packages/core/src/policy/scheduler.ts
+++ b/packages/core/src/policy/scheduler.ts
@@ -3,7 +3,7 @@
 import type { Assignment, CacheEvent, Engine, Job, JobResult, LoadReport, Policy } from "../policy.ts";
 import { Admission } from "./admission.ts";
 import { Health } from "./health.ts";
-import { agedLevel, AttainedService, levels, type Offer, type Waiting, WaitingQueue } from "./order.ts";
+import { agedLevel, AttainedService, type Offer, opensTree, type Waiting, WaitingQueue } from "./order.ts";
 import { type EngineState, type Route, Router } from "./routing.ts";
 
 /** Settings of the policy. */
@@ -20,6 +20,9 @@
 /** A job that waits is offered again after this time, as estimates change with time; in ms. */
 const offerMs = 50;
 
+/** Up to this level (below 8,192 tokens) a program counts as short. */
+const shortLevel = 3;
+
 /** An eviction is ignored when an own call of the program ended there within the usual lag of events, in ms. */
 const eventLagMs = 2_000;
 
@@ -28,10 +31,11 @@
 const queuedMs = 20;
 
 interface ProgramState {
-    readonly root: string;
     /** Tokens believed cached per engine that served the program, and when that was learned. */
     readonly cached: Map<string, number>;
     learnedAt: number;
+    /** A call of the program has been dispatched, so the program counts as under way. */
+    begun: boolean;
 }
 
 interface Flight {
@@ -49,6 +53,14 @@
     tokens: number;
 }
 
+/** One round of offers of the jobs of one model. */
+interface Round {
+    readonly queue: WaitingQueue;
+    readonly assignments: Assignment[];
+    /** The lowest level at which no engine has room. */
+    fullLevel: number;
+}
+
 /** Least attained service per program tree, with routing, health, windows and admission. */
 export class AttainedServicePolicy implements Policy {
     private readonly service = new AttainedService();
@@ -58,8 +70,9 @@
     private readonly queues = new Map<string, WaitingQueue>();
     private readonly waitingJobs = new Map<string, Waiting>();
     private readonly flights = new Map<string, Flight>();
-    /** Calls that open a program and have no first token yet. */
+    /** Calls that open a program and have no first token, and since when there was always one. */
     private openings = 0;
+    private openingsSince = 0;
     private readonly programs = new Map<string, ProgramState>();
 
     constructor(private readonly settings: PolicySettings, random: Random) {
@@ -79,7 +92,10 @@
         this.programOf(job.program, job.root);
         const waiting = { job, level: this.service.level(job.root), since: now };
         this.waitingJobs.set(job.id, waiting);
-        this.openings += job.opening ? 1 : 0;
+        if (opensTree(job)) {
+            this.openingsSince = this.openings === 0 ? now : this.openingsSince;
+            this.openings += 1;
+        }
         this.queueOf(job.model).add(waiting);
         return undefined;
     }
@@ -89,7 +105,7 @@
         if (waiting !== undefined) {
             this.countWait(waiting.job, now - waiting.since, now);
             this.waitingJobs.delete(job);
-            this.openings -= waiting.job.opening ? 1 : 0;
+            this.openings -= opensTree(waiting.job) ? 1 : 0;
             this.queueOf(waiting.job.model).remove(waiting);
         }
     }
@@ -97,13 +113,10 @@
     next(now: number): readonly Assignment[] {
         const assignments: Assignment[] = [];
         if (this.waitingJobs.size > 0) {
-            const pressed = this.admission.isPressed(now);
+            const take = this.admission.hasRoom() ? "all" : "underWay";
             for (const queue of this.queues.values()) {
-                const accept = (waiting: Waiting) => this.place(waiting, queue, assignments, now);
-                queue.offer(now, pressed ? "underWay" : "all", accept);
-                if (pressed) {
-                    queue.offer(now, "opening", accept);
-                }
+                const round = { queue, assignments, fullLevel: Infinity };
+                queue.offer(now, take, waiting => this.place(waiting, round, now));
             }
         }
         return assignments;
@@ -128,8 +141,8 @@
         state.window.adapt(ms > queuedFactor * expected + queuedMs);
         state.waited(Math.max(0, ms - expected), now);
         this.countWait(flight.job, now - flight.since - expected, now);
-        if (flight.job.opening) {
-            this.admission.opened(this.openings > 0, now);
+        if (opensTree(flight.job)) {
+            this.admission.serve(now);
         }
         speeds.learnFirstToken(uncached, ms);
         this.health.started(state.engine.name, now);
@@ -190,8 +203,12 @@
         this.router.peers.set(daemon, inFlight, now);
     }
 
-    endProgram(program: string): readonly string[] {
-        const engines = [...this.programs.get(program)?.cached.keys() ?? []];
+    endProgram(program: string, now: number): readonly string[] {
+        const state = this.programs.get(program);
+        const engines = [...state?.cached.keys() ?? []];
+        if (state?.begun === true) {
+            this.admission.end(now);
+        }
         this.programs.delete(program);
         this.service.end(program);
         return engines;
@@ -221,38 +238,64 @@
                 : refuse("upstream_failed", "unknown", "the retry budget is spent");
         }
         this.admission.countRequest();
-        const retryAfterMs = job.opening
-            ? this.admission.refuses(this.openings, now)
+        const retryAfterMs = opensTree(job)
+            ? this.admission.refuses(this.openings, now - this.openingsSince, now)
             : undefined;
         return retryAfterMs === undefined ? undefined : refuse("overloaded", "notRun", undefined, retryAfterMs);
     }
 
-    /** Waits of calls under way say whether more programs can be served; openings go before most of them. */
+    /** Waits of short programs under way say whether more can be served; new ones do not wait for long ones. */
     private countWait(job: Job, ms: number, now: number): void {
-        if (!job.opening) {
+        if (!opensTree(job) && this.service.level(job.root) <= shortLevel) {
             this.admission.waited(Math.max(0, ms), now);
         }
     }
 
-    private place(waiting: Waiting, queue: WaitingQueue, assignments: Assignment[], now: number): Offer {
+    private place(waiting: Waiting, round: Round, now: number): Offer {
         const { job } = waiting;
-        const level = job.opening && this.admission.isPressed(now) ? levels - 1 : agedLevel(waiting, now);
+        if (opensTree(job) && !this.admission.hasRoom()) {
+            return "blocked";
+        }
+        const level = this.levelOf(waiting, now);
+        if (level >= round.fullLevel) {
+            return "closed";
+        }
         const route = this.router.choose(job, this.programs.get(job.program)?.cached, level, now);
         if (route === undefined) {
-            return "blocked";
+            return this.blocked(job, level, round);
         }
         this.waitingJobs.delete(job.id);
         const charged = route.uncached + Math.min(job.maxTokens, this.router.speeds.outputTokens);
-        queue.charge(job.plan, charged);
+        round.queue.charge(job.plan, charged);
         this.send(waiting, route, level, charged, now);
-        assignments.push({ job, engine: route.state.engine.name, priority: level });
+        round.assignments.push({ job, engine: route.state.engine.name, priority: level });
         return "placed";
     }
 
+    /** Pairs of levels are merged in overload: fewer calls under way then wait beyond the patience of their callers. */
+    private levelOf(waiting: Waiting, now: number): number {
+        const level = agedLevel(waiting, now);
+        return this.admission.hasRoom() ? level : level >> 1;
+    }
+
+    /** When no engine of the model has room at a level, no job of this or a higher level can be placed. */
+    private blocked(job: Job, level: number, round: Round): Offer {
+        if (this.router.hasRoom(job.model, level)) {
+            return "blocked";
+        }
+        round.fullLevel = level;
+        return level === 0 ? "full" : "closed";
+    }
+
     private send(waiting: Waiting, { state, uncached }: Route, level: number, charged: number, now: number): void {
         const { job, since } = waiting;
         const name = state.engine.name;
-        const cached = this.programs.get(job.program)?.cached;
+        const program = this.programs.get(job.program);
+        if (program !== undefined && !program.begun) {
+            program.begun = true;
+            this.admission.begin();
+        }
+        const cached = program?.cached;
         const believed = Math.min(job.promptTokens, cached?.get(name) ?? 0);
         cached?.set(name, cached.get(name) ?? 0);
         state.inFlight += 1;
@@ -264,7 +307,7 @@
     }
 
     private leaveWindow({ job, state, level, uncached }: Flight): void {
-        this.openings -= job.opening ? 1 : 0;
+        this.openings -= opensTree(job) ? 1 : 0;
         state.window.remove(level);
         state.pendingTokens -= uncached;
     }
@@ -296,7 +339,7 @@
     private programOf(name: string, root: string): ProgramState {
         let program = this.programs.get(name);
         if (program === undefined) {
-            program = { root, cached: new Map(), learnedAt: -Infinity };
+            program = { cached: new Map(), learnedAt: -Infinity, begun: false };
             this.programs.set(name, program);
             this.service.join(name, root);
         }
--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -48,6 +48,8 @@
     /** Tokens that each waiting call needs. */
     readonly wanted: Set<{ readonly tokens: number; }>;
     slots: number;
+    /** Slots that the plan's row grants; more than `slots` while some are being given back. */
+    slotsGranted: number;
     slotsUsed: number;
     slotsWanted: number;
     serial: number;
@@ -63,6 +65,12 @@
     next: Promise<void> | undefined;
 }
 
+/** What a daemon wants to hold of a plan. */
+interface Wish {
+    readonly tokens: number;
+    readonly slots: number;
+}
+
 /** An allotment covers this many seconds of recent use, so that a busy plan does not ask for every call. */
 const allotmentSeconds = 2;
 const defaultSettleInterval = 1_000;
@@ -87,6 +95,7 @@
                 allotment: emptyAllotment,
                 wanted: new Set(),
                 slots: 0,
+                slotsGranted: 0,
                 slotsUsed: 0,
                 slotsWanted: 0,
                 serial: 0,
@@ -241,22 +250,18 @@
     }
 
     async function tryUpdate(account: Account, before: Ledger, revision: string): Promise<boolean> {
-        const limits = options.limitsOf(account.plan);
-        const alive = await buryDead(before);
-        const wish = wishOf(account, limits, alive);
-        const { used } = account.allotment;
-        lower(account, used, wish);
         account.serial += 1;
         const { serial } = account;
-        const after = applyLedger(alive, {
-            type: "update",
-            holder: name,
-            incarnation,
-            serial,
-            used,
-            ...wish,
-            limits: limits ?? { budgetTokens: 0, programsAtOnce: 0 },
-        });
+        const limits = options.limitsOf(account.plan) ?? { budgetTokens: 0, programsAtOnce: 0 };
+        const stepOf = (wish: Wish, used: number) =>
+            ({ type: "update", holder: name, incarnation, serial, used, ...wish, limits }) as const;
+        const full = wishOf(account);
+        const short = isShort(applyLedger(before, stepOf(full, account.allotment.used)), full, limits);
+        const alive = short ? await buryDead(before) : before;
+        const { used } = account.allotment;
+        const wish = short ? servingWish(account, limits, alive) : full;
+        lower(account, used, wish);
+        const after = applyLedger(alive, stepOf(wish, used));
         account.unconfirmed.set(serial, used);
         const applied = await commitRow(account.plan, revision, after);
         if (applied === true) {
@@ -268,12 +273,21 @@
         return applied === true;
     }
 
+    /**
+     * Only when a grant falls short can the parts of dead holders matter. Reading every holder's lease for each new
+     * program cost one round trip per daemon.
+     */
+    function isShort(row: Ledger, wish: Wish, limits: Limits): boolean {
+        const own = row.holders[name];
+        return committedTokens(row) > limits.budgetTokens || own === undefined || own.tokens < wish.tokens ||
+            own.slots < wish.slots;
+    }
+
     /**
      * What is about to be given back must not be reserved while the update is under way, nor afterwards if its
      * reply is lost.
      */
-    function lower(account: Account, settled: number,
-        wish: { readonly tokens: number; readonly slots: number; }): void {
+    function lower(account: Account, settled: number, wish: Wish): void {
         const { granted, used, reserved } = account.allotment;
         account.allotment = { granted: Math.min(granted, settled + wish.tokens), used, reserved };
         account.slots = Math.min(account.slots, wish.slots);
@@ -292,39 +306,57 @@
         }
     }
 
-    function wishOf(account: Account, limits: Limits | undefined, row: Ledger) {
-        const { reserved, used } = account.allotment;
+    function wishOf(account: Account): Wish {
+        const { reserved } = account.allotment;
+        const limits = options.limitsOf(account.plan);
         if (left || limits === undefined) {
             return { tokens: reserved, slots: left ? 0 : account.slotsUsed };
         }
         const slots = account.slotsUsed + account.slotsWanted;
-        // After the budget was lowered, tokens granted before are given back instead of used. And a rest that serves
-        // none of the waiting calls is of use only together with what other daemons give back.
-        const grantable = grantableTokens(row, name, used, limits.budgetTokens);
-        const least = Math.min(...[...account.wanted].map(({ tokens }) => tokens));
-        if (committedTokens(row) > limits.budgetTokens || (account.wanted.size > 0 && grantable < reserved + least)) {
-            return { tokens: reserved, slots };
-        }
         // Near its end the budget is shared in small parts, so that no daemon holds what another one needs.
         const spare = Math.min(account.rate * allotmentSeconds, limits.budgetTokens / spareShare);
-        return { tokens: Math.ceil(reserved + wantedTokens(account) + spare), slots };
+        // Spare slots let most programs start without the store; a small limit is never held back by them.
+        return {
+            tokens: Math.ceil(reserved + wantedTokens(account) + spare),
+            slots: slots + Math.min(slots, mostSpareSlots(limits)),
+        };
+    }
+
+    /**
+     * The wish when the row cannot grant everything. After the budget was lowered, tokens granted before are given
+     * back instead of used. And a rest that serves none of the waiting calls is of use only together with what other
+     * daemons give back.
+     */
+    function servingWish(account: Account, limits: Limits, row: Ledger): Wish {
+        const wish = wishOf(account);
+        const { reserved, used } = account.allotment;
+        const grantable = grantableTokens(row, name, used, limits.budgetTokens);
+        const least = Math.min(...[...account.wanted].map(({ tokens }) => tokens));
+        const useless = account.wanted.size > 0 && grantable < reserved + least;
+        return committedTokens(row) > limits.budgetTokens || useless ? { ...wish, tokens: reserved } : wish;
     }
 
     function adopt(account: Account, row: Ledger, settled: number): void {
         const own = row.holders[name];
         const { used, reserved } = account.allotment;
         account.allotment = { granted: own?.tokens ?? 0, used: used - settled, reserved };
-        account.slots = own?.slots ?? 0;
+        account.slotsGranted = own?.slots ?? 0;
+        account.slots = Math.min(account.slotsGranted, account.slotsUsed + account.slotsWanted + spareSlotsOf(account));
         account.unconfirmed.clear();
     }
 
+    function spareSlotsOf({ plan }: Account): number {
+        const limits = options.limitsOf(plan);
+        return limits === undefined ? 0 : mostSpareSlots(limits);
+    }
+
     async function buryDead(row: Ledger): Promise<Ledger> {
         let next = row;
-        for (const [other, holder] of Object.entries(row.holders)) {
-            if (other === name || (holder.tokens === 0 && holder.slots === 0)) {
-                continue;
-            }
-            const lease = await table.get(keys.lease(other));
+        const others = Object.entries(row.holders)
+            .filter(([other, holder]) => other !== name && (holder.tokens > 0 || holder.slots > 0));
+        const leases = await Promise.all(others.map(([other]) => table.get(keys.lease(other))));
+        for (const [index, [other, holder]] of others.entries()) {
+            const lease = leases[index];
             if (lease === undefined || leaseRow.decode(lease.value).incarnation !== holder.incarnation) {
                 log("%s is gone; %d tokens count as spent.", other, holder.tokens);
                 next = applyLedger(next, { type: "bury", holder: other });
@@ -337,31 +369,43 @@
         const now = clock.monotonic();
         for (const account of accounts.values()) {
             if (account.updating === undefined && isDue(account, now)) {
-                update(account).catch((error: unknown) => {
-                    log("The budget of %s could not be settled: %s.", account.plan, (error as Error).message);
-                });
+                settle(account);
             }
         }
     }
 
-    /** Slots are given back at once, since others wait for them; tokens when they have not been needed for a while. */
+    function settle(account: Account): void {
+        update(account).catch((error: unknown) => {
+            log("The budget of %s could not be settled: %s.", account.plan, (error as Error).message);
+        });
+    }
+
+    /** Many spare slots are given back at once, since others wait for them; a few, and tokens, after a while. */
     function isDue(account: Account, now: number): boolean {
-        const spare = account.allotment.granted > account.allotment.reserved;
-        return account.slots > account.slotsUsed || (spare && now - account.updated >= spareTime);
+        const spareSlots = account.slots - account.slotsUsed;
+        const spare = account.allotment.granted > account.allotment.reserved || spareSlots > 0;
+        return spareSlots > spareSlotsOf(account) || account.slotsGranted > account.slots
+            || (spare && now - account.updated >= spareTime);
     }
 
-    /** Until the row has granted it anew, what is not reserved of a lowered budget is not used. */
+    /**
+     * Spare slots under an old limit must not start programs beyond a lowered one, so they are given up at once. And
+     * until the row has granted it anew, what is not reserved of a lowered budget is not used.
+     */
     function limitsChanged(): void {
         for (const account of accounts.values()) {
             const budget = options.limitsOf(account.plan)?.budgetTokens ?? 0;
-            if (account.budget !== undefined && budget < account.budget) {
+            const lowered = account.budget !== undefined && budget < account.budget;
+            const most = account.slotsUsed + spareSlotsOf(account);
+            account.budget = budget;
+            if (lowered) {
                 const { used, reserved, granted } = account.allotment;
                 account.allotment = { used, reserved, granted: Math.min(granted, used + reserved) };
-                update(account).catch((error: unknown) => {
-                    log("The budget of %s could not be lowered: %s.", account.plan, (error as Error).message);
-                });
             }
-            account.budget = budget;
+            if (lowered || account.slots > most) {
+                account.slots = Math.min(account.slots, most);
+                settle(account);
+            }
         }
         settleAll();
     }
@@ -399,5 +443,9 @@
 
 /** Milliseconds after which spare tokens go back to the plan. */
 const spareTime = 5_000;
-/** A daemon never holds more spare tokens than this share of the budget. */
+/** A daemon never holds more spare tokens or slots than this share of the limit. */
 const spareShare = 64;
+
+function mostSpareSlots({ programsAtOnce }: Limits): number {
+    return Math.floor(programsAtOnce / spareShare);
+}
--- a/packages/daemon/src/finish.ts
+++ b/packages/daemon/src/finish.ts
@@ -4,9 +4,7 @@
 import type { Timeline } from "@tamarackgauge/timeline";
 import { createBroadcast } from "./broadcast.ts";
 import type { Broadcast } from "./broadcast.ts";
-import type { Committer } from "./committer.ts";
 import type { Live, Partition } from "./partition.ts";
-import { keys } from "./rows.ts";
 import type { Running } from "./running.ts";
 import { within } from "./wait.ts";
 
@@ -27,16 +25,16 @@
     openStep(live: Live): readonly ProgramStep[];
     /** Records the turn of a running call, waits for the store for a limited time, and ends the answer. */
     finish(partition: Partition, live: Live, running: Running, answer: Answer): Promise<void>;
+    /** Records for good that the outcome of a call is unknown: its intent is there, and nothing followed. */
+    closeIntent(partition: Partition, live: Live): void;
     /** The recorded answer of a finished call. */
     replay(live: Live, turn: Turn): { readonly answer: Broadcast; }["answer"];
     /** Tells the policy what a recovered program has received. */
     restorePolicy(program: Program): void;
-    deleteSegments(partition: number, segments: readonly number[]): void;
 }
 
 /** Options of the finisher. */
 export interface FinisherOptions {
-    readonly committer: Committer;
     readonly policy: Policy;
     readonly timeline: Timeline;
     readonly clock: Clock;
@@ -47,12 +45,10 @@
 
 /** The last event of an answer waits this long for the store, in milliseconds. */
 const commitPatience = 1_000;
-/** Operations that one transaction of the table service takes, with room for the lease row. */
-const deletesAtOnce = 100;
 
 /** Creates the finisher. */
 export function createFinisher(options: FinisherOptions): Finisher {
-    const { committer, policy, timeline, clock, save } = options;
+    const { policy, timeline, clock, save } = options;
 
     function openStep(live: Live): readonly ProgramStep[] {
         if (live.opened) {
@@ -76,7 +72,9 @@
             messages,
             answer,
         };
-        const stored = save(partition, live, [...openStep(live), turn]);
+        const stored = save(partition, live, [...openStep(live), turn]).then(() => {
+            live.stored = Math.max(live.stored, sequence + 1);
+        });
         const seal = sealOf(live);
         if (call.end) {
             options.endLive(partition, live, call);
@@ -96,6 +94,13 @@
         running.answer.finish({ type: "done", completion });
     }
 
+    function closeIntent(partition: Partition, live: Live): void {
+        const { intent, key } = live.program;
+        if (intent !== undefined) {
+            save(partition, live, [{ type: "turn", program: key, ...intent, messages: [] }]).catch(() => undefined);
+        }
+    }
+
     function sealOf(live: Live): string {
         const { key, next } = live.program;
         return writeSeal(options.sealKey, key, { sequence: next, digest: live.digest });
@@ -106,7 +111,8 @@
         const { answer } = turn;
         if (answer !== undefined) {
             broadcast.append(answer.text, answer.tokens);
-            const completion = completionOf(answer, turn.sequence, "stored");
+            const durability = turn.sequence < live.stored ? "stored" : "caller";
+            const completion = completionOf(answer, turn.sequence, durability);
             const latest = turn.sequence + 1 === live.program.next;
             broadcast.finish({ type: "done", completion: latest ? { ...completion, seal: sealOf(live) } : completion });
         }
@@ -119,14 +125,7 @@
         policy.restoreProgram(program.key, root, attainedTokens(program), engine, clock.monotonic());
     }
 
-    function deleteSegments(partition: number, segments: readonly number[]): void {
-        for (let start = 0; start < segments.length; start += deletesAtOnce) {
-            const deletes = segments.slice(start, start + deletesAtOnce).map(number => keys.segment(partition, number));
-            committer.change({ puts: [], deletes }).catch(() => undefined);
-        }
-    }
-
-    return { openStep, finish, replay, restorePolicy, deleteSegments };
+    return { openStep, finish, closeIntent, replay, restorePolicy };
 }
 
 function completionOf(answer: Answer, sequence: number, durability: Durability): Completion {
--- a/packages/daemon/src/modelRun.ts
+++ b/packages/daemon/src/modelRun.ts
@@ -1,4 +1,4 @@
-import { historyOf, RefusalError, refuse } from "@tamarackgauge/core";
+import { enginesOf, historyOf, RefusalError, refuse } from "@tamarackgauge/core";
 import type { Answer, Call, ModelTarget, Refusal } from "@tamarackgauge/core";
 import type { EngineResult } from "@tamarackgauge/upstream";
 import type { Budgets, Reservation } from "./budgets.ts";
@@ -38,7 +38,12 @@
     async function runWithBudget(partition: Partition, live: Live, running: Running, target: ModelTarget) {
         const { call } = running;
         const left = target.maxTokens - (call.partialTokens ?? 0);
-        const reservation = await budgets.reserve(call.plan, Math.max(1, left));
+        if (left <= 0) {
+            // The earlier owner was lost between the last token and the end; an engine would generate one more.
+            await finisher.finish(partition, live, running, answerAtLimit(live, running));
+            return undefined;
+        }
+        const reservation = await budgets.reserve(call.plan, left);
         if ("code" in reservation) {
             return reservation;
         }
@@ -68,6 +73,7 @@
         let reservation = first;
         // What an engine generates after its stream broke is not seen, so a broken stream is charged in full.
         let charge = 0;
+        let reached = call.partial !== undefined;
         try {
             for await (const event of dispatcher.run(runOf(live, running, target), signal)) {
                 switch (event.type) {
@@ -87,13 +93,17 @@
                         break;
                     case "failed": {
                         running.cause = record(call, "callRetried", running.cause, { error: event.reason });
+                        reached ||= event.reached;
                         reservation.settle(event.reached ? charge : 0);
+                        charge = 0;
+                        if (call.atMostOnce) {
+                            break;
+                        }
                         const next = await budgets.reserve(call.plan, Math.max(1, target.maxTokens - answer.tokens()));
                         if ("code" in next) {
-                            return event.reached ? { ...next, run: "unknown" } : next;
+                            return reached ? { ...next, run: "unknown" } : next;
                         }
                         reservation = next;
-                        charge = 0;
                         break;
                     }
                     case "done":
@@ -111,14 +121,14 @@
             return undefined;
         }
         catch (error) {
-            return refusalOf(error, running, partition, live, charge > 0);
+            return refusalOf(error, running, partition, live);
         }
         finally {
             reservation.settle(charge);
         }
     }
 
-    function refusalOf(error: unknown, running: Running, partition: Partition, live: Live, dispatched: boolean) {
+    function refusalOf(error: unknown, running: Running, partition: Partition, live: Live) {
         if (running.answer.finished()) {
             // The call was stopped, and its readers know why.
             return undefined;
@@ -129,7 +139,8 @@
         if (!running.call.atMostOnce) {
             return error.refusal;
         }
-        if (dispatched && error.refusal.run === "unknown") {
+        if (error.refusal.run === "unknown") {
+            finisher.closeIntent(partition, live);
             return refuse("outcome_unknown", "unknown", error.refusal.message);
         }
         starter.withdrawIntent(partition, live, running);
@@ -176,6 +187,14 @@
     };
 }
 
+/** The answer whose tokens an earlier owner delivered all; the engine is not known, so the last one stands for it. */
+function answerAtLimit(live: Live, running: Running): Answer {
+    const { partialTokens: tokens = 0 } = running.call;
+    const upstream = enginesOf(live.program).at(-1) ?? "";
+    const text = running.answer.text();
+    return { text, reason: "length", status: 200, promptTokens: 0, cachedTokens: 0, tokens, upstream };
+}
+
 /** Estimates the tokens of a text at four characters each. */
 export function estimateTokens(text: string): number {
     return Math.ceil(text.length / charactersPerToken);
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -1,10 +1,11 @@
 import { enginesOf, openProgram, partitionOf, partitionsOf, readSeal, refuse, ruleOn } from "@tamarackgauge/core";
-import type { AnswerEvent, Call, Clock, Ownership, Policy, ProgramStep, Refusal } from "@tamarackgauge/core";
+import type { AnswerEvent, Call, Clock, Ownership, Policy, ProgramStep, Refusal, Seal } from "@tamarackgauge/core";
 import type { Table } from "@tamarackgauge/platform";
 import type { Timeline } from "@tamarackgauge/timeline";
 import createDebug from "debug";
 import type { Budgets } from "./budgets.ts";
 import type { Committer } from "./committer.ts";
+import { createCompactor } from "./compactor.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { createFinisher } from "./finish.ts";
 import { createModelRunner } from "./modelRun.ts";
@@ -90,7 +91,8 @@
     const finisher = createFinisher({ ...options, save, endLive });
     const starter = createStarter({ ...options, finisher, record, save, isSubAgent });
     const runModel = createModelRunner({ ...options, finisher, starter, record });
-    const runTool = createToolRunner({ ...options, finisher, starter, record, save });
+    const runTool = createToolRunner({ ...options, finisher, starter, record });
+    const compactor = createCompactor(committer);
     const sweeper = setInterval(sweep, sweepInterval);
 
     async function* serve(call: Call, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
@@ -209,11 +211,13 @@
 
     /** History that was acknowledged to the caller alone comes back with its seal. */
     function restoreHistory(partition: Partition, live: Live, call: Call): Refusal | undefined {
-        const seal = call.seal === undefined ? undefined : readSeal(options.sealKey, live.program.key, call.seal);
-        if (seal === undefined || seal.sequence <= live.program.next || live.running !== undefined) {
+        const history = call.target.kind === "model" ? call.target.history : undefined;
+        const text = history?.seal ?? call.seal;
+        const seal = text === undefined ? undefined : readSeal(options.sealKey, live.program.key, text);
+        if (seal === undefined || live.running !== undefined || isCovered(live, seal)) {
             return undefined;
         }
-        const messages = call.target.kind === "model" ? call.target.history?.messages : undefined;
+        const messages = history?.messages;
         if (messages === undefined) {
             return refuse("history_needed", "notRun", `it ends before call ${seal.sequence}`);
         }
@@ -228,6 +232,12 @@
         return undefined;
     }
 
+    /** An outcome that is unknown has a sequence number and no messages, so the digest is compared as well. */
+    function isCovered(live: Live, seal: Seal): boolean {
+        const { next } = live.program;
+        return seal.sequence < next || (seal.sequence === next && seal.digest === live.digest);
+    }
+
     async function start(partition: Partition, live: Live, call: Call, sequence: number): Promise<Running> {
         const cause = record(call, "callAccepted", call.trace?.cause ?? "", { sequence });
         const running = createRunning(call, sequence, cause);
@@ -244,6 +254,7 @@
                 running.answer.finish({ type: "refused", refusal });
             })
             .finally(() => {
+                finisher.closeIntent(partition, live);
                 live.running = undefined;
                 live.touched = clock.monotonic();
                 wakeWaiting(live);
@@ -258,7 +269,7 @@
         }
         applySteps(live, steps);
         return committer.append(partition.number, steps).then(segment => {
-            noteSegment(partition, segment, live.program.key);
+            noteSegment(partition, segment.number, segment.bytes, live.program.key);
         });
     }
 
@@ -312,6 +323,8 @@
     /** After recovery: tells the policy what the programs have received, and finishes releases. */
     function settle(partition: Partition): void {
         for (const live of partition.programs.values()) {
+            // The owner before was lost between intent and outcome: the call may have run, and never runs again.
+            finisher.closeIntent(partition, live);
             const { program } = live;
             if (program.ended && !program.released) {
                 releaseCache(partition, live);
@@ -386,7 +399,8 @@
         for (const partition of owned.values()) {
             if (!partition.lost && !partition.draining) {
                 partition.programs.forEach(live => sweepProgram(partition, live, now));
-                collectSegments(partition);
+                compactor.collect(partition);
+                void compactor.compact(partition);
             }
         }
     }
@@ -416,18 +430,6 @@
         }
     }
 
-    /** Deletes segments whose programs are all gone from memory. */
-    function collectSegments(partition: Partition): void {
-        const dead = [...partition.segments]
-            .filter(([, programs]) => [...programs].every(key => !partition.programs.has(key)))
-            .map(([segment]) => segment);
-        if (dead.length === 0) {
-            return;
-        }
-        dead.forEach(segment => partition.segments.delete(segment));
-        finisher.deleteSegments(partition.number, dead);
-    }
-
     async function endProgram(plan: string, program: string): Promise<Refusal | undefined> {
         const key = `${plan}/${program}`;
         const partition = owned.get(partitionOf(key, options.partitions));
