Confirm a configuration only by what was said after a pause; find a change in the log

Now three of those that named a newer version are asked at once.

Ruled out: two winners among racing operators, a version that goes back.

--- a/packages/daemon/src/configuration.ts
+++ b/packages/daemon/src/configuration.ts
@@ -7,6 +7,7 @@
 import { Left, Right } from "purify-ts";
 import type { Either } from "purify-ts";
 import { z } from "zod";
+import { createPauseWatch } from "./pause.ts";
 import { keys } from "./rows.ts";
 import { sleep } from "./wait.ts";
 
@@ -20,7 +21,7 @@
     age(): number;
     /** Reads what is new in the store, or else at a peer. */
     refresh(): Promise<void>;
-    /** A peer names its version in a heartbeat, which confirms ours unless it is newer. */
+    /** A peer names its version in a heartbeat, which confirms ours if it is the same. */
     heard(version: number): void;
     /** The store's configuration now, for operators; throws a `TableError`. */
     read(): Promise<Configuration>;
@@ -54,6 +55,7 @@
     let current: Configuration | undefined;
     let refreshing: Promise<void> | undefined;
     let confirmed = -Infinity;
+    const pauses = createPauseWatch(options.clock);
     const timer = setInterval(() => void refresh().catch(() => undefined), options.poll ?? defaultPoll);
 
     function accept(next: Configuration): void {
@@ -122,12 +124,19 @@
         return Left(refuse("store_unavailable", "unknown", "the change may have been stored; read it back"));
     }
 
+    /** Whether the change that made `version` is the one with this identity. */
+    async function isChange(version: number, changeId: string): Promise<boolean> {
+        const row = await table.get(keys.configurationChange(version));
+        return row !== undefined && entry.parse(unpack(row.value)).changeId === changeId;
+    }
+
     async function applyOnce(expected: number, lists: Lists,
         changeId: string): Promise<Either<Refusal, Configuration>> {
         const row = await table.get(keys.configurationHead);
         const before = await read();
         accept(before);
-        if (row !== undefined && head.parse(unpack(row.value)).changeId === changeId) {
+        // After a lost reply another change may have followed this one, so the head does not tell.
+        if (before.version > expected && await isChange(expected + 1, changeId)) {
             return Right(before);
         }
         if (before.version !== expected) {
@@ -160,7 +169,8 @@
             if (version > (current?.version ?? 0)) {
                 void refresh().catch(() => undefined);
             }
-            else {
+            else if (version === current?.version && !pauses.resumedLately()) {
+                // A heartbeat that was sent before a pause of this process confirms nothing after it.
                 confirmed = options.clock.monotonic();
             }
         },
@@ -168,6 +178,7 @@
         apply,
         [Symbol.asyncDispose]: async () => {
             clearInterval(timer);
+            pauses[Symbol.dispose]();
         },
     };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -237,15 +237,21 @@
     }
 
     async function askPeers(version: number): Promise<Configuration | undefined> {
-        for (const { peer, up } of peers.links()) {
-            if (up) {
-                const found = await peers.ask(peer, askConfiguration, { version }, peerAskTimeout).catch(() => null);
-                if (found !== null && found !== undefined) {
-                    return found as Configuration;
-                }
-            }
-        }
-        return undefined;
+        // Only peers that named a newer version, the newest first: a peer that is paused costs its whole timeout.
+        const versionOf = (peer: string) => beats.get(peer)?.beat.configurationVersion ?? 0;
+        const newer = peers.links()
+            .filter(({ peer, up }) => up && versionOf(peer) > version)
+            .toSorted((left, right) => versionOf(right.peer) - versionOf(left.peer))
+            .slice(0, mostPeersAsked);
+        const answers = newer.map(({ peer }) => peers.ask(peer, askConfiguration, { version }, peerAskTimeout));
+        const found = await Promise.allSettled(answers);
+        return found
+            .flatMap(each =>
+                each.status === "fulfilled" && (each.value ?? undefined) !== undefined
+                    ? [each.value as Configuration]
+                    : []
+            )
+            .toSorted((left, right) => right.version - left.version)[0];
     }
 
     function enforce(next: Configuration): void {
@@ -413,6 +419,8 @@
 }
 
 const askConfiguration = "configuration";
+/** Peers asked at once for a configuration; with three, two may be paused. */
+const mostPeersAsked = 3;
 
 function policyOf(name: string) {
     return policyNames.find(each => each === name) ?? "attainedService";
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -44,7 +44,8 @@
     readonly services: ReadonlyMap<string, Awaited<ReturnType<typeof createService>>>;
     readonly daemons: ReadonlyMap<string, DaemonProcess>;
     daemon(name: string): DaemonProcess;
-    start(name: string): Promise<DaemonProcess>;
+    /** Starts a daemon; one that is to be found again by its peers keeps its peer port. */
+    start(name: string, peerPort?: number): Promise<DaemonProcess>;
     /** Waits until a condition holds; throws with its name after the time. */
     until(what: string, holds: () => boolean | Promise<boolean>, time?: number): Promise<void>;
     /** Name of the daemon that owns a program, as the ownership row says. */
@@ -124,10 +125,10 @@
         await fetch(url, { method: "PUT", body: JSON.stringify(vms), headers: { "content-type": "application/json" } });
     }
 
-    async function start(name: string): Promise<DaemonProcess> {
+    async function start(name: string, peerPort = 0): Promise<DaemonProcess> {
         const url = options.platformUrl?.(platform.port) ?? `http://127.0.0.1:${platform.port}`;
         const flags = ["--name", name, "--data-centre", "dc1", "--address", "127.0.0.1", "--port", "0", "--peer-port",
-            "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey), ...defaultFlags,
+            String(peerPort), "--platform-url", url, "--operator-key-hash", sha256(operatorKey), ...defaultFlags,
             ...options.flags ?? []];
         const child = spawn(process.execPath, [program, "daemon", ...flags], {
             stdio: ["ignore", "pipe", "pipe"],
