Keep the engines when a VM list names none of them

Ruled out: new calls on an engine later than 3 s after it was listed as leaving, a lost call while engines flap.

--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -72,7 +72,8 @@
     }
 
     const lists: Stream<VmList> = poll(options.listInterval ?? defaultListInterval, options.source)
-        .scan<VmList | undefined>((current, next) => next === undefined ? current : acceptVms(current, next), undefined)
+        .scan<VmList | undefined>((current, next) => next === undefined ? current : acceptList(current, next),
+            undefined)
         .filter(list => list !== undefined)
         .skipRepeats();
     const reports = poll(options.reportInterval ?? defaultReportInterval, readReports);
@@ -100,6 +101,16 @@
     };
 }
 
+/** A list without any engine is taken for a fault of the platform, also when it still names services. */
+function acceptList(current: VmList | undefined, next: VmList): VmList {
+    const accepted = acceptVms(current, next);
+    return current !== undefined && hasEngine(current) && !hasEngine(accepted) ? current : accepted;
+}
+
+function hasEngine({ vms }: VmList): boolean {
+    return vms.some(vm => vm.kind === "engine");
+}
+
 /** Keeps the clients of engines that stay where they are; those of others close with their last call. */
 function nextEngines(known: ReadonlyMap<string, Known>, vms: readonly Vm[]): ReadonlyMap<string, Known> {
     const next = new Map<string, Known>();
