--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -44,7 +44,8 @@
     readonly services: ReadonlyMap<string, Awaited<ReturnType<typeof createService>>>;
     readonly daemons: ReadonlyMap<string, DaemonProcess>;
     daemon(name: string): DaemonProcess;
-    start(name: string): Promise<DaemonProcess>;
+    /** Starts a daemon; one that is to be found again by its peers keeps its peer port. */
+    start(name: string, peerPort?: number): Promise<DaemonProcess>;
     /** Waits until a condition holds; throws with its name after the time. */
     until(what: string, holds: () => boolean | Promise<boolean>, time?: number): Promise<void>;
     /** Name of the daemon that owns a program, as the ownership row says. */
@@ -52,9 +53,20 @@
     /** Waits until every daemon that runs is ready, has the same map and owns partitions. */
     settled(): Promise<void>;
     apply(lists: unknown, expected: number): Promise<Response>;
+    /** What a daemon says about itself to operators. */
+    status(name: string): Promise<DaemonStatus>;
+    /** Takes a daemon whose process has ended out of the list. */
+    forget(name: string): void;
     [Symbol.asyncDispose](): Promise<void>;
 }
 
+/** What a test needs of a daemon's status. */
+export interface DaemonStatus {
+    readonly ready: boolean;
+    readonly configurationVersion: number;
+    readonly details: { readonly map?: Owners; };
+}
+
 /** The key of the operators in tests. */
 export const operatorKey = "operator-key-of-the-tests";
 
@@ -118,10 +130,11 @@
         await fetch(url, { method: "PUT", body: JSON.stringify(vms), headers: { "content-type": "application/json" } });
     }
 
-    async function start(name: string): Promise<DaemonProcess> {
+    async function start(name: string, peerPort = 0): Promise<DaemonProcess> {
         const url = options.platformUrl?.(platform.port) ?? `http://127.0.0.1:${platform.port}`;
         const flags = ["--name", name, "--data-centre", "dc1", "--address", "127.0.0.1", "--port", "0", "--peer-port",
-            "0", "--platform-url", url, "--operator-key-hash", sha256(operatorKey), ...withFlags(options.flags ?? [])];
+            String(peerPort), "--platform-url", url, "--operator-key-hash", sha256(operatorKey),
+            ...withFlags(options.flags ?? [])];
         const child = spawn(process.execPath, [program, "daemon", ...flags], {
             stdio: ["ignore", "pipe", "pipe"],
             env: {
@@ -147,11 +160,11 @@
         }
     }
 
-    async function status(name: string) {
+    async function status(name: string): Promise<DaemonStatus> {
         const response = await fetch(`http://127.0.0.1:${daemons.get(name)?.port}/operator/v1/status`, {
             headers: { authorization: `Bearer ${operatorKey}` },
         });
-        return await response.json() as { ready: boolean; configurationVersion: number; details: { map?: Owners; }; };
+        return await response.json() as DaemonStatus;
     }
 
     async function ownerOf(key: string): Promise<string> {
@@ -219,6 +232,10 @@
         ownerOf,
         settled,
         apply,
+        status,
+        forget: name => {
+            daemons.delete(name);
+        },
         [Symbol.asyncDispose]: async () => {
             for (const each of daemons.values()) {
                 each.signal("SIGCONT");
