--- a/packages/daemon/test/journal.test.ts
+++ b/packages/daemon/test/journal.test.ts
@@ -29,7 +29,7 @@
         return { answer: { status: 200, body: "done" }, upstream: "tool" };
     } };
     await using first = await createNode({ rows, name: "first", services, onRelease: done => releases.push(done) });
-    await using second = await createNode({ rows, name: "second", services });
+    await using second = await createNode({ rows, name: "second", services, onRelease: () => undefined });
     own(first, "first");
     await first.call(toolCall("ended", { program: "ended", end: true }));
     assert.deepEqual(await first.owner.drain([0], AbortSignal.timeout(5_000)), [0]);
