Give fenced orders to engines and follow their caches

Ruled out: adopting what an engine reports after a takeover (a late order would pass as wanted); relying on the token alone (a fenced engine knows only the tokens it has seen, so a new owner restates the role first); reading events without an allowance of bytes.

Change: orders.ts reads the engines, decides, and orders those of its partitions, with the state read before and after and a lease confirmed within 1 s. cacheEvents.ts follows engines with calls, at 1 KB/s on average, and reads the cache after a gap. The policy uses the models that engines report. A 404 of an engine moves a call to another engine. Engines that take no orders count for the models they are known to serve.

Conclusion: I11 holds for the orders of two daemons in one process, with a controlled lease. Not shown with processes (SIGSTOP and SIGCONT), nor the 5 s by the clock.

--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -3,8 +3,10 @@
 /** Which models an engine has. Names of models may carry an adapter and a version; they are compared as a whole. */
 export interface EngineModels {
     readonly name: string;
-    /** Models it serves and is to serve; undefined when it serves any, in which case it gets no orders. */
+    /** Models it serves and is to serve; undefined when it serves any. */
     readonly models: readonly string[] | undefined;
+    /** Whether it can be told to load and unload; otherwise it only counts for what it serves. */
+    readonly takesOrders: boolean;
     readonly loading: readonly string[];
     readonly leaving: boolean;
 }
@@ -96,17 +98,38 @@
     return { state: { pressedSince, counts }, moves };
 }
 
+/** Adds up calls by model; calls on an engine with several models count for each in equal parts. */
+export function demandByModel(
+    waiting: ReadonlyMap<string, number>,
+    running: ReadonlyMap<string, number>,
+    engines: readonly EngineModels[],
+): ReadonlyMap<string, Demand> {
+    const demand = new Map(
+        [...waiting].map(([model, count]): [string, Demand] => [model, { waiting: count, running: 0 }]),
+    );
+    for (const { name, models } of engines) {
+        for (const model of models ?? []) {
+            const before = demand.get(model) ?? { waiting: 0, running: 0 };
+            const share = (running.get(name) ?? 0) / (models?.length ?? 1);
+            demand.set(model, { waiting: before.waiting, running: before.running + share });
+        }
+    }
+    return demand;
+}
+
 interface View {
     readonly planned: ReadonlySet<string>;
     /** Models by engine, in order of the name; what is being loaded counts. */
     readonly held: ReadonlyMap<string, readonly string[]>;
-    /** Engines that are loaded with a model or load it; those that serve any model count for every one. */
+    /** Engines that take orders and are loaded with a model or load it. */
     readonly holders: ReadonlyMap<string, readonly string[]>;
     /** By model: the holder that is never taken from it. */
     readonly keepers: ReadonlyMap<string, string | undefined>;
     /** Engines that may load a model without giving one up. */
     readonly roomy: readonly string[];
+    /** Engines without orders: how many serve any model, and how many each model. */
     readonly open: number;
+    readonly fixed: ReadonlyMap<string, number>;
     readonly loading: ReadonlySet<string>;
     readonly loads: number;
     readonly demand: ReadonlyMap<string, Demand>;
@@ -120,15 +143,20 @@
 function viewOf(input: PlacementInput, limits: PlacementLimits): View {
     const live = input.engines.filter(engine => !engine.leaving);
     const held = new Map<string, readonly string[]>();
-    for (const { name, models, loading } of live) {
-        if (models !== undefined) {
+    const fixed = new Map<string, number>();
+    for (const { name, models, loading, takesOrders } of live) {
+        if (models !== undefined && takesOrders) {
             held.set(name, [...new Set([...models, ...loading])].sort());
         }
+        else {
+            models?.forEach(model => fixed.set(model, (fixed.get(model) ?? 0) + 1));
+        }
     }
     return {
         planned: new Set([...input.planned].sort()),
         ...holdingOf(held, limits),
-        open: live.length - held.size,
+        open: live.filter(({ models }) => models === undefined).length,
+        fixed,
         loading: new Set(live.flatMap(({ loading }) => loading)),
         loads: input.engines.reduce((sum, { loading }) => sum + loading.length, 0),
         demand: input.demand,
@@ -162,7 +190,7 @@
 }
 
 function enginesOf(view: View, model: string): number {
-    return (view.holders.get(model)?.length ?? 0) + view.open;
+    return (view.holders.get(model)?.length ?? 0) + (view.fixed.get(model) ?? 0) + view.open;
 }
 
 /** Waiting calls per engine, and all calls per engine. */
--- a/packages/core/test/placement.test.ts
+++ b/packages/core/test/placement.test.ts
@@ -5,7 +5,7 @@
 import type { Demand, EngineModels, Move, PlacementInput } from "../src/index.ts";
 
 function engine(name: string, models: readonly string[] | undefined, more: Partial<EngineModels> = {}): EngineModels {
-    return { name, models, loading: [], leaving: false, ...more };
+    return { name, models, takesOrders: models !== undefined, loading: [], leaving: false, ...more };
 }
 
 function input(
@@ -44,6 +44,10 @@
 test("engines that serve any model get no orders; guards against narrowing such an engine to one model", () => {
     assert.deepEqual(once(input(["a", "b"], [engine("e1", undefined), engine("e2", undefined)])), []);
     assert.deepEqual(once(input(["a", "b"], [engine("e1", undefined), engine("e2", ["a"])])), []);
+    const fixed = engine("e1", ["a"], { takesOrders: false });
+    const beside = once(input(["a", "b"], [fixed, engine("e2", [])]));
+    assert.deepEqual(beside, [{ engine: "e2", load: "b", unload: undefined }], "what it is known to serve counts");
+    assert.deepEqual(once(input(["a", "b"], [fixed])), []);
 });
 
 test("the last engine of a model is never taken; guards against a model losing all", () => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
 import { createConfigurationKeeper } from "./configuration.ts";
 import type { ConfigurationKeeper } from "./configuration.ts";
 import { createDispatcher } from "./dispatcher.ts";
+import { createEngineKeeper } from "./engineKeeper.ts";
 import { asks, createEntry } from "./entry.ts";
 import { judge } from "./gate.ts";
 import { createIncarnation } from "./incarnation.ts";
@@ -103,7 +104,12 @@
     let stopped = false;
     let storeDownSince: number | undefined;
 
-    const dispatcher = createDispatcher({ policy, clock, clientOf: engine => upstreams.clientOf(engine) });
+    const dispatcher = createDispatcher({
+        policy,
+        clock,
+        clientOf: engine => upstreams.clientOf(engine),
+        onDispatch: (engine, program) => engineKeeper.dispatched(engine, program),
+    });
     const upstreams = createUpstreams({ source: vmSource, policy, services, clock, onChange: () => dispatcher.poke() });
     const releases = createReleases({
         engines: () => upstreams.engines(),
@@ -111,6 +117,16 @@
         isLive: key => incarnation?.owner.holds(key),
     });
     const configuration = createConfigurationKeeper({ table, clock, onConfiguration: enforce, askPeers });
+    const engineKeeper = createEngineKeeper({
+        name,
+        clock,
+        policy,
+        upstreams,
+        dispatcher,
+        incarnation: () => incarnation,
+        configuration: () => configuration.current(),
+        beats: () => beats,
+    });
     const entry = createEntry({
         name,
         partitions: settings.partitions,
@@ -171,6 +187,7 @@
             ownershipVersion: map?.version ?? 0,
             leaving,
             inFlight: dispatcher.inFlight(),
+            waiting: dispatcher.waiting(),
             ...storeAge === undefined ? {} : { storeAge },
         };
     }
@@ -300,6 +317,7 @@
         map = { map: next, version };
         timeline.record({ part: "owner", event: "ownershipVersion", fields: { version } });
         const others = Object.entries(next.members).filter(([other]) => other !== name);
+        engineKeeper.ownershipChanged();
         peers.setMembers(others.map(([other, { address, port }]) => ({ name: other, address, port })));
     }
 
@@ -402,6 +420,7 @@
             await Promise.race([joined, aborted(AbortSignal.timeout(rejoinPause))]);
             await incarnation?.[Symbol.asyncDispose]();
             await configuration[Symbol.asyncDispose]();
+            await engineKeeper[Symbol.asyncDispose]();
             await releases[Symbol.asyncDispose]();
             await upstreams[Symbol.asyncDispose]();
             await services[Symbol.asyncDispose]();
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -29,6 +29,8 @@
     /** Lets the policy decide again, after it was told something. */
     poke(): void;
     inFlight(): Readonly<Record<string, number>>;
+    /** Calls that wait for an engine, by model. */
+    waiting(): Readonly<Record<string, number>>;
     [Symbol.asyncDispose](): Promise<void>;
 }
 
@@ -37,6 +39,13 @@
     readonly policy: Policy;
     readonly clock: Clock;
     readonly clientOf: (engine: string) => EngineClient | undefined;
+    /** Called with the engine and the key of the program when a call starts on an engine. */
+    readonly onDispatch?: (engine: string, program: string) => void;
+}
+
+interface Waiting {
+    readonly model: string;
+    readonly start: (assignment: Assignment) => void;
 }
 
 /** Engines tried for one call. */
@@ -50,7 +59,7 @@
 /** Creates the dispatcher. */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { policy, clock, clientOf } = options;
-    const waiting = new Map<string, (assignment: Assignment) => void>();
+    const waiting = new Map<string, Waiting>();
     const counts = new Map<string, number>();
     let scheduled = false;
     let timer: NodeJS.Timeout | undefined;
@@ -68,7 +77,7 @@
         scheduled = false;
         const now = clock.monotonic();
         for (const assignment of policy.next(now)) {
-            const start = waiting.get(assignment.job.id);
+            const start = waiting.get(assignment.job.id)?.start;
             waiting.delete(assignment.job.id);
             if (start === undefined) {
                 policy.finish(assignment.job.id, emptyResult("cancelled"), now);
@@ -102,10 +111,11 @@
                 return;
             }
             signal.addEventListener("abort", onAbort, { once: true });
-            waiting.set(job.id, assignment => {
+            const start = (assignment: Assignment) => {
                 signal.removeEventListener("abort", onAbort);
                 resolve(assignment);
-            });
+            };
+            waiting.set(job.id, { model: job.model, start });
             poke();
         });
     }
@@ -140,7 +150,9 @@
                 reached ||= failure.reached;
                 excluded.push(assignment.engine);
                 yield { type: "failed", engine: assignment.engine, reason: failure.message, reached: failure.reached };
-                const rejected = failure.status !== undefined && failure.status < 500 && failure.status !== 429;
+                // 404: the engine has given up the model, which this daemon has not read yet.
+                const isRetried = failure.status === 429 || failure.status === 404;
+                const rejected = failure.status !== undefined && failure.status < 500 && !isRetried;
                 if (rejected || attempt >= mostAttempts || !wanted.job.repeatable || left <= 0) {
                     const name = reached || rejected ? "upstream_failed" : "upstream_unreachable";
                     const detail = rejected ? failure.message : undefined;
@@ -156,6 +168,7 @@
         let result = emptyResult("cancelled");
         let first = true;
         counts.set(engine, (counts.get(engine) ?? 0) + 1);
+        options.onDispatch?.(engine, job.program);
         try {
             if (client === undefined) {
                 throw new EngineError(`${engine} is not listed any more`, undefined, false);
@@ -205,6 +218,13 @@
     return {
         run,
         poke,
+        waiting: () => {
+            const models: Record<string, number> = {};
+            for (const { model } of waiting.values()) {
+                models[model] = (models[model] ?? 0) + 1;
+            }
+            return models;
+        },
         inFlight: () => Object.fromEntries([...counts].filter(([, count]) => count > 0)),
         [Symbol.asyncDispose]: async () => {
             clearTimeout(timer);
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -14,6 +14,8 @@
     clientOf(engine: string): EngineClient | undefined;
     engines(): readonly string[];
     vms(): readonly Vm[];
+    /** Models that engines reported; for the others the VM list counts. */
+    setModels(models: ReadonlyMap<string, readonly string[]>): void;
     [Symbol.asyncDispose](): Promise<void>;
 }
 
@@ -43,16 +45,26 @@
     const { policy, services, clock } = options;
     let known: ReadonlyMap<string, Known> = new Map();
     let vms: readonly Vm[] = [];
+    let reported: ReadonlyMap<string, readonly string[]> = new Map();
     let stopped = false;
 
     function setVms(list: VmList): void {
         vms = list.vms;
         services.setVms(vms);
         known = nextEngines(known, vms);
+        tellPolicy();
+    }
+
+    function setModels(models: ReadonlyMap<string, readonly string[]>): void {
+        reported = models;
+        tellPolicy();
+    }
+
+    function tellPolicy(): void {
         const engines = [...known.values()].map(({ vm }) => ({
             name: vm.name,
             dataCentre: vm.dataCentre,
-            models: vm.models ?? [],
+            models: reported.get(vm.name) ?? vm.models ?? [],
             leaving: vm.state === "leaving",
         }));
         policy.setEngines(engines, clock.monotonic());
@@ -93,6 +105,7 @@
         clientOf: engine => known.get(engine)?.client,
         engines: () => [...known.keys()],
         vms: () => vms,
+        setModels,
         [Symbol.asyncDispose]: async () => {
             stopped = true;
             await Promise.all([...known.values()].map(({ client }) => client[Symbol.asyncDispose]()));
--- /dev/null
+++ b/packages/daemon/test/cacheEvents.test.ts
@@ -0,0 +1,100 @@
+import { systemClock } from "@tamarackgauge/core";
+import type { CacheEvent } from "@tamarackgauge/core";
+import type { EngineControl, NumberedCacheEvent } from "@tamarackgauge/upstream";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createCacheEvents } from "../src/cacheEvents.ts";
+
+/** An engine with numbered events and a cache, which counts what is asked of it. */
+function fakeEngine(initial: readonly NumberedCacheEvent[] = []) {
+    const events = [...initial];
+    const held = new Map<string, number>();
+    const asked: string[] = [];
+    const control: EngineControl = {
+        orders: () => Promise.reject(new Error("not asked")),
+        order: () => Promise.reject(new Error("not asked")),
+        events: after => {
+            asked.push(`events ${after}`);
+            return Promise.resolve({ events: events.filter(({ sequence }) => sequence > after), bytes: 100 });
+        },
+        cache: () => {
+            asked.push("cache");
+            return Promise.resolve({ held, bytes: 100 });
+        },
+    };
+    return { control, events, held, asked };
+}
+
+function start(engines: Readonly<Record<string, EngineControl>>, live: ReadonlySet<string>) {
+    const told: [string, CacheEvent][] = [];
+    let now = 0;
+    const follower = createCacheEvents({
+        clock: { ...systemClock, monotonic: () => now },
+        clientOf: engine => engines[engine],
+        isLive: program => live.has(program),
+        onEvent: (engine, event) => told.push([engine, event]),
+        // Polls are made by hand.
+        interval: 3_600_000,
+    });
+    return { follower, told, advance: (ms: number) => now += ms };
+}
+
+test("events of own programs reach the policy, each once; guards against beliefs from calls of other daemons", async () => {
+    const engine = fakeEngine([
+        { sequence: 1, kind: "stored", program: "plan/a", tokens: 40 },
+        { sequence: 2, kind: "stored", program: "plan/other", tokens: 70 },
+    ]);
+    const { follower, told, advance } = start({ e1: engine.control }, new Set(["plan/a"]));
+    await using cache = follower;
+    cache.used("e1", "plan/a");
+    await cache.poll();
+    assert.deepEqual(told, [["e1", { kind: "stored", program: "plan/a", tokens: 40 }]]);
+    engine.events.push({ sequence: 3, kind: "evicted", program: "plan/a", tokens: 40 });
+    advance(10_000);
+    await cache.poll();
+    assert.deepEqual(told.slice(1), [["e1", { kind: "evicted", program: "plan/a", tokens: 40 }]]);
+    assert.deepEqual(engine.asked, ["events 0", "events 2"]);
+});
+
+test("a gap is answered by reading the cache; guards against a lost eviction that is believed forever", async () => {
+    const engine = fakeEngine([{ sequence: 1, kind: "stored", program: "plan/a", tokens: 40 }]);
+    const { follower, told, advance } = start({ e1: engine.control }, new Set(["plan/a", "plan/b"]));
+    await using cache = follower;
+    cache.used("e1", "plan/a");
+    cache.used("e1", "plan/b");
+    await cache.poll();
+    // Events 2 and 3, the eviction of a and the storing of b, are lost.
+    engine.events.push({ sequence: 4, kind: "stored", program: "plan/other", tokens: 5 });
+    engine.held.set("plan/b", 64).set("plan/other", 5);
+    advance(10_000);
+    await cache.poll();
+    assert.deepEqual(told.slice(1), [
+        ["e1", { kind: "evicted", program: "plan/a", tokens: 0 }],
+        ["e1", { kind: "stored", program: "plan/b", tokens: 64 }],
+    ]);
+    assert.deepEqual(engine.asked, ["events 0", "events 1", "cache"]);
+});
+
+test("polls follow calls and stay within the bytes; guards against control traffic above 6 KB/s", async () => {
+    const names = Array.from({ length: 13 }, (_, index) => `e${index}`);
+    const engines = new Map(names.map(name => [name, fakeEngine()]));
+    const controls = Object.fromEntries([...engines].map(([name, { control }]) => [name, control]));
+    const { follower, advance } = start(controls, new Set(["plan/a"]));
+    await using cache = follower;
+    const asked = () => [...engines.values()].reduce((sum, engine) => sum + engine.asked.length, 0);
+    await cache.poll();
+    assert.equal(asked(), 0, "an engine without calls is not asked");
+    for (let second = 0; second < 120; second += 2) {
+        names.forEach(name => cache.used(name, "plan/a"));
+        await cache.poll();
+        advance(2_000);
+    }
+    const bytes = asked() * 450 / 120;
+    assert.ok(bytes > 500 && bytes <= 1_200, `${bytes} bytes a second for 13 busy engines`);
+    const before = asked();
+    for (let round = 0; round < 20; round += 1) {
+        await cache.poll();
+        advance(10_000);
+    }
+    assert.ok(asked() - before <= 3 * names.length, "an engine is left alone soon after its last call");
+});
--- /dev/null
+++ b/packages/daemon/test/orders.test.ts
@@ -0,0 +1,93 @@
+import { systemClock } from "@tamarackgauge/core";
+import { createEngine } from "@tamarackgauge/standin";
+import { createEngineClient } from "@tamarackgauge/upstream";
+import type { EngineControl } from "@tamarackgauge/upstream";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createOrders } from "../src/orders.ts";
+
+/** The orders of one daemon for one engine, with a lease that the test controls. */
+function daemon(control: EngineControl, planned: readonly string[]) {
+    const lease = { fence: 1, owns: true, age: 0, told: [] as (readonly string[] | undefined)[] };
+    const orders = createOrders({
+        clock: systemClock,
+        engines: () => [{ name: "e1", models: undefined, leaving: false }],
+        clientOf: () => control,
+        right: () => ({
+            fence: lease.fence,
+            owns: () => lease.owns,
+            age: () => lease.age,
+            confirm: () => Promise.reject(new Error("the lease was taken over")),
+        }),
+        onOldFence: () => undefined,
+        planned: () => new Set(planned),
+        calls: () => ({ waiting: new Map(), running: new Map() }),
+        onModels: models => lease.told.push(models.get("e1")),
+        // Passes are made by hand.
+        interval: 3_600_000,
+    });
+    return { lease, orders };
+}
+
+/** A holder stops between its lease check and its order, is taken over, and goes on. Gives the models then and later. */
+async function pauseBeforeOrder(fenced: boolean) {
+    await using engine = await createEngine({ models: ["old"], fenced, loadMs: 10 });
+    await using client = createEngineClient(engine.url);
+    let resume = () => {};
+    let arrived = () => {};
+    const resumed = new Promise<void>(resolve => resume = resolve);
+    const atOrder = new Promise<void>(resolve => arrived = resolve);
+    const paused: EngineControl = {
+        ...client,
+        order: async order => {
+            arrived();
+            await resumed;
+            return client.order(order);
+        },
+    };
+    const first = daemon(paused, ["new"]);
+    await using firstOrders = first.orders;
+    const second = daemon(client, ["old"]);
+    await using secondOrders = second.orders;
+    second.lease.owns = false;
+    second.lease.fence = 2;
+    await secondOrders.reconcile();
+    const pass = firstOrders.reconcile();
+    await atOrder;
+    second.lease.owns = true;
+    await secondOrders.reconcile();
+    first.lease.age = 3_000;
+    resume();
+    await pass;
+    const afterOrder = engine.orders().models;
+    await secondOrders.reconcile();
+    await new Promise(resolve => setTimeout(resolve, 50));
+    return { afterOrder, later: engine.orders().models, refused: engine.counts().ordersRefused };
+}
+
+test("a fenced engine refuses the order of a holder that was taken over; guards against I11, an order that takes effect late", async () => {
+    const { afterOrder, later, refused } = await pauseBeforeOrder(true);
+    assert.equal(refused, 1);
+    assert.deepEqual(afterOrder, ["old"]);
+    assert.deepEqual(later, ["old"]);
+});
+
+test("one pass undoes such an order on an engine that ignores the token; guards against I11, a wrong order that stays", async () => {
+    const { afterOrder, later } = await pauseBeforeOrder(false);
+    assert.deepEqual(afterOrder, [], "the order took effect: the engine lost its model");
+    assert.deepEqual(later, ["old"]);
+});
+
+test("no order without a lease confirmed within 1 s; guards against orders of a holder that only believes it holds", async () => {
+    await using engine = await createEngine({ models: ["old"] });
+    await using client = createEngineClient(engine.url);
+    const { lease, orders: given } = daemon(client, ["new"]);
+    await using orders = given;
+    lease.age = 1_000;
+    await orders.reconcile();
+    assert.deepEqual(engine.orders(), { fence: 0, models: ["old"], loading: [], role: "both" });
+    lease.age = 999;
+    await orders.reconcile();
+    assert.deepEqual(engine.orders(), { fence: 1, models: [], loading: ["new"], role: "both" });
+    assert.deepEqual(lease.told.at(-1), [], "calls for the model that gives way stop before the order");
+});
--- a/packages/upstream/src/engine.ts
+++ b/packages/upstream/src/engine.ts
@@ -49,14 +49,13 @@
     readonly fence: number;
     readonly models: readonly string[] | undefined;
     readonly loading: readonly string[];
+    readonly role: string | undefined;
 }
 
-/** An idempotent statement of what an engine is to hold. */
-export interface EngineOrder {
-    readonly fence: number;
-    readonly action: "load" | "unload";
-    readonly model: string;
-}
+/** An idempotent statement of what an engine is to hold or to be. */
+export type EngineOrder =
+    | { readonly fence: number; readonly action: "load" | "unload"; readonly model: string; }
+    | { readonly fence: number; readonly action: "role"; readonly role: string; };
 
 /** A cache event with its number; a number that is left out is a lost event. */
 export interface NumberedCacheEvent extends CacheEvent {
@@ -64,13 +63,18 @@
 }
 
 /** Client of one model engine. Every method throws an `EngineError`. */
-export interface EngineClient {
+export interface EngineClient extends EngineControl {
     stream(call: EngineCall, signal: AbortSignal): AsyncIterable<EngineEvent>;
     /** Releases what the engine holds for a program. */
     release(cacheKey: string): Promise<void>;
     /** Keys of the programs for which the engine holds memory. */
     held(): Promise<readonly string[]>;
     load(): Promise<LoadReport>;
+    [Symbol.asyncDispose](): Promise<void>;
+}
+
+/** Orders and cache state of one model engine. Every method throws an `EngineError`. */
+export interface EngineControl {
     orders(): Promise<EngineOrders>;
     /** Gives an order; false when the engine refuses its fencing token as too old. */
     order(order: EngineOrder): Promise<boolean>;
@@ -78,7 +82,6 @@
     events(after: number): Promise<{ readonly events: readonly NumberedCacheEvent[]; readonly bytes: number; }>;
     /** Tokens held by key of the program, and the size of the answer in bytes. */
     cache(): Promise<{ readonly held: ReadonlyMap<string, number>; readonly bytes: number; }>;
-    [Symbol.asyncDispose](): Promise<void>;
 }
 
 const controlTimeout = 1_000;
@@ -116,6 +119,7 @@
     fence: z.number().default(0),
     models: z.array(z.string()).optional(),
     loading: z.array(z.string()).default([]),
+    role: z.string().optional(),
 });
 
 const cacheEvents = z.object({
@@ -218,8 +222,8 @@
         held: async () => [...(await cache()).held.keys()],
         load: async () => (await readState("/v1/load", loadReport)).value,
         orders: async () => {
-            const { models, ...rest } = (await readState("/v1/orders", ordersState)).value;
-            return { ...rest, models };
+            const { models, role, ...rest } = (await readState("/v1/orders", ordersState)).value;
+            return { ...rest, models, role };
         },
         order,
         events: async after => {
