Read the own lease only when the plan's row shows another incarnation

Cause: the check read the lease at the first use of a plan by a daemon, one more read that could fail; with reads of the lease hanging, atMostOnceCluster.test.ts (service, owner killed between intent and dispatch) failed 3 of 3 runs. An entry of a lost incarnation in an empty place holds nothing that others count on, and is removed as dead later. After: that test and budgets.test.ts pass (1 run each); the whole suite was not run again after this change.

--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -223,10 +223,10 @@
 
     /**
      * A paused daemon whose lease was taken over must not take the place of its next incarnation in the row, whose
-     * slots would count as free. Read only when the row does not show this incarnation.
+     * slots would count as free. Read only when the row shows another incarnation.
      */
     async function checkLease(holder: string | undefined): Promise<void> {
-        if (holder === incarnation) {
+        if (holder === undefined || holder === incarnation) {
             return;
         }
         const lease = await table.get(keys.lease(name));
