Use one hash function in the core

Cause: the consistent-hash baseline had a copy of the hash that ownership uses. Ruled out: keeping the copy to freeze the baseline; the two were equal to the letter. Change: the baseline imports it. Conclusion: no change of behaviour.

--- a/packages/core/src/policy/baselines.ts
+++ b/packages/core/src/policy/baselines.ts
@@ -1,4 +1,5 @@
 import { type Refusal, refuse } from "../code.ts";
+import { hash } from "../hash.ts";
 import type { Assignment, CacheEvent, Engine, Job, JobResult, LoadReport, Policy } from "../policy.ts";
 
 /** Whether a live engine may take the job. */
@@ -147,14 +148,3 @@
         return best;
     }
 }
-
-/** FNV-1a with a final mix, 32 bits. */
-function hash(text: string): number {
-    let value = 0x811c9dc5;
-    for (let index = 0; index < text.length; index += 1) {
-        value = Math.imul(value ^ text.charCodeAt(index), 0x01000193);
-    }
-    value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
-    value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
-    return (value ^ (value >>> 16)) >>> 0;
-}
