Serve the timeline by its own handler, and check the operators' key in one place

Cause: the command line had a second route for the timeline that wrote the whole record, up to 4.7 MB, in one turn of the event loop, beside a handler that writes it in many; the check of the operators' key stood twice. Ruled out: making the second route write in parts, which would be the handler again. Change: the daemon takes handlers beside routes, as the HTTP front does already; the timeline's handler is mounted, and its answer to a bad parameter is the numbered error that the second route gave; one function checks the key. Conclusion: reading a full record no longer holds up calls in one piece.

--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -1,9 +1,10 @@
+import type { Handler } from "@tamarackgauge/caller";
 import type { Route, Settings } from "@tamarackgauge/core";
 import { createDaemon } from "@tamarackgauge/daemon";
 import type { RouteParts } from "@tamarackgauge/daemon";
-import { createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
+import { createAuthorization, createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
 import type { Terminal } from "@tamarackgauge/operator";
-import { createTimelineRoute } from "./timelineRoute.ts";
+import { handleTimeline } from "@tamarackgauge/timeline";
 
 /** Runs a daemon until SIGTERM or SIGINT and gives its exit code; a second signal ends the wait for streams. */
 export async function runDaemon(settings: Settings, terminal: Terminal): Promise<number> {
@@ -17,7 +18,7 @@
     return finished ? exitCodes.done : exitCodes.failed;
 }
 
-function routesOf(settings: Settings, { configuration, status, timeline }: RouteParts): readonly Route[] {
+function routesOf(settings: Settings, { configuration, status, timeline }: RouteParts): readonly (Route | Handler)[] {
     return [
         ...createOperatorRoutes({
             keyHash: settings.operatorKeyHash,
@@ -28,7 +29,13 @@
                     ...reason === undefined ? {} : { reason } };
             },
         }),
-        createTimelineRoute(timeline, settings.operatorKeyHash),
+        {
+            method: "GET",
+            path: "/timeline",
+            authorize: createAuthorization(settings.operatorKeyHash),
+            // Writes in many turns of the event loop: a full record is 4.7 MB.
+            respond: (request, response) => handleTimeline(timeline, request, response),
+        },
     ];
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,5 @@
 import { createFront } from "@tamarackgauge/caller";
-import type { Front } from "@tamarackgauge/caller";
+import type { Front, Handler } from "@tamarackgauge/caller";
 import { createPolicy, createRandom, directoryOf, policyNames, refuse, systemClock } from "@tamarackgauge/core";
 import type { Beat, Call, Configuration, Ownership, Refusal, Route, Settings } from "@tamarackgauge/core";
 import { createPeers } from "@tamarackgauge/peer";
@@ -49,7 +49,7 @@
     /** Receives each event of the timeline as it is recorded. */
     readonly sink?: Sink;
     /** Routes beside the calls, such as those of operators, built around the parts that they need. */
-    readonly routes?: (parts: RouteParts) => readonly Route[];
+    readonly routes?: (parts: RouteParts) => readonly (Route | Handler)[];
 }
 
 /** The parts of a daemon that routes may use. */
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,3 +1,4 @@
 export { createOperatorClient, type OperatorClient, type Reply } from "./client.ts";
 export { createOperatorCommands, exitCodes, keyVariable, type Terminal } from "./command.ts";
-export { type ConfigurationStore, createOperatorRoutes, type DaemonStatus, type OperatorOptions } from "./routes.ts";
+export { type ConfigurationStore, createAuthorization, createOperatorRoutes, type DaemonStatus,
+    type OperatorOptions } from "./routes.ts";
--- a/packages/operator/src/routes.ts
+++ b/packages/operator/src/routes.ts
@@ -37,13 +37,17 @@
     readonly status: () => Promise<DaemonStatus>;
 }
 
-/** The routes for operators: read and apply the configuration, read the status. All need the operators' key. */
-export function createOperatorRoutes({ keyHash, store, status }: OperatorOptions): readonly Route[] {
-    const authorize = (headers: RouteRequest["headers"]): Refusal | undefined => {
-        const { authorization } = headers;
+/** Checks that a request carries the operators' key; gives the refusal otherwise. */
+export function createAuthorization(keyHash: string): (headers: RouteRequest["headers"]) => Refusal | undefined {
+    return ({ authorization }) => {
         const key = bearerKey(typeof authorization === "string" ? authorization : undefined);
         return equalHashes(hashKey(key ?? ""), keyHash) ? undefined : refuse("key_rejected", "notRun");
     };
+}
+
+/** The routes for operators: read and apply the configuration, read the status. All need the operators' key. */
+export function createOperatorRoutes({ keyHash, store, status }: OperatorOptions): readonly Route[] {
+    const authorize = createAuthorization(keyHash);
     return [
         {
             method: "GET",
--- a/packages/timeline/src/route.ts
+++ b/packages/timeline/src/route.ts
@@ -1,3 +1,4 @@
+import { refuse } from "@tamarackgauge/core";
 import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
@@ -15,7 +16,7 @@
 
 /**
  * Answers `GET /timeline?after=N&program=...` with newline-delimited JSON. The daemon checks the operator key before.
- * Answers 400 with a message when a parameter is not valid.
+ * Answers 400 with a numbered error when a parameter is not valid.
  */
 export async function handleTimeline(
     timeline: Timeline,
@@ -25,8 +26,9 @@
     const url = new URL(request.url ?? "/", "http://localhost");
     const selection = query.safeParse(Object.fromEntries(url.searchParams));
     if (!selection.success) {
-        response.writeHead(400, { "content-type": "text/plain; charset=utf-8" });
-        response.end(z.prettifyError(selection.error) + "\n");
+        const error = refuse("invalid_header", "notRun", z.prettifyError(selection.error));
+        response.writeHead(400, { "content-type": "application/json" });
+        response.end(JSON.stringify({ error }));
         return;
     }
     response.writeHead(200, { "content-type": "application/x-ndjson", "cache-control": "no-store" });
