Serve the users' platform by a gateway whose only shared state is the store

Cause: the product speaks only to its own stand-ins.

Weighed: an owner for each partition with leases, a map and hand-over (a second hop for most calls, and time in which nobody serves a moved partition); rows of the store as the only shared state. The second needs one reservation and one row for each turn and nothing between daemons.

Change: platform/ decodes the platform's names into the product's types; packages/gateway serves calls; the decisions are in packages/core/src/gateway. Today's client of the stand-ins' table service is renamed from packages/platform to packages/table.

--- /dev/null
+++ b/packages/core/src/gateway/choice.ts
@@ -0,0 +1,87 @@
+import type { Random } from "../clock.ts";
+import type { PromptPart } from "./call.ts";
+import type { UpstreamState } from "./upstreamState.ts";
+
+/** A call that needs an upstream. */
+export interface Demand {
+    readonly parts: readonly PromptPart[];
+    readonly promptTokens: number;
+    readonly dataCentre: string;
+    /** Upstreams that this call was sent to already. */
+    readonly tried: ReadonlySet<string>;
+    /** The upstream that is believed to hold the session's memory. */
+    readonly preferred: string | undefined;
+}
+
+/** Costs of a choice, in milliseconds that the call takes longer. */
+export interface ChoiceCosts {
+    /** Prompt tokens that an engine reads in a millisecond. */
+    readonly tokensPerMs: number;
+    /** What each call at the upstream adds while it has free slots. */
+    readonly perCall: number;
+    /** What each call adds that waits for a slot. */
+    readonly perWaitingCall: number;
+    /** Usual time of a call, which a slow VM multiplies. */
+    readonly usualCall: number;
+    /** What an upstream in another data centre costs: time on the way and the price of the bytes. */
+    readonly otherDataCentre: number;
+    /** Equal choices are spread by a random cost up to this. */
+    readonly spread: number;
+}
+
+/** Costs for model engines. */
+export const modelCosts: ChoiceCosts = {
+    tokensPerMs: 256,
+    perCall: 6,
+    perWaitingCall: 25,
+    usualCall: 280,
+    otherDataCentre: 14,
+    spread: 3,
+};
+
+/** Costs for plain services. */
+export const plainCosts: ChoiceCosts = {
+    tokensPerMs: 256,
+    perCall: 1,
+    perWaitingCall: 8,
+    usualCall: 15,
+    otherDataCentre: 4,
+    spread: 1,
+};
+
+/** Picks the upstream at which a call is expected to end first; undefined when none takes calls. */
+export function chooseUpstream(
+    upstreams: Iterable<UpstreamState>,
+    demand: Demand,
+    costs: ChoiceCosts,
+    now: number,
+    random: Random,
+): UpstreamState | undefined {
+    let best: UpstreamState | undefined;
+    let least = Infinity;
+    for (const upstream of upstreams) {
+        if (upstream.entry.draining || demand.tried.has(upstream.entry.id)) {
+            continue;
+        }
+        const suspension = upstream.isSuspended(now) ? suspendedCost : 0;
+        const cost = costOf(upstream, demand, costs, now) + random() * costs.spread + suspension;
+        if (cost < least) {
+            least = cost;
+            best = upstream;
+        }
+    }
+    return best;
+}
+
+/** A suspended upstream is still better than none. */
+const suspendedCost = 1e6;
+
+function costOf(upstream: UpstreamState, demand: Demand, costs: ChoiceCosts, now: number): number {
+    const kept = upstream.cache.matched(demand.parts);
+    const read = Math.max(0, demand.promptTokens - kept) / costs.tokensPerMs;
+    const calls = upstream.calls(now);
+    const waiting = Math.max(0, calls + 1 - upstream.entry.slots);
+    const slow = costs.usualCall * (upstream.slowness(now) - 1);
+    const distance = upstream.entry.dataCentre === demand.dataCentre ? 0 : costs.otherDataCentre;
+    return read + calls * costs.perCall + waiting * costs.perWaitingCall + slow + distance;
+}
--- /dev/null
+++ b/packages/core/src/gateway/index.ts
@@ -0,0 +1,11 @@
+export * from "./attempt.ts";
+export * from "./call.ts";
+export * from "./choice.ts";
+export * from "./event.ts";
+export * from "./ledger.ts";
+export * from "./prefixCache.ts";
+export * from "./route.ts";
+export * from "./settings.ts";
+export * from "./store.ts";
+export * from "./upstreamState.ts";
+export { hash } from "../hash.ts";
--- a/packages/daemon/bench/slopes.ts
+++ b/packages/daemon/bench/slopes.ts
@@ -3,7 +3,7 @@
 import { applyChange, applyLedger, applyOwnership, createConfiguration, createDirectory, diffConfiguration, emptyLedger,
     initialOwnership, misplaced, openProgram, watchedBy } from "@tamarackgauge/core";
 import type { Configuration, Ledger, Member, Ownership, ProgramStep } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import { readEvents } from "@tamarackgauge/upstream";
 import { createBroadcast } from "../src/broadcast.ts";
 import { createCommitter } from "../src/committer.ts";
--- a/packages/daemon/src/budgets.ts
+++ b/packages/daemon/src/budgets.ts
@@ -1,7 +1,7 @@
 import { applyLedger, committedTokens, emptyAllotment, emptyLedger, freeTokens, grantableTokens, refuse, release,
     reserve } from "@tamarackgauge/core";
 import type { Allotment, Clock, Ledger, Limits, Refusal } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import createDebug from "debug";
 import { keys, leaseRow, ledgerRow } from "./rows.ts";
 import { sleep } from "./wait.ts";
--- a/packages/daemon/src/committer.ts
+++ b/packages/daemon/src/committer.ts
@@ -1,6 +1,6 @@
 import type { Clock, Lease, ProgramStep } from "@tamarackgauge/core";
-import { TableError } from "@tamarackgauge/platform";
-import type { Check, Table } from "@tamarackgauge/platform";
+import { TableError } from "@tamarackgauge/table";
+import type { Check, Table } from "@tamarackgauge/table";
 import createDebug from "debug";
 import { keys, leaseRow, segmentRow } from "./rows.ts";
 import { sleep, within } from "./wait.ts";
--- a/packages/daemon/src/configuration.ts
+++ b/packages/daemon/src/configuration.ts
@@ -1,7 +1,7 @@
 import { applyChange, change, configuration, createConfiguration, diffConfiguration,
     refuse } from "@tamarackgauge/core";
 import type { Change, Clock, Configuration, Lists, Refusal } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import createDebug from "debug";
 import { pack, unpack } from "msgpackr";
 import { Left, Right } from "purify-ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,7 +4,7 @@
 import type { Beat, Call, Configuration, Ownership, Refusal, Route, Settings } from "@tamarackgauge/core";
 import { createPeers } from "@tamarackgauge/peer";
 import type { Peers } from "@tamarackgauge/peer";
-import { createTable, createVmSource } from "@tamarackgauge/platform";
+import { createTable, createVmSource } from "@tamarackgauge/table";
 import { createTimeline } from "@tamarackgauge/timeline";
 import type { Sink, Timeline } from "@tamarackgauge/timeline";
 import createDebug from "debug";
--- a/packages/daemon/src/incarnation.ts
+++ b/packages/daemon/src/incarnation.ts
@@ -2,7 +2,7 @@
 import type { Configuration, Member, Ownership, Policy, Refusal } from "@tamarackgauge/core";
 import type { Clock, Settings } from "@tamarackgauge/core";
 import { directoryOf } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import type { Timeline } from "@tamarackgauge/timeline";
 import { createBudgets } from "./budgets.ts";
 import type { Budgets } from "./budgets.ts";
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -1,6 +1,6 @@
 import { enginesOf, openProgram, partitionOf, partitionsOf, readSeal, refuse, ruleOn } from "@tamarackgauge/core";
 import type { AnswerEvent, Call, Clock, Ownership, Policy, ProgramStep, Refusal, Seal } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import type { Timeline } from "@tamarackgauge/timeline";
 import createDebug from "debug";
 import type { Budgets } from "./budgets.ts";
--- a/packages/daemon/src/ownership.ts
+++ b/packages/daemon/src/ownership.ts
@@ -1,7 +1,7 @@
 import { applyOwnership, initialOwnership, isExpired, misplaced, partitionsOf, sightLease,
     watchedBy } from "@tamarackgauge/core";
 import type { Clock, LeaseSighting, Member, Ownership, OwnershipStep, Watched } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import createDebug from "debug";
 import { FencedError } from "./committer.ts";
 import type { Committer } from "./committer.ts";
--- a/packages/daemon/src/partition.ts
+++ b/packages/daemon/src/partition.ts
@@ -1,6 +1,6 @@
 import { applyProgram, emptyDigest, extendDigest, historyOf } from "@tamarackgauge/core";
 import type { Program, ProgramStep } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import { FencedError } from "./committer.ts";
 import type { Committer } from "./committer.ts";
 import { keys, segmentOf, segmentRow } from "./rows.ts";
--- a/packages/daemon/src/services.ts
+++ b/packages/daemon/src/services.ts
@@ -1,4 +1,4 @@
-import type { Vm } from "@tamarackgauge/platform";
+import type { Vm } from "@tamarackgauge/table";
 import { createServiceClient, ServiceError } from "@tamarackgauge/upstream";
 import type { ServiceAnswer, ServiceCall, ServiceClient } from "@tamarackgauge/upstream";
 
--- a/packages/daemon/src/upstreams.ts
+++ b/packages/daemon/src/upstreams.ts
@@ -1,6 +1,6 @@
 import type { Clock, Policy } from "@tamarackgauge/core";
-import { acceptVms } from "@tamarackgauge/platform";
-import type { Vm, VmList, VmSource } from "@tamarackgauge/platform";
+import { acceptVms } from "@tamarackgauge/table";
+import type { Vm, VmList, VmSource } from "@tamarackgauge/table";
 import { createEngineClient } from "@tamarackgauge/upstream";
 import type { EngineClient } from "@tamarackgauge/upstream";
 import createDebug from "debug";
--- a/packages/daemon/test/budgetFaults.test.ts
+++ b/packages/daemon/test/budgetFaults.test.ts
@@ -1,5 +1,5 @@
-import { createTable } from "@tamarackgauge/platform";
-import type { Table } from "@tamarackgauge/platform";
+import { createTable } from "@tamarackgauge/table";
+import type { Table } from "@tamarackgauge/table";
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { keys, ledgerRow } from "../src/rows.ts";
--- a/packages/daemon/test/configuration.test.ts
+++ b/packages/daemon/test/configuration.test.ts
@@ -1,6 +1,6 @@
 import { createConfiguration, createRandom, systemClock } from "@tamarackgauge/core";
 import type { Configuration } from "@tamarackgauge/core";
-import type { Table } from "@tamarackgauge/platform";
+import type { Table } from "@tamarackgauge/table";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
--- a/packages/daemon/test/configurationFaults.test.ts
+++ b/packages/daemon/test/configurationFaults.test.ts
@@ -1,4 +1,4 @@
-import { createTable } from "@tamarackgauge/platform";
+import { createTable } from "@tamarackgauge/table";
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { keys, ownershipRow } from "../src/rows.ts";
--- a/packages/daemon/test/fakeTable.ts
+++ b/packages/daemon/test/fakeTable.ts
@@ -1,6 +1,6 @@
 import type { Random } from "@tamarackgauge/core";
-import { TableError } from "@tamarackgauge/platform";
-import type { Row, Table, Transaction, TransactionResult } from "@tamarackgauge/platform";
+import { TableError } from "@tamarackgauge/table";
+import type { Row, Table, Transaction, TransactionResult } from "@tamarackgauge/table";
 
 /** The rows of a fake table service, shared by the clients of several daemons. */
 export interface FakeStore {
--- a/packages/daemon/test/node.ts
+++ b/packages/daemon/test/node.ts
@@ -1,7 +1,7 @@
 import { createPolicy, createRandom, systemClock } from "@tamarackgauge/core";
 import type { Call, ProgramStep, Refusal } from "@tamarackgauge/core";
-import { TableError } from "@tamarackgauge/platform";
-import type { Table, Transaction } from "@tamarackgauge/platform";
+import { TableError } from "@tamarackgauge/table";
+import type { Table, Transaction } from "@tamarackgauge/table";
 import { createTimeline } from "@tamarackgauge/timeline";
 import type { EngineClient } from "@tamarackgauge/upstream";
 import { createBudgets } from "../src/budgets.ts";
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,189 @@
+import { type Declaration, StoreError } from "@tamarackgauge/core/gateway";
+import type { ServerResponse } from "node:http";
+import type { Budgets } from "./budgets.ts";
+import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
+import type { Log } from "./log.ts";
+import { type ReadCall, type SendParts, type SendResult, type Sends, startSends } from "./sends.ts";
+import { createStreamRelay, type StreamRelay } from "./streams.ts";
+import type { Turn, Turns } from "./turns.ts";
+
+/** Parts that all exchanges share. */
+export interface ExchangeParts extends SendParts {
+    readonly budgets: Budgets;
+    readonly turns: Turns;
+    readonly log: Log;
+}
+
+/** One call of a caller, from its last byte to the last byte of its answer. */
+export interface Exchange {
+    readonly done: Promise<void>;
+    /** The caller has left. */
+    abandon(): void;
+}
+
+const badGateway = 502;
+const unavailable = 503;
+const timedOut = 504;
+const budgetSpent = 402;
+const unknownTurn = 404;
+/** When a refused caller should come back, in ms. */
+const retrySoon = 100;
+const retryStore = 400;
+
+const storeAway: OwnAnswer = { status: unavailable, reason: "the store does not answer", retryAfter: retryStore };
+
+/** Starts to serve a call. */
+export function startExchange(parts: ExchangeParts, call: ReadCall, response: ServerResponse): Exchange {
+    const { budgets, turns, log, now } = parts;
+    const { head, route } = call;
+    const program = head.program ?? head.id;
+    const startedAt = now();
+    let sends: Sends | undefined;
+    let left = false;
+    let expired = false;
+    const timer = setTimeout(() => {
+        expired = true;
+        sends?.cancel();
+    }, call.endsAt - startedAt);
+
+    async function run(): Promise<void> {
+        try {
+            await (head.tokenBudget === undefined || !route.streamed ? serve(call, undefined) : serveTurn());
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+
+    async function serveTurn(): Promise<void> {
+        const reserved = budgets.reserve(program, { id: head.id, most: head.mostTokens }, head.tokenBudget!);
+        const previous = route.retention === undefined || head.previousTurn === undefined
+            ? []
+            : await turns.history(head.previousTurn);
+        const reservation = await reserved;
+        if (reservation === "unavailable" || previous === "unavailable") {
+            settle(reservation, 0);
+            answerSelf(storeAway);
+            return;
+        }
+        if (previous === "unknown") {
+            settle(reservation, 0);
+            answerSelf({ status: unknownTurn, reason: "there is no such turn" });
+            return;
+        }
+        if (reservation === "exhausted") {
+            answerSelf({ status: budgetSpent, reason: "the program's token budget is spent" });
+            return;
+        }
+        const history: readonly Turn[] = previous;
+        const body = history.length === 0 ? call.body : Buffer.concat([
+            ...history.flatMap(({ input, output }) => [input, output]),
+            call.body ?? Buffer.alloc(0),
+        ]);
+        const events = await serve({ ...call, body }, history);
+        settle(reservation, events * tokensPerEvent());
+    }
+
+    function settle(reservation: "reserved" | "exhausted" | "unavailable", used: number): void {
+        if (reservation === "reserved") {
+            budgets.settle(program, head.id, used);
+        }
+    }
+
+    function tokensPerEvent(): number {
+        const service = parts.declaration()?.services.get(route.shares[0]!.service);
+        return service?.model?.tokensPerEvent ?? 1;
+    }
+
+    /** Sends the call and passes the answer on; gives the number of events that the caller may have had. */
+    async function serve(sent: ReadCall, history: readonly Turn[] | undefined): Promise<number> {
+        if (left) {
+            return 0;
+        }
+        if (expired) {
+            answerSelf({ status: unavailable, reason: "no time was left", retryAfter: retrySoon });
+            return 0;
+        }
+        const keeps = history !== undefined && route.retention !== undefined;
+        const relay = route.streamed
+            ? createStreamRelay({ response, holdsLast: keeps, resumable: route.resumable })
+            : undefined;
+        sends = startSends(parts, { call: sent, priority: priorityOf(), sink: relay,
+            preferred: history?.[history.length - 1]?.upstream });
+        const result = await sends.result;
+        await finish(result, relay, keeps ? history : undefined);
+        return relay?.events().length ?? 0;
+    }
+
+    async function finish(result: SendResult, relay: StreamRelay | undefined, history: readonly Turn[] | undefined) {
+        switch (result.kind) {
+            case "streamed":
+                await finishStream(relay!, history, result.upstream);
+                return;
+            case "answer":
+                writeAnswer(response, result.answer);
+                return;
+            case "cancelled":
+                if (!left) {
+                    answerSelf(result.sent
+                        ? { status: timedOut, reason: "the time limit was reached" }
+                        : { status: unavailable, reason: "the time limit was reached", retryAfter: retrySoon });
+                }
+                return;
+            case "failed":
+                answerFailure(result);
+        }
+    }
+
+    async function finishStream(relay: StreamRelay, history: readonly Turn[] | undefined, upstream: string) {
+        if (history === undefined) {
+            relay.finish();
+            return;
+        }
+        const output = Buffer.concat(relay.events().flatMap(({ data }) => [data, lineFeed]));
+        const turn: Turn = { id: head.id, ancestors: history.map(({ id }) => id), input: call.body ?? Buffer.alloc(0),
+            output, upstream };
+        try {
+            // A turn counts from the end of its answer, so it is kept before its last event goes out.
+            await turns.keep(turn, route.retention!);
+            relay.finish();
+        }
+        catch (error) {
+            if (!(error instanceof StoreError)) {
+                throw error;
+            }
+            log.warn("turn.notKept", { call: head.id, program, reason: error.message });
+            response.destroy();
+        }
+    }
+
+    function answerFailure({ failure, reason, answer }: SendResult & { kind: "failed"; }): void {
+        if (answer !== undefined && !response.headersSent) {
+            writeAnswer(response, answer);
+            return;
+        }
+        answerSelf(failure === "notRun"
+            ? { status: unavailable, reason, retryAfter: retrySoon }
+            : { status: badGateway, reason });
+    }
+
+    function answerSelf(answer: OwnAnswer): void {
+        log.warn("call.refused", { call: head.id, program: head.program, route: route.name, status: answer.status,
+            reason: answer.reason, ms: Math.round(now() - startedAt), begun: response.headersSent });
+        writeOwnAnswer(response, head.id, answer);
+    }
+
+    /** Turns that continue a program go before those that begin one; urgent routes go before others. */
+    function priorityOf(): number | undefined {
+        return route.streamed ? Math.min(9, 3 + route.priority * 2 - (head.previousTurn === undefined ? 0 : 1)) : undefined;
+    }
+
+    function abandon(): void {
+        left = true;
+        sends?.cancel();
+    }
+
+    return { done: run(), abandon };
+}
+
+const lineFeed = Buffer.from("\n");
--- /dev/null
+++ b/packages/gateway/src/front.ts
@@ -0,0 +1,186 @@
+import { createRouteTable, type Declaration, type RouteTable, timeLimit } from "@tamarackgauge/core/gateway";
+import { decodeRequest } from "@tamarackgauge/platform";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { writeOwnAnswer } from "./callerAnswer.ts";
+import { type Exchange, type ExchangeParts, startExchange } from "./exchange.ts";
+
+/** The server that callers connect to. */
+export interface Front extends AsyncDisposable {
+    /** Takes the routes and limits of a newer declaration. */
+    declare(declaration: Declaration): void;
+    /** From now on every answer ends its connection. */
+    closeConnections(): void;
+    /** Accepts no more connections, and resolves when the last answer has ended. */
+    drain(): Promise<void>;
+    active(): number;
+}
+
+/** Parts of the front. */
+export interface FrontParts extends ExchangeParts {
+    readonly host: string;
+    readonly port: number;
+    /** Milliseconds since the declaration was last confirmed. */
+    readonly declarationAge: () => number;
+}
+
+const badRequest = 400;
+const notFound = 404;
+const tooLarge = 413;
+const unavailable = 503;
+const retryStart = 300;
+/** The largest head that Node.js reads; the declared limit is checked behind it. */
+const mostHeaderBytes = 65_536;
+/** A path that is not declared is refused for good only if the declaration was confirmed this lately, in ms. */
+const declarationTrust = 4_500;
+
+/** Starts to listen for callers. */
+export async function createFront(parts: FrontParts): Promise<Front> {
+    const { now, log } = parts;
+    let routes: RouteTable | undefined;
+    let declaration: Declaration | undefined;
+    let closing = false;
+    let active = 0;
+    let idle: (() => void) | undefined;
+    const server = createServer({ maxHeaderSize: mostHeaderBytes, noDelay: true }, (request, response) => {
+        void serve(request, response);
+    });
+    server.on("clientError", (error: Error & { code?: string; }, socket) => {
+        if (socket.writable && error.code !== "ECONNRESET") {
+            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        }
+        else {
+            socket.destroy();
+        }
+    });
+    await listen(server, parts.host, parts.port);
+
+    function declare(next: Declaration): void {
+        declaration = next;
+        routes = createRouteTable(next.routes);
+        server.keepAliveTimeout = next.limits.idleTimeout;
+        server.headersTimeout = next.limits.headerTimeout;
+    }
+
+    async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const arrivedAt = now();
+        active += 1;
+        if (closing) {
+            response.setHeader("connection", "close");
+        }
+        let exchange: Exchange | undefined;
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                exchange?.abandon();
+            }
+        });
+        try {
+            exchange = await start(request, response, arrivedAt);
+            await exchange?.done;
+        }
+        catch (error) {
+            log.warn("call.broken", { reason: (error as Error).stack ?? String(error) });
+            response.destroy();
+        }
+        finally {
+            active -= 1;
+            if (active === 0) {
+                idle?.();
+            }
+        }
+    }
+
+    async function start(request: IncomingMessage, response: ServerResponse, arrivedAt: number) {
+        const head = decodeRequest(request.headers);
+        const url = request.url ?? "/";
+        const route = routes?.find(request.headers.host ?? "", url);
+        if (route === undefined || declaration === undefined) {
+            writeOwnAnswer(response, head?.id, unknownRoute());
+            return undefined;
+        }
+        if (head === undefined) {
+            writeOwnAnswer(response, undefined, { status: badRequest, reason: "the request has no identity" });
+            return undefined;
+        }
+        const body = await readBody(request, declaration.limits.body);
+        if (body === "tooLarge") {
+            writeOwnAnswer(response, head.id, { status: tooLarge, reason: "the body is too large" });
+            return undefined;
+        }
+        if (body === "broken" || response.destroyed) {
+            return undefined;
+        }
+        const hasBody = body.length > 0 || request.headers["content-length"] !== undefined ||
+            request.headers["transfer-encoding"] !== undefined;
+        return startExchange(parts, {
+            method: request.method ?? "GET",
+            path: url,
+            rawHeaders: request.rawHeaders,
+            head,
+            route,
+            body: hasBody ? body : undefined,
+            endsAt: arrivedAt + timeLimit(route, head.deadline),
+        }, response);
+    }
+
+    /** What is not declared is unknown for good only while the declaration is known to be the newest. */
+    function unknownRoute() {
+        return routes !== undefined && parts.declarationAge() < declarationTrust
+            ? { status: notFound, reason: "no route takes this path" }
+            : { status: unavailable, reason: "the declaration is not known", retryAfter: retryStart };
+    }
+
+    async function drain(): Promise<void> {
+        closing = true;
+        server.close();
+        server.closeIdleConnections();
+        while (active > 0) {
+            await new Promise<void>(resolve => {
+                idle = resolve;
+            });
+            server.closeIdleConnections();
+        }
+    }
+
+    return {
+        declare,
+        closeConnections() {
+            closing = true;
+        },
+        drain,
+        active: () => active,
+        async [Symbol.asyncDispose]() {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
+
+async function readBody(request: IncomingMessage, most: number): Promise<Buffer | "tooLarge" | "broken"> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    try {
+        for await (const chunk of request as AsyncIterable<Buffer>) {
+            length += chunk.length;
+            if (length > most) {
+                return "tooLarge";
+            }
+            chunks.push(chunk);
+        }
+    }
+    catch {
+        // The caller has left; there is nobody to answer.
+        return "broken";
+    }
+    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+}
+
+/** Starts a server at an address. */
+export function listen(server: Server, host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen({ host, port, backlog: 1024 }, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./gateway.ts";
--- /dev/null
+++ b/packages/gateway/src/persist.ts
@@ -0,0 +1,60 @@
+import { StoreError } from "@tamarackgauge/core/gateway";
+
+/** How a call of the store is repeated. Times are in milliseconds. */
+export interface Persistence {
+    /** An answer that does not come for this long is asked for once more on another connection. */
+    readonly hedgeDelay: number;
+    readonly callTimeout: number;
+    /** No further call begins after this time. */
+    readonly giveUpAfter: number;
+    /** Pause after a refusal; it grows with each one. */
+    readonly pause: number;
+}
+
+/** For the calls that a caller waits for. */
+export const urgentPersistence: Persistence = { hedgeDelay: 150, callTimeout: 1_500, giveUpAfter: 900, pause: 30 };
+
+/**
+ * Repeats a call of the store until it is answered. Only for calls that may be applied twice: an answer can be lost,
+ * and the first call may still be applied after the second.
+ */
+export async function persist<Value>(
+    call: (timeout: number) => Promise<Value>,
+    { hedgeDelay, callTimeout, giveUpAfter, pause }: Persistence,
+): Promise<Value> {
+    const started = performance.now();
+    for (let round = 1;; round += 1) {
+        try {
+            return await hedge(() => call(callTimeout), hedgeDelay * round);
+        }
+        catch (error) {
+            if (!(error instanceof StoreError) || performance.now() - started + pause * round > giveUpAfter) {
+                throw error;
+            }
+            await new Promise(resolve => setTimeout(resolve, pause * round));
+        }
+    }
+}
+
+/** Makes a second call if the first has no answer after a delay; the first answer counts. */
+function hedge<Value>(call: () => Promise<Value>, delay: number): Promise<Value> {
+    return new Promise((resolve, reject) => {
+        let pending = 1;
+        const failed = (error: unknown) => {
+            pending -= 1;
+            if (pending === 0) {
+                clearTimeout(timer);
+                reject(error as Error);
+            }
+        };
+        const answered = (value: Value) => {
+            clearTimeout(timer);
+            resolve(value);
+        };
+        const timer = setTimeout(() => {
+            pending += 1;
+            call().then(answered, failed);
+        }, delay);
+        call().then(answered, failed);
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/streams.ts
@@ -0,0 +1,62 @@
+import { EventSplitter, type StreamEvent } from "@tamarackgauge/core/gateway";
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { beginStream } from "./callerAnswer.ts";
+import type { StreamSink } from "./sends.ts";
+
+/** What a stream has carried to the caller so far. */
+export interface StreamRelay extends StreamSink {
+    /** Events that have been or are about to be passed on. */
+    events(): readonly StreamEvent[];
+    /** Passes on what is held back, and ends the answer. */
+    finish(): void;
+}
+
+/** Parts of a relay. */
+export interface StreamRelayParts {
+    readonly response: ServerResponse;
+    /** The newest event waits until the next one comes or the answer is finished. */
+    readonly holdsLast: boolean;
+    readonly resumable: boolean;
+}
+
+/** Passes events on as they come, whole events only: an upstream may stop in the middle of one. */
+export function createStreamRelay({ response, holdsLast, resumable }: StreamRelayParts): StreamRelay {
+    const events: StreamEvent[] = [];
+    let splitter = new EventSplitter();
+    let held: Buffer | undefined;
+
+    function begin(status: number, headers: IncomingHttpHeaders): void {
+        splitter = new EventSplitter();
+        beginStream(response, status, headers);
+    }
+
+    function data(chunk: Buffer): void {
+        for (const event of splitter.push(chunk)) {
+            events.push(event);
+            if (held !== undefined) {
+                response.write(held);
+            }
+            held = holdsLast ? event.raw : undefined;
+            if (!holdsLast) {
+                response.write(event.raw);
+            }
+        }
+    }
+
+    function finish(): void {
+        if (held !== undefined) {
+            response.write(held);
+        }
+        const rest = splitter.rest();
+        response.end(rest.length === 0 ? undefined : rest);
+    }
+
+    return {
+        begin,
+        data,
+        finish,
+        events: () => events,
+        hasBegun: () => response.headersSent,
+        resumeAfter: () => resumable ? events[events.length - 1]?.id : undefined,
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/turns.ts
@@ -0,0 +1,165 @@
+import { hash, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
+import { pack, unpack } from "msgpackr";
+import { persist, urgentPersistence } from "./persist.ts";
+
+/** A turn that was answered whole, and the turns before it. */
+export interface Turn {
+    readonly id: string;
+    /** Ids of the turns that it continues, the oldest first. */
+    readonly ancestors: readonly string[];
+    readonly input: Buffer;
+    /** The data of its events, each followed by a line feed. */
+    readonly output: Buffer;
+    /** The engine that generated it and may still keep its memory. */
+    readonly upstream: string;
+}
+
+/** What a turn continues, the oldest turn first. `unavailable`: the store could not tell. */
+export type History = readonly Turn[] | "unknown" | "unavailable";
+
+/** Turns that were answered whole, each in a row of the store. */
+export interface Turns {
+    /** A turn and all that it continues; `unknown` only if the store says that there is no such turn. */
+    history(id: string): Promise<History>;
+    /** Keeps a turn for `retention` milliseconds; rejects with a `StoreError` if it may not be kept. */
+    keep(turn: Turn, retention: number): Promise<void>;
+}
+
+const table = "turns";
+const parts = 256;
+/** Turns used within this time stay in memory, in ms. */
+const memoryTime = 8_000;
+/** Rows are removed this long after their retention, in ms: a continuing call may be on its way. */
+const removalDelay = 5_000;
+const removalInterval = 2_000;
+const mostRemovals = 100;
+/** Bytes of a row value in text form that three bytes of a turn take as four characters. */
+const bytesOfText = 3 / 4;
+
+interface Remembered {
+    readonly turn: Turn;
+    usedAt: number;
+}
+
+interface Expiry {
+    readonly id: string;
+    readonly rows: number;
+    readonly at: number;
+}
+
+/** Creates the turns of the programs that come to this daemon. */
+export function createTurns(store: Store, mostRowBytes: number, now: () => number): Turns & Disposable {
+    const remembered = new Map<string, Remembered>();
+    const expiries: Expiry[] = [];
+    const segmentBytes = Math.floor(mostRowBytes * bytesOfText) - 64;
+    const sweep = setInterval(() => {
+        forgetIdle();
+        void removeExpired();
+    }, removalInterval);
+    sweep.unref();
+
+    async function history(id: string): Promise<History> {
+        try {
+            const last = await find(id);
+            if (last === undefined) {
+                return "unknown";
+            }
+            const before = await Promise.all(last.ancestors.map(find));
+            // Rows of a chain are removed one by one once their retention is over.
+            return before.every(turn => turn !== undefined) ? [...before, last] : "unknown";
+        }
+        catch (error) {
+            if (error instanceof StoreError) {
+                return "unavailable";
+            }
+            throw error;
+        }
+    }
+
+    async function find(id: string): Promise<Turn | undefined> {
+        const known = remembered.get(id);
+        if (known !== undefined) {
+            known.usedAt = now();
+            return known.turn;
+        }
+        const range = { table, part: partOf(id), from: id, to: `${id}0` };
+        const page = await persist(timeout => store.read(range, { timeout }), urgentPersistence);
+        const turn = decode(id, page.rows);
+        if (turn !== undefined) {
+            remembered.set(id, { turn, usedAt: now() });
+        }
+        return turn;
+    }
+
+    async function keep(turn: Turn, retention: number): Promise<void> {
+        const part = partOf(turn.id);
+        const puts = segmentsOf(turn).map((value, index) => ({ table, part, key: keyOf(turn.id, index), value }));
+        await persist(timeout => store.change({ puts }, { timeout }), urgentPersistence);
+        remembered.set(turn.id, { turn, usedAt: now() });
+        expiries.push({ id: turn.id, rows: puts.length, at: now() + retention + removalDelay });
+    }
+
+    function segmentsOf(turn: Turn): readonly Buffer[] {
+        const whole = encode(turn);
+        const segments: Buffer[] = [];
+        for (let at = 0; at < whole.length; at += segmentBytes) {
+            segments.push(whole.subarray(at, at + segmentBytes));
+        }
+        return segments;
+    }
+
+    function forgetIdle(): void {
+        for (const [id, { usedAt }] of remembered) {
+            if (now() - usedAt > memoryTime) {
+                remembered.delete(id);
+            }
+        }
+    }
+
+    /** Removes the rows of one part whose time is over; the other parts follow with the next calls. */
+    async function removeExpired(): Promise<void> {
+        const due = expiries.filter(({ at }) => at < now());
+        const first = due[0];
+        if (first === undefined) {
+            return;
+        }
+        const part = partOf(first.id);
+        const batch = due.filter(({ id }) => partOf(id) === part).slice(0, mostRemovals / 4);
+        const removals = batch.flatMap(({ id, rows }) =>
+            Array.from({ length: rows }, (_, index) => ({ table, part, key: keyOf(id, index) }))
+        );
+        try {
+            await store.change({ removals }, { timeout: removalInterval });
+            batch.forEach(entry => expiries.splice(expiries.indexOf(entry), 1));
+        }
+        catch (error) {
+            if (!(error instanceof StoreError)) {
+                throw error;
+            }
+        }
+    }
+
+    return { history, keep, [Symbol.dispose]: () => clearInterval(sweep) };
+}
+
+function partOf(id: string): string {
+    return String(hash(id) % parts);
+}
+
+/** The first row of a turn has its id as key; a long turn goes on in rows behind it. */
+function keyOf(id: string, index: number): string {
+    return index === 0 ? id : `${id}/${String(index).padStart(3, "0")}`;
+}
+
+function encode({ ancestors, input, output, upstream }: Turn): Buffer {
+    return Buffer.from(pack([ancestors, input, output, upstream]));
+}
+
+function decode(id: string, rows: readonly StoreRow[]): Turn | undefined {
+    if (rows.length === 0) {
+        return undefined;
+    }
+    const [ancestors, input, output, upstream] = unpack(Buffer.concat(rows.map(({ value }) => value))) as
+        [string[], Buffer, Buffer, string];
+    return { id, ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream };
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams.ts
@@ -0,0 +1,93 @@
+import { chooseUpstream, type Declaration, type Demand, modelCosts, plainCosts, type UpstreamEntry,
+    UpstreamState } from "@tamarackgauge/core/gateway";
+import { createUpstreamClient, type UpstreamClient } from "./upstreamClient.ts";
+
+/** An upstream with the connections to it. */
+export interface Upstream {
+    readonly state: UpstreamState;
+    readonly client: UpstreamClient;
+}
+
+/** The upstreams that calls may go to. */
+export interface Upstreams extends AsyncDisposable {
+    /** Takes the whole list of what upstreams registered. */
+    replace(entries: readonly UpstreamEntry[]): void;
+    choose(service: string, demand: Demand): Upstream | undefined;
+    find(id: string): Upstream | undefined;
+    count(): number;
+}
+
+/** Parts of a set of upstreams. */
+export interface UpstreamsParts {
+    readonly declaration: () => Declaration | undefined;
+    readonly now: () => number;
+}
+
+/** The share of an upstream's connections that one daemon may use. */
+const connectionShare = 0.2;
+const fewestConnections = 8;
+/** Connections of an upstream that is gone are closed when its last calls have ended, in ms. */
+const closeDelay = 10_000;
+
+/** Creates an empty set of upstreams. */
+export function createUpstreams({ declaration, now }: UpstreamsParts): Upstreams {
+    const known = new Map<string, Upstream>();
+    const byService = new Map<string, Map<string, UpstreamState>>();
+
+    function replace(entries: readonly UpstreamEntry[]): void {
+        const listed = new Set(entries.map(({ id }) => id));
+        [...known.keys()].filter(id => !listed.has(id)).forEach(remove);
+        entries.forEach(take);
+    }
+
+    function take(entry: UpstreamEntry): void {
+        const upstream = known.get(entry.id);
+        if (upstream !== undefined && isSameLife(upstream.state.entry, entry)) {
+            upstream.state.entry = entry;
+            return;
+        }
+        remove(entry.id);
+        add(entry);
+    }
+
+    function add(entry: UpstreamEntry): void {
+        const service = declaration()?.services.get(entry.service);
+        const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0);
+        const share = Math.floor((service?.mostConnections ?? 0) * connectionShare);
+        const client = createUpstreamClient(entry.address, entry.port, Math.max(fewestConnections, share));
+        known.set(entry.id, { state, client });
+        const states = byService.get(entry.service) ?? new Map<string, UpstreamState>();
+        byService.set(entry.service, states.set(entry.id, state));
+    }
+
+    function remove(id: string): void {
+        const upstream = known.get(id);
+        if (upstream !== undefined) {
+            known.delete(id);
+            byService.get(upstream.state.entry.service)?.delete(id);
+            setTimeout(() => void upstream.client[Symbol.asyncDispose](), closeDelay).unref();
+        }
+    }
+
+    function choose(service: string, demand: Demand): Upstream | undefined {
+        const costs = declaration()?.services.get(service)?.model === undefined ? plainCosts : modelCosts;
+        const state = chooseUpstream(byService.get(service)?.values() ?? [], demand, costs, now(), Math.random);
+        return state === undefined ? undefined : known.get(state.entry.id);
+    }
+
+    return {
+        replace,
+        choose,
+        find: id => known.get(id),
+        count: () => known.size,
+        async [Symbol.asyncDispose]() {
+            await Promise.all([...known.values()].map(({ client }) => client[Symbol.asyncDispose]()));
+        },
+    };
+}
+
+/** A restart under the same id, or at another address, begins a life that knows nothing of the one before. */
+function isSameLife(left: UpstreamEntry, right: UpstreamEntry): boolean {
+    return left.service === right.service && left.address === right.address && left.port === right.port &&
+        left.born === right.born;
+}
