--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export { hash } from "../hash.ts";
 export * from "./attempt.ts";
 export * from "./call.ts";
 export * from "./choice.ts";
@@ -8,4 +9,3 @@
 export * from "./settings.ts";
 export * from "./store.ts";
 export * from "./upstreamState.ts";
-export { hash } from "../hash.ts";
--- /dev/null
+++ b/packages/core/test/gateway/choice.test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { chooseUpstream, type Demand, modelCosts, nextStep, PrefixCache,
+    UpstreamState } from "../../src/gateway/index.ts";
+
+const upstream = (id: string, dataCentre = "here", draining = false) =>
+    new UpstreamState({ id, service: "s", address: "10.0.0.1", port: 80, dataCentre, slots: 12, draining, born: 1 },
+        1e5);
+
+const demand: Demand = { parts: [{ id: "p", tokens: 12_000 }], promptTokens: 13_000, dataCentre: "here",
+    tried: new Set(), preferred: undefined };
+
+const choose = (states: readonly UpstreamState[], wanted = demand, now = 0) =>
+    chooseUpstream(states, wanted, modelCosts, now, () => 0)?.entry.id;
+
+test("an engine that keeps the prompt is chosen until it is loaded (guards against reading shared parts again)", () => {
+    const cached = upstream("cached");
+    cached.cache.use(demand.parts);
+    const other = upstream("other");
+    assert.equal(choose([other, cached]), "cached");
+    cached.report({ running: 12, waiting: 4, slots: 12, slowness: 1 }, 0);
+    assert.equal(choose([other, cached]), "other");
+});
+
+test("draining and tried upstreams get nothing (guards against work sent to an upstream that leaves)", () => {
+    assert.equal(choose([upstream("leaving", "here", true)]), undefined);
+    assert.equal(choose([upstream("a"), upstream("b")], { ...demand, tried: new Set(["a"]) }), "b");
+});
+
+test("a failed upstream rests, but is better than none (guards against sending again into a crash)", () => {
+    const failed = upstream("failed");
+    failed.failed(0);
+    assert.equal(choose([failed, upstream("far", "there")]), "far");
+    assert.equal(choose([failed]), "failed");
+    assert.equal(choose([failed, upstream("far", "there")], demand, 10_000), "failed");
+});
+
+test("own calls since a report count, others age (guards against herding on an old report)", () => {
+    const state = upstream("a");
+    state.inFlight = 2;
+    state.report({ running: 5, waiting: 0, slots: 12, slowness: 1 }, 0);
+    state.inFlight = 4;
+    assert.equal(state.calls(0), 7);
+    assert.ok(state.calls(10_000) < 4.1);
+});
+
+test("the parts used least recently are forgotten (guards against counting on memory that has yielded)", () => {
+    const cache = new PrefixCache(30);
+    cache.use([{ id: "a", tokens: 10 }, { id: "b", tokens: 10 }]);
+    cache.use([{ id: "a", tokens: 10 }, { id: "c", tokens: 15 }]);
+    assert.equal(cache.matched([{ id: "a", tokens: 10 }, { id: "b", tokens: 10 }]), 10);
+});
+
+test("only a call that has not run, or may run again, is sent again (guards against running twice)", () => {
+    assert.equal(nextStep("atMostOnce", "unknown", 1, 4), "giveUp");
+    assert.equal(nextStep("atMostOnce", "failed", 1, 4), "giveUp");
+    assert.equal(nextStep("atMostOnce", "notRun", 1, 4), "sendAgain");
+    assert.equal(nextStep("repeatable", "unknown", 1, 4), "sendAgain");
+    assert.equal(nextStep("repeatable", "unknown", 4, 4), "giveUp");
+});
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -7,7 +7,7 @@
 export type Reservation = "reserved" | "exhausted" | "unavailable";
 
 /** Token budgets of programs, in one row of the store for each. */
-export interface Budgets {
+export interface Budgets extends Disposable {
     reserve(program: string, turn: OpenTurn, budget: number): Promise<Reservation>;
     /** Replaces a reservation by the tokens that were used; the write may wait for the program's next one. */
     settle(program: string, turn: string, used: number): void;
@@ -50,7 +50,7 @@
 export function createBudgets(store: Store, now: () => number): Budgets {
     const accounts = new Map<string, Account>();
     const sweep = setInterval(forgetIdle, forgetAfter / 4);
-    sweep.unref();
+    let stopped = false;
 
     function accountOf(program: string): Account {
         const account = accounts.get(program) ?? createAccount(program);
@@ -74,7 +74,9 @@
     }
 
     function schedule(account: Account, delay: number): void {
-        account.timer ??= setTimeout(() => start(account), delay);
+        if (!stopped) {
+            account.timer ??= setTimeout(() => start(account), delay);
+        }
     }
 
     function start(account: Account): void {
@@ -167,7 +169,13 @@
         }));
     }
 
-    return { reserve, settle, flush };
+    function dispose(): void {
+        stopped = true;
+        clearInterval(sweep);
+        accounts.forEach(({ timer }) => clearTimeout(timer));
+    }
+
+    return { reserve, settle, flush, [Symbol.dispose]: dispose };
 }
 
 function createAccount(program: string): Account {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -175,7 +175,9 @@
 
     /** Turns that continue a program go before those that begin one; urgent routes go before others. */
     function priorityOf(): number | undefined {
-        return route.streamed ? Math.min(9, 3 + route.priority * 2 - (head.previousTurn === undefined ? 0 : 1)) : undefined;
+        return route.streamed
+            ? Math.min(9, 3 + route.priority * 2 - (head.previousTurn === undefined ? 0 : 1))
+            : undefined;
     }
 
     function abandon(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import { type Declaration, type GatewaySettings, type Store, type StoreRow } from "@tamarackgauge/core/gateway";
-import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath, upstreamTable } from "@tamarackgauge/platform";
+import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
+    upstreamTable } from "@tamarackgauge/platform";
 import { createServer } from "node:http";
 import { createBudgets } from "./budgets.ts";
 import { createFront, listen } from "./front.ts";
@@ -98,6 +99,7 @@
         async [Symbol.asyncDispose]() {
             readiness.close();
             turns[Symbol.dispose]();
+            budgets[Symbol.dispose]();
             await Promise.all([front, declarations, entries, upstreams].map(part => part[Symbol.asyncDispose]()));
         },
     };
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -159,7 +159,7 @@
     if (rows.length === 0) {
         return undefined;
     }
-    const [ancestors, input, output, upstream] = unpack(Buffer.concat(rows.map(({ value }) => value))) as
-        [string[], Buffer, Buffer, string];
+    const [ancestors, input, output, upstream] = unpack(Buffer.concat(rows.map(({ value }) => value))) as [string[],
+        Buffer, Buffer, string];
     return { id, ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream };
 }
--- /dev/null
+++ b/packages/gateway/test/calls.test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { call, createFleet, until, untilReady } from "./harness.ts";
+
+async function start() {
+    const fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    return { fleet, gateway, [Symbol.asyncDispose]: () => fleet[Symbol.asyncDispose]() };
+}
+
+test("a call and its answer pass unchanged (guards against a gateway that rewrites what it forwards)", async () => {
+    await using parts = await start();
+    const answer = await call(parts.gateway, { path: "/pay/a?b=c", id: "1", body: "deposit",
+        headers: { "x-deadline-ms": "900", "x-private": "kept" } });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body, "answer of i-tool to 1");
+    assert.equal(answer.headers["x-response-signature"], "signed.i-tool");
+    const [ran] = parts.fleet.tool.ran;
+    assert.equal(ran?.path, "/pay/a?b=c");
+    assert.equal(ran?.body, "deposit");
+    assert.equal(ran?.headers["x-private"], "kept");
+    assert.equal(ran?.headers["x-target-instance"], "i-tool");
+    assert.ok(Number(ran?.headers["x-deadline-ms"]) <= 900);
+});
+
+test("what is not declared is refused for good (guards against callers that try again)", async () => {
+    await using parts = await start();
+    assert.equal((await call(parts.gateway, { path: "/none/", id: "1" })).status, 404);
+    assert.equal((await call(parts.gateway, { path: "/pay/", id: "1", body: "x".repeat(100_001) })).status, 413);
+});
+
+test("a call that may not run again is sent once (guards against a deposit charged twice)", async () => {
+    await using parts = await start();
+    for (const behaviour of ["lose", "foreign", "unsigned"] as const) {
+        parts.fleet.tool.behave(behaviour);
+        const answer = await call(parts.gateway, { path: "/pay/x", id: behaviour, body: "x" });
+        assert.equal(answer.status, 502, behaviour);
+    }
+    assert.deepEqual(parts.fleet.tool.ran.map(({ id }) => id), ["lose", "foreign", "unsigned"]);
+});
+
+test("a call that has not run is sent again (guards against a refusal while a place is free)", async () => {
+    await using parts = await start();
+    parts.fleet.tool.behave("refuse", "refuse");
+    assert.equal((await call(parts.gateway, { path: "/pay/x", id: "1", body: "x" })).status, 200);
+    assert.equal(parts.fleet.tool.ran.length, 1);
+});
+
+test("an upstream without room makes a refusal that says when to come back (guards against a false 502)", async () => {
+    await using parts = await start();
+    parts.fleet.tool.behave("refuse", "refuse", "refuse", "refuse");
+    const answer = await call(parts.gateway, { path: "/pay/x", id: "1", body: "x" });
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers["retry-after"]) > 0);
+    assert.equal(parts.fleet.tool.ran.length, 0);
+});
+
+test("a refusal after a send of unknown fate is no promise (guards against a false claim that nothing ran)", async () => {
+    await using parts = await start();
+    parts.fleet.tool.behave("lose", "refuse", "refuse", "refuse");
+    assert.equal((await call(parts.gateway, { path: "/look/x", id: "1" })).status, 502);
+});
+
+test("a call that may run again survives a lost answer (guards against failures a repeat would hide)", async () => {
+    await using parts = await start();
+    parts.fleet.tool.behave("lose", "foreign", "silent");
+    assert.equal((await call(parts.gateway, { path: "/look/x", id: "1" })).status, 200);
+    assert.equal(parts.fleet.tool.ran.length, 4);
+});
+
+test("an upstream's own failure is passed on (guards against hiding what the upstream said)", async () => {
+    await using parts = await start();
+    parts.fleet.tool.behave("fail");
+    const answer = await call(parts.gateway, { path: "/pay/x", id: "1", body: "x" });
+    assert.equal(answer.status, 500);
+    assert.equal(answer.headers["x-response-signature"], "signed.i-tool");
+});
+
+test("a resumable stream goes on after a break, with no event twice (guards against pieces joined wrongly)", async () => {
+    await using parts = await start();
+    parts.fleet.engine.behave("break");
+    const answer = await call(parts.gateway, { path: "/plan/x", id: "1", body: "x" });
+    assert.ok(answer.whole);
+    assert.deepEqual(answer.body.match(/^id: \d/gm), ["id: 1", "id: 2", "id: 3", "id: 4", "id: 5"]);
+    assert.equal(parts.fleet.engine.ran[1]?.headers["last-event-id"], "2");
+});
+
+test("a stream that cannot go on looks incomplete (guards against half an answer taken for a whole one)", async () => {
+    await using parts = await start();
+    parts.fleet.engine.behave("break");
+    const answer = await call(parts.gateway, { path: "/turn/x", id: "1", body: "x" });
+    assert.equal(answer.whole, false);
+    assert.equal(parts.fleet.engine.ran.length, 1);
+});
+
+test("the operator's time limit ends a call (guards against callers held without an answer)", async () => {
+    await using parts = await start();
+    parts.fleet.tool.behave("silent");
+    const started = performance.now();
+    const answer = await call(parts.gateway, { path: "/pay/x", id: "1", body: "x",
+        headers: { "x-deadline-ms": "400" } });
+    assert.equal(answer.status, 504);
+    assert.ok(performance.now() - started >= 390);
+    await until(() => parts.fleet.tool.cancelled.length === 1, "the tool's connection is closed");
+});
+
+test("a draining upstream gets no new call (guards against work on an upstream that leaves)", async () => {
+    await using parts = await start();
+    parts.fleet.register(parts.fleet.spare);
+    parts.fleet.register(parts.fleet.engine, { state: "draining" });
+    await until(async () => {
+        const before = parts.fleet.engine.ran.length;
+        await call(parts.gateway, { path: "/plan/x", id: "probe", body: "x" });
+        return parts.fleet.engine.ran.length === before && parts.fleet.spare.ran.length > 0;
+    }, "calls go to the other engine");
+    const before = parts.fleet.engine.ran.length;
+    for (let index = 0; index < 5; index += 1) {
+        await call(parts.gateway, { path: "/plan/x", id: `n${index}`, body: "x" });
+    }
+    assert.equal(parts.fleet.engine.ran.length, before);
+});
+
+test("a newer declaration is in force at once and an older one never again (guards against going back)", async () => {
+    await using parts = await start();
+    parts.fleet.declare({ version: 5, routes: [] });
+    await until(async () => (await call(parts.gateway, { path: "/pay/x", id: "1", body: "x" })).status === 404,
+        "the route is gone");
+    parts.fleet.declare({ version: 4 });
+    parts.fleet.declare({ version: 5, limits: { maxBodyBytes: 7 } });
+    await new Promise(resolve => setTimeout(resolve, 100));
+    assert.equal((await call(parts.gateway, { path: "/pay/x", id: "2", body: "x" })).status, 404);
+});
--- /dev/null
+++ b/packages/gateway/test/harness.ts
@@ -0,0 +1,196 @@
+import type { GatewaySettings } from "@tamarackgauge/core/gateway";
+import { createStore } from "@tamarackgauge/platform";
+import { createFleetEngine, createRowStore, type FleetEngine, type RowStore,
+    type RowStoreDoor } from "@tamarackgauge/standin";
+import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import { createServer } from "node:net";
+import { createGateway, type Gateway } from "../src/index.ts";
+import type { Log, LogFields } from "../src/log.ts";
+
+/** A gateway under test, with the door by which it reaches the store. */
+export interface TestGateway extends AsyncDisposable {
+    readonly gateway: Gateway;
+    readonly settings: GatewaySettings;
+    readonly door: RowStoreDoor;
+    readonly lines: readonly { readonly event: string; readonly fields: LogFields; }[];
+    ready(): Promise<number>;
+}
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+    /** The answer ended as its framing says. */
+    readonly whole: boolean;
+}
+
+/** A call of a test; headers are added to those that every call has. */
+export interface TestCall {
+    readonly path: string;
+    readonly id: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly agent?: Agent;
+}
+
+/** A fleet under test: a store, engines and gateways in this process. */
+export interface Fleet extends AsyncDisposable {
+    readonly rows: RowStore;
+    readonly engine: FleetEngine;
+    readonly spare: FleetEngine;
+    readonly tool: FleetEngine;
+    register(engine: FleetEngine, changes?: object): void;
+    declare(changes?: object): void;
+    startGateway(changes?: Partial<GatewaySettings>): Promise<TestGateway>;
+}
+
+const route = { hostname: "fleet.test", timeoutMs: 2_500, targetLatencyMs: 250, priority: 0, maxAttempts: 2 };
+
+/** Routes: `/turn/` keeps turns, `/plan/` is resumable, `/look/` may run again, `/pay/` at most once. */
+export const declaration = {
+    version: 1,
+    routes: [
+        { ...route, name: "turn", prefix: "/turn/", routeType: "streaming", backend: "models", retain: true,
+            retentionS: 60 },
+        { ...route, name: "plan", prefix: "/plan/", routeType: "streaming", backend: "models", resumable: true },
+        { ...route, name: "look", prefix: "/look/", routeType: "idempotent", backend: "tools" },
+        { ...route, name: "pay", prefix: "/pay/", routeType: "non_idempotent", backend: "tools" },
+    ],
+    backends: [
+        { name: "models", maxConnections: 160, engine: { slots: 12, kvCapacityTokens: 100_000, eventTokens: 10 } },
+        { name: "tools", maxConnections: 110 },
+    ],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+};
+
+/** Starts a store with a declaration, two engines and a tool; gateways are started by the test. */
+export async function createFleet(): Promise<Fleet> {
+    const rows = createRowStore();
+    const engine = await createFleetEngine({ id: "i-engine", events: 5 });
+    const spare = await createFleetEngine({ id: "i-spare", events: 5 });
+    const tool = await createFleetEngine({ id: "i-tool" });
+    const gateways: TestGateway[] = [];
+
+    function register(upstream: FleetEngine, changes: object = {}): void {
+        rows.put("servers", "", upstream.id, { backend: upstream === tool ? "tools" : "models",
+            address: `${upstream.address}:${upstream.port}`, zone: "a", slots: 12, state: "ready", sequence: 1, born: 1,
+            ...changes });
+    }
+
+    async function startGateway(changes: Partial<GatewaySettings> = {}): Promise<TestGateway> {
+        const door = await rows.open();
+        const started = await openGateway(door, changes);
+        gateways.push(started);
+        return started;
+    }
+
+    const fleet: Fleet = {
+        rows,
+        engine,
+        spare,
+        tool,
+        register,
+        declare: (changes = {}) => rows.put("op", "", "config", { ...declaration, ...changes }),
+        startGateway,
+        async [Symbol.asyncDispose]() {
+            await Promise.all(gateways.map(started => started[Symbol.asyncDispose]()));
+            await Promise.all([engine, spare, tool, rows].map(part => part[Symbol.asyncDispose]()));
+        },
+    };
+    fleet.declare();
+    register(engine);
+    register(tool);
+    return fleet;
+}
+
+async function openGateway(door: RowStoreDoor, changes: Partial<GatewaySettings>): Promise<TestGateway> {
+    const [callers, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+    const settings: GatewaySettings = { name: "g", dataCentre: "a", callers, readiness, peers, knownPeers: [],
+        metrics: undefined, store: { host: door.address, port: door.port }, mostRowBytes: 65_536, grace: 8_000,
+        drain: 2_000, mostEventDelay: 120, ...changes };
+    const lines: { event: string; fields: LogFields; }[] = [];
+    const record = (event: string, fields: LogFields) => void lines.push({ event, fields });
+    const log: Log = { info: record, warn: record };
+    const store = createStore(settings.store);
+    const gateway = await createGateway({ settings, store, log, now: () => performance.now() });
+    return {
+        gateway,
+        settings,
+        door,
+        lines,
+        ready: async () => (await get(settings.readiness.port, "/tamarackgauge/ready")).status,
+        async [Symbol.asyncDispose]() {
+            await gateway[Symbol.asyncDispose]();
+            await store[Symbol.asyncDispose]();
+        },
+    };
+}
+
+/** Waits until a condition holds. */
+export async function until(holds: () => boolean | Promise<boolean>, what: string): Promise<void> {
+    for (let tries = 0; tries < 2_000; tries += 1) {
+        if (await holds()) {
+            return;
+        }
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    throw new Error(`did not happen: ${what}`);
+}
+
+/** Waits until a gateway says that it takes calls. */
+export async function untilReady(gateway: TestGateway): Promise<void> {
+    await until(async () => await gateway.ready() === 200, "the gateway is ready");
+}
+
+/** Makes a call. */
+export function call(gateway: TestGateway, { path, id, body, headers, agent }: TestCall): Promise<CallerAnswer> {
+    return send(gateway.settings.callers.port, path, body, { "host": "fleet.test", "x-request-id": id, ...headers },
+        agent);
+}
+
+/** A turn of a program, as the platform's callers send it. */
+export function turn(id: string, program: string, previous?: string, budget = 1_000): TestCall {
+    return { path: "/turn/x", id, body: `input of ${id};`, headers: {
+        "x-program-id": program,
+        "x-token-budget": String(budget),
+        "x-token-usage": "100,60",
+        ...previous === undefined ? {} : { "x-previous-turn": previous },
+    } };
+}
+
+function get(port: number, path: string): Promise<CallerAnswer> {
+    return send(port, path, undefined, {});
+}
+
+function send(
+    port: number,
+    path: string,
+    body: string | undefined,
+    headers: Record<string, string>,
+    agent?: Agent,
+): Promise<CallerAnswer> {
+    return new Promise((resolve, reject) => {
+        const outgoing = request({ host: "127.0.0.1", port, path, method: body === undefined ? "GET" : "POST", headers,
+            agent: agent ?? false }, response => {
+            const chunks: Buffer[] = [];
+            const end = () =>
+                resolve({ status: response.statusCode!, headers: response.headers,
+                    body: Buffer.concat(chunks).toString("latin1"), whole: response.complete });
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("end", end);
+            response.on("error", end);
+        });
+        outgoing.on("error", reject);
+        outgoing.end(body);
+    });
+}
+
+function freeAddress(): Promise<{ host: string; port: number; }> {
+    return new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as { port: number; };
+            server.close(() => resolve({ host: "127.0.0.1", port }));
+        });
+    });
+}
--- /dev/null
+++ b/packages/gateway/test/turns.test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { call, createFleet, turn, until, untilReady } from "./harness.ts";
+
+async function start() {
+    const fleet = await createFleet();
+    const [one, two] = [await fleet.startGateway(), await fleet.startGateway()];
+    await Promise.all([untilReady(one), untilReady(two)]);
+    return { fleet, one, two, [Symbol.asyncDispose]: () => fleet[Symbol.asyncDispose]() };
+}
+
+const output = (id: string) => [1, 2, 3, 4, 5].map(event => `event ${event} of ${id}\n`).join("");
+
+test("a turn goes on through another gateway with its whole history (guards against history lost with a VM)", async () => {
+    await using parts = await start();
+    assert.ok((await call(parts.one, turn("t1", "p"))).whole);
+    assert.ok((await call(parts.two, turn("t2", "p", "t1"))).whole);
+    assert.ok((await call(parts.one, turn("t3", "p", "t2"))).whole);
+    assert.equal(parts.fleet.engine.ran[2]?.body, `input of t1;${output("t1")}input of t2;${output("t2")}input of t3;`);
+});
+
+test("a turn's last event waits until the turn is kept (guards against an answer that cannot be continued)", async () => {
+    await using parts = await start();
+    parts.one.door.setTrouble({ mode: "busy", call: "change" });
+    const refused = await call(parts.one, turn("t1", "p"));
+    assert.equal(refused.status, 503);
+    parts.one.door.setTrouble(undefined);
+    assert.equal((await call(parts.one, turn("t2", "p"))).status, 200);
+    // The budget's row is written, then the turn's row is refused.
+    const answering = call(parts.one, turn("t3", "p"));
+    await until(() => parts.fleet.engine.ran.some(({ id }) => id === "t3"), "the turn runs");
+    parts.one.door.setTrouble({ mode: "busy", call: "change" });
+    const broken = await answering;
+    assert.equal(broken.whole, false);
+    assert.doesNotMatch(broken.body, /event 5/);
+});
+
+test("404 only when the store says so (guards against a turn denied because the store is away)", async () => {
+    await using parts = await start();
+    assert.equal((await call(parts.one, turn("t1", "p", "none"))).status, 404);
+    await call(parts.one, turn("t2", "p"));
+    parts.two.door.setTrouble({ mode: "reset", call: "read" });
+    assert.equal((await call(parts.two, turn("t3", "q", "t2"))).status, 503);
+});
+
+test("a turn larger than a row is kept whole (guards against input cut at the store's limit)", async () => {
+    await using parts = await start();
+    const input = "x".repeat(90_000);
+    await call(parts.one, { ...turn("t1", "p"), body: input });
+    await call(parts.two, turn("t2", "p", "t1"));
+    assert.equal(parts.fleet.engine.ran[1]?.body, `${input}${output("t1")}input of t2;`);
+});
+
+test("a budget holds over all gateways (guards against each of them spending the whole)", async () => {
+    await using parts = await start();
+    const gateways = [parts.one, parts.two];
+    // Each turn has at most 60 tokens and generates 50; two fit into 150 at their most.
+    const answers = await Promise.all(
+        [0, 1, 2, 3].map(index => call(gateways[index % 2]!, turn(`t${index}`, "p", undefined, 150))),
+    );
+    assert.deepEqual(answers.map(({ status }) => status).sort(), [200, 200, 402, 402]);
+    assert.equal(parts.fleet.engine.ran.length, 2);
+});
+
+test("tokens that a turn did not use are free again for all gateways (guards against budgets that leak)", async () => {
+    await using parts = await start();
+    assert.equal((await call(parts.one, turn("t1", "p", undefined, 110))).status, 200);
+    await until(async () => (await call(parts.two, turn("t2", "p", undefined, 110))).status === 200,
+        "the rest is free");
+    assert.equal((await call(parts.one, turn("t3", "p", undefined, 110))).status, 402);
+});
+
+test("a lost answer of the store delays a turn and changes nothing (guards against a reservation counted twice)", async () => {
+    await using parts = await start();
+    for (const [index, call_] of (["change", "change"] as const).entries()) {
+        parts.one.door.setTrouble({ mode: "lostReply", call: call_, count: 1 });
+        const answer = await call(parts.one, turn(`t${index}`, "p", undefined, 110 + 50 * index));
+        assert.equal(answer.status, 200);
+        await new Promise(resolve => setTimeout(resolve, 700));
+    }
+});
--- /dev/null
+++ b/packages/standin/src/fleetEngine.ts
@@ -0,0 +1,128 @@
+import { createServer, type IncomingHttpHeaders, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Standin } from "./listener.ts";
+
+/**
+ * What an upstream does with the next calls. `serve` answers; `refuse` answers 503 and says that it did not run;
+ * `fail` runs and answers 500; `lose` runs and resets the connection; `break` streams some events and resets;
+ * `foreign` answers with the identity of another call; `unsigned` answers without its signature; `silent` runs and
+ * never answers.
+ */
+export type FleetBehaviour = "serve" | "refuse" | "fail" | "lose" | "break" | "foreign" | "unsigned" | "silent";
+
+/** A call that an upstream ran. */
+export interface RanCall {
+    readonly id: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+}
+
+/** An upstream of the users' platform: a model engine that streams events, or a plain service. */
+export interface FleetEngine extends Standin {
+    readonly id: string;
+    /** Calls that it began to work on, in order. */
+    readonly ran: readonly RanCall[];
+    /** Calls whose connection closed before their answer had ended. */
+    readonly cancelled: readonly string[];
+    /** Each call takes the next behaviour; without one left, `serve`. */
+    behave(...behaviours: readonly FleetBehaviour[]): void;
+}
+
+/** Options of an upstream; times in milliseconds. */
+export interface FleetEngineOptions {
+    readonly id: string;
+    /** Events of a streamed answer; without it the answer is plain. */
+    readonly events?: number;
+    readonly eventDelay?: number;
+}
+
+const brokenAfter = 2;
+
+/** Starts an upstream on a loopback port. */
+export async function createFleetEngine({ id, events, eventDelay = 1 }: FleetEngineOptions): Promise<FleetEngine> {
+    const behaviours: FleetBehaviour[] = [];
+    const ran: RanCall[] = [];
+    const cancelled: string[] = [];
+    const server = createServer((request, response) => {
+        const chunks: Buffer[] = [];
+        request.on("data", (chunk: Buffer) => chunks.push(chunk));
+        request.on("end", () => {
+            const call: RanCall = { id: String(request.headers["x-request-id"]), method: request.method ?? "",
+                path: request.url ?? "", headers: request.headers, body: Buffer.concat(chunks).toString("latin1") };
+            response.on("close", () => {
+                if (!response.writableFinished) {
+                    cancelled.push(call.id);
+                }
+            });
+            void answer(call, response, behaviours.shift() ?? "serve");
+        });
+    });
+
+    async function answer(call: RanCall, response: ServerResponse, behaviour: FleetBehaviour): Promise<void> {
+        const target = call.headers["x-target-instance"];
+        if (target !== undefined && target !== id) {
+            response.writeHead(421, { "x-instance-id": id }).end();
+            return;
+        }
+        if (behaviour === "refuse") {
+            response.writeHead(503, { "x-not-executed": "1" }).end();
+            return;
+        }
+        ran.push(call);
+        if (behaviour === "silent") {
+            return;
+        }
+        if (behaviour === "lose") {
+            response.socket?.resetAndDestroy();
+            return;
+        }
+        const headers = {
+            "x-request-id": behaviour === "foreign" ? "another" : call.id,
+            ...behaviour === "unsigned" ? {} : { "x-response-signature": `signed.${id}` },
+            "x-server-load": "1,0,8,100",
+        };
+        if (behaviour === "fail") {
+            response.writeHead(500, headers).end("failed");
+        }
+        else if (events === undefined) {
+            response.writeHead(200, headers).end(`answer of ${id} to ${call.id}`);
+        }
+        else {
+            response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+            await stream(call, response, behaviour === "break" ? brokenAfter : events);
+            if (behaviour === "break") {
+                response.socket?.resetAndDestroy();
+            }
+            else {
+                response.end();
+            }
+        }
+    }
+
+    async function stream(call: RanCall, response: ServerResponse, last: number): Promise<void> {
+        const first = Number(call.headers["last-event-id"] ?? 0) + 1;
+        for (let event = first; event <= last; event += 1) {
+            await new Promise(resolve => setTimeout(resolve, eventDelay));
+            response.write(`id: ${event}\ndata: event ${event} of ${call.id}\n\n`);
+        }
+        await new Promise(resolve => setTimeout(resolve, eventDelay));
+    }
+
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    return {
+        id,
+        ran,
+        cancelled,
+        address: "127.0.0.1",
+        port,
+        url: `http://127.0.0.1:${port}`,
+        behave: (...next) => void behaviours.push(...next),
+        async [Symbol.asyncDispose]() {
+            server.closeAllConnections();
+            await new Promise(resolve => server.close(resolve));
+        },
+    };
+}
--- /dev/null
+++ b/packages/standin/src/rowStore.ts
@@ -0,0 +1,244 @@
+import { z } from "zod";
+import { delay, dropConnection, HttpError, listen, parseBody, type Received, sendJson,
+    type Standin } from "./listener.ts";
+
+/**
+ * A trouble of the row store. `reset` breaks the connection before the call has an effect, `silent` never answers,
+ * `busy` answers 503, `many` answers 429, `slow` waits `ms`, `lostReply` does a write and does not answer, `lateWrite`
+ * does not answer and does the write after `ms` if its condition still holds. `count` calls are struck, else all.
+ */
+export interface RowStoreTrouble {
+    readonly mode: "reset" | "silent" | "busy" | "many" | "slow" | "lostReply" | "lateWrite";
+    readonly ms?: number;
+    readonly count?: number;
+    /** Strikes only this call. */
+    readonly call?: "read" | "change" | "feed";
+}
+
+/** One listener of a row store, with troubles of its own: daemons can be turned away one by one. */
+export interface RowStoreDoor extends Standin {
+    setTrouble(trouble: RowStoreTrouble | undefined): void;
+    /** Calls that arrived, struck ones included. */
+    calls(): { readonly reads: number; readonly changes: number; readonly feeds: number; };
+}
+
+/** A store of rows with conditions, feeds and a history, as the users' platform has. */
+export interface RowStore extends AsyncDisposable {
+    /** Opens one more listener. */
+    open(): Promise<RowStoreDoor>;
+    /** Writes as the operator or an upstream would. */
+    put(table: string, part: string, key: string, value: unknown): void;
+    remove(table: string, part: string, key: string): void;
+    get(table: string, part: string, key: string): Buffer | undefined;
+    /** Keys of a table, over all parts. */
+    keys(table: string): readonly string[];
+    /** Drops the history: feeds from before now get 410. */
+    compact(): void;
+}
+
+const nameSchema = z.object({ table: z.string(), part: z.string(), key: z.string() });
+const changeSchema = z.object({
+    expectedRevision: z.array(nameSchema.extend({ ver: z.number() })).default([]),
+    put: z.array(nameSchema.extend({ value: z.string() })).default([]),
+    remove: z.array(nameSchema).default([]),
+});
+
+type Change = z.output<typeof changeSchema>;
+
+interface Row extends z.output<typeof nameSchema> {
+    readonly value: string;
+    readonly ver: number;
+    readonly tombstone?: boolean;
+}
+
+const mostRows = 500;
+const mostEntries = 100;
+
+/** Creates a store without rows. */
+export function createRowStore(): RowStore {
+    const rows = new Map<string, Row>();
+    let history: Row[] = [];
+    let version = 1;
+    let droppedBefore = 0;
+    const waiting = new Set<() => void>();
+    const doors: RowStoreDoor[] = [];
+
+    function apply({ expectedRevision, put, remove }: Change): { status: number; body: object; } {
+        const failed = expectedRevision.some(entry => (rows.get(nameOf(entry))?.ver ?? 0) !== entry.ver);
+        if (failed) {
+            const current = expectedRevision.flatMap(entry => rows.get(nameOf(entry)) ?? []);
+            return { status: 412, body: { rows: current, ver: version, nowMs: now() } };
+        }
+        version += 1;
+        for (const entry of put) {
+            record({ ...entry, ver: version });
+        }
+        for (const entry of remove) {
+            record({ ...entry, value: "", ver: version, tombstone: true });
+        }
+        waiting.forEach(wake => wake());
+        return { status: 200, body: { ver: version, nowMs: now() } };
+    }
+
+    function record(row: Row): void {
+        history.push(row);
+        if (row.tombstone === true) {
+            rows.delete(nameOf(row));
+        }
+        else {
+            rows.set(nameOf(row), row);
+        }
+    }
+
+    function read(query: URLSearchParams): object {
+        const from = query.get("from") ?? "";
+        const to = query.get("to");
+        const limit = Math.min(mostRows, Number(query.get("limit") ?? mostRows));
+        const found = [...rows.values()]
+            .filter(row => row.table === query.get("table") && row.part === (query.get("part") ?? ""))
+            .filter(row => row.key >= from && (to === null || row.key < to))
+            .sort((left, right) => left.key < right.key ? -1 : 1);
+        return { rows: found.slice(0, limit), hasMore: found.length > limit, ver: version, nowMs: now() };
+    }
+
+    async function feed(query: URLSearchParams): Promise<{ status: number; body: object; }> {
+        const after = Number(query.get("after"));
+        const until = now() + Number(query.get("waitMs") ?? 0);
+        const changes = () => history.filter(row => row.table === query.get("table") && row.ver > after);
+        while (after >= droppedBefore && changes().length === 0 && now() < until) {
+            await nextChange(until - now());
+        }
+        return after < droppedBefore
+            ? { status: 410, body: {} }
+            : { status: 200, body: { rows: changes(), ver: version, nowMs: now() } };
+    }
+
+    function nextChange(longest: number): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(wake, longest);
+            function wake(): void {
+                clearTimeout(timer);
+                waiting.delete(wake);
+                resolve();
+            }
+            waiting.add(wake);
+        });
+    }
+
+    function put(table: string, part: string, key: string, value: unknown): void {
+        const bytes = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
+        apply({ expectedRevision: [], put: [{ table, part, key, value: bytes.toString("base64") }], remove: [] });
+    }
+
+    async function open(): Promise<RowStoreDoor> {
+        const door = await openDoor({ apply, read, feed });
+        doors.push(door);
+        return door;
+    }
+
+    return {
+        open,
+        put,
+        remove: (table, part, key) => void apply({ expectedRevision: [], put: [], remove: [{ table, part, key }] }),
+        get: (table, part, key) => {
+            const row = rows.get(nameOf({ table, part, key }));
+            return row === undefined ? undefined : Buffer.from(row.value, "base64");
+        },
+        keys: table => [...rows.values()].filter(row => row.table === table).map(row => row.key),
+        compact() {
+            history = [];
+            droppedBefore = version;
+            waiting.forEach(wake => wake());
+        },
+        async [Symbol.asyncDispose]() {
+            await Promise.all(doors.map(door => door[Symbol.asyncDispose]()));
+        },
+    };
+}
+
+interface RowCalls {
+    apply(change: Change): { status: number; body: object; };
+    read(query: URLSearchParams): object;
+    feed(query: URLSearchParams): Promise<{ status: number; body: object; }>;
+}
+
+async function openDoor({ apply, read, feed }: RowCalls): Promise<RowStoreDoor> {
+    let trouble: RowStoreTrouble | undefined;
+    let struck = 0;
+    const counts = { reads: 0, changes: 0, feeds: 0 };
+
+    function strike(call: "read" | "change" | "feed"): RowStoreTrouble | undefined {
+        const strikes = trouble !== undefined && (trouble.call === undefined || trouble.call === call) &&
+            struck < (trouble.count ?? Infinity);
+        struck += strikes ? 1 : 0;
+        return strikes ? trouble : undefined;
+    }
+
+    async function handle(received: Received): Promise<void> {
+        const { method, path, query, response } = received;
+        switch (`${method} /${path.join("/")}`) {
+            case "GET /tamarackgauge/rows-get":
+                counts.reads += 1;
+                return await answer(received, strike("read"), () => ({ status: 200, body: read(query) }));
+            case "GET /tamarackgauge/rows-feed": {
+                counts.feeds += 1;
+                const result = await feed(query);
+                return await answer(received, strike("feed"), () => result);
+            }
+            case "POST /tamarackgauge/rows-tx": {
+                counts.changes += 1;
+                const change = parseBody(received, changeSchema);
+                if (change.put.length + change.remove.length + change.expectedRevision.length > mostEntries) {
+                    throw new HttpError(413, "too many entries");
+                }
+                return await answer(received, strike("change"), () => apply(change));
+            }
+        }
+        sendJson(response, 404, { error: "there is no such path" });
+    }
+
+    const standin = await listen(0, handle);
+    return {
+        ...standin,
+        setTrouble(next) {
+            trouble = next;
+            struck = 0;
+        },
+        calls: () => ({ ...counts }),
+    };
+}
+
+async function answer(
+    { response }: Received,
+    trouble: RowStoreTrouble | undefined,
+    work: () => { status: number; body: object; },
+): Promise<void> {
+    switch (trouble?.mode) {
+        case "reset":
+            return dropConnection(response);
+        case "silent":
+            return;
+        case "busy":
+            return sendJson(response, 503, {});
+        case "many":
+            return sendJson(response, 429, {});
+        case "lostReply":
+            work();
+            return;
+        case "lateWrite":
+            setTimeout(work, trouble.ms ?? 0);
+            return;
+        case "slow":
+            await delay(trouble.ms ?? 0);
+    }
+    const { status, body } = work();
+    sendJson(response, status, body);
+}
+
+function nameOf({ table, part, key }: { table: string; part: string; key: string; }): string {
+    return `${table}\n${part}\n${key}`;
+}
+
+function now(): number {
+    return performance.now();
+}
--- a/scripts/format.mjs
+++ b/scripts/format.mjs
@@ -11,7 +11,7 @@
 context.addPlugin(readFileSync(typescript.getPath()), rules);
 
 const check = process.argv.includes("--check");
-const files = ["packages", "scripts", "examples"]
+const files = ["packages", "platform", "scripts", "examples"]
     .flatMap(folder => readdirSync(folder, { recursive: true }).map(file => `${folder}/${file}`))
     .filter(file => !file.includes("node_modules") && /\.(ts|mjs)$/.test(file))
     .concat("eslint.config.mjs");
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -3,8 +3,8 @@
 import { existsSync, readdirSync } from "node:fs";
 
 const files = [];
-for (const name of readdirSync("packages")) {
-    const folder = `packages/${name}/test`;
+const folders = [...readdirSync("packages").map(name => `packages/${name}/test`), "platform/test"];
+for (const folder of folders) {
     if (!existsSync(folder)) {
         continue;
     }
