--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,4 @@
-import { type Declaration, StoreError } from "@tamarackgauge/core/gateway";
+import { StoreError } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import type { Budgets } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -40,11 +40,11 @@
 function hedge<Value>(call: () => Promise<Value>, delay: number): Promise<Value> {
     return new Promise((resolve, reject) => {
         let pending = 1;
-        const failed = (error: unknown) => {
+        const failed = (error: Error) => {
             pending -= 1;
             if (pending === 0) {
                 clearTimeout(timer);
-                reject(error as Error);
+                reject(error);
             }
         };
         const answered = (value: Value) => {
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -108,7 +108,7 @@
             },
         };
         try {
-            pool.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null }, handler);
+            pool.dispatch({ method: method, path, headers, body: body ?? null }, handler);
         }
         catch (error) {
             fail((error as Error).message);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -2,7 +2,8 @@
 import { createStore } from "@tamarackgauge/platform";
 import { createFleetEngine, createRowStore, type FleetEngine, type RowStore,
     type RowStoreDoor } from "@tamarackgauge/standin";
-import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import type { Agent } from "node:http";
+import { type IncomingHttpHeaders, request } from "node:http";
 import { createServer } from "node:net";
 import { createGateway, type Gateway } from "../src/index.ts";
 import type { Log, LogFields } from "../src/log.ts";
--- a/packages/standin/src/rowStore.ts
+++ b/packages/standin/src/rowStore.ts
@@ -157,9 +157,9 @@
 }
 
 interface RowCalls {
-    apply(change: Change): { status: number; body: object; };
-    read(query: URLSearchParams): object;
-    feed(query: URLSearchParams): Promise<{ status: number; body: object; }>;
+    readonly apply: (change: Change) => { status: number; body: object; };
+    readonly read: (query: URLSearchParams) => object;
+    readonly feed: (query: URLSearchParams) => Promise<{ status: number; body: object; }>;
 }
 
 async function openDoor({ apply, read, feed }: RowCalls): Promise<RowStoreDoor> {
