Reach the store through other gateways, refuse at once without it, and survive SIGHUP

Ruled out: keeping turns in memory until the store is back. A loss of all machines in that time would deny turns that were answered whole. SIGHUP reads the settings anew.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -8,4 +8,5 @@
 export * from "./route.ts";
 export * from "./settings.ts";
 export * from "./store.ts";
+export * from "./storeHealth.ts";
 export * from "./upstreamState.ts";
--- a/packages/core/src/gateway/store.ts
+++ b/packages/core/src/gateway/store.ts
@@ -57,8 +57,11 @@
 /** Changes of a table in order, or `historyLost` when they are no longer to be had. */
 export type FeedResult = RowPage | "historyLost";
 
-/** `refused`: nothing was done. `unknown`: no answer came; a change may be applied now, later or never. */
-export type StoreFailure = "refused" | "unknown";
+/**
+ * `refused`: nothing was done. `away`: nothing was done, and asking again soon is of no use. `unknown`: no answer came; a
+ * change may be applied now, later or never.
+ */
+export type StoreFailure = "refused" | "away" | "unknown";
 
 /** The store did not do or did not answer what it was asked. */
 export class StoreError extends Error {
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -14,6 +14,8 @@
     readonly reason: string;
     /** Milliseconds until the caller should come back. */
     readonly retryAfter?: number;
+    /** The caller should come back on a new connection, which may reach another gateway. */
+    readonly elsewhere?: boolean;
 }
 
 /** Passes an upstream's answer on. */
@@ -38,6 +40,9 @@
         return;
     }
     const body = Buffer.from(JSON.stringify({ error: answer.reason }));
+    if (answer.elsewhere === true) {
+        response.setHeader("connection", "close");
+    }
     response.writeHead(answer.status, { ...encodeOwnAnswer(call, answer.retryAfter), "content-length": body.length });
     response.end(body);
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -30,7 +30,8 @@
 const retrySoon = 100;
 const retryStore = 400;
 
-const storeAway: OwnAnswer = { status: unavailable, reason: "the store does not answer", retryAfter: retryStore };
+const storeAway: OwnAnswer = { status: unavailable, reason: "the store does not answer", retryAfter: retryStore,
+    elsewhere: true };
 
 /** Starts to serve a call. */
 export function startExchange(parts: ExchangeParts, call: ReadCall, response: ServerResponse): Exchange {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,10 +1,15 @@
-import { type Declaration, type GatewaySettings, type Store, type StoreRow } from "@tamarackgauge/core/gateway";
+import { createStoreHealth, type Declaration, type GatewaySettings, type Store,
+    type StoreRow } from "@tamarackgauge/core/gateway";
 import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
     upstreamTable } from "@tamarackgauge/platform";
 import { createServer } from "node:http";
 import { createBudgets } from "./budgets.ts";
 import { createFront, listen } from "./front.ts";
 import type { Log } from "./log.ts";
+import { createPeerList, type PeerList } from "./peerList.ts";
+import { createPeerServer } from "./peerServer.ts";
+import { createPeerStore } from "./peerStore.ts";
+import { createRoutedStore } from "./routedStore.ts";
 import { createTurns } from "./turns.ts";
 import { createUpstreams } from "./upstreams.ts";
 import { watchTable } from "./watch.ts";
@@ -13,11 +18,14 @@
 export interface Gateway extends AsyncDisposable {
     /** Stops taking calls, lets those under way end, and resolves when the process may exit. */
     shutDown(): Promise<void>;
+    /** Takes what may change while the process runs. */
+    reload(settings: GatewaySettings): void;
 }
 
 /** Parts of a gateway. */
 export interface GatewayParts {
     readonly settings: GatewaySettings;
+    /** The store as this process reaches it by itself. */
     readonly store: Store;
     readonly log: Log;
     readonly now: () => number;
@@ -27,12 +35,25 @@
 const rotationTime = 2_300;
 /** What still runs this long before the platform kills the process is given up, in ms. */
 const exitMargin = 400;
+/** An outage of the store for less than this is waited for, in ms. */
+const toleratedOutage = 700;
 
 /** Starts a gateway: it serves what reaches it, and all that must last is in the store. */
-export async function createGateway({ settings, store, log, now }: GatewayParts): Promise<Gateway> {
+export async function createGateway({ settings, store: direct, log, now }: GatewayParts): Promise<Gateway> {
+    const health = createStoreHealth();
+    let peers: PeerList | undefined;
+    const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? settings.knownPeers, now });
+    const store = createRoutedStore({ direct, peers: peerStore, health, now });
+    const peerServer = settings.peers === undefined
+        ? undefined
+        : await createPeerServer({ address: settings.peers, store: direct, health, log, now });
+    peers = settings.peers === undefined
+        ? undefined
+        : createPeerList({ name: settings.name, address: settings.peers, seeds: settings.knownPeers, store, log });
     let declaration: Declaration | undefined;
     let listed = false;
     let stopping = false;
+    let storeAwaySince: number | undefined;
     const upstreams = createUpstreams({ declaration: () => declaration, now });
     const budgets = createBudgets(store, now);
     const turns = createTurns(store, settings.mostRowBytes, now);
@@ -79,8 +100,11 @@
         upstreams.replace(known);
     }
 
+    /** A gateway without a way to the store asks for callers to go elsewhere. */
     function isReady(): boolean {
-        return !stopping && declaration !== undefined && listed;
+        storeAwaySince = store.isAway() ? storeAwaySince ?? now() : undefined;
+        const cutOff = storeAwaySince !== undefined && now() - storeAwaySince > toleratedOutage;
+        return !stopping && declaration !== undefined && listed && !cutOff;
     }
 
     async function shutDown(): Promise<void> {
@@ -96,11 +120,18 @@
 
     return {
         shutDown,
+        reload(next) {
+            peers?.setSeeds(next.knownPeers);
+            log.info("settings.reloaded", { seeds: next.knownPeers.length });
+        },
         async [Symbol.asyncDispose]() {
             readiness.close();
             turns[Symbol.dispose]();
             budgets[Symbol.dispose]();
-            await Promise.all([front, declarations, entries, upstreams].map(part => part[Symbol.asyncDispose]()));
+            peers?.[Symbol.dispose]();
+            const parts = [front, declarations, entries, upstreams, peerStore,
+                ...peerServer === undefined ? [] : [peerServer]];
+            await Promise.all(parts.map(part => part[Symbol.asyncDispose]()));
         },
     };
 }
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -1,6 +1,6 @@
 import { createStore, faultText, loadSettings, SettingsError } from "@tamarackgauge/platform";
-import { createGateway } from "./gateway.ts";
-import { createLog } from "./log.ts";
+import { createGateway, type Gateway } from "./gateway.ts";
+import { createLog, type Log } from "./log.ts";
 
 /** Runs a gateway with the platform's settings until SIGTERM; gives the exit code. */
 export async function runGateway(environment: NodeJS.ProcessEnv): Promise<number> {
@@ -11,6 +11,8 @@
         const log = createLog(settings.name, sink, now);
         const store = createStore(settings.store);
         const gateway = await createGateway({ settings, store, log, now });
+        // Without a listener SIGHUP would end the process.
+        process.on("SIGHUP", () => reload(gateway, environment, log));
         await new Promise(resolve => process.once("SIGTERM", resolve));
         await gateway.shutDown();
         return 0;
@@ -24,4 +26,14 @@
     }
 }
 
+/** Settings that cannot be read change nothing. */
+function reload(gateway: Gateway, environment: NodeJS.ProcessEnv, log: Log): void {
+    try {
+        gateway.reload(loadSettings(environment));
+    }
+    catch (error) {
+        log.warn("settings.unreadable", { reason: (error as Error).message });
+    }
+}
+
 void runGateway(process.env).then(code => process.exit(code));
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -9,10 +9,18 @@
     readonly giveUpAfter: number;
     /** Pause after a refusal; it grows with each one. */
     readonly pause: number;
+    /** Asks again also while no way to the store is open. */
+    readonly waitsForReturn: boolean;
 }
 
+const longestPause = 120;
+
 /** For the calls that a caller waits for. */
-export const urgentPersistence: Persistence = { hedgeDelay: 150, callTimeout: 1_500, giveUpAfter: 900, pause: 30 };
+export const urgentPersistence: Persistence = { hedgeDelay: 150, callTimeout: 1_500, giveUpAfter: 900, pause: 30,
+    waitsForReturn: false };
+
+/** For what ends a turn: it has run, so it is worth all the time for which its caller may wait. */
+export const patientPersistence: Persistence = { ...urgentPersistence, giveUpAfter: 1_700, waitsForReturn: true };
 
 /**
  * Repeats a call of the store until it is answered. Only for calls that may be applied twice: an answer can be lost,
@@ -20,7 +28,7 @@
  */
 export async function persist<Value>(
     call: (timeout: number) => Promise<Value>,
-    { hedgeDelay, callTimeout, giveUpAfter, pause }: Persistence,
+    { hedgeDelay, callTimeout, giveUpAfter, pause, waitsForReturn }: Persistence,
 ): Promise<Value> {
     const started = performance.now();
     for (let round = 1;; round += 1) {
@@ -28,10 +36,12 @@
             return await hedge(() => call(callTimeout), hedgeDelay * round);
         }
         catch (error) {
-            if (!(error instanceof StoreError) || performance.now() - started + pause * round > giveUpAfter) {
+            const hopeless = !(error instanceof StoreError) || (error.failure === "away" && !waitsForReturn);
+            const delay = Math.min(longestPause, pause * round);
+            if (hopeless || performance.now() - started + delay > giveUpAfter) {
                 throw error;
             }
-            await new Promise(resolve => setTimeout(resolve, pause * round));
+            await new Promise(resolve => setTimeout(resolve, delay));
         }
     }
 }
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,6 +1,6 @@
 import { hash, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
-import { persist, urgentPersistence } from "./persist.ts";
+import { patientPersistence, persist, urgentPersistence } from "./persist.ts";
 
 /** A turn that was answered whole, and the turns before it. */
 export interface Turn {
@@ -94,7 +94,7 @@
     async function keep(turn: Turn, retention: number): Promise<void> {
         const part = partOf(turn.id);
         const puts = segmentsOf(turn).map((value, index) => ({ table, part, key: keyOf(turn.id, index), value }));
-        await persist(timeout => store.change({ puts }, { timeout }), urgentPersistence);
+        await persist(timeout => store.change({ puts }, { timeout }), patientPersistence);
         remembered.set(turn.id, { turn, usedAt: now() });
         expiries.push({ id: turn.id, rows: puts.length, at: now() + retention + removalDelay });
     }
--- /dev/null
+++ b/packages/gateway/test/outages.test.ts
@@ -0,0 +1,83 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { call, createFleet, turn, until, untilReady } from "./harness.ts";
+
+test("a gateway that the store turns away serves through another one (guards against an outage of some)", async () => {
+    await using fleet = await createFleet();
+    const helper = await fleet.startGateway();
+    await untilReady(helper);
+    const cut = await fleet.startGateway({ knownPeers: [helper.settings.peers!] });
+    await untilReady(cut);
+    for (const mode of ["reset", "busy", "many", "silent"] as const) {
+        cut.door.setTrouble({ mode });
+        await until(async () => (await call(cut, turn(`warm-${mode}`, `w-${mode}`))).status === 200,
+            `served despite ${mode}`);
+        const answer = await call(cut, turn(`next-${mode}`, `w-${mode}`, `warm-${mode}`));
+        assert.equal(answer.status, 200, mode);
+        assert.equal(await cut.ready(), 200, mode);
+        cut.door.setTrouble(undefined);
+    }
+});
+
+test("a gateway that starts while the store turns it away learns all from another (guards against a dead start)", async () => {
+    await using fleet = await createFleet();
+    const helper = await fleet.startGateway();
+    await untilReady(helper);
+    const cut = await fleet.startGateway({ knownPeers: [helper.settings.peers!] });
+    cut.door.setTrouble({ mode: "busy" });
+    await untilReady(cut);
+    assert.equal((await call(cut, { path: "/pay/x", id: "1", body: "x" })).status, 200);
+});
+
+test("without any way to the store a turn is refused at once (guards against callers held until their deadline)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    gateway.door.setTrouble({ mode: "reset" });
+    await until(async () => await gateway.ready() === 503, "the gateway asks for callers to go elsewhere");
+    const started = performance.now();
+    const answer = await call(gateway, turn("t1", "p"));
+    assert.equal(answer.status, 503);
+    assert.equal(answer.headers.connection, "close");
+    assert.ok(performance.now() - started < 200);
+    assert.equal((await call(gateway, { path: "/pay/x", id: "2", body: "x" })).status, 200);
+    gateway.door.setTrouble(undefined);
+    await until(async () => await gateway.ready() === 200, "the gateway is back");
+    assert.equal((await call(gateway, turn("t2", "p"))).status, 200);
+});
+
+test("a feed that lost its history is read anew (guards against an upstream that left in the gap)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    fleet.register(fleet.spare);
+    fleet.rows.remove("servers", "", fleet.engine.id);
+    fleet.rows.compact();
+    await until(async () => {
+        const before = fleet.engine.ran.length;
+        await call(gateway, { path: "/plan/x", id: "1", body: "x" });
+        return fleet.engine.ran.length === before;
+    }, "the engine that left gets no call");
+});
+
+test("an unreadable declaration or entry changes nothing (guards against one bad write that stops all)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    fleet.rows.put("op", "", "config", Buffer.from("{"));
+    fleet.rows.put("servers", "", "odd", { state: 7 });
+    await until(() => gateway.lines.some(({ event }) => event === "declaration.unreadable"), "the fault is logged");
+    assert.equal((await call(gateway, { path: "/pay/x", id: "1", body: "x" })).status, 200);
+});
+
+test("a gateway told to stop ends what it has begun (guards against answers cut by a restart)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    fleet.engine.behave("serve");
+    const stopping = gateway.gateway.shutDown();
+    assert.equal(await gateway.ready(), 503);
+    const answers = await Promise.all([1, 2, 3].map(index => call(gateway, turn(`t${index}`, `p${index}`))));
+    assert.deepEqual(answers.map(({ whole, status }) => whole && status), [200, 200, 200]);
+    await stopping;
+});
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -13,5 +13,5 @@
     keepNames: true,
     legalComments: "none",
     logLevel: "warning",
-    external: ["msgpackr-extract"],
+    external: ["msgpackr-extract", "bufferutil", "utf-8-validate"],
 });
