Grant a program's tokens to a gateway for several turns; agree on the engines that keep shared parts

Change: a grant in the program's row holds tokens for three turns while half of the budget is free, and is given back after 0.7 s without a turn. Engines are ranked for a prompt's first part by rendezvous within each data centre, and the first two are assumed to keep it.

--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -1,4 +1,5 @@
 import type { Random } from "../clock.ts";
+import { hash } from "../hash.ts";
 import type { PromptPart } from "./call.ts";
 import type { UpstreamState } from "./upstreamState.ts";
 
@@ -59,12 +60,12 @@
 ): UpstreamState | undefined {
     let best: UpstreamState | undefined;
     let least = Infinity;
-    for (const upstream of upstreams) {
-        if (upstream.entry.draining || demand.tried.has(upstream.entry.id)) {
-            continue;
-        }
+    const usable = [...upstreams].filter(({ entry }) => !entry.draining && !demand.tried.has(entry.id));
+    const assumed = assumedTokens(usable, demand.parts[0]);
+    for (const upstream of usable) {
+        const kept = Math.max(upstream.cache.matched(demand.parts), assumed.get(upstream) ?? 0);
         const suspension = upstream.isSuspended(now) ? suspendedCost : 0;
-        const cost = costOf(upstream, demand, costs, now) + random() * costs.spread + suspension;
+        const cost = costOf(upstream, demand, kept, costs, now) + random() * costs.spread + suspension;
         if (cost < least) {
             least = cost;
             best = upstream;
@@ -76,8 +77,40 @@
 /** A suspended upstream is still better than none. */
 const suspendedCost = 1e6;
 
-function costOf(upstream: UpstreamState, demand: Demand, costs: ChoiceCosts, now: number): number {
-    const kept = upstream.cache.matched(demand.parts);
+/** Share of a prompt's first part that its first and second engine in each data centre are assumed to keep. */
+const assumedShares = [0.9, 0.5];
+
+/**
+ * Tokens that engines are assumed to keep because other gateways send them prompts with the same first part: in each
+ * data centre, all gateways agree on the engines that come first for a part, so that few engines read it.
+ */
+function assumedTokens(
+    upstreams: readonly UpstreamState[],
+    first: PromptPart | undefined,
+): ReadonlyMap<UpstreamState, number> {
+    const assumed = new Map<UpstreamState, number>();
+    if (first === undefined) {
+        return assumed;
+    }
+    const ranked = upstreams
+        .map(upstream => ({ upstream, weight: hash(`${first.id}\n${upstream.entry.id}`) }))
+        .sort((left, right) => right.weight - left.weight);
+    const taken = new Map<string, number>();
+    for (const { upstream } of ranked) {
+        const rank = taken.get(upstream.entry.dataCentre) ?? 0;
+        taken.set(upstream.entry.dataCentre, rank + 1);
+        assumed.set(upstream, first.tokens * (assumedShares[rank] ?? 0));
+    }
+    return assumed;
+}
+
+function costOf(
+    upstream: UpstreamState,
+    demand: Demand,
+    kept: number,
+    costs: ChoiceCosts,
+    now: number,
+): number {
     const read = Math.max(0, demand.promptTokens - kept) / costs.tokensPerMs;
     const calls = upstream.calls(now);
     const waiting = Math.max(0, calls + 1 - upstream.entry.slots);
--- a/packages/core/src/gateway/ledger.ts
+++ b/packages/core/src/gateway/ledger.ts
@@ -1,38 +1,61 @@
-/** A turn that may still generate tokens, counted at its most. */
-export interface OpenTurn {
-    readonly id: string;
-    readonly most: number;
+/**
+ * Tokens that one gateway may hand out without asking, counted as generated until it says otherwise. `serial` numbers its
+ * writes, so that a write whose answer was lost is recognised.
+ */
+export interface Grant {
+    readonly holder: string;
+    readonly serial: number;
+    readonly tokens: number;
 }
 
-/** The tokens of one program: those that ended turns generated, and the turns that have not been settled. */
+/** The tokens of one program: those that have been generated, and those that gateways may hand out. */
 export interface TokenLedger {
     readonly spent: number;
-    readonly open: readonly OpenTurn[];
+    readonly grants: readonly Grant[];
 }
 
 /** The ledger of a program without turns. */
-export const emptyLedger: TokenLedger = { spent: 0, open: [] };
+export const emptyLedger: TokenLedger = { spent: 0, grants: [] };
+
+/** What a gateway writes into a ledger. */
+export interface GrantRequest {
+    readonly holder: string;
+    readonly serial: number;
+    /** Tokens that were generated under the present grant since it was last written. */
+    readonly used: number;
+    /** The least that the new grant must hold. */
+    readonly needed: number;
+    /** More that is taken while half of the budget is free, for turns to come. */
+    readonly spare: number;
+    readonly budget: number;
+}
 
 /** Tokens that are or may still be generated. */
-export function committedTokens({ spent, open }: TokenLedger): number {
-    return open.reduce((sum, turn) => sum + turn.most, spent);
+export function committedTokens({ spent, grants }: TokenLedger): number {
+    return grants.reduce((sum, grant) => sum + grant.tokens, spent);
+}
+
+/** The grant of a holder, if it has one. */
+export function grantOf({ grants }: TokenLedger, holder: string): Grant | undefined {
+    return grants.find(grant => grant.holder === holder);
 }
 
 /**
- * Reserves a turn's tokens; undefined if the budget does not hold them. Reserving a turn again changes nothing, as
- * a write without an answer may have been applied.
+ * Settles what was used and replaces the holder's grant; undefined if the budget does not hold what is needed.
+ * A request that has been applied changes nothing.
  */
-export function reserveTokens(ledger: TokenLedger, turn: OpenTurn, budget: number): TokenLedger | undefined {
-    if (ledger.open.some(({ id }) => id === turn.id)) {
+export function renewGrant(ledger: TokenLedger, request: GrantRequest): TokenLedger | undefined {
+    const { holder, serial, used, needed, spare, budget } = request;
+    if ((grantOf(ledger, holder)?.serial ?? -1) >= serial) {
         return ledger;
     }
-    return committedTokens(ledger) + turn.most > budget
-        ? undefined
-        : { spent: ledger.spent, open: [...ledger.open, turn] };
-}
-
-/** Replaces a turn's reservation by the tokens that it generated. Settling a turn again changes nothing. */
-export function settleTokens(ledger: TokenLedger, id: string, used: number): TokenLedger {
-    const open = ledger.open.filter(turn => turn.id !== id);
-    return open.length === ledger.open.length ? ledger : { spent: ledger.spent + used, open };
+    const others = ledger.grants.filter(grant => grant.holder !== holder);
+    const settled: TokenLedger = { spent: ledger.spent + used, grants: others };
+    const committed = committedTokens(settled) + needed;
+    if (needed > 0 && committed > budget) {
+        return undefined;
+    }
+    // A large grant near the end of the budget would make other gateways refuse what the budget still holds.
+    const extra = needed > 0 && committed + spare <= budget / 2 ? spare : 0;
+    return { ...settled, grants: [...others, { holder, serial, tokens: needed + extra }] };
 }
--- a/packages/core/test/gateway/choice.test.ts
+++ b/packages/core/test/gateway/choice.test.ts
@@ -58,3 +58,13 @@
     assert.equal(nextStep("repeatable", "unknown", 1, 4), "sendAgain");
     assert.equal(nextStep("repeatable", "unknown", 4, 4), "giveUp");
 });
+
+test("gateways that know nothing agree where a part is read (guards against each engine reading every part)", () => {
+    const pool = () => ["a", "b", "c", "d", "e"].map(id => upstream(id));
+    const parts = Array.from({ length: 20 }, (_, index) => `part-${index}`);
+    const picks = parts.map(id =>
+        new Set(Array.from({ length: 10 }, () => choose(pool(), { ...demand, parts: [{ id, tokens: 12_600 }] })))
+    );
+    assert.ok(picks.every(engines => engines.size === 1));
+    assert.ok(new Set(picks.flatMap(engines => [...engines])).size >= 4);
+});
--- a/packages/core/test/gateway/ledger.test.ts
+++ b/packages/core/test/gateway/ledger.test.ts
@@ -1,17 +1,65 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { committedTokens, emptyLedger, reserveTokens, settleTokens } from "../../src/gateway/index.ts";
+import { committedTokens, emptyLedger, grantOf, renewGrant, type TokenLedger } from "../../src/gateway/index.ts";
 
-test("turns under way count at their most (guards against parallel turns that overspend a budget)", () => {
-    const first = reserveTokens(emptyLedger, { id: "a", most: 60 }, 100)!;
-    assert.equal(reserveTokens(first, { id: "b", most: 60 }, 100), undefined);
-    const settled = settleTokens(first, "a", 20);
-    assert.equal(committedTokens(reserveTokens(settled, { id: "b", most: 60 }, 100)!), 80);
+const request = { holder: "a", serial: 1, used: 0, needed: 60, spare: 0, budget: 100 };
+
+test("grants count at their most (guards against parallel turns that overspend a budget)", () => {
+    const first = renewGrant(emptyLedger, request)!;
+    assert.equal(renewGrant(first, { ...request, holder: "b" }), undefined);
+    const settled = renewGrant(first, { ...request, serial: 2, used: 20, needed: 0 })!;
+    assert.equal(settled.spent, 20);
+    assert.equal(committedTokens(renewGrant(settled, { ...request, holder: "b" })!), 80);
+});
+
+test("a request that was applied changes nothing (guards against a write applied twice)", () => {
+    const once = renewGrant(emptyLedger, request)!;
+    assert.equal(renewGrant(once, request), once);
+    const settled = renewGrant(once, { ...request, serial: 2, used: 20, needed: 0 })!;
+    assert.equal(renewGrant(settled, { ...request, serial: 2, used: 20, needed: 0 }), settled);
 });
 
-test("reserving and settling again changes nothing (guards against a write applied twice)", () => {
-    const once = reserveTokens(emptyLedger, { id: "a", most: 60 }, 100)!;
-    assert.equal(reserveTokens(once, { id: "a", most: 60 }, 100), once);
-    const settled = settleTokens(once, "a", 20);
-    assert.equal(settleTokens(settled, "a", 20), settled);
+test("tokens are taken ahead only while half of the budget is free (guards against refusals of what is left)", () => {
+    const ample = renewGrant(emptyLedger, { ...request, spare: 120, budget: 1_000 })!;
+    assert.equal(grantOf(ample, "a")?.tokens, 180);
+    const tight: TokenLedger = { spent: 700, grants: [] };
+    assert.equal(grantOf(renewGrant(tight, { ...request, spare: 120, budget: 1_000 })!, "a")?.tokens, 60);
 });
+
+test("generated tokens never exceed the budget, whatever the order of gateways (guards against overspending)", () => {
+    for (let seed = 1; seed <= 200; seed += 1) {
+        assert.ok(play(seed) <= 1_000, `seed ${seed}`);
+    }
+});
+
+/** Plays turns of three gateways under one budget, with writes that are repeated; gives the tokens generated. */
+function play(seed: number): number {
+    let state = seed;
+    const random = (below: number) => {
+        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+        return state % below;
+    };
+    let ledger = emptyLedger;
+    let generated = 0;
+    const holders = ["a", "b", "c"].map(holder => ({ holder, serial: 0, used: 0, granted: 0 }));
+    for (let step = 0; step < 100; step += 1) {
+        const own = holders[random(3)]!;
+        const most = 40 + random(60);
+        if (own.used + most > own.granted) {
+            own.serial += 1;
+            const wanted = { holder: own.holder, serial: own.serial, used: own.used, needed: most, spare: 120,
+                budget: 1_000 };
+            const next = renewGrant(ledger, wanted);
+            if (next === undefined) {
+                continue;
+            }
+            ledger = renewGrant(next, wanted)!;
+            own.used = 0;
+            own.granted = grantOf(ledger, own.holder)!.tokens;
+        }
+        const tokens = random(most + 1);
+        own.used += tokens;
+        generated += tokens;
+    }
+    return generated;
+}
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -1,4 +1,4 @@
-import { emptyLedger, hash, type OpenTurn, reserveTokens, settleTokens, type Store, StoreError,
+import { emptyLedger, grantOf, hash, renewGrant, type Store, StoreError,
     type TokenLedger } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
 import { persist, urgentPersistence } from "./persist.ts";
@@ -6,50 +6,79 @@
 /** How a reservation ended. */
 export type Reservation = "reserved" | "exhausted" | "unavailable";
 
+/** A turn that may generate tokens. */
+export interface BudgetedTurn {
+    readonly program: string;
+    /** The most tokens that it generates. */
+    readonly most: number;
+    /** The most that all turns of the program may generate. */
+    readonly budget: number;
+}
+
 /** Token budgets of programs, in one row of the store for each. */
 export interface Budgets extends Disposable {
-    reserve(program: string, turn: OpenTurn, budget: number): Promise<Reservation>;
-    /** Replaces a reservation by the tokens that were used; the write may wait for the program's next one. */
-    settle(program: string, turn: string, used: number): void;
-    /** Writes what waits. */
+    /** Reserves a turn's most. Without a call of the store if this gateway's grant holds it. */
+    reserve(turn: BudgetedTurn): Promise<Reservation>;
+    /** Replaces a reservation by the tokens that were generated. */
+    settle(turn: BudgetedTurn, used: number): void;
+    /** Gives back the grants of all programs without a running turn. */
     flush(): Promise<void>;
 }
 
+/** Parts of budgets. */
+export interface BudgetsParts {
+    readonly store: Store;
+    /** Names this life of the process: grants of an earlier one are not its own. */
+    readonly holder: string;
+    readonly now: () => number;
+}
+
 const table = "budgets";
 const parts = 64;
-/** A settlement waits this long for another write of its program, in ms; others must see it after a second. */
-const settlementDelay = 500;
-const settlementRetry = 300;
+/** A grant is taken for this many further turns. */
+const turnsAhead = 2;
+/** A grant without a running turn is given back after this, in ms: others must see what is left after a second. */
+const idleTime = 700;
+const retryTime = 300;
 /** A program without a call for this long is forgotten; its row stays, in ms. */
 const forgetAfter = 20_000;
 
 interface Wish {
-    readonly turn: OpenTurn;
-    readonly budget: number;
+    readonly turn: BudgetedTurn;
     readonly answer: (reservation: Reservation) => void;
 }
 
-interface Settlement {
-    readonly turn: string;
-    readonly used: number;
+/** One write of the own grant. */
+interface GrantWrite {
+    readonly serial: number;
+    used: number;
 }
 
+/** A program's budget as this gateway knows it. */
 interface Account {
     readonly program: string;
     ledger: TokenLedger;
     /** Version of the row that `ledger` is from; 0 if no row is known. */
     version: number;
+    /** Tokens that the own grant in the row holds. */
+    granted: number;
+    /** Tokens generated under the grant since it was written. */
+    used: number;
+    /** The most that running turns may generate. */
+    running: number;
+    /** A write whose fate is not known; a later row tells. */
+    uncertain: GrantWrite | undefined;
     wishes: Wish[];
-    settlements: Settlement[];
-    writing: Promise<void> | undefined;
+    writing: boolean;
     timer: NodeJS.Timeout | undefined;
     usedAt: number;
 }
 
-/** Creates the budgets of the programs whose turns come to this daemon. */
-export function createBudgets(store: Store, now: () => number): Budgets {
+/** Creates the budgets of the programs whose turns come to this gateway. */
+export function createBudgets({ store, holder, now }: BudgetsParts): Budgets {
     const accounts = new Map<string, Account>();
     const sweep = setInterval(forgetIdle, forgetAfter / 4);
+    let lastSerial = 0;
     let stopped = false;
 
     function accountOf(program: string): Account {
@@ -59,90 +88,136 @@
         return account;
     }
 
-    function reserve(program: string, turn: OpenTurn, budget: number): Promise<Reservation> {
+    function reserve(turn: BudgetedTurn): Promise<Reservation> {
+        const account = accountOf(turn.program);
         return new Promise(answer => {
-            const account = accountOf(program);
-            account.wishes.push({ turn, budget, answer });
-            start(account);
+            account.wishes.push({ turn, answer });
+            void serve(account);
         });
     }
 
-    function settle(program: string, turn: string, used: number): void {
+    function settle({ program, most }: BudgetedTurn, used: number): void {
         const account = accountOf(program);
-        account.settlements.push({ turn, used });
-        schedule(account, settlementDelay);
+        account.running -= most;
+        account.used += used;
+        schedule(account, idleTime);
     }
 
-    function schedule(account: Account, delay: number): void {
-        if (!stopped) {
-            account.timer ??= setTimeout(() => start(account), delay);
+    /** Gives the waiting turns what the grant holds, and renews it for the rest. */
+    async function serve(account: Account): Promise<void> {
+        if (account.writing) {
+            return;
         }
+        account.writing = true;
+        clearTimeout(account.timer);
+        account.timer = undefined;
+        try {
+            serveFromGrant(account);
+            while (account.wishes.length > 0) {
+                await serveByWrite(account);
+                serveFromGrant(account);
+            }
+        }
+        finally {
+            account.writing = false;
+        }
+        schedule(account, idleTime);
     }
 
-    function start(account: Account): void {
-        account.writing ??= write(account).finally(() => {
-            account.writing = undefined;
-            if (account.wishes.length > 0) {
-                start(account);
+    function serveFromGrant(account: Account): void {
+        while (account.wishes.length > 0) {
+            const { turn, answer } = account.wishes[0]!;
+            if (account.used + account.running + turn.most > account.granted) {
+                return;
             }
-        });
+            account.wishes.shift();
+            account.running += turn.most;
+            answer("reserved");
+        }
     }
 
-    /** Writes all that waits, in one change of the row. */
-    async function write(account: Account): Promise<void> {
-        clearTimeout(account.timer);
-        account.timer = undefined;
-        const wishes = account.wishes.splice(0);
-        const settlements = account.settlements.splice(0);
+    async function serveByWrite(account: Account): Promise<void> {
+        const { turn, answer } = account.wishes[0]!;
         try {
-            const refused = await persist(timeout => apply(account, wishes, settlements, timeout), urgentPersistence);
-            wishes.forEach(wish => wish.answer(refused.has(wish) ? "exhausted" : "reserved"));
+            const granted = await renew(account, account.running + turn.most, turn.most * turnsAhead, turn.budget);
+            if (!granted) {
+                account.wishes.shift();
+                answer("exhausted");
+            }
         }
         catch (error) {
-            if (!(error instanceof StoreError)) {
-                throw error;
-            }
-            wishes.forEach(wish => {
-                wish.answer("unavailable");
-                // The write may still be applied.
-                account.settlements.push({ turn: wish.turn.id, used: 0 });
-            });
-            account.settlements.push(...settlements);
-            schedule(account, settlementRetry);
-        }
-    }
-
-    /** Gives the wishes that the budget does not hold. */
-    async function apply(
-        account: Account,
-        wishes: readonly Wish[],
-        settlements: readonly Settlement[],
-        timeout: number,
-    ): Promise<ReadonlySet<Wish>> {
-        for (;;) {
-            const { ledger, refused } = nextLedger(account.ledger, wishes, settlements);
-            if (ledger === account.ledger) {
-                // Refusing needs the newest row: another daemon may have settled since.
-                if (refused.size === 0 || await isCurrent(account, timeout)) {
-                    return refused;
+            refuseWaiting(account, error);
+        }
+    }
+
+    function refuseWaiting(account: Account, error: unknown): void {
+        if (!(error instanceof StoreError)) {
+            throw error;
+        }
+        account.wishes.splice(0).forEach(({ answer }) => answer("unavailable"));
+    }
+
+    /** Writes what was used and takes a new grant; false if the budget does not hold it. */
+    async function renew(account: Account, needed: number, spare: number, budget: number): Promise<boolean> {
+        lastSerial += 1;
+        const write: GrantWrite = { serial: lastSerial, used: account.used };
+        const rest = { holder, needed, spare, budget };
+        try {
+            const granted = await persist(async timeout => {
+                for (;;) {
+                    reconcile(account, write);
+                    const next = renewGrant(account.ledger, { ...rest, ...write });
+                    if (next === undefined) {
+                        // Only the newest row may refuse: another gateway may have given back since.
+                        if (await isCurrent(account, timeout)) {
+                            return undefined;
+                        }
+                        continue;
+                    }
+                    if (next === account.ledger || await writeRow(account, next, timeout)) {
+                        return grantOf(account.ledger, holder)?.tokens ?? 0;
+                    }
                 }
-                continue;
+            }, urgentPersistence);
+            if (granted === undefined) {
+                return false;
             }
-            const name = rowOf(account.program);
-            const result = await store.change({
-                conditions: [{ ...name, version: account.version }],
-                puts: [{ ...name, value: encode(ledger) }],
-            }, { timeout });
-            if (result.applied) {
-                account.ledger = ledger;
-                account.version = result.version;
-                // A refusal was judged by the row that this write replaced, so it holds.
-                return refused;
-            }
-            take(account, result.rows[0]);
+            account.uncertain = undefined;
+            account.granted = granted;
+            account.used -= write.used;
+            return true;
+        }
+        catch (error) {
+            account.uncertain = write;
+            throw error;
+        }
+    }
+
+    /** A write whose answer was lost counts once the row shows it; what it settled is not settled again. */
+    function reconcile(account: Account, write: GrantWrite): void {
+        const { uncertain } = account;
+        if (uncertain !== undefined && grantOf(account.ledger, holder)?.serial === uncertain.serial) {
+            account.uncertain = undefined;
+            account.used -= uncertain.used;
+            write.used -= uncertain.used;
         }
     }
 
+    async function writeRow(account: Account, ledger: TokenLedger, timeout: number): Promise<boolean> {
+        const name = rowOf(account.program);
+        const result = await store.change({
+            conditions: [{ ...name, version: account.version }],
+            puts: [{ ...name, value: encode(ledger) }],
+        }, { timeout });
+        if (result.applied) {
+            account.ledger = ledger;
+            account.version = result.version;
+            return true;
+        }
+        take(account, result.rows[0]);
+        return false;
+    }
+
     async function isCurrent(account: Account, timeout: number): Promise<boolean> {
         const { table: name, part, key } = rowOf(account.program);
         const page = await store.read({ table: name, part, from: key, to: `${key}\0`, limit: 1 }, { timeout });
@@ -151,10 +226,39 @@
         return current;
     }
 
+    function schedule(account: Account, delay: number): void {
+        if (!stopped && account.running === 0 && account.granted > 0) {
+            clearTimeout(account.timer);
+            account.timer = setTimeout(() => void giveBack(account), delay);
+        }
+    }
+
+    async function giveBack(account: Account): Promise<void> {
+        if (account.writing || account.running > 0 || account.granted === 0) {
+            return;
+        }
+        account.writing = true;
+        try {
+            await renew(account, 0, 0, Infinity);
+        }
+        catch (error) {
+            if (!(error instanceof StoreError)) {
+                throw error;
+            }
+            schedule(account, retryTime);
+        }
+        finally {
+            account.writing = false;
+        }
+        if (account.wishes.length > 0) {
+            await serve(account);
+        }
+    }
+
     function forgetIdle(): void {
         for (const [program, account] of accounts) {
-            const idle = account.wishes.length === 0 && account.settlements.length === 0 &&
-                account.writing === undefined;
+            const idle = account.wishes.length === 0 && account.running === 0 && account.granted === 0 &&
+                !account.writing;
             if (idle && now() - account.usedAt > forgetAfter) {
                 accounts.delete(program);
             }
@@ -162,11 +266,7 @@
     }
 
     async function flush(): Promise<void> {
-        const waiting = [...accounts.values()].filter(account => account.settlements.length > 0);
-        await Promise.all(waiting.map(async account => {
-            start(account);
-            await account.writing;
-        }));
+        await Promise.all([...accounts.values()].map(giveBack));
     }
 
     function dispose(): void {
@@ -179,21 +279,8 @@
 }
 
 function createAccount(program: string): Account {
-    return { program, ledger: emptyLedger, version: 0, wishes: [], settlements: [], writing: undefined,
-        timer: undefined, usedAt: 0 };
-}
-
-function nextLedger(ledger: TokenLedger, wishes: readonly Wish[], settlements: readonly Settlement[]) {
-    const refused = new Set<Wish>();
-    let next = settlements.reduce((sum, { turn, used }) => settleTokens(sum, turn, used), ledger);
-    for (const wish of wishes) {
-        const reserved = reserveTokens(next, wish.turn, wish.budget);
-        if (reserved === undefined) {
-            refused.add(wish);
-        }
-        next = reserved ?? next;
-    }
-    return { ledger: next, refused };
+    return { program, ledger: emptyLedger, version: 0, granted: 0, used: 0, running: 0, uncertain: undefined,
+        wishes: [], writing: false, timer: undefined, usedAt: 0 };
 }
 
 function take(account: Account, row: { readonly value: Buffer; readonly version: number; } | undefined): void {
@@ -205,11 +292,11 @@
     return { table, part: String(hash(program) % parts), key: program };
 }
 
-function encode({ spent, open }: TokenLedger): Buffer {
-    return Buffer.from(pack([spent, open.map(({ id, most }) => [id, most])]));
+function encode({ spent, grants }: TokenLedger): Buffer {
+    return Buffer.from(pack([spent, grants.map(({ holder, serial, tokens }) => [holder, serial, tokens])]));
 }
 
 function decode(value: Buffer): TokenLedger {
-    const [spent, open] = unpack(value) as [number, [string, number][]];
-    return { spent, open: open.map(([id, most]) => ({ id, most })) };
+    const [spent, grants] = unpack(value) as [number, [string, number, number][]];
+    return { spent, grants: grants.map(([holder, serial, tokens]) => ({ holder, serial, tokens })) };
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,6 +1,6 @@
 import { StoreError } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
-import type { Budgets } from "./budgets.ts";
+import type { BudgetedTurn, Budgets } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
 import type { Log } from "./log.ts";
 import { type ReadCall, type SendParts, type SendResult, type Sends, startSends } from "./sends.ts";
@@ -28,10 +28,14 @@
 const unknownTurn = 404;
 /** When a refused caller should come back, in ms. */
 const retrySoon = 100;
-const retryStore = 400;
+/** Callers come back spread over a time in which the store may be back. */
+const retryStoreLeast = 700;
+const retryStoreSpread = 500;
 
-const storeAway: OwnAnswer = { status: unavailable, reason: "the store does not answer", retryAfter: retryStore,
-    elsewhere: true };
+function storeAway(): OwnAnswer {
+    return { status: unavailable, reason: "the store does not answer",
+        retryAfter: retryStoreLeast + Math.random() * retryStoreSpread, elsewhere: true };
+}
 
 /** Starts to serve a call. */
 export function startExchange(parts: ExchangeParts, call: ReadCall, response: ServerResponse): Exchange {
@@ -57,14 +61,14 @@
     }
 
     async function serveTurn(): Promise<void> {
-        const reserved = budgets.reserve(program, { id: head.id, most: head.mostTokens }, head.tokenBudget!);
+        const reserved = budgets.reserve(budgeted());
         const previous = route.retention === undefined || head.previousTurn === undefined
             ? []
             : await turns.history(head.previousTurn);
         const reservation = await reserved;
         if (reservation === "unavailable" || previous === "unavailable") {
             settle(reservation, 0);
-            answerSelf(storeAway);
+            answerSelf(storeAway());
             return;
         }
         if (previous === "unknown") {
@@ -87,10 +91,14 @@
 
     function settle(reservation: "reserved" | "exhausted" | "unavailable", used: number): void {
         if (reservation === "reserved") {
-            budgets.settle(program, head.id, used);
+            budgets.settle(budgeted(), used);
         }
     }
 
+    function budgeted(): BudgetedTurn {
+        return { program, most: head.mostTokens, budget: head.tokenBudget! };
+    }
+
     function tokensPerEvent(): number {
         const service = parts.declaration()?.services.get(route.shares[0]!.service);
         return service?.model?.tokensPerEvent ?? 1;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
     type StoreRow } from "@tamarackgauge/core/gateway";
 import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
     upstreamTable } from "@tamarackgauge/platform";
+import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
 import { createBudgets } from "./budgets.ts";
 import { createFront, listen } from "./front.ts";
@@ -41,13 +42,12 @@
 /** Starts a gateway: it serves what reaches it, and all that must last is in the store. */
 export async function createGateway({ settings, store: direct, log, now }: GatewayParts): Promise<Gateway> {
     const health = createStoreHealth();
-    let peers: PeerList | undefined;
-    const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? settings.knownPeers, now });
+    const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? [], now });
     const store = createRoutedStore({ direct, peers: peerStore, health, now });
     const peerServer = settings.peers === undefined
         ? undefined
         : await createPeerServer({ address: settings.peers, store: direct, health, log, now });
-    peers = settings.peers === undefined
+    const peers: PeerList | undefined = settings.peers === undefined
         ? undefined
         : createPeerList({ name: settings.name, address: settings.peers, seeds: settings.knownPeers, store, log });
     let declaration: Declaration | undefined;
@@ -55,7 +55,7 @@
     let stopping = false;
     let storeAwaySince: number | undefined;
     const upstreams = createUpstreams({ declaration: () => declaration, now });
-    const budgets = createBudgets(store, now);
+    const budgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`, now });
     const turns = createTurns(store, settings.mostRowBytes, now);
     const front = await createFront({ ...settings.callers, upstreams, declaration: () => declaration, budgets, turns,
         log, now, dataCentre: settings.dataCentre, declarationAge: () => declarations.age() });
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -1,4 +1,5 @@
-import { type FeedResult, type ListenAddress, type RowPage, type RowRange, type Store, type StoreChange, StoreError,
+import type { StoreError} from "@tamarackgauge/core/gateway";
+import { type FeedResult, type ListenAddress, type RowPage, type RowRange, type Store, type StoreChange,
     type StoreFailure, type StoreHealth } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
 import { type WebSocket, WebSocketServer } from "ws";
