Count store calls and sends; take tokens ahead until the budget is nearly spent, and wait for what others hold

Change: tokens are taken ahead up to nine tenths of the budget; a turn that does not fit while another gateway holds tokens waits up to 0.9 s for them. A write whose answer was lost is settled once. Metrics and a summary line. Another data centre costs 35 ms instead of 14.

--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -36,7 +36,7 @@
     perCall: 6,
     perWaitingCall: 25,
     usualCall: 280,
-    otherDataCentre: 14,
+    otherDataCentre: 35,
     spread: 3,
 };
 
--- a/packages/core/src/gateway/ledger.ts
+++ b/packages/core/src/gateway/ledger.ts
@@ -25,11 +25,14 @@
     readonly used: number;
     /** The least that the new grant must hold. */
     readonly needed: number;
-    /** More that is taken while half of the budget is free, for turns to come. */
+    /** More that is taken for turns to come, unless the budget is nearly spent. */
     readonly spare: number;
     readonly budget: number;
 }
 
+/** Up to this share of a budget a grant may hold more than is needed. */
+const ampleShare = 0.9;
+
 /** Tokens that are or may still be generated. */
 export function committedTokens({ spent, grants }: TokenLedger): number {
     return grants.reduce((sum, grant) => sum + grant.tokens, spent);
@@ -56,6 +59,6 @@
         return undefined;
     }
     // A large grant near the end of the budget would make other gateways refuse what the budget still holds.
-    const extra = needed > 0 && committed + spare <= budget / 2 ? spare : 0;
+    const extra = needed > 0 && committed + spare <= budget * ampleShare ? spare : 0;
     return { ...settled, grants: [...others, { holder, serial, tokens: needed + extra }] };
 }
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -40,11 +40,15 @@
 /** A grant without a running turn is given back after this, in ms: others must see what is left after a second. */
 const idleTime = 700;
 const retryTime = 300;
+/** A turn waits this long for tokens that another gateway may give back, and looks this often, in ms. */
+const longestWait = 900;
+const waitInterval = 150;
 /** A program without a call for this long is forgotten; its row stays, in ms. */
 const forgetAfter = 20_000;
 
 interface Wish {
     readonly turn: BudgetedTurn;
+    readonly since: number;
     readonly answer: (reservation: Reservation) => void;
 }
 
@@ -91,7 +95,7 @@
     function reserve(turn: BudgetedTurn): Promise<Reservation> {
         const account = accountOf(turn.program);
         return new Promise(answer => {
-            account.wishes.push({ turn, answer });
+            account.wishes.push({ turn, since: now(), answer });
             void serve(account);
         });
     }
@@ -137,19 +141,28 @@
     }
 
     async function serveByWrite(account: Account): Promise<void> {
-        const { turn, answer } = account.wishes[0]!;
+        const { turn, since, answer } = account.wishes[0]!;
         try {
-            const granted = await renew(account, account.running + turn.most, turn.most * turnsAhead, turn.budget);
-            if (!granted) {
-                account.wishes.shift();
-                answer("exhausted");
+            if (await renew(account, account.running + turn.most, turn.most * turnsAhead, turn.budget)) {
+                return;
+            }
+            if (mayBeReturned(account) && now() - since < longestWait) {
+                await new Promise(resolve => setTimeout(resolve, waitInterval));
+                return;
             }
+            account.wishes.shift();
+            answer("exhausted");
         }
         catch (error) {
             refuseWaiting(account, error);
         }
     }
 
+    /** Other gateways hold tokens that they may not need. */
+    function mayBeReturned({ ledger }: Account): boolean {
+        return ledger.grants.some(grant => grant.holder !== holder && grant.tokens > 0);
+    }
+
     function refuseWaiting(account: Account, error: unknown): void {
         if (!(error instanceof StoreError)) {
             throw error;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -16,6 +16,8 @@
 
 /** One call of a caller, from its last byte to the last byte of its answer. */
 export interface Exchange {
+    /** Name of the call's route. */
+    readonly route: string;
     readonly done: Promise<void>;
     /** The caller has left. */
     abandon(): void;
@@ -194,7 +196,7 @@
         sends?.cancel();
     }
 
-    return { done: run(), abandon };
+    return { route: route.name, done: run(), abandon };
 }
 
 const lineFeed = Buffer.from("\n");
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -35,7 +35,7 @@
 
 /** Starts to listen for callers. */
 export async function createFront(parts: FrontParts): Promise<Front> {
-    const { now, log } = parts;
+    const { now, log, metrics } = parts;
     let routes: RouteTable | undefined;
     let declaration: Declaration | undefined;
     let closing = false;
@@ -83,6 +83,9 @@
         }
         finally {
             active -= 1;
+            metrics.setActive(active);
+            metrics.callEnded(exchange?.route ?? "none", response.headersSent ? response.statusCode : 0,
+                now() - arrivedAt);
             if (active === 0) {
                 idle?.();
             }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,13 @@
-import { createStoreHealth, type Declaration, type GatewaySettings, type Store,
+import { createStoreHealth, type Declaration, type GatewaySettings, type ListenAddress, type Store,
     type StoreRow } from "@tamarackgauge/core/gateway";
 import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
     upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
-import { createServer } from "node:http";
+import { createServer, type Server } from "node:http";
 import { createBudgets } from "./budgets.ts";
 import { createFront, listen } from "./front.ts";
 import type { Log } from "./log.ts";
+import { createMetrics, type Metrics } from "./metrics.ts";
 import { createPeerList, type PeerList } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
@@ -38,12 +39,14 @@
 const exitMargin = 400;
 /** An outage of the store for less than this is waited for, in ms. */
 const toleratedOutage = 700;
+const summaryInterval = 10_000;
 
 /** Starts a gateway: it serves what reaches it, and all that must last is in the store. */
 export async function createGateway({ settings, store: direct, log, now }: GatewayParts): Promise<Gateway> {
     const health = createStoreHealth();
+    const metrics = createMetrics();
     const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? [], now });
-    const store = createRoutedStore({ direct, peers: peerStore, health, now });
+    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, now });
     const peerServer = settings.peers === undefined
         ? undefined
         : await createPeerServer({ address: settings.peers, store: direct, health, log, now });
@@ -56,9 +59,9 @@
     let storeAwaySince: number | undefined;
     const upstreams = createUpstreams({ declaration: () => declaration, now });
     const budgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`, now });
-    const turns = createTurns(store, settings.mostRowBytes, now);
+    const turns = createTurns({ store, mostRowBytes: settings.mostRowBytes, metrics, now });
     const front = await createFront({ ...settings.callers, upstreams, declaration: () => declaration, budgets, turns,
-        log, now, dataCentre: settings.dataCentre, declarationAge: () => declarations.age() });
+        log, metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarations.age() });
     const declarations = watchTable({ store, log, now, ...declarationRow, changed: takeDeclaration });
     const entries = watchTable({ store, log, now, ...upstreamTable, changed: takeEntries });
     const readiness = createServer((request, response) => {
@@ -66,6 +69,8 @@
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
     await listen(readiness, settings.readiness.host, settings.readiness.port);
+    const metricsServer = settings.metrics === undefined ? undefined : await serveMetrics(settings.metrics, metrics);
+    const summaries = setInterval(() => void logSummary(), summaryInterval);
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
     function takeDeclaration(rows: ReadonlyMap<string, StoreRow>): void {
@@ -100,6 +105,11 @@
         upstreams.replace(known);
     }
 
+    async function logSummary(): Promise<void> {
+        log.info("gateway.summary", { active: front.active(), upstreams: upstreams.count(),
+            ...await metrics.summary() });
+    }
+
     /** A gateway without a way to the store asks for callers to go elsewhere. */
     function isReady(): boolean {
         storeAwaySince = store.isAway() ? storeAwaySince ?? now() : undefined;
@@ -126,6 +136,8 @@
         },
         async [Symbol.asyncDispose]() {
             readiness.close();
+            metricsServer?.close();
+            clearInterval(summaries);
             turns[Symbol.dispose]();
             budgets[Symbol.dispose]();
             peers?.[Symbol.dispose]();
@@ -136,6 +148,16 @@
     };
 }
 
+async function serveMetrics({ host, port }: ListenAddress, metrics: Metrics): Promise<Server> {
+    const server = createServer((_, response) => {
+        void metrics.text().then(text =>
+            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text)
+        );
+    });
+    await listen(server, host, port);
+    return server;
+}
+
 function sleep(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, Math.max(0, ms)));
 }
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -1,4 +1,4 @@
-import type { StoreError} from "@tamarackgauge/core/gateway";
+import type { StoreError } from "@tamarackgauge/core/gateway";
 import { type FeedResult, type ListenAddress, type RowPage, type RowRange, type Store, type StoreChange,
     type StoreFailure, type StoreHealth } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -1,4 +1,5 @@
 import { type Store, StoreError, type StoreHealth } from "@tamarackgauge/core/gateway";
+import type { Metrics, StoreCallKind, StoreWay } from "./metrics.ts";
 import type { PeerStore } from "./peerStore.ts";
 
 /** The store by whatever way is open. */
@@ -12,6 +13,7 @@
     readonly direct: Store;
     readonly peers: PeerStore;
     readonly health: StoreHealth;
+    readonly metrics: Metrics;
     readonly now: () => number;
 }
 
@@ -19,11 +21,11 @@
  * Creates a store whose calls go directly while it answers, else through another gateway. Without any way a call fails at
  * once.
  */
-export function createRoutedStore({ direct, peers, health, now }: RoutedStoreParts): RoutedStore {
-    async function probed<Value>(call: () => Promise<Value>, mayWait: boolean): Promise<Value> {
-        const probe = health.begin(now(), mayWait);
+export function createRoutedStore({ direct, peers, health, metrics, now }: RoutedStoreParts): RoutedStore {
+    async function probed<Value>(kind: StoreCallKind, call: () => Promise<Value>): Promise<Value> {
+        const probe = health.begin(now(), kind === "feed");
         try {
-            const value = await call();
+            const value = await counted(kind, "direct", call());
             probe.answered();
             return value;
         }
@@ -33,30 +35,42 @@
         }
     }
 
-    function route<Value>(call: (store: Store) => Promise<Value>): Promise<Value> {
+    async function counted<Value>(kind: StoreCallKind, way: StoreWay, call: Promise<Value>): Promise<Value> {
+        try {
+            const value = await call;
+            metrics.storeCall(kind, way, "answered");
+            return value;
+        }
+        catch (error) {
+            metrics.storeCall(kind, way, "failed");
+            throw error;
+        }
+    }
+
+    function route<Value>(kind: StoreCallKind, call: (store: Store) => Promise<Value>): Promise<Value> {
         if (!health.isAway(now())) {
-            return probed(() => call(direct), false);
+            return probed(kind, () => call(direct));
         }
         if (!peers.mayTry()) {
             return Promise.reject(new StoreError("away", "the store does not answer"));
         }
-        return call(peers);
+        return counted(kind, "peer", call(peers));
     }
 
     return {
-        read: (range, options) => route(store => store.read(range, options)),
-        change: (change, options) => route(store => store.change(change, options)),
+        read: (range, options) => route("read", store => store.read(range, options)),
+        change: (change, options) => route("change", store => store.change(change, options)),
         feed(table, after, wait) {
             if (!health.isAway(now())) {
-                return probed(() => direct.feed(table, after, wait), true);
+                return probed("feed", () => direct.feed(table, after, wait));
             }
             // The direct way is asked meanwhile, so that its return is noticed.
-            const probe = probed(() => direct.feed(table, after, probeWait), true);
+            const probe = probed("feed", () => direct.feed(table, after, probeWait));
             if (!peers.mayTry()) {
                 return probe;
             }
             probe.catch(() => undefined);
-            return peers.feed(table, after, Math.min(wait, relayedFeedWait));
+            return counted("feed", "peer", peers.feed(table, after, Math.min(wait, relayedFeedWait)));
         },
         isAway: () => health.isAway(now()) && !peers.hasWay(),
     };
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -3,6 +3,7 @@
 import { encodeRequest, type RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { WholeAnswer } from "./callerAnswer.ts";
+import type { Metrics } from "./metrics.ts";
 import type { Sending } from "./upstreamClient.ts";
 import type { Upstream, Upstreams } from "./upstreams.ts";
 
@@ -42,6 +43,7 @@
     readonly upstreams: Upstreams;
     readonly declaration: () => Declaration | undefined;
     readonly dataCentre: string;
+    readonly metrics: Metrics;
     readonly now: () => number;
 }
 
@@ -78,7 +80,7 @@
         readonly unreachable: boolean; readonly answer?: WholeAnswer; };
 
 /** Starts to send a call. */
-export function startSends({ upstreams, declaration, dataCentre, now }: SendParts, plan: SendPlan): Sends {
+export function startSends({ upstreams, declaration, dataCentre, metrics, now }: SendParts, plan: SendPlan): Sends {
     const { call, sink } = plan;
     const { route, head } = call;
     const tried = new Set<string>();
@@ -165,6 +167,7 @@
                 over = true;
                 clearTimeout(timer);
                 state.inFlight -= 1;
+                metrics.sendEnded(state.entry.service, end.kind === "failure" ? end.failure : "answered");
                 current = undefined;
                 onCancel = undefined;
                 if (end.kind === "failure" && end.failure !== "notRun") {
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,5 +1,6 @@
 import { hash, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
+import type { Metrics } from "./metrics.ts";
 import { patientPersistence, persist, urgentPersistence } from "./persist.ts";
 
 /** A turn that was answered whole, and the turns before it. */
@@ -47,8 +48,17 @@
     readonly at: number;
 }
 
+/** Parts of turns. */
+export interface TurnsParts {
+    readonly store: Store;
+    /** The largest value of a row in text form. */
+    readonly mostRowBytes: number;
+    readonly metrics: Metrics;
+    readonly now: () => number;
+}
+
 /** Creates the turns of the programs that come to this daemon. */
-export function createTurns(store: Store, mostRowBytes: number, now: () => number): Turns & Disposable {
+export function createTurns({ store, mostRowBytes, metrics, now }: TurnsParts): Turns & Disposable {
     const remembered = new Map<string, Remembered>();
     const expiries: Expiry[] = [];
     const segmentBytes = Math.floor(mostRowBytes * bytesOfText) - 64;
@@ -80,8 +90,10 @@
         const known = remembered.get(id);
         if (known !== undefined) {
             known.usedAt = now();
+            metrics.turnFound("memory");
             return known.turn;
         }
+        metrics.turnFound("store");
         const range = { table, part: partOf(id), from: id, to: `${id}0` };
         const page = await persist(timeout => store.read(range, { timeout }), urgentPersistence);
         const turn = decode(id, page.rows);
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -73,6 +73,33 @@
     assert.equal((await call(parts.one, turn("t3", "p", undefined, 110))).status, 402);
 });
 
+test("tokens that another gateway holds for turns to come are waited for (guards against refusing what is left)", async () => {
+    await using parts = await start();
+    // A turn has at most 60 tokens and generates 50. The first gateway takes 180 of 200 ahead.
+    assert.equal((await call(parts.one, turn("t1", "p", undefined, 200))).status, 200);
+    assert.equal((await call(parts.two, turn("t2", "p", undefined, 200))).status, 200);
+    assert.equal((await call(parts.two, turn("t3", "p", undefined, 200))).status, 200);
+    assert.equal((await call(parts.two, turn("t4", "p", undefined, 200))).status, 402);
+});
+
+test("a write that was applied without an answer settles once (guards against tokens counted twice)", async () => {
+    await using parts = await start();
+    assert.equal((await call(parts.one, turn("t1", "p", undefined, 230))).status, 200);
+    // Nothing is answered until the write is given up; the peer has no way to the store either.
+    [parts.one, parts.two].forEach(({ door }) => door.setTrouble({ mode: "lostReply", call: "change" }));
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    [parts.one, parts.two].forEach(({ door }) => door.setTrouble(undefined));
+    for (const id of ["t2", "t3", "t4"]) {
+        await until(
+            async () => (await call(parts.one, turn(`${id}${performance.now()}`, "p", undefined, 230))).status !== 503,
+            id,
+        );
+    }
+    // Four turns of 50 tokens; a fifth does not fit, and the fourth does only if the first was settled once.
+    assert.equal(parts.fleet.engine.ran.length, 4);
+    assert.equal((await call(parts.one, turn("t5", "p", undefined, 230))).status, 402);
+});
+
 test("a lost answer of the store delays a turn and changes nothing (guards against a reservation counted twice)", async () => {
     await using parts = await start();
     for (const [index, call_] of (["change", "change"] as const).entries()) {
