Explain a call from the gateways' logs; check the platform's settings; write log lines in batches

Cause: a failed call could be traced only by reading the logs by hand, and each log line was a write of its own. Change: commands gateway, check-settings and explain; lines for failed sends and answered calls; one write for the lines of 100 ms; a slow reader costs lines and is told.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,4 +1,5 @@
 import { benchCommands, replayCommand } from "@tamarackgauge/bench";
+import { createGatewayCommands } from "@tamarackgauge/gateway";
 import { createOperatorCommands, exitCodes, type Terminal } from "@tamarackgauge/operator";
 import { standinCommands } from "@tamarackgauge/standin";
 import { timelineCommand } from "@tamarackgauge/timeline";
@@ -12,6 +13,7 @@
         description: `Scheduler for agent programs. Exit codes: ${exitCodeText()}`,
         cmds: {
             daemon: createDaemonCommand(terminal, runDaemon),
+            ...createGatewayCommands(terminal),
             ...createOperatorCommands(terminal),
             timeline: timelineCommand,
             standin: standinCommands,
--- /dev/null
+++ b/packages/gateway/src/commands.ts
@@ -0,0 +1,61 @@
+import { exitCodes, type Terminal } from "@tamarackgauge/operator";
+import { faultText, parseSettings, SettingsError } from "@tamarackgauge/platform";
+import { array, command, multioption, positional, string } from "cmd-ts";
+import { readFileSync } from "node:fs";
+import { explainCall, parseLogLines, renderLogLine } from "./explain.ts";
+import { runGateway } from "./run.ts";
+
+const standardInput = 0;
+
+/** Creates the commands for the users' platform. */
+export function createGatewayCommands(terminal: Terminal) {
+    return {
+        "gateway": command({
+            name: "gateway",
+            description: "Run one gateway on the users' platform; TAMARACKGAUGE_CONFIG names its settings file",
+            args: {},
+            handler: () => runGateway(process.env),
+        }),
+        "check-settings": command({
+            name: "check-settings",
+            description: "Check a settings file of the users' platform and tell every wrong or missing field",
+            args: { file: positional({ type: string, displayName: "file" }) },
+            handler: ({ file }) => checkSettings(terminal, file),
+        }),
+        "explain": command({
+            name: "explain",
+            description: "Print what the logs of gateways say about a call, in the order of time",
+            args: {
+                call: positional({ type: string, displayName: "call", description: "Identity of the call" }),
+                from: multioption({ type: array(string), long: "from",
+                    description: "Log file; may be repeated; standard input if absent" }),
+            },
+            handler: ({ call, from }) => explain(terminal, call, from),
+        }),
+    };
+}
+
+function checkSettings(terminal: Terminal, file: string): number {
+    try {
+        const { name, dataCentre } = parseSettings(readFileSync(file, "utf8"));
+        terminal.out(`${file}: usable; vm ${name} in ${dataCentre}`);
+        return exitCodes.done;
+    }
+    catch (error) {
+        const lines = error instanceof SettingsError ? error.faults.map(faultText) : [(error as Error).message];
+        lines.forEach(line => terminal.error(line));
+        return exitCodes.usage;
+    }
+}
+
+function explain(terminal: Terminal, call: string, from: readonly string[]): number {
+    const sources = from.length === 0 ? [standardInput] : from;
+    const lines = sources.flatMap(source => parseLogLines(readFileSync(source, "utf8")));
+    const found = explainCall(lines, call);
+    if (found.length === 0) {
+        terminal.error(`no line names the call ${call}`);
+        return exitCodes.failed;
+    }
+    found.forEach(line => terminal.out(renderLogLine(line)));
+    return exitCodes.done;
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,6 @@
 import type { ServerResponse } from "node:http";
 import type { BudgetedTurn, Budgets } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
-import type { Log } from "./log.ts";
 import { type ReadCall, type SendParts, type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
 import type { Turn, Turns } from "./turns.ts";
@@ -11,7 +10,6 @@
 export interface ExchangeParts extends SendParts {
     readonly budgets: Budgets;
     readonly turns: Turns;
-    readonly log: Log;
 }
 
 /** One call of a caller, from its last byte to the last byte of its answer. */
@@ -122,10 +120,18 @@
         sends = startSends(parts, { call: sent, priority: priorityOf(), sink: relay,
             preferred: history?.[history.length - 1]?.upstream });
         const result = await sends.result;
+        logEnd(result);
         await finish(result, relay, keeps ? history : undefined);
         return relay?.events().length ?? 0;
     }
 
+    function logEnd(result: SendResult): void {
+        if (result.kind === "answer" || result.kind === "streamed") {
+            log.info("call.answered", { call: head.id, program: head.program, route: route.name,
+                upstream: result.upstream, ms: Math.round(now() - startedAt) });
+        }
+    }
+
     async function finish(result: SendResult, relay: StreamRelay | undefined, history: readonly Turn[] | undefined) {
         switch (result.kind) {
             case "streamed":
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -1,3 +1,4 @@
+import type { Writable } from "node:stream";
 import pino from "pino";
 
 /** Fields of a log line. */
@@ -13,20 +14,55 @@
 /** Where log lines go; `false` means that the reader does not keep up. */
 export type LogSink = (line: string) => boolean;
 
-/** Lines a second before the less important ones are left out, and before all are. */
+/** Collects lines, so that many go out with one write. */
+export interface LineBuffer {
+    readonly write: LogSink;
+    flush(): void;
+}
+
+/** Lines a second before those of successes are left out, and before all are. */
 const usualBudget = 40;
 const fullBudget = 120;
 const second = 1_000;
+const flushInterval = 100;
+/** A reader with this much still to read does not keep up, in bytes. */
+const mostUnread = 256 * 1024;
+
+/** Creates a buffer before a stream. Writing never waits for the stream's reader. */
+export function createLineBuffer(stream: Writable): LineBuffer {
+    let lines: string[] = [];
+    let timer: NodeJS.Timeout | undefined;
+
+    function flush(): void {
+        clearTimeout(timer);
+        timer = undefined;
+        if (lines.length > 0) {
+            stream.write(lines.join(""));
+            lines = [];
+        }
+    }
+
+    return {
+        write(line) {
+            if (stream.writableLength > mostUnread) {
+                return false;
+            }
+            lines.push(line);
+            timer ??= setTimeout(flush, flushInterval);
+            return true;
+        },
+        flush,
+    };
+}
 
 /** Creates a log. What exceeds its budget or finds a slow reader is left out, counted and told once a second. */
-export function createLog(name: string, sink: LogSink, now: () => number, level = "info"): Log {
+export function createLog(name: string, sink: LogSink, now: () => number): Log {
     let windowStart = now();
     let written = 0;
     let omitted = 0;
-    let blocked = false;
-    const logger = pino({ level, base: { vm: name }, timestamp: pino.stdTimeFunctions.epochTime }, {
-        write: line => {
-            blocked = !sink(line);
+    const logger = pino({ base: { vm: name }, timestamp: pino.stdTimeFunctions.epochTime }, {
+        write(line) {
+            omitted += sink(line) ? 0 : 1;
         },
     });
 
@@ -34,13 +70,9 @@
         if (now() - windowStart >= second) {
             windowStart = now();
             written = 0;
-            blocked = false;
-            if (omitted > 0) {
-                logger.warn({ event: "log.omitted", lines: omitted });
-                omitted = 0;
-            }
+            tellOmitted();
         }
-        if (blocked || written >= budget) {
+        if (written >= budget) {
             omitted += 1;
             return false;
         }
@@ -48,13 +80,21 @@
         return true;
     }
 
+    function tellOmitted(): void {
+        const lines = omitted;
+        omitted = 0;
+        if (lines > 0) {
+            logger.warn({ event: "log.omitted", lines });
+        }
+    }
+
     return {
-        info: (event, fields) => {
+        info(event, fields) {
             if (admit(usualBudget)) {
                 logger.info({ event, ...fields });
             }
         },
-        warn: (event, fields) => {
+        warn(event, fields) {
             if (admit(fullBudget)) {
                 logger.warn({ event, ...fields });
             }
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -3,6 +3,7 @@
 import { encodeRequest, type RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { WholeAnswer } from "./callerAnswer.ts";
+import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Sending } from "./upstreamClient.ts";
 import type { Upstream, Upstreams } from "./upstreams.ts";
@@ -44,6 +45,7 @@
     readonly declaration: () => Declaration | undefined;
     readonly dataCentre: string;
     readonly metrics: Metrics;
+    readonly log: Log;
     readonly now: () => number;
 }
 
@@ -80,7 +82,8 @@
         readonly unreachable: boolean; readonly answer?: WholeAnswer; };
 
 /** Starts to send a call. */
-export function startSends({ upstreams, declaration, dataCentre, metrics, now }: SendParts, plan: SendPlan): Sends {
+export function startSends({ upstreams, declaration, dataCentre, metrics, log, now }: SendParts,
+    plan: SendPlan): Sends {
     const { call, sink } = plan;
     const { route, head } = call;
     const tried = new Set<string>();
@@ -106,6 +109,8 @@
             if (end.kind !== "failure") {
                 return { ...end, upstream: upstream.state.entry.id };
             }
+            log.warn("send.failed", { call: head.id, program: head.program, upstream: upstream.state.entry.id,
+                failure: end.failure, reason: end.reason, sends, calls: Math.round(upstream.state.calls(now())) });
             last = end;
             worst = end.failure === "notRun" ? worst : end.failure;
             tried.add(upstream.state.entry.id);
--- /dev/null
+++ b/packages/gateway/test/log.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { Writable } from "node:stream";
+import { test } from "node:test";
+import { createLineBuffer, createLog } from "../src/log.ts";
+
+interface Line {
+    readonly event: string;
+    readonly lines?: number;
+}
+
+const parse = (lines: readonly string[]) => lines.map(line => JSON.parse(line) as Line);
+
+test("ten times the load does not make ten times the log, and failures stay (guards against a log that fills a disk)", () => {
+    const lines: string[] = [];
+    let time = 0;
+    const log = createLog("g", line => lines.push(line) > 0, () => time);
+    for (let call = 0; call < 4_000; call += 1) {
+        time += 1;
+        log.info("call.ended", { call });
+        if (call % 20 === 0) {
+            log.warn("call.refused", { call });
+        }
+    }
+    const events = parse(lines);
+    const count = (name: string) => events.filter(({ event }) => event === name).length;
+    assert.ok(events.length <= 4 * 121);
+    assert.equal(count("call.refused"), 200);
+    const omitted = events.reduce((sum, line) => sum + (line.lines ?? 0), 0);
+    assert.ok(omitted >= 4_000 - count("call.ended") - 1_000);
+});
+
+test("a reader that stops reading costs lines, not calls (guards against a gateway blocked by its log)", async () => {
+    const held: (() => void)[] = [];
+    const stream = new Writable({ write: (_chunk, _encoding, next) => void held.push(next) });
+    const buffer = createLineBuffer(stream);
+    const line = `${"x".repeat(100_000)}\n`;
+    const results: boolean[] = [];
+    for (let index = 0; index < 8; index += 1) {
+        results.push(buffer.write(line));
+        buffer.flush();
+    }
+    assert.equal(results[0], true);
+    assert.equal(results[7], false);
+    assert.ok(stream.writableLength < 500_000);
+});
