--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -12,6 +12,8 @@
     try {
         const settings = loadSettings(environment);
         const log = createLog(settings.name, lines.write, now);
+        // One call's fault must not end the others.
+        process.on("unhandledRejection", reason => log.warn("gateway.fault", { reason: String(reason) }));
         const store = createStore(settings.store);
         const gateway = await createGateway({ settings, store, log, now });
         // Without a listener SIGHUP would end the process.
--- a/packages/gateway/src/watch.ts
+++ b/packages/gateway/src/watch.ts
@@ -28,6 +28,7 @@
 export function watchTable({ store, table, part, log, now, changed }: TableWatchParts): TableWatch {
     let rows = new Map<string, StoreRow>();
     let version: number | undefined;
+    let newest = 0;
     let confirmedAt = -Infinity;
     let stopped = false;
     let pause = firstPause;
@@ -64,6 +65,7 @@
         }
         confirmedAt = asked;
         version = result.version;
+        newest = result.version;
         applyChanges(result.rows);
     }
 
@@ -81,8 +83,12 @@
     }
 
     function readAll(page: RowPage): void {
-        // An old read must not undo what a feed said.
+        // A read that is older than what a feed said must not undo it.
+        if (page.version < newest) {
+            return;
+        }
         version = page.version;
+        newest = page.version;
         rows = new Map(page.rows.map(row => [row.key, row]));
         changed(rows);
     }
