--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -106,8 +106,8 @@
 }
 
 async function openGateway(door: RowStoreDoor, changes: Partial<GatewaySettings>): Promise<TestGateway> {
-    const [callers, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
-    const settings: GatewaySettings = { name: "g", dataCentre: "a", callers, readiness, peers, knownPeers: [],
+    const [callers, ready, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+    const settings: GatewaySettings = { name: "g", dataCentre: "a", callers, readiness: ready, peers, knownPeers: [],
         metrics: undefined, store: { host: door.address, port: door.port }, mostRowBytes: 65_536, grace: 8_000,
         drain: 2_000, mostEventDelay: 120, ...changes };
     const lines: { event: string; fields: LogFields; }[] = [];
@@ -120,7 +120,7 @@
         settings,
         door,
         lines,
-        ready: async () => (await get(settings.readiness.port, "/tamarackgauge/ready")).status,
+        ready: () => readiness(settings.readiness.port),
         async [Symbol.asyncDispose]() {
             await gateway[Symbol.asyncDispose]();
             await store[Symbol.asyncDispose]();
@@ -144,8 +144,23 @@
     await until(async () => await gateway.ready() === 200, "the gateway is ready");
 }
 
+/** What has an address for callers: a gateway in this process or one of its own. */
+export interface Callee {
+    readonly settings: { readonly callers: { readonly port: number; }; };
+}
+
+/** The status of a readiness address; 0 while nothing listens there. */
+export async function readiness(port: number): Promise<number> {
+    try {
+        return (await get(port, "/tamarackgauge/ready")).status;
+    }
+    catch {
+        return 0;
+    }
+}
+
 /** Makes a call. */
-export function call(gateway: TestGateway, { path, id, body, headers, agent }: TestCall): Promise<CallerAnswer> {
+export function call(gateway: Callee, { path, id, body, headers, agent }: TestCall): Promise<CallerAnswer> {
     return send(gateway.settings.callers.port, path, body, { "host": "fleet.test", "x-request-id": id, ...headers },
         agent);
 }
@@ -187,7 +202,8 @@
     });
 }
 
-function freeAddress(): Promise<{ host: string; port: number; }> {
+/** An address that nothing listens at. */
+export function freeAddress(): Promise<{ host: string; port: number; }> {
     return new Promise(resolve => {
         const server = createServer().listen(0, "127.0.0.1", () => {
             const { port } = server.address() as { port: number; };
--- /dev/null
+++ b/packages/gateway/test/process.test.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { call, createFleet, type Fleet, freeAddress, readiness, turn, until } from "./harness.ts";
+
+const main = join(import.meta.dirname, "../src/main.ts");
+const root = join(import.meta.dirname, "../../..");
+
+/** A gateway as a process of its own, as the platform starts it. */
+interface GatewayProcess extends AsyncDisposable {
+    readonly child: ChildProcess;
+    readonly settings: { readonly callers: { readonly port: number; };
+        readonly readiness: { readonly port: number; }; };
+    readonly file: string;
+    /** The exit code or the signal that ended it. */
+    readonly ended: Promise<number | string>;
+    log(): string;
+}
+
+async function startProcess(fleet: Fleet): Promise<GatewayProcess> {
+    const door = await fleet.rows.open();
+    const [callers, ready, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+    const folder = await mkdtemp(join(tmpdir(), "tamarackgauge-"));
+    const file = join(folder, "settings.conf");
+    await writeFile(file, [
+        "nodeName=g",
+        "ip=127.0.0.1",
+        "zone=a",
+        `bind.front=127.0.0.1:${callers.port}`,
+        `bind.readiness=127.0.0.1:${ready.port}`,
+        `bind.control=127.0.0.1:${peers.port}`,
+        `provider.address=${door.address}:${door.port}`,
+        "provider.rowBytes=65536",
+        "bounds.graceS=8",
+        "bounds.drainMs=2000",
+        "bounds.passMs=120",
+    ].join("\n"));
+    const child = spawn(process.execPath, ["--import", "tsx", main], { cwd: root, stdio: ["ignore", "pipe", "inherit"],
+        env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: file } });
+    let text = "";
+    child.stdout.on("data", (chunk: Buffer) => {
+        text += chunk.toString();
+    });
+    const ended = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
+    await until(async () => await readiness(ready.port) === 200, "the process is ready");
+    return {
+        child,
+        settings: { callers, readiness: ready },
+        file,
+        ended,
+        log: () => text,
+        async [Symbol.asyncDispose]() {
+            child.kill("SIGKILL");
+            await ended;
+            await rm(folder, { recursive: true });
+        },
+    };
+}
+
+test("SIGHUP reads the settings again and ends nothing (guards against a process that a changed setting ends)", async () => {
+    await using fleet = await createFleet();
+    await using gateway = await startProcess(fleet);
+    gateway.child.kill("SIGHUP");
+    await until(() => gateway.log().includes("settings.reloaded"), "the settings are read");
+    await writeFile(gateway.file, "nodeName=");
+    gateway.child.kill("SIGHUP");
+    await until(() => gateway.log().includes("settings.unreadable"), "unreadable settings are told");
+    assert.equal((await call(gateway, turn("t1", "p"))).status, 200);
+});
+
+test("SIGTERM ends the process when its answers have ended (guards against turns cut by a restart)", async () => {
+    await using fleet = await createFleet();
+    await using gateway = await startProcess(fleet);
+    const running = call(gateway, turn("t1", "p"));
+    await until(() => fleet.engine.ran.length === 1, "the turn runs");
+    gateway.child.kill("SIGTERM");
+    await until(async () => await readiness(gateway.settings.readiness.port) === 503,
+        "no more connections are asked for");
+    const late = await call(gateway, turn("t2", "q"));
+    assert.ok((await running).whole);
+    assert.ok(late.whole);
+    assert.equal(await gateway.ended, 0);
+});
+
+test("after the loss of all processes turns go on and budgets hold (guards against state kept in memory)", async () => {
+    await using fleet = await createFleet();
+    const budget = 400;
+    {
+        await using first = await startProcess(fleet);
+        assert.ok((await call(first, turn("t1", "p", undefined, budget))).whole);
+        first.child.kill("SIGKILL");
+        await first.ended;
+    }
+    await using second = await startProcess(fleet);
+    const answer = await call(second, turn("t2", "p", "t1", budget));
+    assert.ok(answer.whole);
+    assert.match(fleet.engine.ran[1]!.body, /^input of t1;event 1 of t1\n/);
+    let turns = 2;
+    while ((await call(second, turn(`t${turns + 1}`, "p", undefined, budget))).status === 200) {
+        turns += 1;
+    }
+    // Each turn generates 50 tokens; what the first process held counts as spent.
+    assert.ok(turns * 50 <= budget);
+    assert.ok(turns >= 4);
+});
