Refuse a turn that cannot be kept before it runs

Change: without any way to the store a turn that must be kept is refused at once. The new test fails without it.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -10,6 +10,8 @@
 export interface ExchangeParts extends SendParts {
     readonly budgets: Budgets;
     readonly turns: Turns;
+    /** No way to the store is open. */
+    readonly isStoreAway: () => boolean;
 }
 
 /** One call of a caller, from its last byte to the last byte of its answer. */
@@ -61,6 +63,11 @@
     }
 
     async function serveTurn(): Promise<void> {
+        // A turn that cannot be kept would run for nothing, also if its tokens are granted and its history is at hand.
+        if (route.retention !== undefined && parts.isStoreAway()) {
+            answerSelf(storeAway());
+            return;
+        }
         const reserved = budgets.reserve(budgeted());
         const previous = route.retention === undefined || head.previousTurn === undefined
             ? []
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,7 +61,8 @@
     const budgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`, now });
     const turns = createTurns({ store, mostRowBytes: settings.mostRowBytes, metrics, now });
     const front = await createFront({ ...settings.callers, upstreams, declaration: () => declaration, budgets, turns,
-        log, metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarations.age() });
+        isStoreAway: () => store.isAway(), log, metrics, now, dataCentre: settings.dataCentre,
+        declarationAge: () => declarations.age() });
     const declarations = watchTable({ store, log, now, ...declarationRow, changed: takeDeclaration });
     const entries = watchTable({ store, log, now, ...upstreamTable, changed: takeEntries });
     const readiness = createServer((request, response) => {
--- a/packages/gateway/test/outages.test.ts
+++ b/packages/gateway/test/outages.test.ts
@@ -46,6 +46,18 @@
     assert.equal((await call(gateway, turn("t2", "p"))).status, 200);
 });
 
+test("a turn that cannot be kept does not run, though its tokens are granted (guards against work for nothing)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    assert.equal((await call(gateway, turn("t1", "p"))).status, 200);
+    gateway.door.setTrouble({ mode: "reset" });
+    await until(async () => await gateway.ready() === 503, "the outage is known");
+    const granted = await call(gateway, turn("t2", "p", "t1"));
+    assert.equal(granted.status, 503);
+    assert.equal(fleet.engine.ran.length, 1);
+});
+
 test("a feed that lost its history is read anew (guards against an upstream that left in the gap)", async () => {
     await using fleet = await createFleet();
     const gateway = await fleet.startGateway();
