Log by which way the store is reached; make two tests independent of timing

Change: a line store.way at each change. The test of a turn's last event raced the end of its stream: the engine stand-in now waits before the last event until it is told. Test addresses are taken below the kernel's range for connections, which could take a port between its choice and its use.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,7 +46,7 @@
     const health = createStoreHealth();
     const metrics = createMetrics();
     const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? [], now });
-    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, now });
+    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, log, now });
     const peerServer = settings.peers === undefined
         ? undefined
         : await createPeerServer({ address: settings.peers, store: direct, health, log, now });
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -1,4 +1,5 @@
 import { type Store, StoreError, type StoreHealth } from "@tamarackgauge/core/gateway";
+import type { Log } from "./log.ts";
 import type { Metrics, StoreCallKind, StoreWay } from "./metrics.ts";
 import type { PeerStore } from "./peerStore.ts";
 
@@ -14,6 +15,7 @@
     readonly peers: PeerStore;
     readonly health: StoreHealth;
     readonly metrics: Metrics;
+    readonly log: Log;
     readonly now: () => number;
 }
 
@@ -21,7 +23,18 @@
  * Creates a store whose calls go directly while it answers, else through another gateway. Without any way a call fails at
  * once.
  */
-export function createRoutedStore({ direct, peers, health, metrics, now }: RoutedStoreParts): RoutedStore {
+export function createRoutedStore({ direct, peers, health, metrics, log, now }: RoutedStoreParts): RoutedStore {
+    let lastWay: StoreWay | "none" = "direct";
+
+    function currentWay(): StoreWay | "none" {
+        const way = !health.isAway(now()) ? "direct" : peers.hasWay() ? "peer" : "none";
+        if (way !== lastWay) {
+            log.warn("store.way", { way, before: lastWay });
+            lastWay = way;
+        }
+        return way;
+    }
+
     async function probed<Value>(kind: StoreCallKind, call: () => Promise<Value>): Promise<Value> {
         const probe = health.begin(now(), kind === "feed");
         try {
@@ -48,7 +61,7 @@
     }
 
     function route<Value>(kind: StoreCallKind, call: (store: Store) => Promise<Value>): Promise<Value> {
-        if (!health.isAway(now())) {
+        if (currentWay() === "direct") {
             return probed(kind, () => call(direct));
         }
         if (!peers.mayTry()) {
@@ -61,7 +74,7 @@
         read: (range, options) => route("read", store => store.read(range, options)),
         change: (change, options) => route("change", store => store.change(change, options)),
         feed(table, after, wait) {
-            if (!health.isAway(now())) {
+            if (currentWay() === "direct") {
                 return probed("feed", () => direct.feed(table, after, wait));
             }
             // The direct way is asked meanwhile, so that its return is noticed.
@@ -72,7 +85,7 @@
             probe.catch(() => undefined);
             return counted("feed", "peer", peers.feed(table, after, Math.min(wait, relayedFeedWait)));
         },
-        isAway: () => health.isAway(now()) && !peers.hasWay(),
+        isAway: () => currentWay() === "none",
     };
 }
 
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -202,12 +202,17 @@
     });
 }
 
+/** Ports below those that the kernel gives to connections, so that no connection takes a port before it is listened at. */
+const firstPort = 10_000;
+const portCount = 22_000;
+
 /** An address that nothing listens at. */
 export function freeAddress(): Promise<{ host: string; port: number; }> {
+    const host = "127.0.0.1";
+    const port = firstPort + Math.floor(Math.random() * portCount);
     return new Promise(resolve => {
-        const server = createServer().listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as { port: number; };
-            server.close(() => resolve({ host: "127.0.0.1", port }));
-        });
+        const server = createServer();
+        server.once("error", () => resolve(freeAddress()));
+        server.listen({ host, port }, () => server.close(() => resolve({ host, port })));
     });
 }
--- a/packages/gateway/test/outages.test.ts
+++ b/packages/gateway/test/outages.test.ts
@@ -16,7 +16,11 @@
         assert.equal(answer.status, 200, mode);
         assert.equal(await cut.ready(), 200, mode);
         cut.door.setTrouble(undefined);
+        await until(() => cut.lines.filter(({ event }) => event === "store.way").at(-1)?.fields.way === "direct",
+            "the store is back");
     }
+    const ways = cut.lines.filter(({ event }) => event === "store.way").map(({ fields }) => fields.way);
+    assert.ok(ways.includes("peer"), "the log says by which way the store is reached");
 });
 
 test("a gateway that starts while the store turns it away learns all from another (guards against a dead start)", async () => {
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -30,9 +30,11 @@
     setTrouble(undefined);
     await until(async () => (await call(parts.one, turn("t2", "p"))).status === 200, "the store is back");
     // The budget's row is written, then the turn's row is refused.
+    parts.fleet.engine.behave("pause");
     const answering = call(parts.one, turn("t3", "p"));
-    await until(() => parts.fleet.engine.ran.some(({ id }) => id === "t3"), "the turn runs");
+    await until(() => parts.fleet.engine.paused() === 1, "the turn runs");
     setTrouble({ mode: "busy", call: "change" });
+    parts.fleet.engine.resume();
     const broken = await answering;
     assert.equal(broken.whole, false);
     assert.doesNotMatch(broken.body, /event 5/);
--- a/packages/standin/src/fleetEngine.ts
+++ b/packages/standin/src/fleetEngine.ts
@@ -3,12 +3,14 @@
 import type { Standin } from "./listener.ts";
 
 /**
- * What an upstream does with the next calls. `serve` answers; `refuse` answers 503 and says that it did not run;
+ * What an upstream does with the next calls. `serve` answers; `pause`
+ * streams all events but the last and waits for `resume`; `refuse` answers 503 and says that it did not run;
  * `fail` runs and answers 500; `lose` runs and resets the connection; `break` streams some events and resets;
  * `foreign` answers with the identity of another call; `unsigned` answers without its signature; `silent` runs and
  * never answers.
  */
-export type FleetBehaviour = "serve" | "refuse" | "fail" | "lose" | "break" | "foreign" | "unsigned" | "silent";
+export type FleetBehaviour = "serve" | "pause" | "refuse" | "fail" | "lose" | "break" | "foreign" | "unsigned"
+    | "silent";
 
 /** A call that an upstream ran. */
 export interface RanCall {
@@ -28,6 +30,10 @@
     readonly cancelled: readonly string[];
     /** Each call takes the next behaviour; without one left, `serve`. */
     behave(...behaviours: readonly FleetBehaviour[]): void;
+    /** Calls that wait before their last event. */
+    paused(): number;
+    /** Lets the waiting calls go on. */
+    resume(): void;
 }
 
 /** Options of an upstream; times in milliseconds. */
@@ -45,6 +51,7 @@
     const behaviours: FleetBehaviour[] = [];
     const ran: RanCall[] = [];
     const cancelled: string[] = [];
+    const waiting: (() => void)[] = [];
     const server = createServer((request, response) => {
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -91,7 +98,7 @@
         }
         else {
             response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
-            await stream(call, response, behaviour === "break" ? brokenAfter : events);
+            await stream(call, response, behaviour === "break" ? brokenAfter : events, behaviour === "pause");
             if (behaviour === "break") {
                 response.socket?.resetAndDestroy();
             }
@@ -101,9 +108,12 @@
         }
     }
 
-    async function stream(call: RanCall, response: ServerResponse, last: number): Promise<void> {
+    async function stream(call: RanCall, response: ServerResponse, last: number, pauses: boolean): Promise<void> {
         const first = Number(call.headers["last-event-id"] ?? 0) + 1;
         for (let event = first; event <= last; event += 1) {
+            if (pauses && event === last) {
+                await new Promise<void>(resolve => waiting.push(resolve));
+            }
             await new Promise(resolve => setTimeout(resolve, eventDelay));
             response.write(`id: ${event}\ndata: event ${event} of ${call.id}\n\n`);
         }
@@ -119,6 +129,8 @@
         address: "127.0.0.1",
         port,
         url: `http://127.0.0.1:${port}`,
+        paused: () => waiting.length,
+        resume: () => waiting.splice(0).forEach(go => go()),
         behave: (...next) => void behaviours.push(...next),
         async [Symbol.asyncDispose]() {
             server.closeAllConnections();
