Split sends and budgets; do not take a caller's leaving for an upstream's failure; prefer the last turn's engine

Change: attempt.ts has one send, budgetRow.ts the row of a budget, pause.ts the pause. A turn expects all but its last part at the engine of the turn before.

--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -63,7 +63,7 @@
     const usable = [...upstreams].filter(({ entry }) => !entry.draining && !demand.tried.has(entry.id));
     const assumed = assumedTokens(usable, demand.parts[0]);
     for (const upstream of usable) {
-        const kept = Math.max(upstream.cache.matched(demand.parts), assumed.get(upstream) ?? 0);
+        const kept = keptTokens(upstream, demand, assumed.get(upstream) ?? 0);
         const suspension = upstream.isSuspended(now) ? suspendedCost : 0;
         const cost = costOf(upstream, demand, kept, costs, now) + random() * costs.spread + suspension;
         if (cost < least) {
@@ -77,6 +77,16 @@
 /** A suspended upstream is still better than none. */
 const suspendedCost = 1e6;
 
+/** Tokens of the prompt that an upstream is believed to keep. */
+function keptTokens(upstream: UpstreamState, { parts, preferred }: Demand, assumed: number): number {
+    const known = Math.max(upstream.cache.matched(parts), assumed);
+    if (upstream.entry.id !== preferred) {
+        return known;
+    }
+    // The previous turn ran there, also if another gateway sent it; only the last part is new.
+    return Math.max(known, parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0));
+}
+
 /** Share of a prompt's first part that its first and second engine in each data centre are assumed to keep. */
 const assumedShares = [0.9, 0.5];
 
--- a/packages/core/src/gateway/settings.ts
+++ b/packages/core/src/gateway/settings.ts
@@ -23,8 +23,4 @@
     readonly mostRowBytes: number;
     /** A process that was told to stop is killed after this time. */
     readonly grace: number;
-    /** An upstream keeps serving for at least this long after it reported that it drains. */
-    readonly drain: number;
-    /** The longest that an event may be held back. */
-    readonly mostEventDelay: number;
 }
--- a/packages/core/test/gateway/choice.test.ts
+++ b/packages/core/test/gateway/choice.test.ts
@@ -68,3 +68,13 @@
     assert.ok(picks.every(engines => engines.size === 1));
     assert.ok(new Set(picks.flatMap(engines => [...engines])).size >= 4);
 });
+
+test("a turn goes to the engine of the turn before, whoever sent that (guards against reading a history again)", () => {
+    const parts = [{ id: "p", tokens: 12_000 }, { id: "turn-1", tokens: 2_000 }, { id: "turn-2", tokens: 900 }];
+    const pool = ["a", "b", "c", "d"].map(id => upstream(id));
+    for (const { entry } of pool) {
+        assert.equal(choose(pool, { ...demand, parts, promptTokens: 14_900, preferred: entry.id }), entry.id);
+    }
+    pool[0]!.inFlight = 20;
+    assert.notEqual(choose(pool, { ...demand, parts, promptTokens: 14_900, preferred: "a" }), "a");
+});
--- /dev/null
+++ b/packages/gateway/src/attempt.ts
@@ -0,0 +1,143 @@
+import type { AnswerHead, AttemptFailure } from "@tamarackgauge/core/gateway";
+import { encodeRequest } from "@tamarackgauge/platform";
+import type { IncomingHttpHeaders } from "node:http";
+import type { WholeAnswer } from "./callerAnswer.ts";
+import type { SendPlan } from "./sends.ts";
+import type { Upstream } from "./upstreams.ts";
+
+/** How one send of a call ended. */
+export type AttemptEnd =
+    | { readonly kind: "answer"; readonly answer: WholeAnswer; }
+    | { readonly kind: "streamed"; }
+    | FailedAttempt;
+
+/** A send without an answer for the caller. */
+export interface FailedAttempt {
+    readonly kind: "failure";
+    readonly failure: AttemptFailure;
+    readonly reason: string;
+    /** The call never left this process: no connection could be made. */
+    readonly unreachable: boolean;
+    /** The upstream's own answer that it failed. */
+    readonly answer?: WholeAnswer;
+}
+
+/** One send of a call to one upstream. */
+export interface Attempt {
+    readonly end: Promise<AttemptEnd>;
+    /** False only if the call certainly never left this process. */
+    wasSent(): boolean;
+    /** Stops the upstream's work; the attempt ends with a failure. */
+    cancel(): void;
+}
+
+/** A repeatable call without an answer is given to another upstream after this many times its target. */
+const patienceOfTarget = 4;
+const fewestPatience = 150;
+
+/** Sends a call to an upstream. */
+export function startAttempt({ state, client }: Upstream, plan: SendPlan, now: () => number): Attempt {
+    const { call, sink } = plan;
+    const chunks: Buffer[] = [];
+    let answer: { readonly head: AnswerHead; readonly headers: IncomingHttpHeaders; } | undefined;
+    let streaming = false;
+    let over = false;
+    let resolveEnd: (end: AttemptEnd) => void;
+    const end = new Promise<AttemptEnd>(resolve => {
+        resolveEnd = resolve;
+    });
+    const patience = silenceLimit(plan);
+    const timer = patience === undefined ? undefined : setTimeout(() => stop("no answer in time"), patience);
+
+    function finish(result: AttemptEnd): void {
+        if (over) {
+            return;
+        }
+        over = true;
+        clearTimeout(timer);
+        state.inFlight -= 1;
+        resolveEnd(result);
+    }
+
+    function stop(reason: string): void {
+        sending.cancel();
+        finish(failure("unknown", reason));
+    }
+
+    function takeHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
+        answer = { head, headers };
+        if (head.load !== undefined) {
+            state.report(head.load, now());
+        }
+        if (sink !== undefined && isSuccess(head.status) && isGenuine(head)) {
+            clearTimeout(timer);
+            streaming = true;
+            sink.begin(head.status, headers);
+        }
+    }
+
+    function takeEnd(): AttemptEnd {
+        if (streaming) {
+            return { kind: "streamed" };
+        }
+        const { head, headers } = answer!;
+        return judge(head, { status: head.status, headers, body: Buffer.concat(chunks) });
+    }
+
+    state.inFlight += 1;
+    state.cache.use(call.head.parts);
+    const sending = client.send({
+        call: call.head.id,
+        method: call.method,
+        path: call.path,
+        headers: encodeRequest(call.rawHeaders, {
+            upstream: state.entry.id,
+            deadline: call.endsAt - now(),
+            priority: plan.priority,
+            resumeAfter: sink?.resumeAfter(),
+        }),
+        body: call.body,
+    }, {
+        head: takeHead,
+        data: chunk => streaming ? sink!.data(chunk) : void chunks.push(chunk),
+        end: () => finish(takeEnd()),
+        fail: (sent, reason) => finish({ ...failure(sent ? "unknown" : "notRun", reason), unreachable: !sent }),
+    });
+
+    return { end, wasSent: () => sending.wasSent(), cancel: () => stop("cancelled") };
+}
+
+/** How long an upstream may be silent before a call that may run again goes elsewhere. */
+function silenceLimit({ call: { route } }: SendPlan): number | undefined {
+    return route.execution === "repeatable" && !route.streamed
+        ? Math.max(fewestPatience, route.target * patienceOfTarget)
+        : undefined;
+}
+
+/** Judges an answer that has arrived whole. */
+function judge(head: AnswerHead, answer: WholeAnswer): AttemptEnd {
+    if (head.notRun) {
+        return failure("notRun", `the upstream refused with ${head.status}`);
+    }
+    if (!isGenuine(head) && isSuccess(head.status)) {
+        return failure("unknown", "the answer is not the upstream's own");
+    }
+    if (head.encoded) {
+        return failure("unknown", "the answer is encoded");
+    }
+    return head.status >= 500
+        ? { ...failure("failed", `the upstream answered ${head.status}`), answer }
+        : { kind: "answer", answer };
+}
+
+function failure(kind: AttemptFailure, reason: string): FailedAttempt {
+    return { kind: "failure", failure: kind, reason, unreachable: false };
+}
+
+function isSuccess(status: number): boolean {
+    return status >= 200 && status < 300;
+}
+
+function isGenuine({ signed, encoded }: AnswerHead): boolean {
+    return signed && !encoded;
+}
--- /dev/null
+++ b/packages/gateway/src/budgetRow.ts
@@ -0,0 +1,57 @@
+import { emptyLedger, hash, type Store, type StoreRow, type TokenLedger } from "@tamarackgauge/core/gateway";
+import { pack, unpack } from "msgpackr";
+
+/** A program's ledger as this gateway knows it, and the version of the row that it is from. */
+export interface KnownLedger {
+    readonly ledger: TokenLedger;
+    /** 0 if no row is known. */
+    readonly version: number;
+}
+
+/** The ledger of a program without a row. */
+export const noLedger: KnownLedger = { ledger: emptyLedger, version: 0 };
+
+const table = "budgets";
+const parts = 64;
+
+/** Writes a ledger over the known one; if the row has changed meanwhile, gives the present one instead. */
+export async function replaceLedger(
+    store: Store,
+    program: string,
+    known: KnownLedger,
+    ledger: TokenLedger,
+    timeout: number,
+): Promise<KnownLedger & { readonly written: boolean; }> {
+    const name = rowOf(program);
+    const result = await store.change({
+        conditions: [{ ...name, version: known.version }],
+        puts: [{ ...name, value: encode(ledger) }],
+    }, { timeout });
+    return result.applied
+        ? { ledger, version: result.version, written: true }
+        : { ...ledgerOf(result.rows[0]), written: false };
+}
+
+/** Reads the present ledger of a program. */
+export async function readLedger(store: Store, program: string, timeout: number): Promise<KnownLedger> {
+    const { key, ...place } = rowOf(program);
+    const page = await store.read({ ...place, from: key, to: `${key}\0`, limit: 1 }, { timeout });
+    return ledgerOf(page.rows[0]);
+}
+
+function rowOf(program: string) {
+    return { table, part: String(hash(program) % parts), key: program };
+}
+
+function ledgerOf(row: StoreRow | undefined): KnownLedger {
+    return row === undefined ? noLedger : { ledger: decode(row.value), version: row.version };
+}
+
+function encode({ spent, grants }: TokenLedger): Buffer {
+    return Buffer.from(pack([spent, grants.map(({ holder, serial, tokens }) => [holder, serial, tokens])]));
+}
+
+function decode(value: Buffer): TokenLedger {
+    const [spent, grants] = unpack(value) as [number, [string, number, number][]];
+    return { spent, grants: grants.map(([holder, serial, tokens]) => ({ holder, serial, tokens })) };
+}
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -1,6 +1,6 @@
-import { emptyLedger, grantOf, hash, renewGrant, type Store, StoreError,
-    type TokenLedger } from "@tamarackgauge/core/gateway";
-import { pack, unpack } from "msgpackr";
+import { grantOf, renewGrant, type Store, StoreError, type TokenLedger } from "@tamarackgauge/core/gateway";
+import { type KnownLedger, noLedger, readLedger, replaceLedger } from "./budgetRow.ts";
+import { pause } from "./pause.ts";
 import { persist, urgentPersistence } from "./persist.ts";
 
 /** How a reservation ended. */
@@ -33,8 +33,6 @@
     readonly now: () => number;
 }
 
-const table = "budgets";
-const parts = 64;
 /** A grant is taken for this many further turns. */
 const turnsAhead = 2;
 /** A grant without a running turn is given back after this, in ms: others must see what is left after a second. */
@@ -61,9 +59,7 @@
 /** A program's budget as this gateway knows it. */
 interface Account {
     readonly program: string;
-    ledger: TokenLedger;
-    /** Version of the row that `ledger` is from; 0 if no row is known. */
-    version: number;
+    known: KnownLedger;
     /** Tokens that the own grant in the row holds. */
     granted: number;
     /** Tokens generated under the grant since it was written. */
@@ -147,7 +143,7 @@
                 return;
             }
             if (mayBeReturned(account) && now() - since < longestWait) {
-                await new Promise(resolve => setTimeout(resolve, waitInterval));
+                await pause(waitInterval);
                 return;
             }
             account.wishes.shift();
@@ -159,8 +155,8 @@
     }
 
     /** Other gateways hold tokens that they may not need. */
-    function mayBeReturned({ ledger }: Account): boolean {
-        return ledger.grants.some(grant => grant.holder !== holder && grant.tokens > 0);
+    function mayBeReturned({ known }: Account): boolean {
+        return known.ledger.grants.some(grant => grant.holder !== holder && grant.tokens > 0);
     }
 
     function refuseWaiting(account: Account, error: unknown): void {
@@ -179,16 +175,18 @@
             const granted = await persist(async timeout => {
                 for (;;) {
                     reconcile(account, write);
-                    const next = renewGrant(account.ledger, { ...rest, ...write });
+                    const next = renewGrant(account.known.ledger, { ...rest, ...write });
                     if (next === undefined) {
                         // Only the newest row may refuse: another gateway may have given back since.
-                        if (await isCurrent(account, timeout)) {
+                        const { version } = account.known;
+                        account.known = await readLedger(store, account.program, timeout);
+                        if (account.known.version === version) {
                             return undefined;
                         }
                         continue;
                     }
-                    if (next === account.ledger || await writeRow(account, next, timeout)) {
-                        return grantOf(account.ledger, holder)?.tokens ?? 0;
+                    if (next === account.known.ledger || await replace(account, next, timeout)) {
+                        return grantOf(account.known.ledger, holder)?.tokens ?? 0;
                     }
                 }
             }, urgentPersistence);
@@ -209,34 +207,17 @@
     /** A write whose answer was lost counts once the row shows it; what it settled is not settled again. */
     function reconcile(account: Account, write: GrantWrite): void {
         const { uncertain } = account;
-        if (uncertain !== undefined && grantOf(account.ledger, holder)?.serial === uncertain.serial) {
+        if (uncertain !== undefined && grantOf(account.known.ledger, holder)?.serial === uncertain.serial) {
             account.uncertain = undefined;
             account.used -= uncertain.used;
             write.used -= uncertain.used;
         }
     }
 
-    async function writeRow(account: Account, ledger: TokenLedger, timeout: number): Promise<boolean> {
-        const name = rowOf(account.program);
-        const result = await store.change({
-            conditions: [{ ...name, version: account.version }],
-            puts: [{ ...name, value: encode(ledger) }],
-        }, { timeout });
-        if (result.applied) {
-            account.ledger = ledger;
-            account.version = result.version;
-            return true;
-        }
-        take(account, result.rows[0]);
-        return false;
-    }
-
-    async function isCurrent(account: Account, timeout: number): Promise<boolean> {
-        const { table: name, part, key } = rowOf(account.program);
-        const page = await store.read({ table: name, part, from: key, to: `${key}\0`, limit: 1 }, { timeout });
-        const current = (page.rows[0]?.version ?? 0) === account.version;
-        take(account, page.rows[0]);
-        return current;
+    async function replace(account: Account, ledger: TokenLedger, timeout: number): Promise<boolean> {
+        const { written, ...known } = await replaceLedger(store, account.program, account.known, ledger, timeout);
+        account.known = known;
+        return written;
     }
 
     function schedule(account: Account, delay: number): void {
@@ -292,24 +273,6 @@
 }
 
 function createAccount(program: string): Account {
-    return { program, ledger: emptyLedger, version: 0, granted: 0, used: 0, running: 0, uncertain: undefined,
-        wishes: [], writing: false, timer: undefined, usedAt: 0 };
-}
-
-function take(account: Account, row: { readonly value: Buffer; readonly version: number; } | undefined): void {
-    account.version = row?.version ?? 0;
-    account.ledger = row === undefined ? emptyLedger : decode(row.value);
-}
-
-function rowOf(program: string) {
-    return { table, part: String(hash(program) % parts), key: program };
-}
-
-function encode({ spent, grants }: TokenLedger): Buffer {
-    return Buffer.from(pack([spent, grants.map(({ holder, serial, tokens }) => [holder, serial, tokens])]));
-}
-
-function decode(value: Buffer): TokenLedger {
-    const [spent, grants] = unpack(value) as [number, [string, number, number][]];
-    return { spent, grants: grants.map(([holder, serial, tokens]) => ({ holder, serial, tokens })) };
+    return { program, known: noLedger, granted: 0, used: 0, running: 0, uncertain: undefined, wishes: [],
+        writing: false, timer: undefined, usedAt: 0 };
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -50,7 +50,7 @@
     let expired = false;
     const timer = setTimeout(() => {
         expired = true;
-        sends?.cancel();
+        sends?.cancel("late");
     }, call.endsAt - startedAt);
 
     async function run(): Promise<void> {
@@ -206,7 +206,7 @@
 
     function abandon(): void {
         left = true;
-        sends?.cancel();
+        sends?.cancel("left");
     }
 
     return { route: route.name, done: run(), abandon };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { createFront, listen } from "./front.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
+import { pause } from "./pause.ts";
 import { createPeerList, type PeerList } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
@@ -122,10 +123,10 @@
         const started = now();
         stopping = true;
         log.info("gateway.stopping", { active: front.active() });
-        await sleep(rotationTime);
+        await pause(rotationTime);
         const rest = settings.grace - exitMargin - (now() - started);
-        await Promise.race([front.drain(), sleep(rest)]);
-        await Promise.race([budgets.flush(), sleep(300)]);
+        await Promise.race([front.drain(), pause(rest)]);
+        await Promise.race([budgets.flush(), pause(300)]);
         log.info("gateway.stopped", { active: front.active() });
     }
 
@@ -158,7 +159,3 @@
     await listen(server, host, port);
     return server;
 }
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -1,4 +1,5 @@
 import { StoreError } from "@tamarackgauge/core/gateway";
+import { pause as sleep } from "./pause.ts";
 
 /** How a call of the store is repeated. Times are in milliseconds. */
 export interface Persistence {
@@ -41,7 +42,7 @@
             if (hopeless || performance.now() - started + delay > giveUpAfter) {
                 throw error;
             }
-            await new Promise(resolve => setTimeout(resolve, delay));
+            await sleep(delay);
         }
     }
 }
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,11 +1,12 @@
-import { type AnswerHead, type AttemptFailure, type CallHead, type Declaration, type Demand, hash, nextStep,
-    pickService, type ServiceRoute } from "@tamarackgauge/core/gateway";
-import { encodeRequest, type RawHeaders } from "@tamarackgauge/platform";
+import { type AttemptFailure, type CallHead, type Declaration, type Demand, hash, nextStep, pickService,
+    type ServiceRoute } from "@tamarackgauge/core/gateway";
+import type { RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
+import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { WholeAnswer } from "./callerAnswer.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import type { Sending } from "./upstreamClient.ts";
+import { pause } from "./pause.ts";
 import type { Upstream, Upstreams } from "./upstreams.ts";
 
 /** A call that has been read whole. Times are monotonic milliseconds. */
@@ -53,9 +54,12 @@
 export interface Sends {
     readonly result: Promise<SendResult>;
     /** Stops the upstream's work on the call; the result becomes `cancelled`. */
-    cancel(): void;
+    cancel(reason: CancelReason): void;
 }
 
+/** `left`: the caller has gone. `late`: the time limit was reached, which may be the upstream's fault. */
+export type CancelReason = "left" | "late";
+
 /** What a call is like for its sends. */
 export interface SendPlan {
     readonly call: ReadCall;
@@ -70,40 +74,29 @@
 const mostSends = 4;
 /** Pause before an upstream that had no room is asked again, in ms; it grows with each send. */
 const fullPause = 15;
-/** A repeatable call without an answer is given to another upstream after this many times its target. */
-const patienceOfTarget = 4;
-const fewestPatience = 150;
-
-type AttemptEnd =
-    | { readonly kind: "answer"; readonly answer: WholeAnswer; }
-    | { readonly kind: "streamed"; }
-    | { readonly kind: "failure"; readonly failure: AttemptFailure; readonly reason: string;
-        /** The upstream may be gone: its connection was refused. */
-        readonly unreachable: boolean; readonly answer?: WholeAnswer; };
 
 /** Starts to send a call. */
 export function startSends({ upstreams, declaration, dataCentre, metrics, log, now }: SendParts,
     plan: SendPlan): Sends {
-    const { call, sink } = plan;
+    const { call } = plan;
     const { route, head } = call;
     const tried = new Set<string>();
     const reached = new Set<string>();
-    let current: Sending | undefined;
-    let cancelled = false;
-    let onCancel: (() => void) | undefined;
-    let sent = false;
+    // Once a send's fate is unknown, no later refusal may say that the call has not run.
+    let worst: AttemptFailure = "notRun";
+    let current: Attempt | undefined;
+    let cancelled: CancelReason | undefined;
+    let sentAtCancel = false;
 
     async function run(): Promise<SendResult> {
-        let last: AttemptEnd & { kind: "failure"; } | undefined;
-        // Once a send's fate is unknown, no later refusal may say that the call has not run.
-        let worst: AttemptFailure = "notRun";
-        for (let sends = 1; !cancelled; sends += 1) {
+        let last: FailedAttempt | undefined;
+        for (let sends = 1; cancelled === undefined; sends += 1) {
             const upstream = pick();
             if (upstream === undefined) {
                 break;
             }
             const end = await attempt(upstream);
-            if (cancelled) {
+            if (cancelled !== undefined) {
                 break;
             }
             if (end.kind !== "failure") {
@@ -118,11 +111,11 @@
                 break;
             }
             if (end.failure === "notRun" && !end.unreachable) {
-                await sleep(fullPause * sends);
+                await pause(fullPause * sends);
             }
         }
-        if (cancelled) {
-            return { kind: "cancelled", sent };
+        if (cancelled !== undefined) {
+            return { kind: "cancelled", sent: sentAtCancel || worst !== "notRun" };
         }
         return { kind: "failed", failure: worst, reason: last?.reason ?? "no upstream takes calls",
             ...last?.answer === undefined ? {} : { answer: last.answer } };
@@ -152,142 +145,29 @@
         return pickService(newest, hash(head.program ?? head.id) / 2 ** 32);
     }
 
-    function attempt(upstream: Upstream): Promise<AttemptEnd> {
-        return new Promise(resolve => {
-            const { state, client } = upstream;
-            const chunks: Buffer[] = [];
-            let answer: { readonly head: AnswerHead; readonly headers: IncomingHttpHeaders; } | undefined;
-            let streaming = false;
-            let over = false;
-            const patience = silenceLimit();
-            const timer = patience === undefined ? undefined : setTimeout(() => {
-                current?.cancel();
-                finish(failure("unknown", "no answer in time"));
-            }, patience);
-
-            function finish(end: AttemptEnd): void {
-                if (over) {
-                    return;
-                }
-                over = true;
-                clearTimeout(timer);
-                state.inFlight -= 1;
-                metrics.sendEnded(state.entry.service, end.kind === "failure" ? end.failure : "answered");
-                current = undefined;
-                onCancel = undefined;
-                if (end.kind === "failure" && end.failure !== "notRun") {
-                    state.failed(now());
-                }
-                else if (end.kind === "failure" && end.unreachable) {
-                    state.failed(now());
-                }
-                else if (end.kind !== "failure") {
-                    state.succeeded();
-                }
-                resolve(end);
-            }
-
-            function ended(): AttemptEnd {
-                if (streaming) {
-                    return { kind: "streamed" };
-                }
-                const { head: answerHead, headers } = answer!;
-                return judge(answerHead, { status: answerHead.status, headers, body: Buffer.concat(chunks) });
-            }
-
-            state.inFlight += 1;
-            state.cache.use(head.parts);
-            onCancel = () => finish(failure("unknown", "cancelled"));
-            current = client.send({
-                call: head.id,
-                method: call.method,
-                path: call.path,
-                headers: encodeRequest(call.rawHeaders, {
-                    upstream: state.entry.id,
-                    deadline: call.endsAt - now(),
-                    priority: plan.priority,
-                    resumeAfter: sink?.resumeAfter(),
-                }),
-                body: call.body,
-            }, {
-                head(answerHead, headers) {
-                    sent = sent || !answerHead.notRun;
-                    reached.add(state.entry.id);
-                    answer = { head: answerHead, headers };
-                    if (answerHead.load !== undefined) {
-                        state.report(answerHead.load, now());
-                    }
-                    if (sink !== undefined && isSuccess(answerHead.status) && isGenuine(answerHead)) {
-                        clearTimeout(timer);
-                        streaming = true;
-                        sink.begin(answerHead.status, headers);
-                    }
-                },
-                data(chunk) {
-                    if (streaming) {
-                        sink!.data(chunk);
-                    }
-                    else {
-                        chunks.push(chunk);
-                    }
-                },
-                end: () => finish(ended()),
-                fail(wasSent, reason) {
-                    sent = sent || wasSent;
-                    if (wasSent) {
-                        reached.add(state.entry.id);
-                    }
-                    finish({ ...failure(wasSent ? "unknown" : "notRun", reason), unreachable: !wasSent });
-                },
-            });
-        });
-    }
-
-    /** How long an upstream may be silent before a call that may run again goes elsewhere. */
-    function silenceLimit(): number | undefined {
-        return route.execution === "repeatable" && !route.streamed
-            ? Math.max(fewestPatience, route.target * patienceOfTarget)
-            : undefined;
+    async function attempt(upstream: Upstream): Promise<AttemptEnd> {
+        const { state } = upstream;
+        current = startAttempt(upstream, plan, now);
+        const end = await current.end;
+        if (end.kind !== "failure" || !end.unreachable) {
+            reached.add(state.entry.id);
+        }
+        current = undefined;
+        metrics.sendEnded(state.entry.service, end.kind === "failure" ? end.failure : "answered");
+        if (end.kind !== "failure") {
+            state.succeeded();
+        }
+        else if (cancelled !== "left" && (end.failure !== "notRun" || end.unreachable)) {
+            state.failed(now());
+        }
+        return end;
     }
 
-    function cancel(): void {
-        cancelled = true;
-        sent = sent || current?.wasSent() === true;
+    function cancel(reason: CancelReason): void {
+        cancelled = reason;
+        sentAtCancel = current?.wasSent() === true;
         current?.cancel();
-        onCancel?.();
     }
 
     return { result: run(), cancel };
 }
-
-function failure(kind: AttemptFailure, reason: string): AttemptEnd & { kind: "failure"; } {
-    return { kind: "failure", failure: kind, reason, unreachable: false };
-}
-
-/** Judges an answer that has arrived whole. */
-function judge(head: AnswerHead, answer: WholeAnswer): AttemptEnd {
-    if (head.notRun) {
-        return failure("notRun", `the upstream refused with ${head.status}`);
-    }
-    if (!isGenuine(head) && isSuccess(head.status)) {
-        return failure("unknown", "the answer is not the upstream's own");
-    }
-    if (head.encoded) {
-        return failure("unknown", "the answer is encoded");
-    }
-    return head.status >= 500
-        ? { ...failure("failed", `the upstream answered ${head.status}`), answer }
-        : { kind: "answer", answer };
-}
-
-function isSuccess(status: number): boolean {
-    return status >= 200 && status < 300;
-}
-
-function isGenuine({ signed, encoded }: AnswerHead): boolean {
-    return signed && !encoded;
-}
-
-function sleep(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/gateway/src/watch.ts
+++ b/packages/gateway/src/watch.ts
@@ -1,5 +1,6 @@
 import { type FeedResult, type RowPage, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
+import { pause as sleep } from "./pause.ts";
 
 /** Follows the rows of one table. */
 export interface TableWatch extends AsyncDisposable {
@@ -44,7 +45,7 @@
                     throw error;
                 }
                 log.info("store.watch.failed", { table, failure: error.failure, reason: error.message });
-                await new Promise(resolve => setTimeout(resolve, pause));
+                await sleep(pause);
                 pause = Math.min(longestPause, pause * 2);
             }
         }
--- a/packages/gateway/test/calls.test.ts
+++ b/packages/gateway/test/calls.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { call, createFleet, until, untilReady } from "./harness.ts";
+import { call, createFleet, leave, until, untilReady } from "./harness.ts";
 
 async function start() {
     const fleet = await createFleet();
@@ -131,3 +131,24 @@
     await new Promise(resolve => setTimeout(resolve, 100));
     assert.equal((await call(parts.gateway, { path: "/pay/x", id: "2", body: "x" })).status, 404);
 });
+
+test("callers who leave do not make an upstream look broken (guards against engines avoided at a give-up)", async () => {
+    await using parts = await start();
+    parts.fleet.register(parts.fleet.spare, { zone: "b" });
+    const sent = () => parts.fleet.engine.ran.length + parts.fleet.spare.ran.length;
+    await until(async () => {
+        await call(parts.gateway, { path: "/plan/x", id: "warm", body: "x" });
+        return sent() > 0;
+    }, "the engines are known");
+    for (let index = 0; index < 3; index += 1) {
+        const before = parts.fleet.engine.ran.length;
+        parts.fleet.engine.behave("silent");
+        const leaving = leave(parts.gateway, { path: "/plan/x", id: `leaves-${index}`, body: "x" });
+        await until(() => parts.fleet.engine.ran.length > before, "the engine runs it");
+        leaving.destroy();
+        await until(() => parts.fleet.engine.cancelled.includes(`leaves-${index}`), "the engine is told");
+    }
+    const before = parts.fleet.spare.ran.length;
+    await call(parts.gateway, { path: "/plan/x", id: "next", body: "x" });
+    assert.equal(parts.fleet.spare.ran.length, before);
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -2,8 +2,7 @@
 import { createStore } from "@tamarackgauge/platform";
 import { createFleetEngine, createRowStore, type FleetEngine, type RowStore,
     type RowStoreDoor } from "@tamarackgauge/standin";
-import type { Agent } from "node:http";
-import { type IncomingHttpHeaders, request } from "node:http";
+import { type Agent, type ClientRequest, type IncomingHttpHeaders, request } from "node:http";
 import { createServer } from "node:net";
 import { createGateway, type Gateway } from "../src/index.ts";
 import type { Log, LogFields } from "../src/log.ts";
@@ -109,7 +108,7 @@
     const [callers, ready, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
     const settings: GatewaySettings = { name: "g", dataCentre: "a", callers, readiness: ready, peers, knownPeers: [],
         metrics: undefined, store: { host: door.address, port: door.port }, mostRowBytes: 65_536, grace: 8_000,
-        drain: 2_000, mostEventDelay: 120, ...changes };
+        ...changes };
     const lines: { event: string; fields: LogFields; }[] = [];
     const record = (event: string, fields: LogFields) => void lines.push({ event, fields });
     const log: Log = { info: record, warn: record };
@@ -165,6 +164,17 @@
         agent);
 }
 
+/** Begins a call whose caller may leave: destroying the request closes its connection. */
+export function leave(gateway: Callee, { path, id, body, headers }: TestCall): ClientRequest {
+    const outgoing = request({ host: "127.0.0.1", port: gateway.settings.callers.port, path, agent: false,
+        method: body === undefined ? "GET" : "POST",
+        headers: { "host": "fleet.test", "x-request-id": id, ...headers } });
+    // The connection ends because the test closes it.
+    outgoing.on("error", () => undefined);
+    outgoing.end(body);
+    return outgoing;
+}
+
 /** A turn of a program, as the platform's callers send it. */
 export function turn(id: string, program: string, previous?: string, budget = 1_000): TestCall {
     return { path: "/turn/x", id, body: `input of ${id};`, headers: {
