Keep turns that have no token budget, and settle a turn whatever ends it

Cause, found by reading: a turn without a budget header was neither kept nor sent with its history; a fault between reservation and settlement kept the reservation for ever. Change: what a turn is follows from its route; the reservation is settled in any case, at its most after a fault. The new test fails without the change.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,10 +1,10 @@
 import { StoreError } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
-import type { BudgetedTurn, Budgets } from "./budgets.ts";
+import type { BudgetedTurn, Budgets, Reservation } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
 import { type ReadCall, type SendParts, type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
-import type { Turn, Turns } from "./turns.ts";
+import type { History, Turn, Turns } from "./turns.ts";
 
 /** Parts that all exchanges share. */
 export interface ExchangeParts extends SendParts {
@@ -39,11 +39,27 @@
         retryAfter: retryStoreLeast + Math.random() * retryStoreSpread, elsewhere: true };
 }
 
+/** Why a turn may not run, if so. */
+function refusalOf(reservation: Reservation, history: History): OwnAnswer | undefined {
+    if (reservation === "unavailable" || history === "unavailable") {
+        return storeAway();
+    }
+    if (history === "unknown") {
+        return { status: unknownTurn, reason: "there is no such turn" };
+    }
+    return reservation === "exhausted"
+        ? { status: budgetSpent, reason: "the program's token budget is spent" }
+        : undefined;
+}
+
 /** Starts to serve a call. */
 export function startExchange(parts: ExchangeParts, call: ReadCall, response: ServerResponse): Exchange {
     const { budgets, turns, log, now } = parts;
     const { head, route } = call;
     const program = head.program ?? head.id;
+    const budgeted: BudgetedTurn | undefined = head.tokenBudget === undefined
+        ? undefined
+        : { program, most: head.mostTokens, budget: head.tokenBudget };
     const startedAt = now();
     let sends: Sends | undefined;
     let left = false;
@@ -55,55 +71,61 @@
 
     async function run(): Promise<void> {
         try {
-            await (head.tokenBudget === undefined || !route.streamed ? serve(call, undefined) : serveTurn());
+            await (isTurn() ? serveTurn() : serve(call, undefined));
         }
         finally {
             clearTimeout(timer);
         }
     }
 
+    function isTurn(): boolean {
+        return route.streamed && (route.retention !== undefined || head.tokenBudget !== undefined);
+    }
+
     async function serveTurn(): Promise<void> {
         // A turn that cannot be kept would run for nothing, also if its tokens are granted and its history is at hand.
         if (route.retention !== undefined && parts.isStoreAway()) {
             answerSelf(storeAway());
             return;
         }
-        const reserved = budgets.reserve(budgeted());
-        const previous = route.retention === undefined || head.previousTurn === undefined
-            ? []
-            : await turns.history(head.previousTurn);
-        const reservation = await reserved;
-        if (reservation === "unavailable" || previous === "unavailable") {
-            settle(reservation, 0);
-            answerSelf(storeAway());
-            return;
-        }
-        if (previous === "unknown") {
-            settle(reservation, 0);
-            answerSelf({ status: unknownTurn, reason: "there is no such turn" });
-            return;
-        }
-        if (reservation === "exhausted") {
-            answerSelf({ status: budgetSpent, reason: "the program's token budget is spent" });
-            return;
+        const [reservation, previous] = await Promise.all([reserve(), findHistory()]);
+        // What fails in between may have generated all of it.
+        let used = head.mostTokens;
+        try {
+            const refusal = refusalOf(reservation, previous);
+            if (refusal !== undefined) {
+                used = 0;
+                answerSelf(refusal);
+                return;
+            }
+            const history = previous as readonly Turn[];
+            const events = await serve({ ...call, body: bodyAfter(history) }, history);
+            used = events * tokensPerEvent();
         }
-        const history: readonly Turn[] = previous;
-        const body = history.length === 0 ? call.body : Buffer.concat([
-            ...history.flatMap(({ input, output }) => [input, output]),
-            call.body ?? Buffer.alloc(0),
-        ]);
-        const events = await serve({ ...call, body }, history);
-        settle(reservation, events * tokensPerEvent());
-    }
-
-    function settle(reservation: "reserved" | "exhausted" | "unavailable", used: number): void {
-        if (reservation === "reserved") {
-            budgets.settle(budgeted(), used);
+        finally {
+            settle(reservation, used);
         }
     }
 
-    function budgeted(): BudgetedTurn {
-        return { program, most: head.mostTokens, budget: head.tokenBudget! };
+    async function findHistory(): Promise<History> {
+        return route.retention === undefined || head.previousTurn === undefined ? [] : turns.history(head.previousTurn);
+    }
+
+    /** The engine reads all earlier inputs and outputs, and then the new input. */
+    function bodyAfter(history: readonly Turn[]): Buffer | undefined {
+        return history.length === 0
+            ? call.body
+            : Buffer.concat([...history.flatMap(({ input, output }) => [input, output]), call.body ?? Buffer.alloc(0)]);
+    }
+
+    async function reserve(): Promise<Reservation> {
+        return budgeted === undefined ? "reserved" : budgets.reserve(budgeted);
+    }
+
+    function settle(reservation: Reservation, used: number): void {
+        if (budgeted !== undefined && reservation === "reserved") {
+            budgets.settle(budgeted, used);
+        }
     }
 
     function tokensPerEvent(): number {
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -111,3 +111,15 @@
         await new Promise(resolve => setTimeout(resolve, 700));
     }
 });
+
+test("a turn without a budget is kept like any other (guards against a history that depends on another header)", async () => {
+    await using parts = await start();
+    const withoutBudget = (id: string, previous?: string) => {
+        const whole = turn(id, "p", previous);
+        const headers = Object.entries(whole.headers!).filter(([name]) => name !== "x-token-budget");
+        return { ...whole, headers: Object.fromEntries(headers) };
+    };
+    assert.equal((await call(parts.one, withoutBudget("t1"))).status, 200);
+    assert.equal((await call(parts.two, withoutBudget("t2", "t1"))).status, 200);
+    assert.equal(parts.fleet.engine.ran[1]?.body, `input of t1;${output("t1")}input of t2;`);
+});
