--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -8,8 +8,6 @@
 export interface Front extends AsyncDisposable {
     /** Takes the routes and limits of a newer declaration. */
     declare(declaration: Declaration): void;
-    /** From now on every answer ends its connection. */
-    closeConnections(): void;
     /** Accepts no more connections, and resolves when the last answer has ended. */
     drain(): Promise<void>;
     active(): number;
@@ -146,9 +144,6 @@
 
     return {
         declare,
-        closeConnections() {
-            closing = true;
-        },
         drain,
         active: () => active,
         async [Symbol.asyncDispose]() {
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -28,8 +28,6 @@
     data(chunk: Buffer): void;
     /** The last event that was passed on whole, if the stream may go on after it. */
     resumeAfter(): string | undefined;
-    /** Whether the caller has had part of the stream. */
-    hasBegun(): boolean;
 }
 
 /** How the sends of a call ended. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -56,7 +56,6 @@
         data,
         finish,
         events: () => events,
-        hasBegun: () => response.headersSent,
         resumeAfter: () => resumable ? events[events.length - 1]?.id : undefined,
     };
 }
