Wait in tests until no partition is to be handed over

The daemons' logs show hand-overs of partitions up to 0.9 s after the cluster counted as settled, which was as soon as each daemon owned one partition. A hand-over cuts the streams of its programs, and a cut stream is charged in full, as the design says; those tokens were never generated.

Ruled out: a lost lease (no tokens stranded), failures of engines (none logged), lost replies of the ledger.

Change: settled now means that every partition is with its preferred owner. No check of a test changed.

Conclusion: the test started before the cluster was at rest.

--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -1,3 +1,4 @@
+import { preferredOwner } from "@tamarackgauge/core";
 import { createEngine, createPlatform, createService } from "@tamarackgauge/standin";
 import { buildSync } from "esbuild";
 import { spawn } from "node:child_process";
@@ -209,9 +210,11 @@
         const running = [...daemons.values()].filter(daemon => !gone.has(daemon));
         const states = await Promise.all(running.map(({ name }) => status(name).catch(() => undefined)));
         const maps = new Set(states.map(state => state?.details.map?.owners.join(" ")));
+        const names = running.map(({ name }) => name);
         return maps.size === 1 && states.every(state => {
-            const owners = new Set(state?.details.map?.owners ?? []);
-            return state?.ready === true && state.configurationVersion >= 1 && owners.size === running.length;
+            const owners = state?.details.map?.owners ?? [];
+            return state?.ready === true && state.configurationVersion >= 1 && owners.length > 0 &&
+                isFinal(owners, names);
         });
     }
 
@@ -267,6 +270,13 @@
     readonly owners: readonly string[];
 }
 
+/** A hand-over that is still to come would cut streams, whose calls are then charged in full. */
+function isFinal(owners: readonly string[], names: readonly string[]): boolean {
+    const member = { incarnation: "", address: "", port: 0, dataCentre: "", leaving: false };
+    const members = Object.fromEntries(names.map(name => [name, member]));
+    return owners.every((owner, partition) => owner === preferredOwner(members, partition));
+}
+
 /** The two lists with one key and all models and services for each plan. */
 export function listsOf(plans: NonNullable<ClusterOptions["plans"]>, services: readonly string[]) {
     return {
