Listen for SIGHUP and SIGTERM before the settings are read

Cause: the listeners were added after the gateway had started, so a signal during start-up ended the process. The answer of a failing call after SIGCONT is now part of the check's message.

Not shown: that this is the failure of the other SIGHUP test, which waits until the process is ready.

--- a/packages/daemon/test/configurationFaults.test.ts
+++ b/packages/daemon/test/configurationFaults.test.ts
@@ -85,8 +85,9 @@
     await cluster.until("the bound has passed", () => performance.now() - accepted > bound);
     const answers = [call(), call(), call()];
     paused.signal("SIGCONT");
-    for (const { error } of await Promise.all(answers)) {
-        assert.ok(error?.code === 5034 || error?.code === 4011, `${error?.code}`);
+    for (const answer of await Promise.all(answers)) {
+        const code = answer.error?.code;
+        assert.ok(code === 5034 || code === 4011, `${JSON.stringify(answer)}\n${paused.stderr()}`);
     }
     await inForce(["d5"], version);
     assert.equal((await call()).error?.code, 4011);
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -9,16 +9,20 @@
 export async function runGateway(environment: NodeJS.ProcessEnv): Promise<number> {
     const now = () => performance.now();
     const lines = createLineBuffer(process.stdout);
+    // Without a listener either signal would end a process that has not read its settings yet.
+    let hangUp: () => void = () => undefined;
+    process.on("SIGHUP", () => hangUp());
+    const terminated = new Promise(resolve => process.once("SIGTERM", resolve));
     try {
         const settings = loadSettings(environment);
         const log = createLog(settings.name, lines.write, now);
         // One call's fault must not end the others.
         process.on("unhandledRejection", reason => log.warn("gateway.fault", { reason: String(reason) }));
         const store = createStore(settings.store);
-        const gateway = await createGateway({ settings, store, log, now });
-        // Without a listener SIGHUP would end the process.
-        process.on("SIGHUP", () => reload(gateway, environment, log));
-        await new Promise(resolve => process.once("SIGTERM", resolve));
+        const starting = createGateway({ settings, store, log, now });
+        hangUp = () => void starting.then(gateway => reload(gateway, environment, log));
+        const gateway = await starting;
+        await terminated;
         await gateway.shutDown();
         return done;
     }
--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { dirname, join } from "node:path";
 import { test } from "node:test";
 import { call, createFleet, type Fleet, freeAddress, readiness, turn, until } from "./harness.ts";
 
@@ -13,32 +13,47 @@
 /** A gateway as a process of its own, as the platform starts it. */
 interface GatewayProcess extends AsyncDisposable {
     readonly child: ChildProcess;
-    readonly settings: { readonly callers: { readonly port: number; };
-        readonly readiness: { readonly port: number; }; };
+    readonly settings: GatewayAddresses;
     readonly file: string;
     /** The exit code or the signal that ended it. */
     readonly ended: Promise<number | string>;
     log(): string;
 }
 
-async function startProcess(fleet: Fleet): Promise<GatewayProcess> {
+interface GatewayAddresses {
+    readonly callers: { readonly port: number; };
+    readonly readiness: { readonly port: number; };
+    readonly peers: { readonly port: number; };
+}
+
+async function chooseAddresses(): Promise<GatewayAddresses> {
+    const [callers, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
+    return { callers, readiness, peers };
+}
+
+async function settingsText(fleet: Fleet, addresses: GatewayAddresses): Promise<string> {
     const door = await fleet.rows.open();
-    const [callers, ready, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
-    const folder = await mkdtemp(join(tmpdir(), "tamarackgauge-"));
-    const file = join(folder, "settings.conf");
-    await writeFile(file, [
+    return [
         "nodeName=g",
         "ip=127.0.0.1",
         "zone=a",
-        `bind.front=127.0.0.1:${callers.port}`,
-        `bind.readiness=127.0.0.1:${ready.port}`,
-        `bind.control=127.0.0.1:${peers.port}`,
+        `bind.front=127.0.0.1:${addresses.callers.port}`,
+        `bind.readiness=127.0.0.1:${addresses.readiness.port}`,
+        `bind.control=127.0.0.1:${addresses.peers.port}`,
         `provider.address=${door.address}:${door.port}`,
         "provider.rowBytes=65536",
         "bounds.graceS=8",
         "bounds.drainMs=2000",
         "bounds.passMs=120",
-    ].join("\n"));
+    ].join("\n");
+}
+
+async function settingsFolder(): Promise<string> {
+    return mkdtemp(join(tmpdir(), "tamarackgauge-"));
+}
+
+/** Starts a process whose settings file lies in a folder of its own; the folder goes with the process. */
+function spawnProcess(file: string, settings: GatewayAddresses): GatewayProcess {
     const child = spawn(process.execPath, ["--import", "tsx", main], { cwd: root, stdio: ["ignore", "pipe", "inherit"],
         env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: file } });
     let text = "";
@@ -46,21 +61,29 @@
         text += chunk.toString();
     });
     const ended = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
-    await until(async () => await readiness(ready.port) === 200, "the process is ready");
     return {
         child,
-        settings: { callers, readiness: ready },
+        settings,
         file,
         ended,
         log: () => text,
         async [Symbol.asyncDispose]() {
             child.kill("SIGKILL");
             await ended;
-            await rm(folder, { recursive: true });
+            await rm(dirname(file), { recursive: true });
         },
     };
 }
 
+async function startProcess(fleet: Fleet): Promise<GatewayProcess> {
+    const addresses = await chooseAddresses();
+    const file = join(await settingsFolder(), "settings.conf");
+    await writeFile(file, await settingsText(fleet, addresses));
+    const gateway = spawnProcess(file, addresses);
+    await until(async () => await readiness(addresses.readiness.port) === 200, "the process is ready");
+    return gateway;
+}
+
 test("SIGHUP reads the settings again and ends nothing (guards against a process that a changed setting ends)", async () => {
     await using fleet = await createFleet();
     await using gateway = await startProcess(fleet);
@@ -72,6 +95,23 @@
     assert.equal((await call(gateway, turn("t1", "p"))).status, 200);
 });
 
+test("SIGHUP while the settings are being read is kept for later (guards against a process that ends as it starts)", async () => {
+    await using fleet = await createFleet();
+    const addresses = await chooseAddresses();
+    const file = join(await settingsFolder(), "settings.conf");
+    const text = await settingsText(fleet, addresses);
+    // The process waits in its read of a named pipe until the test has written the settings.
+    spawnSync("mkfifo", [file]);
+    await using gateway = spawnProcess(file, addresses);
+    const first = await open(file, "w");
+    gateway.child.kill("SIGHUP");
+    await first.writeFile(text);
+    await writeFile(`${file}.next`, text);
+    await rename(`${file}.next`, file);
+    await first.close();
+    await until(() => gateway.log().includes("settings.reloaded"), "the settings are read again");
+});
+
 test("SIGTERM ends the process when its answers have ended (guards against turns cut by a restart)", async () => {
     await using fleet = await createFleet();
     await using gateway = await startProcess(fleet);
