Wait for a home that waits for a slow store

Cause: with a store that answers in 240 ms, a borrower gave its home up after 180 ms and wrote a grant of its own, whose condition failed because the home had written: three store calls one after the other, 0.7 s, where 0.75 s were left.

Ruled out: the engines (a turn reached its engine 0.74 s after it came, with an idle engine).

Change: a home answers when its reservation has ended. A ping tells within 250 ms whether it runs at all. What the home says of the budget holds; only a home without a way to the store is done without.

Conclusion: one write instead of two in turn.

--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -13,8 +13,8 @@
 /** How a reservation ended. */
 export type Reservation = TokenHold | "exhausted" | "unavailable";
 
-/** How a loan to another gateway ended. `short`: this gateway has not got the tokens, and the store may have them. */
-export type LoanOutcome = "lent" | "short";
+/** How a loan to another gateway ended. */
+export type LoanOutcome = "lent" | "exhausted" | "unavailable";
 
 /** A turn that may generate tokens. */
 export interface BudgetedTurn {
@@ -75,8 +75,6 @@
 /** The same while the budget is ample, so that a program's next turn finds the grant. */
 const ampleIdleTime = 3_000;
 const retryTime = 300;
-/** A borrower is told after this that the store is too slow, in ms; it then asks the store itself. */
-const loanPatience = 180;
 /** A turn waits this long for tokens that another gateway may give back, and looks this often, in ms. */
 const longestWait = 900;
 const waitInterval = 150;
@@ -152,15 +150,11 @@
 
     async function lend(turn: BudgetedTurn): Promise<LoanOutcome> {
         if (!lending) {
-            return "short";
+            return "unavailable";
         }
-        const reserving = reserve(turn);
-        const reservation = await Promise.race([reserving, pause(loanPatience)]);
-        if (reservation === undefined) {
-            void reserving.then(late => typeof late === "string" ? undefined : late.settle(0));
-        }
-        if (reservation === undefined || typeof reservation === "string") {
-            return "short";
+        const reservation = await reserve(turn);
+        if (typeof reservation === "string") {
+            return reservation;
         }
         reservation.settle(turn.most);
         return "lent";
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -11,12 +11,19 @@
     readonly isOpen: boolean;
     readonly closed: boolean;
     /** Rejects with a `StoreError`; a call without an answer in time ends the link, which may have gone silent for good. */
-    ask(call: PeerCall, timeout: number): Promise<unknown>;
+    ask(call: PeerCall, limits: AskLimits): Promise<unknown>;
     /** Sends no more; what has been sent is still delivered. */
     close(): void;
     terminate(): void;
 }
 
+/** Limits of a call, in ms. */
+export interface AskLimits {
+    readonly timeout: number;
+    /** The peer must show within this that it runs, if given: a frozen one is found sooner than a busy one is given up. */
+    readonly silence?: number;
+}
+
 interface Waiting {
     resolve(result: unknown): void;
     reject(error: StoreError): void;
@@ -31,6 +38,7 @@
     const waiting = new Map<number, Waiting>();
     let lastId = 0;
     let closed = false;
+    let heardAt = 0;
     const open = new Promise<void>((resolve, reject) => {
         socket.once("open", resolve);
         socket.once("error", reject);
@@ -38,10 +46,12 @@
     // Whoever does not wait for the link learns of its failure by `closed`.
     open.catch(() => undefined);
     socket.on("message", data => receive(unpack(data as Buffer) as PeerAnswer));
+    socket.on("pong", () => heardAt = performance.now());
     socket.on("error", drop);
     socket.on("close", drop);
 
     function receive(answer: PeerAnswer): void {
+        heardAt = performance.now();
         const entry = waiting.get(answer.id);
         waiting.delete(answer.id);
         if ("failure" in answer) {
@@ -58,22 +68,24 @@
         waiting.clear();
     }
 
-    function ask(call: PeerCall, timeout: number): Promise<unknown> {
+    function giveUp(id: number, reason: string): void {
+        waiting.get(id)?.reject(new StoreError("unknown", reason));
+        waiting.delete(id);
+        socket.terminate();
+    }
+
+    function ask(call: PeerCall, { timeout, silence }: AskLimits): Promise<unknown> {
         lastId += 1;
         const id = lastId;
-        return new Promise((resolve, reject) => {
-            const timer = setTimeout(() => {
-                waiting.delete(id);
-                reject(new StoreError("unknown", "the peer did not answer in time"));
-                socket.terminate();
-            }, timeout);
-            const settle = <Value>(finish: (value: Value) => void) => (value: Value) => {
-                clearTimeout(timer);
-                finish(value);
-            };
-            waiting.set(id, { resolve: settle(resolve), reject: settle(reject) });
-            socket.send(pack({ id, call } satisfies PeerRequest));
-        });
+        const askedAt = performance.now();
+        const timers = [setTimeout(() => giveUp(id, "the peer did not answer in time"), timeout)];
+        if (silence !== undefined) {
+            timers.push(setTimeout(() => socket.ping(), silence / 2));
+            timers.push(setTimeout(() => heardAt < askedAt && giveUp(id, "the peer is silent"), silence));
+        }
+        const answer = new Promise((resolve, reject) => waiting.set(id, { resolve, reject }));
+        socket.send(pack({ id, call } satisfies PeerRequest));
+        return answer.finally(() => timers.forEach(clearTimeout));
     }
 
     return {
--- a/packages/gateway/src/peerStore.ts
+++ b/packages/gateway/src/peerStore.ts
@@ -39,7 +39,7 @@
                 break;
             }
             try {
-                const result = await current.ask(call, timeout + relayMargin) as Result;
+                const result = await current.ask(call, { timeout: timeout + relayMargin }) as Result;
                 way = true;
                 return result;
             }
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -2,7 +2,7 @@
 import type { BudgetedTurn, Budgets, LoanOutcome, RecallOutcome, Reservation, TokenHold } from "./budgets.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import { openPeerLink, type PeerLink } from "./peerLink.ts";
+import { type AskLimits, openPeerLink, type PeerLink } from "./peerLink.ts";
 import type { Peer } from "./peerList.ts";
 
 /** Budgets whose tokens the gateways of a data centre keep together. */
@@ -21,10 +21,11 @@
     readonly now: () => number;
 }
 
-/** A home that is silent for longer is done without, in ms. */
-const homeTimeout = 250;
+/** A home that is silent for longer is done without; one that waits for the store is waited for. */
+const loanLimits: AskLimits = { timeout: 1_500, silence: 250 };
+const returnLimits: AskLimits = { timeout: 1_000 };
 /** A recall includes a write of the store. */
-const recallTimeout = 1_000;
+const recallLimits: AskLimits = { timeout: 1_000 };
 /** A peer that failed is not asked for this long, in ms; each further failure in a row doubles the time. */
 const firstRest = 1_000;
 const longestRest = 16_000;
@@ -66,26 +67,33 @@
 
     async function reserve(turn: BudgetedTurn): Promise<Reservation> {
         const home = homeOf(turn.program);
-        const lent = home !== undefined && await borrow(home, turn);
-        metrics.tokensReserved(lent ? "home" : "own");
-        return lent ? loan(home, turn) : own().reserve(turn);
+        const outcome = home === undefined ? "unavailable" : await borrow(home, turn);
+        metrics.tokensReserved(outcome === "unavailable" ? "own" : "home");
+        switch (outcome) {
+            case "lent":
+                return loan(home!, turn);
+            case "exhausted":
+                return outcome;
+            case "unavailable":
+                // The store may be reached from here, though not from the home.
+                return own().reserve(turn);
+        }
     }
 
-    /** False if the home has not got the tokens, or cannot be reached. */
-    async function borrow(home: Peer, turn: BudgetedTurn): Promise<boolean> {
+    async function borrow(home: Peer, turn: BudgetedTurn): Promise<LoanOutcome> {
         const contact = contactOf(home.name);
         const link = readyLink(home, contact);
         if (link === undefined) {
-            return false;
+            return "unavailable";
         }
         try {
-            const outcome = await link.ask({ kind: "borrow", turn }, homeTimeout) as LoanOutcome;
+            const outcome = await link.ask({ kind: "borrow", turn }, loanLimits) as LoanOutcome;
             answered(contact);
-            return outcome === "lent";
+            return outcome;
         }
         catch (error) {
             rest(home, contact, error as Error);
-            return false;
+            return "unavailable";
         }
     }
 
@@ -105,7 +113,7 @@
     /** Never repeated: tokens that were returned twice would be generated twice. */
     async function giveBack(home: Peer, program: string, tokens: number): Promise<void> {
         const link = await linkTo(home, contactOf(home.name));
-        await link.ask({ kind: "return", program, tokens }, homeTimeout);
+        await link.ask({ kind: "return", program, tokens }, returnLimits);
     }
 
     /** A turn does not wait for a connection. */
@@ -157,7 +165,7 @@
         }
         try {
             const link = await linkTo(peer, contact);
-            const outcome = await link.ask({ kind: "recall", holder, program }, recallTimeout) as RecallOutcome;
+            const outcome = await link.ask({ kind: "recall", holder, program }, recallLimits) as RecallOutcome;
             answered(contact);
             return outcome;
         }
