Count a write of a grant once, and serve nothing that an unanswered write may have given back

Three faults of the grants, found by a test that plays turns, loans and recalls over a store that fails with and without effect: - of two writes without an answer only the later was remembered; if the earlier had been applied, what it settled was settled again. Tokens that were returned make this amount negative, so that spent tokens vanished; - a write that lowers a grant and has no answer left the old grant in force here; - a write found to have been applied did not bring the grant of its row.

Ruled out: the ledger's rules (their own property test holds), loans without an answer (they only lose tokens).

Change: writes of unknown fate are kept by serial number until the row tells; before a write no more is held than it grants. A hedged call that has been overtaken stops.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -9,4 +9,5 @@
 export * from "./settings.ts";
 export * from "./store.ts";
 export * from "./storeHealth.ts";
+export * from "./storePace.ts";
 export * from "./upstreamState.ts";
--- a/packages/gateway/src/budgetRow.ts
+++ b/packages/gateway/src/budgetRow.ts
@@ -12,7 +12,8 @@
 export const noLedger: KnownLedger = { ledger: emptyLedger, version: 0 };
 
 const table = "budgets";
-const parts = 64;
+/** Writes of a part go one after the other, which a slow store makes felt. */
+const parts = 512;
 
 /** Writes a ledger over the known one; if the row has changed meanwhile, gives the present one instead. */
 export async function replaceLedger(
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -1,8 +1,8 @@
-import { grantOf, isAmple, renewGrant, type Store, StoreError, type TokenLedger } from "@tamarackgauge/core/gateway";
+import { grantOf, isAmple, renewGrant, StoreError, type TokenLedger } from "@tamarackgauge/core/gateway";
 import { type KnownLedger, noLedger, readLedger, replaceLedger } from "./budgetRow.ts";
 import type { Log } from "./log.ts";
 import { pause } from "./pause.ts";
-import { persist, urgentPersistence } from "./persist.ts";
+import { type PacedStore, persist, urgentPersistence } from "./persist.ts";
 
 /** A turn's most, counted as generated until it is settled. */
 export interface TokenHold {
@@ -59,7 +59,7 @@
 
 /** Parts of budgets. */
 export interface BudgetsParts {
-    readonly store: Store;
+    readonly store: PacedStore;
     /** Names this life of the process: grants of an earlier one are not its own. */
     readonly holder: string;
     /** Asks another holder to give back what it does not use. */
@@ -103,8 +103,8 @@
     used: number;
     /** The most that running turns may generate. */
     running: number;
-    /** A write whose fate is not known; a later row tells. */
-    uncertain: GrantWrite | undefined;
+    /** Writes whose fate is not known, by serial number; a later row tells. At most one of them was applied. */
+    readonly uncertain: Map<number, GrantWrite>;
     wishes: Wish[];
     writing: boolean;
     timer: NodeJS.Timeout | undefined;
@@ -175,11 +175,11 @@
             return "settled";
         }
         await giveBack(account);
-        return account.granted > account.running || account.uncertain !== undefined ? "pending" : "settled";
+        return account.granted > account.running || account.uncertain.size > 0 ? "pending" : "settled";
     }
 
     function idleTimeOf({ known, budget, uncertain }: Account): number {
-        return uncertain === undefined && isAmple(known.ledger, budget) ? ampleIdleTime : idleTime;
+        return uncertain.size === 0 && isAmple(known.ledger, budget) ? ampleIdleTime : idleTime;
     }
 
     /** Gives the waiting turns what the grant holds, and renews it for the rest. */
@@ -259,10 +259,17 @@
         lastSerial += 1;
         const write: GrantWrite = { serial: lastSerial, used: account.used };
         const rest = { holder, needed, spare, budget };
+        let over = false;
         try {
-            const granted = await persist(async timeout => {
+            const granted = await persist(store, async timeout => {
                 for (;;) {
+                    if (over) {
+                        // Another call has had its answer, or the write was given up.
+                        throw new StoreError("unknown", "the write is over");
+                    }
                     reconcile(account, write);
+                    // If the write has no answer, it may have been applied: what it gave back must not be handed out.
+                    account.granted = Math.min(account.granted, account.used + needed);
                     const next = renewGrant(account.known.ledger, { ...rest, ...write });
                     if (next === undefined) {
                         // Only the newest row may refuse: another gateway may have given back since.
@@ -281,24 +288,30 @@
             if (granted === undefined) {
                 return false;
             }
-            account.uncertain = undefined;
+            account.uncertain.clear();
             account.granted = granted;
             account.used -= write.used;
             return true;
         }
         catch (error) {
-            account.uncertain = write;
+            account.uncertain.set(write.serial, write);
             throw error;
         }
+        finally {
+            over = true;
+        }
     }
 
     /** A write whose answer was lost counts once the row shows it; what it settled is not settled again. */
     function reconcile(account: Account, write: GrantWrite): void {
-        const { uncertain } = account;
-        if (uncertain !== undefined && grantOf(account.known.ledger, holder)?.serial === uncertain.serial) {
-            account.uncertain = undefined;
-            account.used -= uncertain.used;
-            write.used -= uncertain.used;
+        const grant = grantOf(account.known.ledger, holder);
+        const applied = account.uncertain.get(grant?.serial ?? 0);
+        if (applied !== undefined) {
+            // The others have lost their condition.
+            account.uncertain.clear();
+            account.granted = grant!.tokens;
+            account.used -= applied.used;
+            write.used -= applied.used;
         }
     }
 
@@ -362,11 +375,14 @@
 }
 
 function createAccount(program: string): Account {
-    return { program, known: noLedger, granted: 0, used: 0, running: 0, uncertain: undefined, wishes: [],
+    return { program, known: noLedger, granted: 0, used: 0, running: 0, uncertain: new Map(), wishes: [],
         writing: false, timer: undefined, usedAt: 0, budget: 0 };
 }
 
-/** The row shows all that is known here, and grants nothing. A write without an answer may have taken a grant. Returned tokens can make `used` negative. */
+/**
+ * The row shows all that is known here, and grants nothing. A write without an answer may have taken a grant, and returned
+ * tokens can make `used` negative.
+ */
 function isSettled({ granted, used, uncertain }: Account): boolean {
-    return granted === 0 && used === 0 && uncertain === undefined;
+    return granted === 0 && used === 0 && uncertain.size === 0;
 }
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -1,10 +1,14 @@
-import { StoreError } from "@tamarackgauge/core/gateway";
+import { type Store, StoreError } from "@tamarackgauge/core/gateway";
 import { pause as sleep } from "./pause.ts";
 
+/** A store that knows its pace. */
+export interface PacedStore extends Store {
+    /** An answer that does not come for this long, in ms, is asked for once more on another connection. */
+    hedgeDelay(): number;
+}
+
 /** How a call of the store is repeated. Times are in milliseconds. */
 export interface Persistence {
-    /** An answer that does not come for this long is asked for once more on another connection. */
-    readonly hedgeDelay: number;
     readonly callTimeout: number;
     /** No further call begins after this time. */
     readonly giveUpAfter: number;
@@ -17,7 +21,7 @@
 const longestPause = 120;
 
 /** For the calls that a caller waits for. */
-export const urgentPersistence: Persistence = { hedgeDelay: 150, callTimeout: 1_500, giveUpAfter: 900, pause: 30,
+export const urgentPersistence: Persistence = { callTimeout: 1_500, giveUpAfter: 900, pause: 30,
     waitsForReturn: false };
 
 /** For what ends a turn: it has run, so it is worth all the time for which its caller may wait. */
@@ -28,13 +32,14 @@
  * and the first call may still be applied after the second.
  */
 export async function persist<Value>(
+    store: PacedStore,
     call: (timeout: number) => Promise<Value>,
-    { hedgeDelay, callTimeout, giveUpAfter, pause, waitsForReturn }: Persistence,
+    { callTimeout, giveUpAfter, pause, waitsForReturn }: Persistence,
 ): Promise<Value> {
     const started = performance.now();
     for (let round = 1;; round += 1) {
         try {
-            return await hedge(() => call(callTimeout), hedgeDelay * round);
+            return await hedge(() => call(callTimeout), store.hedgeDelay() * round);
         }
         catch (error) {
             const hopeless = !(error instanceof StoreError) || (error.failure === "away" && !waitsForReturn);
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -1,10 +1,11 @@
-import { type Store, StoreError, type StoreHealth } from "@tamarackgauge/core/gateway";
+import { createStorePace, type Store, StoreError, type StoreHealth } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
 import type { Metrics, StoreCallKind, StoreWay } from "./metrics.ts";
 import type { PeerStore } from "./peerStore.ts";
+import type { PacedStore } from "./persist.ts";
 
 /** The store by whatever way is open. */
-export interface RoutedStore extends Store {
+export interface RoutedStore extends PacedStore {
     /** No way to the store is open now. */
     isAway(): boolean;
 }
@@ -24,6 +25,7 @@
  * once.
  */
 export function createRoutedStore({ direct, peers, health, metrics, log, now }: RoutedStoreParts): RoutedStore {
+    const pace = createStorePace();
     let lastWay: StoreWay | "none" = "direct";
 
     function currentWay(): StoreWay | "none" {
@@ -36,9 +38,13 @@
     }
 
     async function probed<Value>(kind: StoreCallKind, call: () => Promise<Value>): Promise<Value> {
-        const probe = health.begin(now(), kind === "feed");
+        const startedAt = now();
+        const probe = health.begin(startedAt, kind === "feed");
         try {
             const value = await counted(kind, "direct", call());
+            if (kind !== "feed") {
+                pace.answered(now() - startedAt);
+            }
             probe.answered();
             return value;
         }
@@ -85,6 +91,7 @@
             probe.catch(() => undefined);
             return counted("feed", "peer", peers.feed(table, after, Math.min(wait, relayedFeedWait)));
         },
+        hedgeDelay: () => pace.hedgeDelay(),
         isAway: () => currentWay() === "none",
     };
 }
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,7 +1,7 @@
-import { hash, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
+import { hash, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
 import type { Metrics } from "./metrics.ts";
-import { patientPersistence, persist, urgentPersistence } from "./persist.ts";
+import { type PacedStore, patientPersistence, persist, urgentPersistence } from "./persist.ts";
 
 /** A turn that was answered whole, and the turns before it. */
 export interface Turn {
@@ -50,7 +50,7 @@
 
 /** Parts of turns. */
 export interface TurnsParts {
-    readonly store: Store;
+    readonly store: PacedStore;
     /** The largest value of a row in text form. */
     readonly mostRowBytes: number;
     readonly metrics: Metrics;
@@ -95,7 +95,7 @@
         }
         metrics.turnFound("store");
         const range = { table, part: partOf(id), from: id, to: `${id}0` };
-        const page = await persist(timeout => store.read(range, { timeout }), urgentPersistence);
+        const page = await persist(store, timeout => store.read(range, { timeout }), urgentPersistence);
         const turn = decode(id, page.rows);
         if (turn !== undefined) {
             remembered.set(id, { turn, usedAt: now() });
@@ -106,7 +106,7 @@
     async function keep(turn: Turn, retention: number): Promise<void> {
         const part = partOf(turn.id);
         const puts = segmentsOf(turn).map((value, index) => ({ table, part, key: keyOf(turn.id, index), value }));
-        await persist(timeout => store.change({ puts }, { timeout }), patientPersistence);
+        await persist(store, timeout => store.change({ puts }, { timeout }), patientPersistence);
         remembered.set(turn.id, { turn, usedAt: now() });
         expiries.push({ id: turn.id, rows: puts.length, at: now() + retention + removalDelay });
     }
