Remove rows whose writers are gone

Cause: rows of turns whose gateway died, and all rows of budgets, stayed in the store for ever.

Ruled out: removal by the feed of each table (every write would reach every gateway).

Ledgers carry the time of their write.

--- a/packages/gateway/src/budgetRow.ts
+++ b/packages/gateway/src/budgetRow.ts
@@ -1,5 +1,6 @@
 import { emptyLedger, hash, type Store, type StoreRow, type TokenLedger } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
+import type { CleanedTable } from "./cleaner.ts";
 
 /** A program's ledger as this gateway knows it, and the version of the row that it is from. */
 export interface KnownLedger {
@@ -40,6 +41,16 @@
     return ledgerOf(page.rows[0]);
 }
 
+/** The table of ledgers, for its cleaning. */
+export const budgetTable: CleanedTable = {
+    table,
+    parts,
+    entryOf: key => key,
+    writtenAt: ([row]) => (unpack(row!.value) as [number, unknown, number])[2],
+    // A program that comes back later than this begins with a new budget.
+    keptFor: 24 * 3_600_000,
+};
+
 function rowOf(program: string) {
     return { table, part: String(hash(program) % parts), key: program };
 }
@@ -49,7 +60,7 @@
 }
 
 function encode({ spent, grants }: TokenLedger): Buffer {
-    return Buffer.from(pack([spent, grants.map(({ holder, serial, tokens }) => [holder, serial, tokens])]));
+    return Buffer.from(pack([spent, grants.map(({ holder, serial, tokens }) => [holder, serial, tokens]), Date.now()]));
 }
 
 function decode(value: Buffer): TokenLedger {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,9 @@
     upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
+import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
+import { createCleaner } from "./cleaner.ts";
 import { createFront, listen } from "./front.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
@@ -14,7 +16,7 @@
 import { createPeerStore } from "./peerStore.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
-import { createTurns } from "./turns.ts";
+import { createTurns, turnTable } from "./turns.ts";
 import { createUpstreams } from "./upstreams.ts";
 import { watchTable } from "./watch.ts";
 
@@ -66,6 +68,7 @@
         ? undefined
         : await createPeerServer({ address: settings.peers, store: direct, health, lender: ownBudgets, log, now });
     const turns = createTurns({ store, mostRowBytes: settings.mostRowBytes, metrics, now });
+    const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
     const front = await createFront({ ...settings.callers, upstreams, declaration: () => declaration, budgets, turns,
         isStoreAway: () => store.isAway(), log, metrics, now, dataCentre: settings.dataCentre,
         declarationAge: () => declarations.age() });
@@ -146,6 +149,7 @@
             readiness.close();
             metricsServer?.close();
             clearInterval(summaries);
+            cleaner[Symbol.dispose]();
             turns[Symbol.dispose]();
             budgets[Symbol.dispose]();
             ownBudgets[Symbol.dispose]();
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,5 +1,6 @@
 import { hash, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
+import type { CleanedTable } from "./cleaner.ts";
 import type { Metrics } from "./metrics.ts";
 import { type PacedStore, patientPersistence, persist, urgentPersistence } from "./persist.ts";
 
@@ -179,6 +180,15 @@
     return { history, keep, [Symbol.dispose]: () => clearInterval(sweep) };
 }
 
+/** The table of turns, for its cleaning. */
+export const turnTable: CleanedTable = {
+    table,
+    parts,
+    entryOf: key => key.replace(/\/\d{3}$/, ""),
+    writtenAt: rows => decode("", rows)!.keptAt,
+    keptFor: 3_600_000,
+};
+
 function partOf(id: string): string {
     return String(hash(id) % parts);
 }
--- /dev/null
+++ b/packages/gateway/test/cleaner.test.ts
@@ -0,0 +1,36 @@
+import { createStore } from "@tamarackgauge/platform";
+import { pack, unpack } from "msgpackr";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type CleanedTable, createCleaner } from "../src/cleaner.ts";
+import type { Log } from "../src/log.ts";
+import { createFleet, until } from "./harness.ts";
+
+const hour = 3_600_000;
+const table: CleanedTable = {
+    table: "turns",
+    parts: 1,
+    entryOf: key => key.replace(/\/\d{3}$/, ""),
+    writtenAt: rows => (unpack(Buffer.concat(rows.map(({ value }) => value))) as { at: number; }).at,
+    keptFor: hour,
+};
+
+test("rows whose writers are gone are removed after an hour, others are not (guards against a store that fills up)", async () => {
+    await using fleet = await createFleet();
+    const door = await fleet.rows.open();
+    await using store = createStore({ host: door.address, port: door.port });
+    const old = Buffer.from(pack({ at: Date.now() - 2 * hour, text: "x".repeat(50) }));
+    const put = (key: string, value: Buffer) =>
+        store.change({ puts: [{ table: "turns", part: "0", key, value }] }, { timeout: 1_000 });
+    await put("new", Buffer.from(pack({ at: Date.now() - hour / 2 })));
+    await put("old", old.subarray(0, 20));
+    await put("old/001", old.subarray(20));
+    await put("unreadable", Buffer.from([0xc1]));
+    const lines: string[] = [];
+    const log: Log = { info: event => void lines.push(event), warn: event => void lines.push(event) };
+    const cleaner = createCleaner({ store, tables: [table], log, interval: 20 });
+    await until(() => lines.includes("rows.cleaned"), "a part is cleaned");
+    assert.deepEqual([...fleet.rows.keys("turns")].sort(), ["new", "unreadable"]);
+    assert.ok(lines.includes("rows.unreadable"));
+    cleaner[Symbol.dispose]();
+});
