Release the tokens of a turn whose history cannot be read; count tokens of split routes by their largest service

Cause: the reservation and the search for the history were awaited together, so an error of the search left the tokens reserved for ever; and tokens of an event were taken from a route's first service, whichever generated it.

Both tests failed before (402 for tokens that nobody used; a third turn of 100 tokens under a budget of 250). Ruled out: counting by the upstream that answered, since a resumed stream may have had several.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -91,17 +91,21 @@
             answerSelf(storeAway());
             return;
         }
-        const [reservation, previous] = await Promise.all([reserve(), findHistory()]);
-        // What fails in between may have generated all of it.
-        let used = head.mostTokens;
+        const finding = findHistory();
+        // A failure is met where the history is needed, when the tokens are known to be reserved or not.
+        finding.catch(() => undefined);
+        const reservation = await reserve();
+        let used = 0;
         try {
+            const previous = await finding;
             const refusal = refusalOf(reservation, previous);
             if (refusal !== undefined) {
-                used = 0;
                 answerSelf(refusal);
                 return;
             }
             const history = previous as readonly Turn[];
+            // What fails from here on may have generated all of it.
+            used = head.mostTokens;
             const events = await serve({ ...call, body: bodyAfter(history) }, history);
             used = events * tokensPerEvent();
         }
@@ -127,9 +131,10 @@
         return budgeted === undefined ? unlimited : budgets.reserve(budgeted);
     }
 
+    /** The most of all services that the route is split over: any of them may have generated the events. */
     function tokensPerEvent(): number {
-        const service = parts.declaration()?.services.get(route.shares[0]!.service);
-        return service?.model?.tokensPerEvent ?? 1;
+        const services = parts.declaration()?.services;
+        return Math.max(...route.shares.map(({ service }) => services?.get(service)?.model?.tokensPerEvent ?? 1));
     }
 
     /** Sends the call and passes the answer on; gives the number of events that the caller may have had. */
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -1,3 +1,4 @@
+import { hash } from "@tamarackgauge/core/gateway";
 import type { RowStoreTrouble } from "@tamarackgauge/standin";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -148,3 +149,33 @@
     const kept = parts.fleet.rows.keys("turns").length;
     await until(() => parts.fleet.rows.keys("turns").length < kept, "rows are removed");
 });
+
+test("a history that cannot be read leaves no tokens reserved (guards against a budget that leaks with each try)", async () => {
+    await using parts = await start();
+    parts.fleet.rows.put("turns", String(hash("bad") % 256), "bad", "no turn");
+    await assert.rejects(call(parts.one, turn("t1", "p", "bad", 60)));
+    assert.equal((await call(parts.one, turn("t2", "p", undefined, 60))).status, 200);
+});
+
+test("a split route counts tokens by the service whose events hold most (guards against overspending)", async () => {
+    await using parts = await start();
+    const weightedBackends = [{ backend: "models", weight: 0 }, { backend: "large", weight: 1 }];
+    parts.fleet.declare({ version: 2,
+        routes: declaration.routes.map(route => route.name === "turn" ? { ...route, weightedBackends } : route),
+        backends: [...declaration.backends, { name: "large", maxConnections: 160,
+            engine: { slots: 12, kvCapacityTokens: 100_000, eventTokens: 20 } }] });
+    parts.fleet.register(parts.fleet.spare, { backend: "large" });
+    await until(
+        () => parts.one.lines.some(({ event, fields }) => event === "declaration.taken" && fields.version === 2),
+        "the split is in force",
+    );
+    // Each turn generates 5 events of 20 tokens.
+    const next = (id: string) => {
+        const wanted = turn(id, "p", undefined, 250);
+        return call(parts.one, { ...wanted, headers: { ...wanted.headers, "x-token-usage": "100,100" } });
+    };
+    await until(async () => (await next(`t${performance.now()}`)).status === 200, "the new engine is known");
+    assert.equal((await next("t2")).status, 200);
+    assert.equal((await next("t3")).status, 402);
+    assert.equal(parts.fleet.spare.ran.length, 2);
+});
