--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -10,4 +10,5 @@
 export * from "./store.ts";
 export * from "./storeHealth.ts";
 export * from "./storePace.ts";
+export * from "./tokenAccount.ts";
 export * from "./upstreamState.ts";
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -1,4 +1,6 @@
-import { grantOf, isAmple, renewGrant, StoreError, type TokenLedger } from "@tamarackgauge/core/gateway";
+import { beginTurn, beginWrite, confirmWrite, createTokenAccount, doubtWrite, endTurn, grantOf, hasIdleTokens,
+    holdsTokens, isAmple, isSettled, limitTo, reconcile, renewGrant, returnTokens, StoreError, type TokenAccount,
+    type TokenLedger } from "@tamarackgauge/core/gateway";
 import { type KnownLedger, noLedger, readLedger, replaceLedger } from "./budgetRow.ts";
 import type { Log } from "./log.ts";
 import { pause } from "./pause.ts";
@@ -87,24 +89,11 @@
     readonly answer: (reservation: Reservation) => void;
 }
 
-/** One write of the own grant. */
-interface GrantWrite {
-    readonly serial: number;
-    used: number;
-}
-
 /** A program's budget as this gateway knows it. */
 interface Account {
     readonly program: string;
     known: KnownLedger;
-    /** Tokens that the own grant in the row holds. */
-    granted: number;
-    /** Tokens generated under the grant since it was written. */
-    used: number;
-    /** The most that running turns may generate. */
-    running: number;
-    /** Writes whose fate is not known, by serial number; a later row tells. At most one of them was applied. */
-    readonly uncertain: Map<number, GrantWrite>;
+    readonly tokens: TokenAccount;
     wishes: Wish[];
     writing: boolean;
     timer: NodeJS.Timeout | undefined;
@@ -141,8 +130,7 @@
         return {
             settle(used) {
                 const account = accountOf(program);
-                account.running -= most;
-                account.used += used;
+                endTurn(account.tokens, most, used);
                 schedule(account, idleTimeOf(account));
             },
         };
@@ -162,7 +150,7 @@
 
     function takeBack(program: string, tokens: number): void {
         const account = accountOf(program);
-        account.used -= tokens;
+        returnTokens(account.tokens, tokens);
         schedule(account, idleTimeOf(account));
     }
 
@@ -175,11 +163,11 @@
             return "settled";
         }
         await giveBack(account);
-        return account.granted > account.running || account.uncertain.size > 0 ? "pending" : "settled";
+        return hasIdleTokens(account.tokens) ? "pending" : "settled";
     }
 
-    function idleTimeOf({ known, budget, uncertain }: Account): number {
-        return uncertain.size === 0 && isAmple(known.ledger, budget) ? ampleIdleTime : idleTime;
+    function idleTimeOf({ known, budget, tokens }: Account): number {
+        return tokens.uncertain.size === 0 && isAmple(known.ledger, budget) ? ampleIdleTime : idleTime;
     }
 
     /** Gives the waiting turns what the grant holds, and renews it for the rest. */
@@ -206,11 +194,11 @@
     function serveFromGrant(account: Account): void {
         while (account.wishes.length > 0) {
             const { turn, answer } = account.wishes[0]!;
-            if (account.used + account.running + turn.most > account.granted) {
+            if (!holdsTokens(account.tokens, turn.most)) {
                 return;
             }
             account.wishes.shift();
-            account.running += turn.most;
+            beginTurn(account.tokens, turn.most);
             answer(hold(turn));
         }
     }
@@ -218,7 +206,7 @@
     async function serveByWrite(account: Account): Promise<void> {
         const { turn, since, answer } = account.wishes[0]!;
         try {
-            if (await renew(account, account.running + turn.most, turn.most * turnsAhead, turn.budget)) {
+            if (await renew(account, account.tokens.running + turn.most, turn.most * turnsAhead, turn.budget)) {
                 return;
             }
             const recalls = await Promise.all(otherHolders(account).map(other => recallFrom(other, account.program)));
@@ -257,7 +245,8 @@
     /** Writes what was used and takes a new grant; false if the budget does not hold it. */
     async function renew(account: Account, needed: number, spare: number, budget: number): Promise<boolean> {
         lastSerial += 1;
-        const write: GrantWrite = { serial: lastSerial, used: account.used };
+        const { tokens } = account;
+        const write = beginWrite(tokens, lastSerial);
         const rest = { holder, needed, spare, budget };
         let over = false;
         try {
@@ -267,9 +256,8 @@
                         // Another call has had its answer, or the write was given up.
                         throw new StoreError("unknown", "the write is over");
                     }
-                    reconcile(account, write);
-                    // If the write has no answer, it may have been applied: what it gave back must not be handed out.
-                    account.granted = Math.min(account.granted, account.used + needed);
+                    reconcile(tokens, write, grantOf(account.known.ledger, holder));
+                    limitTo(tokens, needed);
                     const next = renewGrant(account.known.ledger, { ...rest, ...write });
                     if (next === undefined) {
                         // Only the newest row may refuse: another gateway may have given back since.
@@ -288,13 +276,11 @@
             if (granted === undefined) {
                 return false;
             }
-            account.uncertain.clear();
-            account.granted = granted;
-            account.used -= write.used;
+            confirmWrite(tokens, write, granted);
             return true;
         }
         catch (error) {
-            account.uncertain.set(write.serial, write);
+            doubtWrite(tokens, write);
             throw error;
         }
         finally {
@@ -302,19 +288,6 @@
         }
     }
 
-    /** A write whose answer was lost counts once the row shows it; what it settled is not settled again. */
-    function reconcile(account: Account, write: GrantWrite): void {
-        const grant = grantOf(account.known.ledger, holder);
-        const applied = account.uncertain.get(grant?.serial ?? 0);
-        if (applied !== undefined) {
-            // The others have lost their condition.
-            account.uncertain.clear();
-            account.granted = grant!.tokens;
-            account.used -= applied.used;
-            write.used -= applied.used;
-        }
-    }
-
     async function replace(account: Account, ledger: TokenLedger, timeout: number): Promise<boolean> {
         const { written, ...known } = await replaceLedger(store, account.program, account.known, ledger, timeout);
         account.known = known;
@@ -322,19 +295,19 @@
     }
 
     function schedule(account: Account, delay: number): void {
-        if (!stopped && account.running === 0 && !isSettled(account)) {
+        if (!stopped && account.tokens.running === 0 && !isSettled(account.tokens)) {
             clearTimeout(account.timer);
             account.timer = setTimeout(() => void giveBack(account), delay);
         }
     }
 
     async function giveBack(account: Account): Promise<void> {
-        if (account.writing || isSettled(account)) {
+        if (account.writing || isSettled(account.tokens)) {
             return;
         }
         account.writing = true;
         try {
-            await renew(account, account.running, 0, Infinity);
+            await renew(account, account.tokens.running, 0, Infinity);
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
@@ -352,7 +325,7 @@
 
     function forgetIdle(): void {
         for (const [program, account] of accounts) {
-            const idle = account.wishes.length === 0 && account.running === 0 && isSettled(account) &&
+            const idle = account.wishes.length === 0 && account.tokens.running === 0 && isSettled(account.tokens) &&
                 !account.writing;
             if (idle && now() - account.usedAt > forgetAfter) {
                 accounts.delete(program);
@@ -375,14 +348,6 @@
 }
 
 function createAccount(program: string): Account {
-    return { program, known: noLedger, granted: 0, used: 0, running: 0, uncertain: new Map(), wishes: [],
-        writing: false, timer: undefined, usedAt: 0, budget: 0 };
-}
-
-/**
- * The row shows all that is known here, and grants nothing. A write without an answer may have taken a grant, and returned
- * tokens can make `used` negative.
- */
-function isSettled({ granted, used, uncertain }: Account): boolean {
-    return granted === 0 && used === 0 && uncertain.size === 0;
+    return { program, known: noLedger, tokens: createTokenAccount(), wishes: [], writing: false, timer: undefined,
+        usedAt: 0, budget: 0 };
 }
