Repeat a call of the store until one of four has an answer

Ruled out: a shorter limit for each call (a slow store would then be asked ever more often; the delay follows its pace).

Change: one more call after each delay without an answer, four at most.

The test failed before.

--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -19,6 +19,8 @@
 }
 
 const longestPause = 120;
+/** Calls that are made at a time. Where every other answer is lost, one write in 16 has none with four. */
+const mostCalls = 4;
 
 /** For the calls that a caller waits for. */
 export const urgentPersistence: Persistence = { callTimeout: 1_500, giveUpAfter: 900, pause: 30,
@@ -52,10 +54,22 @@
     }
 }
 
-/** Makes a second call if the first has no answer after a delay; the first answer counts. */
+/** Makes one more call after each delay without an answer; the first answer counts, and the last failure. */
 function hedge<Value>(call: () => Promise<Value>, delay: number): Promise<Value> {
     return new Promise((resolve, reject) => {
-        let pending = 1;
+        let pending = 0;
+        let calls = 0;
+        let timer: NodeJS.Timeout | undefined;
+        const begin = () => {
+            pending += 1;
+            calls += 1;
+            timer = calls < mostCalls ? setTimeout(begin, delay) : undefined;
+            call().then(answered, failed);
+        };
+        const answered = (value: Value) => {
+            clearTimeout(timer);
+            resolve(value);
+        };
         const failed = (error: Error) => {
             pending -= 1;
             if (pending === 0) {
@@ -63,14 +77,6 @@
                 reject(error);
             }
         };
-        const answered = (value: Value) => {
-            clearTimeout(timer);
-            resolve(value);
-        };
-        const timer = setTimeout(() => {
-            pending += 1;
-            call().then(answered, failed);
-        }, delay);
-        call().then(answered, failed);
+        begin();
     });
 }
--- /dev/null
+++ b/packages/gateway/test/persist.test.ts
@@ -0,0 +1,40 @@
+import { StoreError } from "@tamarackgauge/core/gateway";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type PacedStore, patientPersistence, persist, urgentPersistence } from "../src/persist.ts";
+
+const hedgeDelay = 20;
+const unused = () => Promise.reject(new StoreError("away", "unused"));
+const store: PacedStore = { hedgeDelay: () => hedgeDelay, read: unused, change: unused, feed: unused };
+
+test("a call whose first three answers are lost is answered by the fourth (guards against waiting for an answer that never comes)", async () => {
+    let calls = 0;
+    const started = performance.now();
+    const answer = await persist(store, () => {
+        calls += 1;
+        return calls < 4 ? new Promise<string>(() => undefined) : Promise.resolve("done");
+    }, urgentPersistence);
+    assert.equal(answer, "done");
+    assert.ok(performance.now() - started < urgentPersistence.callTimeout);
+});
+
+test("a call that is answered is made once (guards against twice the load)", async () => {
+    let calls = 0;
+    await persist(store, () => {
+        calls += 1;
+        return Promise.resolve();
+    }, urgentPersistence);
+    await new Promise(resolve => setTimeout(resolve, hedgeDelay * 5));
+    assert.equal(calls, 1);
+});
+
+test("a store without a way fails urgent calls at once and is waited for by patient ones (guards against turns thrown away)", async () => {
+    let calls = 0;
+    const away = () => {
+        calls += 1;
+        return calls < 3 ? Promise.reject(new StoreError("away", "no way")) : Promise.resolve("done");
+    };
+    await assert.rejects(persist(store, away, urgentPersistence), StoreError);
+    assert.equal(calls, 1);
+    assert.equal(await persist(store, away, patientPersistence), "done");
+});
