Share an upstream's connections among all gateways, and wait longer for room

Ruled out: the calls' own time limits (504 did not grow); engines that crashed.

Change: a gateway takes a twelfth of the connections, or less where more gateways are known. A call that was refused for want of room is offered up to nine times within about half a second.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,7 +59,8 @@
     let listed = false;
     let stopping = false;
     let storeAwaySince: number | undefined;
-    const upstreams = createUpstreams({ declaration: () => declaration, now });
+    const upstreams = createUpstreams({ declaration: () => declaration, gateways: () => peers?.registered().length ?? 1,
+        now });
     const budgets = createSharedBudgets({ own: () => ownBudgets, settings, peers: () => peers?.registered() ?? [],
         metrics, log, now });
     const ownBudgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -70,6 +70,11 @@
 
 /** How often one call is sent at most, to the same upstream again included. */
 const mostSends = 4;
+/**
+ * The same where the upstream had no room: a service that has lost most of its upstreams has a queue of some hundred
+ * milliseconds, and a tool call that is refused ends its program.
+ */
+const mostOffers = 9;
 /** Pause before an upstream that had no room is asked again, in ms; it grows with each send. */
 const fullPause = 15;
 
@@ -105,7 +110,7 @@
             last = end;
             worst = end.failure === "notRun" ? worst : end.failure;
             tried.add(upstream.state.entry.id);
-            if (nextStep(route.execution, end.failure, sends, mostSends) === "giveUp" || now() >= call.endsAt) {
+            if (nextStep(route.execution, end.failure, sends, limitOf(end)) === "giveUp" || now() >= call.endsAt) {
                 break;
             }
             if (end.failure === "notRun" && !end.unreachable) {
@@ -119,6 +124,10 @@
             ...last?.answer === undefined ? {} : { answer: last.answer } };
     }
 
+    function limitOf({ failure, unreachable }: FailedAttempt): number {
+        return failure === "notRun" && !unreachable ? mostOffers : mostSends;
+    }
+
     function pick(): Upstream | undefined {
         const service = serviceOf();
         const exhausted = reached.size >= route.mostUpstreams;
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -20,17 +20,22 @@
 /** Parts of a set of upstreams. */
 export interface UpstreamsParts {
     readonly declaration: () => Declaration | undefined;
+    /** How many gateways are known, this one included. */
+    readonly gateways: () => number;
     readonly now: () => number;
 }
 
-/** The share of an upstream's connections that one daemon may use. */
-const connectionShare = 0.2;
-const fewestConnections = 8;
+/**
+ * An upstream resets what exceeds its connections, so that all gateways share them, also when it is the last one that
+ * takes calls. While few others are known, more may be there.
+ */
+const fewestGateways = 12;
+const fewestConnections = 4;
 /** Connections of an upstream that is gone are closed when its last calls have ended, in ms. */
 const closeDelay = 10_000;
 
 /** Creates an empty set of upstreams. */
-export function createUpstreams({ declaration, now }: UpstreamsParts): Upstreams {
+export function createUpstreams({ declaration, gateways, now }: UpstreamsParts): Upstreams {
     const known = new Map<string, Upstream>();
     const byService = new Map<string, Map<string, UpstreamState>>();
 
@@ -53,7 +58,7 @@
     function add(entry: UpstreamEntry): void {
         const service = declaration()?.services.get(entry.service);
         const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0);
-        const share = Math.floor((service?.mostConnections ?? 0) * connectionShare);
+        const share = Math.floor((service?.mostConnections ?? 0) / Math.max(fewestGateways, gateways()));
         const client = createUpstreamClient(entry.address, entry.port, Math.max(fewestConnections, share));
         known.set(entry.id, { state, client });
         const states = byService.get(entry.service) ?? new Map<string, UpstreamState>();
