Keep in doubt a write that has no answer when its repetition is refused

Cause, found by reading: of two calls of one write, the repeated one can find the budget spent in an older row while the first is applied on a newer one; that write then counted as not made, and what it settled would be settled again.

Ruled out: the same after a success, since the row then shows the serial number. No test shows the race: the store of the tests answers its calls in order.

--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -249,6 +249,7 @@
         const write = beginWrite(tokens, lastSerial);
         const rest = { holder, needed, spare, budget };
         let over = false;
+        let unanswered = 0;
         try {
             const granted = await persist(store, async timeout => {
                 for (;;) {
@@ -268,12 +269,22 @@
                         }
                         continue;
                     }
-                    if (next === account.known.ledger || await replace(account, next, timeout)) {
-                        return grantOf(account.known.ledger, holder)?.tokens ?? 0;
+                    if (next === account.known.ledger) {
+                        return grantOf(next, holder)?.tokens ?? 0;
+                    }
+                    unanswered += 1;
+                    const written = await replace(account, next, timeout);
+                    unanswered -= 1;
+                    if (written) {
+                        return grantOf(next, holder)?.tokens ?? 0;
                     }
                 }
             }, urgentPersistence);
             if (granted === undefined) {
+                // A repeated call has judged by an older row than the first may have changed.
+                if (unanswered > 0) {
+                    doubtWrite(tokens, write);
+                }
                 return false;
             }
             confirmWrite(tokens, write, granted);
