--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -55,7 +55,8 @@
     settled(): Promise<void>;
     /** Waits until every daemon has renewed its lease after an outage of the store. */
     renewed(): Promise<void>;
-    apply(lists: unknown, expected: number): Promise<Response>;
+    /** Replaces the lists through a daemon, the first one if none is named. */
+    apply(lists: unknown, expected: number, through?: string): Promise<Response>;
     /** What a daemon says about itself to operators. */
     status(name: string): Promise<DaemonStatus>;
     /** Takes a daemon whose process has ended out of the list. */
@@ -185,9 +186,8 @@
         throw new Error("no daemon has an ownership map");
     }
 
-    function apply(lists: unknown, expected: number): Promise<Response> {
-        const first = [...daemons.values()][0];
-        return fetch(`http://127.0.0.1:${first?.port}/operator/v1/configuration`, {
+    function apply(lists: unknown, expected: number, through = [...daemons.keys()][0]!): Promise<Response> {
+        return fetch(`http://127.0.0.1:${daemon(through).port}/operator/v1/configuration`, {
             method: "PUT",
             body: JSON.stringify(lists),
             headers: {
--- a/packages/daemon/test/configurationFaults.test.ts
+++ b/packages/daemon/test/configurationFaults.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { keys, ownershipRow } from "../src/rows.ts";
-import { createCluster, listsOf, operatorKey } from "./cluster.ts";
+import { createCluster, listsOf } from "./cluster.ts";
 import type { Cluster } from "./cluster.ts";
 
 const bound = 5_000;
@@ -23,15 +23,7 @@
 }
 
 async function put(name: string, lists: unknown, expected: number): Promise<number> {
-    const response = await fetch(`http://127.0.0.1:${cluster.daemon(name).port}/operator/v1/configuration`, {
-        method: "PUT",
-        body: JSON.stringify(lists),
-        headers: {
-            "authorization": `Bearer ${operatorKey}`,
-            "content-type": "application/json",
-            "if-match": `"${expected}"`,
-        },
-    });
+    const response = await cluster.apply(lists, expected, name);
     const body = await response.json() as { readonly error?: { readonly code: number; }; };
     return body.error?.code ?? response.status;
 }
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -110,10 +110,11 @@
             last = end;
             worst = end.failure === "notRun" ? worst : end.failure;
             tried.add(upstream.state.entry.id);
-            if (nextStep(route.execution, end.failure, sends, limitOf(end)) === "giveUp" || now() >= call.endsAt) {
+            if (nextStep(route.execution, end.failure, sends, hadNoRoom(end) ? mostOffers : mostSends) === "giveUp" ||
+                now() >= call.endsAt) {
                 break;
             }
-            if (end.failure === "notRun" && !end.unreachable) {
+            if (hadNoRoom(end)) {
                 await pause(fullPause * sends);
             }
         }
@@ -124,10 +125,6 @@
             ...last?.answer === undefined ? {} : { answer: last.answer } };
     }
 
-    function limitOf({ failure, unreachable }: FailedAttempt): number {
-        return failure === "notRun" && !unreachable ? mostOffers : mostSends;
-    }
-
     function pick(): Upstream | undefined {
         const service = serviceOf();
         const exhausted = reached.size >= route.mostUpstreams;
@@ -178,3 +175,8 @@
 
     return { result: run(), cancel };
 }
+
+/** The upstream was reached and did not take the call. */
+function hadNoRoom({ failure, unreachable }: FailedAttempt): boolean {
+    return failure === "notRun" && !unreachable;
+}
