Send nothing on a new connection that the upstream may close at once

Cause: at a cold start all gateways open connections to a tool server at the same time. The server resets those over its cap, which is lower while its queue is long. The call was written as soon as the connection was up, so its fate counted as unknown and a call that runs at most once ended with 502. Ruled out: resets in the middle of calls. The test fails with 502 without it.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -16,7 +16,7 @@
     readonly kind: "failure";
     readonly failure: AttemptFailure;
     readonly reason: string;
-    /** The call never left this process: no connection could be made. */
+    /** No connection could be made. */
     readonly unreachable: boolean;
     /** The upstream's own answer that it failed. */
     readonly answer?: WholeAnswer;
@@ -101,7 +101,9 @@
         head: takeHead,
         data: chunk => streaming ? sink!.data(chunk) : void chunks.push(chunk),
         end: () => finish(takeEnd()),
-        fail: (sent, reason) => finish({ ...failure(sent ? "unknown" : "notRun", reason), unreachable: !sent }),
+        fail: (cause, reason) =>
+            finish({ ...failure(cause === "unknown" ? "unknown" : "notRun", reason),
+                unreachable: cause === "unreachable" }),
     });
 
     return { end, wasSent: () => sending.wasSent(), cancel: () => stop("cancelled") };
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -2,6 +2,7 @@
 import { decodeAnswer } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import { type Dispatcher, Pool } from "undici";
+import { createUpstreamConnector, NoRoomForConnection } from "./upstreamConnector.ts";
 
 /** A call as it goes to an upstream. */
 export interface Send {
@@ -14,13 +15,18 @@
     readonly body: Buffer | undefined;
 }
 
+/**
+ * Why a call has no answer. `unreachable`: no connection could be made. `noRoom`: the upstream takes no more connections.
+ * In both cases the call certainly never left this process. `unknown`: the call was sent.
+ */
+export type SendFailure = "unreachable" | "noRoom" | "unknown";
+
 /** Told what comes back of a call. After `end` or `fail` nothing more comes. */
 export interface SendObserver {
     head(head: AnswerHead, headers: IncomingHttpHeaders): void;
     data(chunk: Buffer): void;
     end(): void;
-    /** `sent` is false only if the call certainly never left this process. */
-    fail(sent: boolean, reason: string): void;
+    fail(failure: SendFailure, reason: string): void;
 }
 
 /** A call under way at an upstream. */
@@ -36,7 +42,6 @@
     send(send: Send, observer: SendObserver): Sending;
 }
 
-const connectTimeout = 600;
 const idleTimeout = 8_000;
 /** An idle connection is given up this long before the upstream closes it. */
 const idleMargin = 1_000;
@@ -50,7 +55,7 @@
         bodyTimeout: 0,
         keepAliveTimeout: idleTimeout,
         keepAliveTimeoutThreshold: idleMargin,
-        connect: { timeout: connectTimeout, noDelay: true, keepAlive: true, keepAliveInitialDelay: 1_000 },
+        connect: createUpstreamConnector(),
     });
 
     function send({ call, method, path, headers, body }: Send, observer: SendObserver): Sending {
@@ -58,10 +63,11 @@
         let sent = false;
         let over = false;
 
-        function fail(reason: string): void {
+        function fail(error: Error): void {
             if (!over) {
                 over = true;
-                observer.fail(sent, reason);
+                observer.fail(sent ? "unknown" : error instanceof NoRoomForConnection ? "noRoom" : "unreachable",
+                    error.message);
             }
         }
 
@@ -86,7 +92,7 @@
                 const head = decodeAnswer(status, responseHeaders);
                 // An upstream may send an answer twice; the second one then stands where another call's is due.
                 if (head.call !== undefined && head.call !== call) {
-                    fail("the answer belongs to another call");
+                    fail(new Error("the answer belongs to another call"));
                     cancel();
                     return;
                 }
@@ -104,14 +110,14 @@
                 }
             },
             onResponseError(_, error) {
-                fail(error.message);
+                fail(error);
             },
         };
         try {
             pool.dispatch({ method: method, path, headers, body: body ?? null }, handler);
         }
         catch (error) {
-            fail((error as Error).message);
+            fail(error as Error);
         }
         return { cancel, wasSent: () => sent };
     }
--- a/packages/gateway/test/calls.test.ts
+++ b/packages/gateway/test/calls.test.ts
@@ -1,4 +1,4 @@
-import type { FleetBehaviour } from "@tamarackgauge/standin";
+import { createForwarder, type FleetBehaviour } from "@tamarackgauge/standin";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { call, createFleet, leave, until, untilReady } from "./harness.ts";
@@ -71,6 +71,29 @@
     calls.forEach(each => each.destroy());
 });
 
+test("a call whose new connection the upstream closes at once has not run (guards against a 502 for a call that may be sent again)", async () => {
+    await using parts = await start();
+    await using crowded = await createForwarder({ target: parts.fleet.tool.port });
+    crowded.refuse(true, 3);
+    parts.fleet.register(parts.fleet.tool, { address: `127.0.0.1:${crowded.port}` });
+    await until(async () => {
+        await call(parts.gateway, { path: "/look/x", id: "probe" });
+        return crowded.counts().refused > 0;
+    }, "the tool is reached through the forwarder");
+    const ran = parts.fleet.tool.ran.length;
+    const waiting = call(parts.gateway, { path: "/pay/x", id: "1", body: "x" });
+    const refused = crowded.counts().refused;
+    await until(() => crowded.counts().refused > refused, "the call's connection is closed");
+    crowded.refuse(false);
+    assert.equal((await waiting).status, 200);
+    assert.equal(parts.fleet.tool.ran.length, ran + 1);
+    crowded.refuse(true);
+    crowded.cut();
+    const refusal = await call(parts.gateway, { path: "/pay/x", id: "2", body: "x" });
+    assert.equal(refusal.status, 503);
+    assert.ok(refusal.headers["retry-after"] !== undefined);
+});
+
 test("an upstream without room makes a refusal that says when to come back (guards against a false 502)", async () => {
     await using parts = await start();
     parts.fleet.tool.behave(...refusals(20));
