Wait for a write under way before the last grants are given back

Cause: a gateway that ends gave back the grants of its programs, but left out each program whose row it was writing at that moment; its grant stayed in the row and counted as spent. Change: the write is a promise, for which the end waits. A turn that comes between the last look and the end of a write is served after it; without that the new play stands still. Also: a shortage is logged once for each version of a program's row. Ruled out: tokens counted twice; the counts were exact once all writes had ended.

--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -95,11 +95,14 @@
     known: KnownLedger;
     readonly tokens: TokenAccount;
     wishes: Wish[];
-    writing: boolean;
+    /** The row is being written; no other write begins before its end. */
+    writing: Promise<void> | undefined;
     timer: NodeJS.Timeout | undefined;
     usedAt: number;
     /** The budget as the last turn named it. */
     budget: number;
+    /** Version of the row of which a shortage was logged last: a program may ask again many times a second. */
+    shortLogged: number | undefined;
 }
 
 /** Creates the budgets of the programs whose turns come to this gateway. */
@@ -172,25 +175,33 @@
 
     /** Gives the waiting turns what the grant holds, and renews it for the rest. */
     async function serve(account: Account): Promise<void> {
-        if (account.writing) {
+        if (account.writing !== undefined) {
             return;
         }
-        account.writing = true;
         clearTimeout(account.timer);
         account.timer = undefined;
-        try {
+        await write(account, async () => {
             serveFromGrant(account);
             while (account.wishes.length > 0) {
                 await serveByWrite(account);
                 serveFromGrant(account);
             }
-        }
-        finally {
-            account.writing = false;
+        });
+        if (account.wishes.length > 0) {
+            // A turn that came between the last look and the end of the write has found the row being written.
+            await serve(account);
+            return;
         }
         schedule(account, idleTimeOf(account));
     }
 
+    function write(account: Account, work: () => Promise<void>): Promise<void> {
+        account.writing = work().finally(() => {
+            account.writing = undefined;
+        });
+        return account.writing;
+    }
+
     function serveFromGrant(account: Account): void {
         while (account.wishes.length > 0) {
             const { turn, answer } = account.wishes[0]!;
@@ -223,7 +234,12 @@
         }
     }
 
-    function logShortage({ known }: Account, turn: BudgetedTurn, recalls: readonly RecallOutcome[]): void {
+    function logShortage(account: Account, turn: BudgetedTurn, recalls: readonly RecallOutcome[]): void {
+        const { known } = account;
+        if (account.shortLogged === known.version) {
+            return;
+        }
+        account.shortLogged = known.version;
         const { spent, grants } = known.ledger;
         log.info("budget.short", { ...turn, spent, granted: grants.reduce((sum, { tokens }) => sum + tokens, 0),
             version: known.version, recalls: recalls.join() });
@@ -313,10 +329,16 @@
     }
 
     async function giveBack(account: Account): Promise<void> {
-        if (account.writing || isSettled(account.tokens)) {
+        if (account.writing !== undefined || isSettled(account.tokens)) {
             return;
         }
-        account.writing = true;
+        await write(account, () => writeIdle(account));
+        if (account.wishes.length > 0) {
+            await serve(account);
+        }
+    }
+
+    async function writeIdle(account: Account): Promise<void> {
         try {
             await renew(account, account.tokens.running, 0, Infinity);
         }
@@ -326,18 +348,12 @@
             }
             schedule(account, retryTime);
         }
-        finally {
-            account.writing = false;
-        }
-        if (account.wishes.length > 0) {
-            await serve(account);
-        }
     }
 
     function forgetIdle(): void {
         for (const [program, account] of accounts) {
             const idle = account.wishes.length === 0 && account.tokens.running === 0 && isSettled(account.tokens) &&
-                !account.writing;
+                account.writing === undefined;
             if (idle && now() - account.usedAt > forgetAfter) {
                 accounts.delete(program);
             }
@@ -345,7 +361,15 @@
     }
 
     async function flush(): Promise<void> {
-        await Promise.all([...accounts.values()].map(giveBack));
+        await Promise.all([...accounts.values()].map(giveBackLast));
+    }
+
+    /** Nothing is written later, so a write under way is waited for. */
+    async function giveBackLast(account: Account): Promise<void> {
+        while (account.writing !== undefined) {
+            await account.writing;
+        }
+        await giveBack(account);
     }
 
     function dispose(): void {
@@ -359,6 +383,6 @@
 }
 
 function createAccount(program: string): Account {
-    return { program, known: noLedger, tokens: createTokenAccount(), wishes: [], writing: false, timer: undefined,
-        usedAt: 0, budget: 0 };
+    return { program, known: noLedger, tokens: createTokenAccount(), wishes: [], writing: undefined, timer: undefined,
+        usedAt: 0, budget: 0, shortLogged: undefined };
 }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { createBudgets, type OwnBudgets, type TokenHold } from "../src/budgets.ts";
 import type { Log } from "../src/log.ts";
+import { pause } from "../src/pause.ts";
 import type { PacedStore } from "../src/persist.ts";
 
 const program = "p";
@@ -20,8 +21,8 @@
     };
 }
 
-/** One row in memory. Of its calls some fail, with and without an effect. */
-function createFailingStore(random: Random) {
+/** One row in memory. Of its calls some fail, with and without an effect; each takes effect after a random time. */
+function createFailingStore(random: Random, longestDelay: number) {
     let row: StoreRow | undefined;
     let version = 0;
     let sound = false;
@@ -42,15 +43,26 @@
         return { applied: true, version };
     }
 
+    async function delay(): Promise<void> {
+        if (longestDelay > 0) {
+            await pause(random(longestDelay));
+        }
+    }
+
     const store: PacedStore = {
-        hedgeDelay: () => 150,
+        hedgeDelay: () => longestDelay > 0 ? longestDelay / 4 : 150,
         async read() {
+            await delay();
             mayFail();
-            return { rows: row === undefined ? [] : [row], more: false, version };
+            const page = { rows: row === undefined ? [] : [row], more: false, version };
+            await delay();
+            return page;
         },
         async change(change) {
+            await delay();
             mayFail();
             const result = apply(change);
+            await delay();
             mayFail();
             return result;
         },
@@ -67,10 +79,19 @@
     };
 }
 
+/** How a program is played. */
+interface Play {
+    readonly seed: number;
+    /** Steps that are under way at the same time. */
+    readonly atOnce: number;
+    /** Each way to the store and back takes up to this, in ms; a quarter of it without an answer repeats a call. */
+    readonly longestDelay: number;
+}
+
 /** Plays turns, loans and recalls of three gateways over a store that fails; gives what was generated and counted. */
-async function play(seed: number) {
+async function play({ seed, atOnce, longestDelay }: Play) {
     const random = createRandom(seed);
-    const failing = createFailingStore(random);
+    const failing = createFailingStore(random, longestDelay);
     let time = 0;
     // No turn waits for long: each look at the clock is a second after the last.
     const now = () => time += 1_000;
@@ -110,8 +131,8 @@
         }
     }
 
-    for (let steps = 0; steps < 120; steps += 1) {
-        await step();
+    for (let steps = 0; steps < 120; steps += atOnce) {
+        await Promise.all(Array.from({ length: atOnce }, step));
     }
     holds.forEach(({ most, hold }) => {
         hold.settle(most);
@@ -127,8 +148,42 @@
 
 test("over a store that fails, with and without effect, no program gets more than its budget (guards against tokens that are settled twice or served from a grant that was given back)", async () => {
     for (let seed = 1; seed <= 300; seed += 1) {
-        const { generated, spent, granted } = await play(seed);
-        assert.ok(generated <= budget, `seed ${seed}: ${generated} tokens`);
-        assert.deepEqual({ spent, granted }, { spent: generated, granted: 0 }, `seed ${seed}`);
+        await playExactly({ seed, atOnce: 1, longestDelay: 0 });
     }
 });
+
+test(
+    "the same with calls that are repeated while others are under way (guards against a repeated write that is counted twice, and turns that are never answered)",
+    { timeout: 60_000 },
+    async () => {
+        await Promise.all(
+            Array.from({ length: 60 }, (_, seed) => playExactly({ seed: seed + 1, atOnce: 4, longestDelay: 8 })),
+        );
+    },
+);
+
+test("a program that asks again and again is logged once for each state of its budget (guards against a log that says nothing else)", async () => {
+    const lines: string[] = [];
+    const counting: Log = { info: event => void lines.push(event), warn: () => undefined };
+    const { store, mend } = createFailingStore(createRandom(1), 0);
+    mend();
+    using gateway = createBudgets({ store, holder: "a", log: counting, now: () => performance.now(),
+        recallFrom: async () => "gone" });
+    const hold = await gateway.reserve({ program, most: budget, budget });
+    assert.ok(typeof hold !== "string");
+    for (let asked = 0; asked < 5; asked += 1) {
+        assert.equal(await gateway.reserve({ program, most: 100, budget }), "exhausted");
+    }
+    assert.deepEqual(lines, ["budget.short"]);
+    hold.settle(budget - 50);
+    await gateway.flush();
+    assert.equal(await gateway.reserve({ program, most: 100, budget }), "exhausted");
+    assert.deepEqual(lines, ["budget.short", "budget.short"]);
+});
+
+/** Plays a program and checks that the row shows exactly what was generated, within the budget. */
+async function playExactly(how: Play): Promise<void> {
+    const { generated, spent, granted } = await play(how);
+    assert.ok(generated <= budget, `seed ${how.seed}: ${generated} tokens`);
+    assert.deepEqual({ spent, granted }, { spent: generated, granted: 0 }, `seed ${how.seed}`);
+}
