Tell in the log what could not be given back or removed

A grant that could not be given back and rows past their retention that could not be removed were tried again without a line. Cause of the gap: both retries swallowed the store's error. budget.notGivenBack and rows.notRemoved say reason and next try.

--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -346,6 +346,8 @@
             if (!(error instanceof StoreError)) {
                 throw error;
             }
+            log.info("budget.notGivenBack", { program: account.program, reason: error.message,
+                againIn: stopped ? undefined : retryTime });
             schedule(account, retryTime);
         }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,7 +68,7 @@
     const peerServer = settings.peers === undefined
         ? undefined
         : await createPeerServer({ address: settings.peers, store: direct, health, lender: ownBudgets, log, now });
-    const turns = createTurns({ store, mostRowBytes: settings.mostRowBytes, metrics, now });
+    const turns = createTurns({ store, mostRowBytes: settings.mostRowBytes, metrics, log, now });
     const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
     const front = await createFront({ ...settings.callers, upstreams, declaration: () => declaration, budgets, turns,
         isStoreAway: () => store.isAway(), log, metrics, now, dataCentre: settings.dataCentre,
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,6 +1,7 @@
 import { hash, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
 import type { CleanedTable } from "./cleaner.ts";
+import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 import { type PacedStore, patientPersistence, persist, urgentPersistence } from "./persist.ts";
 
@@ -68,11 +69,12 @@
     /** The largest value of a row in text form. */
     readonly mostRowBytes: number;
     readonly metrics: Metrics;
+    readonly log: Log;
     readonly now: () => number;
 }
 
 /** Creates the turns of the programs that come to this daemon. */
-export function createTurns({ store, mostRowBytes, metrics, now }: TurnsParts): Turns & Disposable {
+export function createTurns({ store, mostRowBytes, metrics, log, now }: TurnsParts): Turns & Disposable {
     const remembered = new Map<string, Remembered>();
     const expiries: Expiry[] = [];
     const segmentBytes = Math.floor(mostRowBytes * bytesOfText) - 64;
@@ -174,6 +176,8 @@
             if (!(error instanceof StoreError)) {
                 throw error;
             }
+            log.info("rows.notRemoved", { table, part, turns: batch.length, reason: error.message,
+                againIn: removalInterval });
         }
     }
 
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createBudgets, type OwnBudgets, type TokenHold } from "../src/budgets.ts";
-import type { Log } from "../src/log.ts";
+import type { Log, LogFields } from "../src/log.ts";
 import { pause } from "../src/pause.ts";
 import type { PacedStore } from "../src/persist.ts";
 
@@ -181,6 +181,26 @@
     assert.deepEqual(lines, ["budget.short", "budget.short"]);
 });
 
+test("tokens that cannot be given back are told in the log (guards against a budget that looks spent for no visible reason)", async () => {
+    const lines: LogFields[] = [];
+    const counting: Log = { info: (event, fields) => void lines.push({ event, ...fields }), warn: () => undefined };
+    const { store, mend } = createFailingStore(createRandom(1), 0);
+    mend();
+    let away = false;
+    const change: PacedStore["change"] = (...call) =>
+        away ? Promise.reject(new StoreError("away", "the store is away")) : store.change(...call);
+    using gateway = createBudgets({ store: { ...store, change }, holder: "a", log: counting,
+        now: () => performance.now(), recallFrom: async () => "gone" });
+    const hold = await gateway.reserve({ program, most: 100, budget });
+    assert.ok(typeof hold !== "string");
+    hold.settle(40);
+    away = true;
+    await gateway.flush();
+    assert.deepEqual(lines, [
+        { event: "budget.notGivenBack", program, reason: "the store is away", againIn: 300 },
+    ]);
+});
+
 /** Plays a program and checks that the row shows exactly what was generated, within the budget. */
 async function playExactly(how: Play): Promise<void> {
     const { generated, spent, granted } = await play(how);
