--- a/packages/daemon/test/client.ts
+++ b/packages/daemon/test/client.ts
@@ -31,6 +31,8 @@
     readonly headers: Readonly<Record<string, unknown>>;
     readonly done: boolean;
     readonly lost: boolean;
+    /** Why the connection broke, for the message of a test that fails. */
+    readonly lostBy: string | undefined;
     readonly error: TestError | undefined;
     readonly durability: string | undefined;
     readonly seal: string | undefined;
@@ -75,8 +77,8 @@
                 ? await readStream(response.statusCode, response.headers, response.body, wanted)
                 : readWhole(response.statusCode, response.headers, await response.body.text());
         }
-        catch {
-            return { ...nothing, lost: true };
+        catch (error) {
+            return { ...nothing, lost: true, lostBy: String(error) };
         }
     }
 
@@ -99,6 +101,7 @@
     headers: {},
     done: false,
     lost: false,
+    lostBy: undefined,
     error: undefined,
     durability: undefined,
     seal: undefined,
@@ -159,8 +162,8 @@
             }
         }
     }
-    catch {
-        // The connection broke; the answer says so.
+    catch (error) {
+        answer = { ...answer, lostBy: String(error) };
     }
     return { ...answer, lost: answer.error === undefined };
 }
