Fail a test file that does not end within ten minutes

A test that failed and left a timer open stopped the suite for 15 minutes and showed nothing (fifth of five runs beside four busy processes). Ruled out: forcing the exit, which would hide processes that do not end.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,12 +4,14 @@
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 
 const knownRedFile = "KNOWN-RED.txt";
+/** A file that has not ended by then fails, so that a test that leaves something open cannot stop the suite, in ms. */
+const longestFile = 600_000;
 const failure = /^\s*not ok \d+ - (.*?)(?: # .*)?$/;
 const folders = [...readdirSync("packages").map(name => `packages/${name}/test`), "platform/test"];
 const files = folders.filter(folder => existsSync(folder)).flatMap(testFiles).sort();
 const concurrency = process.env.TEST_CONCURRENCY ?? "3";
 const args = ["--import", "tsx", "--test", "--test-reporter=tap", `--test-concurrency=${concurrency}`,
-    ...process.argv.slice(2), ...files];
+    `--test-timeout=${longestFile}`, ...process.argv.slice(2), ...files];
 const child = spawn(process.execPath, args, { stdio: ["inherit", "pipe", "inherit"] });
 
 const failed = [];
