Reset a new connection at once in its test

The test failed once in a suite run on an otherwise idle machine with 502: its reset came 3 ms after the connection was accepted, in the process that ends the hold after 6 ms, so a pause of the loop of 3 ms put it after the hold. The reset at once is ready in the same poll as the connection. Without the change under test it fails as before (503 for a call that should be sent again).

--- a/packages/gateway/test/calls.test.ts
+++ b/packages/gateway/test/calls.test.ts
@@ -74,7 +74,7 @@
 test("a call whose new connection the upstream closes at once has not run (guards against a 502 for a call that may be sent again)", async () => {
     await using parts = await start();
     await using crowded = await createForwarder({ target: parts.fleet.tool.port });
-    crowded.refuse(true, 3);
+    crowded.refuse(true);
     parts.fleet.register(parts.fleet.tool, { address: `127.0.0.1:${crowded.port}` });
     await until(async () => {
         await call(parts.gateway, { path: "/look/x", id: "probe" });
--- a/packages/standin/src/forwarder.ts
+++ b/packages/standin/src/forwarder.ts
@@ -38,8 +38,8 @@
     readonly controlPort?: number;
     /** Resets all open connections. */
     cut(): void;
-    /** Resets new connections so many milliseconds after they are accepted, by default at once. */
-    refuse(on: boolean, afterMs?: number): void;
+    /** Resets new connections as soon as they are accepted. */
+    refuse(on: boolean): void;
     /**
      * `existing` makes the connections open now silent: they stay open, all bytes and closes are dropped, and they
      * never recover. `all` does so with new ones as well, until `none`.
@@ -62,7 +62,6 @@
     const counted = { accepted: 0, refused: 0, bytesUp: 0, bytesDown: 0 };
     const delays = { up: options.delayMs ?? 0, down: options.delayMs ?? 0 };
     let refusing = false;
-    let refusalDelay = 0;
     let muting = false;
     const counts = (): ForwarderCounts => ({
         ...counted,
@@ -73,13 +72,7 @@
     function accept(client: Socket): void {
         if (refusing) {
             counted.refused += 1;
-            client.on("error", () => {});
-            if (refusalDelay === 0) {
-                client.resetAndDestroy();
-            }
-            else {
-                setTimeout(() => client.resetAndDestroy(), refusalDelay);
-            }
+            client.resetAndDestroy();
             return;
         }
         counted.accepted += 1;
@@ -169,9 +162,8 @@
 
     const server = createServer({ allowHalfOpen: true }, accept);
     const port = await listenTcp(server, options.port ?? 0);
-    const commands = { cut, refuse: (on: boolean, afterMs = 0) => {
+    const commands = { cut, refuse: (on: boolean) => {
         refusing = on;
-        refusalDelay = afterMs;
     }, silence, delay, counts };
     const control = options.controlPort === undefined
         ? undefined
