--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -1,9 +1,9 @@
 import { beginTurn, beginWrite, confirmWrite, createTokenAccount, doubtWrite, endTurn, grantOf, hasIdleTokens,
     holdsTokens, isAmple, isSettled, limitTo, reconcile, renewGrant, returnTokens, StoreError, type TokenAccount,
     type TokenLedger } from "@tamarackgauge/core/gateway";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type KnownLedger, noLedger, readLedger, replaceLedger } from "./budgetRow.ts";
 import type { Log } from "./log.ts";
-import { pause } from "./pause.ts";
 import { type PacedStore, persist, urgentPersistence } from "./persist.ts";
 
 /** A turn's most, counted as generated until it is settled. */
@@ -222,7 +222,7 @@
             }
             const recalls = await Promise.all(otherHolders(account).map(other => recallFrom(other, account.program)));
             if (recalls.length > 0 && now() - since < longestWait) {
-                await pause(waitInterval);
+                await sleep(waitInterval);
                 return;
             }
             account.wishes.shift();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,13 +4,13 @@
     upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
 import { createCleaner } from "./cleaner.ts";
 import { createFront, listen } from "./front.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
-import { pause } from "./pause.ts";
 import { createPeerList, type PeerList } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
@@ -133,10 +133,10 @@
         stopping = true;
         ownBudgets.stopLending();
         log.info("gateway.stopping", { active: front.active() });
-        await pause(rotationTime);
+        await sleep(rotationTime);
         const rest = settings.grace - exitMargin - (now() - started);
-        await Promise.race([front.drain(), pause(rest)]);
-        await Promise.race([ownBudgets.flush(), pause(300)]);
+        await Promise.race([front.drain(), sleep(rest)]);
+        await Promise.race([ownBudgets.flush(), sleep(300)]);
         log.info("gateway.stopped", { active: front.active() });
     }
 
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -1,5 +1,5 @@
 import { type Store, StoreError } from "@tamarackgauge/core/gateway";
-import { pause as sleep } from "./pause.ts";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** A store that knows its pace. */
 export interface PacedStore extends Store {
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -2,11 +2,11 @@
     type ServiceRoute } from "@tamarackgauge/core/gateway";
 import type { RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { WholeAnswer } from "./callerAnswer.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import { pause } from "./pause.ts";
 import type { Upstream, Upstreams } from "./upstreams.ts";
 
 /** A call that has been read whole. Times are monotonic milliseconds. */
@@ -115,7 +115,7 @@
                 break;
             }
             if (hadNoRoom(end)) {
-                await pause(fullPause * sends);
+                await sleep(fullPause * sends);
             }
         }
         if (cancelled !== undefined) {
--- a/packages/gateway/src/watch.ts
+++ b/packages/gateway/src/watch.ts
@@ -1,6 +1,6 @@
 import { type FeedResult, type RowPage, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Log } from "./log.ts";
-import { pause as sleep } from "./pause.ts";
 
 /** Follows the rows of one table. */
 export interface TableWatch extends AsyncDisposable {
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -2,9 +2,9 @@
 import { unpack } from "msgpackr";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createBudgets, type OwnBudgets, type TokenHold } from "../src/budgets.ts";
 import type { Log, LogFields } from "../src/log.ts";
-import { pause } from "../src/pause.ts";
 import type { PacedStore } from "../src/persist.ts";
 
 const program = "p";
@@ -45,7 +45,7 @@
 
     async function delay(): Promise<void> {
         if (longestDelay > 0) {
-            await pause(random(longestDelay));
+            await sleep(random(longestDelay));
         }
     }
 
--- a/packages/gateway/test/calls.test.ts
+++ b/packages/gateway/test/calls.test.ts
@@ -1,6 +1,7 @@
 import { createForwarder, type FleetBehaviour } from "@tamarackgauge/standin";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { call, createFleet, leave, until, untilReady } from "./harness.ts";
 
 async function start() {
@@ -66,7 +67,7 @@
         (_, index) => leave(parts.gateway, { path: "/pay/x", id: `c${index}`, body: "x" }));
     // The service takes 110 connections.
     await until(() => parts.fleet.tool.ran.length >= 9, "the share is used");
-    await new Promise(resolve => setTimeout(resolve, 200));
+    await sleep(200);
     assert.equal(parts.fleet.tool.ran.length, 9);
     calls.forEach(each => each.destroy());
 });
@@ -175,7 +176,7 @@
         "the route is gone");
     parts.fleet.declare({ version: 4 });
     parts.fleet.declare({ version: 5, limits: { maxBodyBytes: 7 } });
-    await new Promise(resolve => setTimeout(resolve, 100));
+    await sleep(100);
     assert.equal((await call(parts.gateway, { path: "/pay/x", id: "2", body: "x" })).status, 404);
 });
 
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -4,6 +4,7 @@
     type RowStoreDoor } from "@tamarackgauge/standin";
 import { type Agent, type ClientRequest, type IncomingHttpHeaders, request } from "node:http";
 import { createServer } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createGateway, type Gateway } from "../src/index.ts";
 import type { Log, LogFields } from "../src/log.ts";
 
@@ -133,7 +134,7 @@
         if (await holds()) {
             return;
         }
-        await new Promise(resolve => setTimeout(resolve, 10));
+        await sleep(10);
     }
     throw new Error(`did not happen: ${what}`);
 }
--- a/packages/gateway/test/persist.test.ts
+++ b/packages/gateway/test/persist.test.ts
@@ -1,6 +1,7 @@
 import { StoreError } from "@tamarackgauge/core/gateway";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type PacedStore, patientPersistence, persist, urgentPersistence } from "../src/persist.ts";
 
 const hedgeDelay = 20;
@@ -24,7 +25,7 @@
         calls += 1;
         return Promise.resolve();
     }, urgentPersistence);
-    await new Promise(resolve => setTimeout(resolve, hedgeDelay * 5));
+    await sleep(hedgeDelay * 5);
     assert.equal(calls, 1);
 });
 
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -2,6 +2,7 @@
 import type { RowStoreTrouble } from "@tamarackgauge/standin";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { call, createFleet, declaration, turn, until, untilReady } from "./harness.ts";
 
 async function start() {
@@ -90,7 +91,7 @@
     assert.equal((await call(parts.one, turn("t1", "p", undefined, 230))).status, 200);
     // Nothing is answered until the write is given up; the peer has no way to the store either.
     [parts.one, parts.two].forEach(({ door }) => door.setTrouble({ mode: "lostReply", call: "change" }));
-    await new Promise(resolve => setTimeout(resolve, 2_000));
+    await sleep(2_000);
     [parts.one, parts.two].forEach(({ door }) => door.setTrouble(undefined));
     for (const id of ["t2", "t3", "t4"]) {
         await until(
@@ -109,7 +110,7 @@
         parts.one.door.setTrouble({ mode: "lostReply", call: call_, count: 1 });
         const answer = await call(parts.one, turn(`t${index}`, "p", undefined, 110 + 50 * index));
         assert.equal(answer.status, 200);
-        await new Promise(resolve => setTimeout(resolve, 700));
+        await sleep(700);
     }
 });
 
@@ -139,7 +140,7 @@
     assert.equal((await call(parts.one, turn(last, "p"))).status, 200);
     // The rows of the first turn would be gone 8 s after it.
     for (let index = 1; performance.now() - started < 11_000; index += 1) {
-        await new Promise(resolve => setTimeout(resolve, retentionS * 800));
+        await sleep(retentionS * 800);
         const next = `t${index}`;
         assert.equal((await call(parts.one, turn(next, "p", last))).status, 200);
         last = next;
