Draw the plays of budgets from the project's seeded random source

Two tests had a generator of their own, one of which used the low bits of its state, which repeat soon. Counts of seeds and all checks are as before.

--- a/packages/core/test/gateway/ledger.test.ts
+++ b/packages/core/test/gateway/ledger.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { committedTokens, emptyLedger, grantOf, renewGrant, type TokenLedger } from "../../src/gateway/index.ts";
+import { createRandom } from "../../src/index.ts";
 
 const request = { holder: "a", serial: 1, used: 0, needed: 60, spare: 0, budget: 100 };
 
@@ -34,17 +35,14 @@
 
 /** Plays turns of three gateways under one budget, with writes that are repeated; gives the tokens generated. */
 function play(seed: number): number {
-    let state = seed;
-    const random = (below: number) => {
-        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-        return state % below;
-    };
+    const random = createRandom(seed);
+    const draw = (below: number) => Math.floor(random() * below);
     let ledger = emptyLedger;
     let generated = 0;
     const holders = ["a", "b", "c"].map(holder => ({ holder, serial: 0, used: 0, granted: 0 }));
     for (let step = 0; step < 100; step += 1) {
-        const own = holders[random(3)]!;
-        const most = 40 + random(60);
+        const own = holders[draw(3)]!;
+        const most = 40 + draw(60);
         if (own.used + most > own.granted) {
             own.serial += 1;
             const wanted = { holder: own.holder, serial: own.serial, used: own.used, needed: most, spare: 120,
@@ -57,7 +55,7 @@
             own.used = 0;
             own.granted = grantOf(ledger, own.holder)!.tokens;
         }
-        const tokens = random(most + 1);
+        const tokens = draw(most + 1);
         own.used += tokens;
         generated += tokens;
     }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -1,3 +1,4 @@
+import { createRandom } from "@tamarackgauge/core";
 import { type ChangeResult, type StoreChange, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { unpack } from "msgpackr";
 import assert from "node:assert/strict";
@@ -11,24 +12,22 @@
 const budget = 2_000;
 const log: Log = { info: () => undefined, warn: () => undefined };
 
-type Random = (below: number) => number;
+/** Whole numbers from 0 to below a bound. */
+type Draw = (below: number) => number;
 
-function createRandom(seed: number): Random {
-    let state = seed;
-    return below => {
-        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-        return Math.floor(state / 65_536) % below;
-    };
+function createDraw(seed: number): Draw {
+    const random = createRandom(seed);
+    return below => Math.floor(random() * below);
 }
 
 /** One row in memory. Of its calls some fail, with and without an effect; each takes effect after a random time. */
-function createFailingStore(random: Random, longestDelay: number) {
+function createFailingStore(draw: Draw, longestDelay: number) {
     let row: StoreRow | undefined;
     let version = 0;
     let sound = false;
 
     function mayFail(): void {
-        if (!sound && random(4) === 0) {
+        if (!sound && draw(4) === 0) {
             throw new StoreError("away", "the store is away");
         }
     }
@@ -45,7 +44,7 @@
 
     async function delay(): Promise<void> {
         if (longestDelay > 0) {
-            await sleep(random(longestDelay));
+            await sleep(draw(longestDelay));
         }
     }
 
@@ -90,8 +89,8 @@
 
 /** Plays turns, loans and recalls of three gateways over a store that fails; gives what was generated and counted. */
 async function play({ seed, atOnce, longestDelay }: Play) {
-    const random = createRandom(seed);
-    const failing = createFailingStore(random, longestDelay);
+    const draw = createDraw(seed);
+    const failing = createFailingStore(draw, longestDelay);
     let time = 0;
     // No turn waits for long: each look at the clock is a second after the last.
     const now = () => time += 1_000;
@@ -103,9 +102,9 @@
     let generated = 0;
 
     async function step(): Promise<void> {
-        const gateway = gateways[random(3)]!;
-        const most = 40 + random(160);
-        switch (random(4)) {
+        const gateway = gateways[draw(3)]!;
+        const most = 40 + draw(160);
+        switch (draw(4)) {
             case 0: {
                 const hold = await gateway.reserve({ program, most, budget });
                 if (typeof hold !== "string") {
@@ -120,8 +119,8 @@
                 break;
             }
             case 2: {
-                const [ended] = holds.splice(random(holds.length + 1), 1);
-                const used = ended === undefined ? 0 : random(ended.most + 1);
+                const [ended] = holds.splice(draw(holds.length + 1), 1);
+                const used = ended === undefined ? 0 : draw(ended.most + 1);
                 ended?.hold.settle(used);
                 generated += used;
                 break;
@@ -165,7 +164,7 @@
 test("a program that asks again and again is logged once for each state of its budget (guards against a log that says nothing else)", async () => {
     const lines: string[] = [];
     const counting: Log = { info: event => void lines.push(event), warn: () => undefined };
-    const { store, mend } = createFailingStore(createRandom(1), 0);
+    const { store, mend } = createFailingStore(createDraw(1), 0);
     mend();
     using gateway = createBudgets({ store, holder: "a", log: counting, now: () => performance.now(),
         recallFrom: async () => "gone" });
@@ -184,7 +183,7 @@
 test("tokens that cannot be given back are told in the log (guards against a budget that looks spent for no visible reason)", async () => {
     const lines: LogFields[] = [];
     const counting: Log = { info: (event, fields) => void lines.push({ event, ...fields }), warn: () => undefined };
-    const { store, mend } = createFailingStore(createRandom(1), 0);
+    const { store, mend } = createFailingStore(createDraw(1), 0);
     mend();
     let away = false;
     const change: PacedStore["change"] = (...call) =>
