--- a/packages/cli/test/command.test.ts
+++ b/packages/cli/test/command.test.ts
@@ -1,33 +1,13 @@
 import { createFront, type Front } from "@tamarackgauge/caller";
-import { type Configuration, createConfiguration, hashKey, refuse, type Settings } from "@tamarackgauge/core";
+import { type Configuration, createConfiguration, hashKey, refuse } from "@tamarackgauge/core";
 import { type ConfigurationStore, createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
 import assert from "node:assert/strict";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { Readable } from "node:stream";
 import { describe, it } from "node:test";
 import { Left, Right } from "purify-ts";
-import { runCommand } from "../src/commands.ts";
+import { run, withFile } from "./terminal.ts";
 
 const key = "operator-key";
 
-/** Runs one command line and gives its exit code and what it printed. */
-async function run(words: string, environment: Record<string, string> = {}, input = "") {
-    const out: string[] = [];
-    const error: string[] = [];
-    const started: Settings[] = [];
-    const terminal = {
-        environment,
-        input: Readable.from([input]),
-        out: (line: string) => out.push(line),
-        error: (line: string) => error.push(line),
-    };
-    const code = await runCommand(terminal, async settings => started.push(settings) - 1,
-        words === "" ? [] : words.split(" "));
-    return { code, out: out.join("\n"), error: error.join("\n"), started };
-}
-
 /** A daemon's front with operators' routes over a configuration in memory. */
 async function openDaemon(name: string, version = 0, ready = true): Promise<Front> {
     let now: Configuration = createConfiguration(version, { plans: [], allowances: [] });
@@ -57,25 +37,13 @@
 "plans": [{"name": "dunes", "keys": []}],
 "allowances": [{"plan": "dunes", "models": [], "budgetTokens": 1, "programsAtOnce": 1}]}`;
 
-async function withFile(text: string, use: (path: string) => Promise<void>): Promise<void> {
-    const folder = await mkdtemp(join(tmpdir(), "tamarackgauge-"));
-    try {
-        const path = join(folder, "configuration.json");
-        await writeFile(path, text);
-        await use(path);
-    }
-    finally {
-        await rm(folder, { recursive: true });
-    }
-}
-
 describe("the operators' commands", () => {
     const environment = { TAMARACKGAUGE_OPERATOR_KEY: key };
 
     it("apply a file once, refuse it on a version that is past, and show what is in force", async () => {
         await using daemon = await openDaemon("vm-1");
         const url = `http://127.0.0.1:${daemon.port}`;
-        await withFile(file(0), async path => {
+        await withFile("configuration.json", file(0), async path => {
             const first = await run(`configuration apply ${path} --to ${url}`, environment);
             assert.deepEqual([first.code, first.out], [exitCodes.done, "version 1 is in force"]);
             const second = await run(`configuration apply ${path} --expect 0 --to ${url}`, environment);
@@ -83,14 +51,14 @@
             assert.match(second.error, /4095 .*based on version 0, version 1 is in force/);
         });
         const shown = await run(`configuration show --to ${url}`, environment);
-        await withFile(shown.out, async path => {
+        await withFile("configuration.json", shown.out, async path => {
             const again = await run(`configuration apply ${path} --to ${url}`, environment);
             assert.equal(again.out, "version 2 is in force", "what show prints can be edited and applied");
         });
     });
 
     it("print each mistake of a file with its place and change nothing", async () => {
-        await withFile("{\"plans\": [],\n\"allowances\": [{\"plan\": 1}]}", async path => {
+        await withFile("configuration.json", "{\"plans\": [],\n\"allowances\": [{\"plan\": 1}]}", async path => {
             const checked = await run(`configuration check ${path}`);
             assert.equal(checked.code, exitCodes.invalidFile);
             assert.match(checked.error, /configuration.json:2:16 104 allowances\[0\].models: the field is missing/);
@@ -105,7 +73,7 @@
         const line = `configuration show --to http://127.0.0.1:${daemon.port}`;
         assert.equal((await run(line)).code, exitCodes.usage);
         assert.equal((await run(line, { TAMARACKGAUGE_OPERATOR_KEY: "other" })).code, exitCodes.refused);
-        await withFile(file(0), async path => {
+        await withFile("configuration.json", file(0), async path => {
             const result = await run(`configuration apply ${path} --to http://127.0.0.1:1`, environment);
             assert.equal(result.code, exitCodes.unreachable);
             assert.match(result.error, /not known whether the file was applied/);
