--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -1,6 +1,6 @@
-import { beginTurn, beginWrite, confirmWrite, createTokenAccount, doubtWrite, endTurn, grantOf, hasIdleTokens,
-    holdsTokens, isAmple, isSettled, limitTo, reconcile, renewGrant, returnTokens, StoreError, type TokenAccount,
-    type TokenLedger } from "@tamarackgauge/core/gateway";
+import { beginTurn, beginWrite, committedTokens, confirmWrite, createTokenAccount, doubtWrite, endTurn, grantOf,
+    hasIdleTokens, holdsTokens, isAmple, isSettled, limitTo, reconcile, renewGrant, returnTokens, StoreError,
+    type TokenAccount, type TokenLedger } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type KnownLedger, noLedger, readLedger, replaceLedger } from "./budgetRow.ts";
 import type { Log } from "./log.ts";
@@ -235,14 +235,13 @@
     }
 
     function logShortage(account: Account, turn: BudgetedTurn, recalls: readonly RecallOutcome[]): void {
-        const { known } = account;
-        if (account.shortLogged === known.version) {
+        const { ledger, version } = account.known;
+        if (account.shortLogged === version) {
             return;
         }
-        account.shortLogged = known.version;
-        const { spent, grants } = known.ledger;
-        log.info("budget.short", { ...turn, spent, granted: grants.reduce((sum, { tokens }) => sum + tokens, 0),
-            version: known.version, recalls: recalls.join() });
+        account.shortLogged = version;
+        log.info("budget.short", { ...turn, spent: ledger.spent, granted: committedTokens(ledger) - ledger.spent,
+            version, recalls: recalls.join() });
     }
 
     /** Other gateways that hold tokens, which they may not need. */
