--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -144,6 +144,12 @@
     await until(async () => await gateway.ready() === 200, "the gateway is ready");
 }
 
+/** Waits until a gateway has taken a version of the declaration. */
+export async function untilDeclared({ lines }: TestGateway, version: number): Promise<void> {
+    await until(() => lines.some(({ event, fields }) => event === "declaration.taken" && fields.version === version),
+        `version ${version} is in force`);
+}
+
 /** What has an address for callers: a gateway in this process or one of its own. */
 export interface Callee {
     readonly settings: { readonly callers: { readonly port: number; }; };
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { call, createFleet, declaration, turn, until, untilReady } from "./harness.ts";
+import { call, createFleet, declaration, turn, until, untilDeclared, untilReady } from "./harness.ts";
 
 async function start() {
     const fleet = await createFleet();
@@ -131,10 +131,7 @@
     const retentionS = 2;
     parts.fleet.declare({ version: 2,
         routes: declaration.routes.map(route => route.name === "turn" ? { ...route, retentionS } : route) });
-    await until(
-        () => parts.one.lines.some(({ event, fields }) => event === "declaration.taken" && fields.version === 2),
-        "the retention is in force",
-    );
+    await untilDeclared(parts.one, 2);
     const started = performance.now();
     let last = "t0";
     assert.equal((await call(parts.one, turn(last, "p"))).status, 200);
@@ -166,10 +163,7 @@
         backends: [...declaration.backends, { name: "large", maxConnections: 160,
             engine: { slots: 12, kvCapacityTokens: 100_000, eventTokens: 20 } }] });
     parts.fleet.register(parts.fleet.spare, { backend: "large" });
-    await until(
-        () => parts.one.lines.some(({ event, fields }) => event === "declaration.taken" && fields.version === 2),
-        "the split is in force",
-    );
+    await untilDeclared(parts.one, 2);
     // Each turn generates 5 events of 20 tokens.
     const next = (id: string) => {
         const wanted = turn(id, "p", undefined, 250);
