Log a grant that cannot be given back once until it is

Cause: while the store is away the gateway tries to give the idle part of every program's grant back several times a second, and wrote budget.notGivenBack each time, so that the log's budget of lines went to it.

--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -103,6 +103,8 @@
     budget: number;
     /** Version of the row of which a shortage was logged last: a program may ask again many times a second. */
     shortLogged: number | undefined;
+    /** That the grant could not be given back was logged, and has not succeeded since. */
+    heldLogged: boolean;
 }
 
 /** Creates the budgets of the programs whose turns come to this gateway. */
@@ -340,14 +342,23 @@
     async function writeIdle(account: Account): Promise<void> {
         try {
             await renew(account, account.tokens.running, 0, Infinity);
+            account.heldLogged = false;
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
                 throw error;
             }
+            logHeld(account, error);
+            schedule(account, retryTime);
+        }
+    }
+
+    /** Once for all tries: while the store is away, each program's grant is tried again several times a second. */
+    function logHeld(account: Account, error: StoreError): void {
+        if (!account.heldLogged) {
+            account.heldLogged = true;
             log.info("budget.notGivenBack", { program: account.program, reason: error.message,
                 againIn: stopped ? undefined : retryTime });
-            schedule(account, retryTime);
         }
     }
 
@@ -385,5 +396,5 @@
 
 function createAccount(program: string): Account {
     return { program, known: noLedger, tokens: createTokenAccount(), wishes: [], writing: undefined, timer: undefined,
-        usedAt: 0, budget: 0, shortLogged: undefined };
+        usedAt: 0, budget: 0, shortLogged: undefined, heldLogged: false };
 }
--- a/packages/gateway/test/budgets.test.ts
+++ b/packages/gateway/test/budgets.test.ts
@@ -180,7 +180,7 @@
     assert.deepEqual(lines, ["budget.short", "budget.short"]);
 });
 
-test("tokens that cannot be given back are told in the log (guards against a budget that looks spent for no visible reason)", async () => {
+test("tokens that cannot be given back are told in the log once until they are (guards against a budget that looks spent for no visible reason, and a log that says nothing else)", async () => {
     const lines: LogFields[] = [];
     const counting: Log = { info: (event, fields) => void lines.push({ event, ...fields }), warn: () => undefined };
     const { store, mend } = createFailingStore(createDraw(1), 0);
@@ -195,9 +195,16 @@
     hold.settle(40);
     away = true;
     await gateway.flush();
-    assert.deepEqual(lines, [
-        { event: "budget.notGivenBack", program, reason: "the store is away", againIn: 300 },
-    ]);
+    const held = { event: "budget.notGivenBack", program, reason: "the store is away", againIn: 300 };
+    assert.deepEqual(lines, [held]);
+    await gateway.flush();
+    assert.deepEqual(lines, [held]);
+    away = false;
+    await gateway.flush();
+    assert.ok(typeof await gateway.reserve({ program, most: 100, budget }) !== "string");
+    away = true;
+    await gateway.flush();
+    assert.deepEqual(lines, [held, held]);
 });
 
 /** Plays a program and checks that the row shows exactly what was generated, within the budget. */
