Probe a store that counts as away, whichever calls are made

Cause: while the direct way to the store counted as away, only a feed asked it again, and a watch whose first reads had timed out has no version to feed from. Ruled out: a longer time limit of the first read; it only moves the moment after which nobody asks. Change: the routed store probes the direct way itself, every 125 to 375 ms, at most four probes at a time, each given up after 0.9 s. Feeds no longer probe. Test: three gateways start while the store is silent and serve within 2 s of its return, with fewer than 40 calls each in the first second.

--- a/packages/core/src/gateway/storeHealth.ts
+++ b/packages/core/src/gateway/storeHealth.ts
@@ -1,5 +1,7 @@
+import type { Random } from "../clock.ts";
+
 /** A call of the store that has not ended. */
-export interface StoreProbe {
+export interface StoreObservation {
     answered(): void;
     failed(): void;
 }
@@ -7,7 +9,7 @@
 /** Whether the store can be expected to answer a call that is made now. Times are monotonic milliseconds. */
 export interface StoreHealth {
     /** Notes that a call starts. A call that waits for changes may be silent for long. */
-    begin(now: number, mayWait: boolean): StoreProbe;
+    begin(now: number, mayWait: boolean): StoreObservation;
     isAway(now: number): boolean;
 }
 
@@ -17,6 +19,14 @@
 /** A store without any answer counts as away after this long; a slow one takes half a second for an answer. */
 const longestSilence = 1_000;
 
+/** The mean time between two probes of a store that counts as away, in ms. */
+const probeInterval = 250;
+
+/** Milliseconds to the next probe, spread so that gateways that lost the store together do not ask together. */
+export function probeDelay(random: Random): number {
+    return probeInterval * (0.5 + random());
+}
+
 /** Judges the store by the calls that are made of it. */
 export function createStoreHealth(): StoreHealth {
     const pending = new Set<{ readonly at: number; }>();
@@ -25,7 +35,7 @@
     let failures = 0;
     let failingSince = Infinity;
 
-    function begin(now: number, mayWait: boolean): StoreProbe {
+    function begin(now: number, mayWait: boolean): StoreObservation {
         const entry = { at: now };
         if (!mayWait) {
             pending.add(entry);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import { createFront, listen } from "./front.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
-import { createPeerList, type PeerList } from "./peerList.ts";
+import { createPeerList, type PeerList, peerTable } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
 import { createRoutedStore } from "./routedStore.ts";
@@ -50,7 +50,8 @@
     const health = createStoreHealth();
     const metrics = createMetrics();
     const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? [], now });
-    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, log, now });
+    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, log, now,
+        probeRange: { ...peerTable, limit: 1 } });
     const peers: PeerList | undefined = settings.peers === undefined
         ? undefined
         : createPeerList({ name: settings.name, address: settings.peers, dataCentre: settings.dataCentre,
@@ -150,6 +151,7 @@
             readiness.close();
             metricsServer?.close();
             clearInterval(summaries);
+            store[Symbol.dispose]();
             cleaner[Symbol.dispose]();
             turns[Symbol.dispose]();
             budgets[Symbol.dispose]();
--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -28,8 +28,9 @@
     readonly log: Log;
 }
 
-const table = "gateways";
-const part = "";
+/** The table in which gateways register themselves, keyed by their name. */
+export const peerTable = { table: "gateways", part: "" } as const;
+
 /** After a failure, after the first success, and from then on, in ms. Gateways that start together register meanwhile. */
 const failureInterval = 1_000;
 const firstInterval = 4_000;
@@ -48,10 +49,10 @@
             const isFirst = !registered;
             if (isFirst) {
                 const value = Buffer.from(pack([address.host, address.port, dataCentre]));
-                await store.change({ puts: [{ table, part, key: name, value }] }, { timeout: callTimeout });
+                await store.change({ puts: [{ ...peerTable, key: name, value }] }, { timeout: callTimeout });
                 registered = true;
             }
-            const { rows } = await store.read({ table, part }, { timeout: callTimeout });
+            const { rows } = await store.read(peerTable, { timeout: callTimeout });
             listed = rows.map(row => peerOf(row.key, unpack(row.value) as PeerFields));
             schedule(isFirst ? firstInterval : refreshInterval);
         }
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -1,11 +1,12 @@
-import { createStorePace, type Store, StoreError, type StoreHealth } from "@tamarackgauge/core/gateway";
+import { createStorePace, probeDelay, type RowRange, type Store, StoreError,
+    type StoreHealth } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
 import type { Metrics, StoreCallKind, StoreWay } from "./metrics.ts";
 import type { PeerStore } from "./peerStore.ts";
 import type { PacedStore } from "./persist.ts";
 
 /** The store by whatever way is open. */
-export interface RoutedStore extends PacedStore {
+export interface RoutedStore extends PacedStore, Disposable {
     /** No way to the store is open now. */
     isAway(): boolean;
 }
@@ -18,15 +19,25 @@
     readonly metrics: Metrics;
     readonly log: Log;
     readonly now: () => number;
+    /** What is read to learn whether the store answers again. */
+    readonly probeRange: RowRange;
 }
 
+/** A probe that is not answered for this long is given up, in ms; the next ones do not wait for it. */
+const probeTimeout = 900;
+/** Probes without an answer at a time: a silent store leaves each of them open until it is given up. */
+const mostProbes = 4;
+
 /**
  * Creates a store whose calls go directly while it answers, else through another gateway. Without any way a call fails at
- * once.
+ * once. While the direct way is away it is probed, whichever calls are made meanwhile.
  */
-export function createRoutedStore({ direct, peers, health, metrics, log, now }: RoutedStoreParts): RoutedStore {
+export function createRoutedStore(parts: RoutedStoreParts): RoutedStore {
+    const { direct, peers, health, metrics, log, now, probeRange } = parts;
     const pace = createStorePace();
     let lastWay: StoreWay | "none" = "direct";
+    let probes = 0;
+    let probeTimer = scheduleProbe();
 
     function currentWay(): StoreWay | "none" {
         const way = !health.isAway(now()) ? "direct" : peers.hasWay() ? "peer" : "none";
@@ -37,19 +48,44 @@
         return way;
     }
 
-    async function probed<Value>(kind: StoreCallKind, call: () => Promise<Value>): Promise<Value> {
+    function scheduleProbe(): NodeJS.Timeout {
+        return setTimeout(() => {
+            probeTimer = scheduleProbe();
+            if (currentWay() !== "direct" && probes < mostProbes) {
+                void probe();
+            }
+        }, probeDelay(Math.random)).unref();
+    }
+
+    async function probe(): Promise<void> {
+        probes += 1;
+        try {
+            await observed("read", () => direct.read(probeRange, { timeout: probeTimeout }));
+        }
+        catch (error) {
+            if (!(error instanceof StoreError)) {
+                log.warn("store.probe.failed", { reason: String(error) });
+            }
+            // The health has taken note of a failure of the store.
+        }
+        finally {
+            probes -= 1;
+        }
+    }
+
+    async function observed<Value>(kind: StoreCallKind, call: () => Promise<Value>): Promise<Value> {
         const startedAt = now();
-        const probe = health.begin(startedAt, kind === "feed");
+        const observation = health.begin(startedAt, kind === "feed");
         try {
             const value = await counted(kind, "direct", call());
             if (kind !== "feed") {
                 pace.answered(now() - startedAt);
             }
-            probe.answered();
+            observation.answered();
             return value;
         }
         catch (error) {
-            probe.failed();
+            observation.failed();
             throw error;
         }
     }
@@ -68,7 +104,7 @@
 
     function route<Value>(kind: StoreCallKind, call: (store: Store) => Promise<Value>): Promise<Value> {
         if (currentWay() === "direct") {
-            return probed(kind, () => call(direct));
+            return observed(kind, () => call(direct));
         }
         if (!peers.mayTry()) {
             return Promise.reject(new StoreError("away", "the store does not answer"));
@@ -79,22 +115,13 @@
     return {
         read: (range, options) => route("read", store => store.read(range, options)),
         change: (change, options) => route("change", store => store.change(change, options)),
-        feed(table, after, wait) {
-            if (currentWay() === "direct") {
-                return probed("feed", () => direct.feed(table, after, wait));
-            }
-            // The direct way is asked meanwhile, so that its return is noticed.
-            const probe = probed("feed", () => direct.feed(table, after, probeWait));
-            if (!peers.mayTry()) {
-                return probe;
-            }
-            probe.catch(() => undefined);
-            return counted("feed", "peer", peers.feed(table, after, Math.min(wait, relayedFeedWait)));
-        },
+        feed: (table, after, wait) =>
+            route("feed", store => store.feed(table, after, store === direct ? wait : Math.min(wait, relayedFeedWait))),
         hedgeDelay: () => pace.hedgeDelay(),
         isAway: () => currentWay() === "none",
+        [Symbol.dispose]: () => clearTimeout(probeTimer),
     };
 }
 
+/** A feed by way of a peer waits this long, in ms: it holds one of the calls that the peer makes for others. */
 const relayedFeedWait = 500;
-const probeWait = 100;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,7 +1,7 @@
 import type { GatewaySettings } from "@tamarackgauge/core/gateway";
 import { createStore } from "@tamarackgauge/platform";
-import { createFleetEngine, createRowStore, type FleetEngine, type RowStore,
-    type RowStoreDoor } from "@tamarackgauge/standin";
+import { createFleetEngine, createRowStore, type FleetEngine, type RowStore, type RowStoreDoor,
+    type RowStoreTrouble } from "@tamarackgauge/standin";
 import { type Agent, type ClientRequest, type IncomingHttpHeaders, request } from "node:http";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -43,7 +43,8 @@
     readonly tool: FleetEngine;
     register(engine: FleetEngine, changes?: object): void;
     declare(changes?: object): void;
-    startGateway(changes?: Partial<GatewaySettings>): Promise<TestGateway>;
+    /** Starts a gateway, which may find the store in trouble. */
+    startGateway(changes?: Partial<GatewaySettings>, trouble?: RowStoreTrouble): Promise<TestGateway>;
 }
 
 const route = { hostname: "fleet.test", timeoutMs: 2_500, targetLatencyMs: 250, priority: 0, maxAttempts: 2 };
@@ -79,8 +80,10 @@
             ...changes });
     }
 
-    async function startGateway(changes: Partial<GatewaySettings> = {}): Promise<TestGateway> {
+    async function startGateway(changes: Partial<GatewaySettings> = {},
+        trouble?: RowStoreTrouble): Promise<TestGateway> {
         const door = await rows.open();
+        door.setTrouble(trouble);
         const started = await openGateway(door, changes);
         gateways.push(started);
         return started;
--- a/packages/gateway/test/outages.test.ts
+++ b/packages/gateway/test/outages.test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { call, createFleet, turn, until, untilReady } from "./harness.ts";
+import { call, createFleet, type TestGateway, turn, until, untilReady } from "./harness.ts";
+
+function total({ reads, changes, feeds }: { reads: number; changes: number; feeds: number; }): number {
+    return reads + changes + feeds;
+}
 
 test("a gateway that the store turns away serves through another one (guards against an outage of some)", async () => {
     await using fleet = await createFleet();
@@ -33,6 +37,32 @@
     assert.equal((await call(cut, { path: "/pay/x", id: "1", body: "x" })).status, 200);
 });
 
+test("gateways that all start while the store is silent serve within 2 s of its return (guards against a store that is never asked again)", async () => {
+    await using fleet = await createFleet();
+    const gateways: TestGateway[] = [];
+    for (let started = 0; started < 3; started += 1) {
+        const knownPeers = gateways.map(({ settings }) => settings.peers!);
+        gateways.push(await fleet.startGateway({ name: `g${started}`, knownPeers }, { mode: "silent" }));
+    }
+    const refused = (gateway: TestGateway) =>
+        gateway.lines.filter(({ event, fields }) => event === "store.watch.failed" && fields.failure === "away");
+    // Every first call has been given up, and several have been refused since.
+    await until(() => gateways.every(gateway => refused(gateway).length > 8), "the store counts as away everywhere");
+    gateways.forEach(({ door }) => door.setTrouble(undefined));
+    const before = gateways.map(({ door }) => total(door.calls()));
+    const returnedAt = performance.now();
+    await Promise.all(gateways.map(untilReady));
+    assert.ok(performance.now() - returnedAt < 2_000, "ready within 2 s");
+    const statuses = gateways.map(async (gateway, index) =>
+        (await call(gateway, turn(`t${index}`, `p${index}`))).status
+    );
+    assert.deepEqual(await Promise.all(statuses), [200, 200, 200]);
+    await until(() => performance.now() - returnedAt > 1_000, "a second has passed");
+    for (const [index, { door }] of gateways.entries()) {
+        assert.ok(total(door.calls()) - before[index]! < 40, "few calls in the first second");
+    }
+});
+
 test("without any way to the store a turn is refused at once (guards against callers held until their deadline)", async () => {
     await using fleet = await createFleet();
     const gateway = await fleet.startGateway();
