Outlive messages, rows and answers that cannot be read

Cause: bytes of a peer that are no message threw inside the handler of a socket, which ends the process; an answer of the store with a wrong shape, a row of a gateway that cannot be read and an error of whoever is told of a table's rows ended the watch or the list of gateways for good, without a log line. Ruled out: bytes of upstreams and of callers; ten and nine kinds of them ended their own call or connection only, also before. Change: messages between gateways are decoded by schemas, also the results by the kind of call; a link whose messages cannot be read is ended. The store's client turns what it cannot read into a failure of the store. The watch and the list of gateways log an unexpected error and read anew. The process logs an uncaught error and goes on.

--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -1,7 +1,7 @@
 import { type ListenAddress, StoreError } from "@tamarackgauge/core/gateway";
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
 import { WebSocket } from "ws";
-import type { PeerAnswer, PeerCall, PeerRequest } from "./peerMessage.ts";
+import { decodePeerAnswer, isResultOf, type PeerCall, type PeerRequest, type PeerResult } from "./peerMessage.ts";
 
 /** A connection to another gateway. */
 export interface PeerLink {
@@ -11,7 +11,7 @@
     readonly isOpen: boolean;
     readonly closed: boolean;
     /** Rejects with a `StoreError`; a call without an answer in time ends the link, which may have gone silent for good. */
-    ask(call: PeerCall, limits: AskLimits): Promise<unknown>;
+    ask<const Call extends PeerCall>(call: Call, limits: AskLimits): Promise<PeerResult<Call["kind"]>>;
     /** Sends no more; what has been sent is still delivered. */
     close(): void;
     terminate(): void;
@@ -25,6 +25,7 @@
 }
 
 interface Waiting {
+    readonly kind: PeerCall["kind"];
     resolve(result: unknown): void;
     reject(error: StoreError): void;
 }
@@ -45,14 +46,21 @@
     });
     // Whoever does not wait for the link learns of its failure by `closed`.
     open.catch(() => undefined);
-    socket.on("message", data => receive(unpack(data as Buffer) as PeerAnswer));
+    socket.on("message", data => receive(data as Buffer));
     socket.on("pong", () => heardAt = performance.now());
     socket.on("error", drop);
     socket.on("close", drop);
 
-    function receive(answer: PeerAnswer): void {
+    function receive(data: Buffer): void {
         heardAt = performance.now();
-        const entry = waiting.get(answer.id);
+        const answer = decodePeerAnswer(data);
+        const entry = answer === undefined ? undefined : waiting.get(answer.id);
+        if (answer === undefined ||
+            (entry !== undefined && "result" in answer && !isResultOf(entry.kind, answer.result))) {
+            // What else the peer says cannot be trusted either; its calls have no answer.
+            socket.terminate();
+            return;
+        }
         waiting.delete(answer.id);
         if ("failure" in answer) {
             entry?.reject(new StoreError(answer.failure, answer.reason));
@@ -74,7 +82,7 @@
         socket.terminate();
     }
 
-    function ask(call: PeerCall, { timeout, silence }: AskLimits): Promise<unknown> {
+    function ask<const Call extends PeerCall>(call: Call, { timeout, silence }: AskLimits) {
         lastId += 1;
         const id = lastId;
         const askedAt = performance.now();
@@ -83,7 +91,10 @@
             timers.push(setTimeout(() => socket.ping(), silence / 2));
             timers.push(setTimeout(() => heardAt < askedAt && giveUp(id, "the peer is silent"), silence));
         }
-        const answer = new Promise((resolve, reject) => waiting.set(id, { resolve, reject }));
+        const answer = new Promise<PeerResult<Call["kind"]>>((resolve, reject) => {
+            waiting.set(id, { kind: call.kind, resolve: result => resolve(result as PeerResult<Call["kind"]>),
+                reject });
+        });
         socket.send(pack({ id, call } satisfies PeerRequest));
         return answer.finally(() => timers.forEach(clearTimeout));
     }
--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -1,5 +1,6 @@
-import { type ListenAddress, type Store, StoreError } from "@tamarackgauge/core/gateway";
+import { type ListenAddress, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
+import { z } from "zod";
 import type { Log } from "./log.ts";
 
 /** A gateway that has registered. */
@@ -53,14 +54,16 @@
                 registered = true;
             }
             const { rows } = await store.read(peerTable, { timeout: callTimeout });
-            listed = rows.map(row => peerOf(row.key, unpack(row.value) as PeerFields));
+            listed = rows.flatMap(row => peerOf(row) ?? []);
             schedule(isFirst ? firstInterval : refreshInterval);
         }
         catch (error) {
-            if (!(error instanceof StoreError)) {
-                throw error;
+            if (error instanceof StoreError) {
+                log.info("peers.unread", { reason: error.message });
+            }
+            else {
+                log.warn("peers.broken", { reason: (error as Error).stack ?? String(error) });
             }
-            log.info("peers.unread", { reason: error.message });
             schedule(failureInterval);
         }
     }
@@ -84,8 +87,15 @@
 }
 
 /** A row's value: host, port, data centre. */
-type PeerFields = [string, number, string];
+const peerFields = z.tuple([z.string(), z.number().int().positive(), z.string()]);
 
-function peerOf(name: string, [host, port, dataCentre]: PeerFields): Peer {
-    return { name, address: { host, port }, dataCentre };
+/** Decodes a row; undefined if another writer left something else there. */
+function peerOf({ key, value }: StoreRow): Peer | undefined {
+    try {
+        const [host, port, dataCentre] = peerFields.parse(unpack(value));
+        return { name: key, address: { host, port }, dataCentre };
+    }
+    catch {
+        return undefined;
+    }
 }
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -1,9 +1,10 @@
-import type { FeedResult, ListenAddress, RowPage, Store, StoreError, StoreHealth } from "@tamarackgauge/core/gateway";
-import { pack, unpack } from "msgpackr";
+import { type FeedResult, type ListenAddress, type RowPage, type Store, StoreError,
+    type StoreHealth } from "@tamarackgauge/core/gateway";
+import { pack } from "msgpackr";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
 import type { Log } from "./log.ts";
-import type { PeerAnswer, PeerCall, PeerRequest, RelayedCall, TokenCall } from "./peerMessage.ts";
+import { decodePeerRequest, isTokenCall, type PeerAnswer, type RelayedCall, type TokenCall } from "./peerMessage.ts";
 
 /** Parts of a peer server. */
 export interface PeerServerParts {
@@ -32,11 +33,16 @@
     });
     server.on("connection", socket => {
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
-        socket.on("message", data => void serve(socket, data as Buffer));
+        socket.on("message", data => {
+            serve(socket, data as Buffer).catch((error: Error) => {
+                log.warn("peer.broken", { reason: error.stack ?? error.message });
+                socket.terminate();
+            });
+        });
     });
 
     async function serve(socket: WebSocket, data: Buffer): Promise<void> {
-        const request = readRequest(data);
+        const request = decodePeerRequest(data);
         if (request === undefined) {
             log.warn("peer.unreadable", {});
             socket.terminate();
@@ -77,8 +83,10 @@
             return { id, result: await makeCall(parts.store, call) };
         }
         catch (error) {
-            const { failure, message } = error as StoreError;
-            return { id, failure: failure ?? "unknown", reason: message };
+            if (!(error instanceof StoreError)) {
+                throw error;
+            }
+            return { id, failure: error.failure, reason: error.message };
         }
         finally {
             relayed -= 1;
@@ -103,20 +111,3 @@
             return store.feed(call.table, call.after, call.wait);
     }
 }
-
-const relayedKinds: readonly string[] = ["read", "change", "feed"] satisfies RelayedCall["kind"][];
-const tokenKinds: readonly string[] = ["borrow", "return", "recall"] satisfies TokenCall["kind"][];
-
-function isTokenCall(call: PeerCall): call is TokenCall {
-    return tokenKinds.includes(call.kind);
-}
-
-function readRequest(data: Buffer): PeerRequest | undefined {
-    try {
-        const request = unpack(data) as PeerRequest;
-        return [...relayedKinds, ...tokenKinds].includes(request.call.kind) ? request : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/gateway/src/peerStore.ts
+++ b/packages/gateway/src/peerStore.ts
@@ -1,7 +1,6 @@
-import { type ChangeResult, type FeedResult, type ListenAddress, type RowPage, type Store,
-    StoreError } from "@tamarackgauge/core/gateway";
+import { type ListenAddress, type Store, StoreError } from "@tamarackgauge/core/gateway";
 import { openPeerLink, type PeerLink } from "./peerLink.ts";
-import type { RelayedCall } from "./peerMessage.ts";
+import type { PeerResult, RelayedCall } from "./peerMessage.ts";
 
 /** The store as other gateways reach it. */
 export interface PeerStore extends Store, AsyncDisposable {
@@ -32,14 +31,14 @@
     let way = false;
     let link: PeerLink | undefined;
 
-    async function ask<Result>(call: RelayedCall, timeout: number): Promise<Result> {
+    async function ask<const Call extends RelayedCall>(call: Call, timeout: number): Promise<PeerResult<Call["kind"]>> {
         for (let tries = 1; tries <= mostTries; tries += 1) {
             const current = await connect();
             if (current === undefined) {
                 break;
             }
             try {
-                const result = await current.ask(call, { timeout: timeout + relayMargin }) as Result;
+                const result = await current.ask(call, { timeout: timeout + relayMargin });
                 way = true;
                 return result;
             }
@@ -92,9 +91,9 @@
     }
 
     return {
-        read: (range, { timeout }) => ask<RowPage>({ kind: "read", range, timeout }, timeout),
-        change: (change, { timeout }) => ask<ChangeResult>({ kind: "change", change, timeout }, timeout),
-        feed: (table, after, wait) => ask<FeedResult>({ kind: "feed", table, after, wait }, wait + relayMargin * 8),
+        read: (range, { timeout }) => ask({ kind: "read", range, timeout }, timeout),
+        change: (change, { timeout }) => ask({ kind: "change", change, timeout }, timeout),
+        feed: (table, after, wait) => ask({ kind: "feed", table, after, wait }, wait + relayMargin * 8),
         mayTry: () => now() >= unusableUntil,
         hasWay: () => way,
         async [Symbol.asyncDispose]() {
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -16,8 +16,10 @@
     try {
         const settings = loadSettings(environment);
         const log = createLog(settings.name, lines.write, now);
-        // One call's fault must not end the others.
-        process.on("unhandledRejection", reason => log.warn("gateway.fault", { reason: String(reason) }));
+        // One call's or connection's fault must not end the others.
+        const survive = (reason: unknown) => log.warn("gateway.fault", { reason: textOf(reason) });
+        process.on("unhandledRejection", survive);
+        process.on("uncaughtException", survive);
         const store = createStore(settings.store);
         const starting = createGateway({ settings, store, log, now });
         hangUp = () => void starting.then(gateway => reload(gateway, environment, log));
@@ -38,6 +40,10 @@
     }
 }
 
+function textOf(reason: unknown): string {
+    return reason instanceof Error ? reason.stack ?? reason.message : String(reason);
+}
+
 /** Settings that cannot be read change nothing. */
 function reload(gateway: Gateway, environment: NodeJS.ProcessEnv, log: Log): void {
     try {
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -87,7 +87,7 @@
             return "unavailable";
         }
         try {
-            const outcome = await link.ask({ kind: "borrow", turn }, loanLimits) as LoanOutcome;
+            const outcome = await link.ask({ kind: "borrow", turn }, loanLimits);
             answered(contact);
             return outcome;
         }
@@ -165,7 +165,7 @@
         }
         try {
             const link = await linkTo(peer, contact);
-            const outcome = await link.ask({ kind: "recall", holder, program }, recallLimits) as RecallOutcome;
+            const outcome = await link.ask({ kind: "recall", holder, program }, recallLimits);
             answered(contact);
             return outcome;
         }
--- a/packages/gateway/src/watch.ts
+++ b/packages/gateway/src/watch.ts
@@ -41,16 +41,23 @@
                 pause = firstPause;
             }
             catch (error) {
-                if (!(error instanceof StoreError)) {
-                    throw error;
-                }
-                log.info("store.watch.failed", { table, failure: error.failure, reason: error.message });
+                report(error);
                 await sleep(pause);
                 pause = Math.min(longestPause, pause * 2);
             }
         }
     }
 
+    /** A fault that is not the store's must not end the watch for good: the table is read anew. */
+    function report(error: unknown): void {
+        if (error instanceof StoreError) {
+            log.info("store.watch.failed", { table, failure: error.failure, reason: error.message });
+            return;
+        }
+        version = undefined;
+        log.warn("store.watch.broken", { table, reason: (error as Error).stack ?? String(error) });
+    }
+
     async function step(): Promise<void> {
         const asked = now();
         if (version === undefined) {
