Judge the parts of the store one by one

Three failures in a row made a gateway take the whole store for away, whichever part had failed, so that all twelve gateways went to and fro between direct, peer and none (36, 23 and 21 changes in two seconds) and refused turns whose parts answered; a turn whose part was away was lost after it had run. Ruled out: refusals of single gateways (the log shows all twelve), refusals of reads or writes only. Change: failures count for a part, and for the whole store only if three parts fail in a row or nothing answers for a second; a failure has two other parts probed at once. A call of a part that is away fails at once, but for one in 125 to 375 ms. A turn has three parts that may hold it: a write that fails or is late goes to the next one, a reader looks into the others only if the first does not give the turn, and a turn is unknown only if all three say so. Test: turns go on through two gateways while a quarter of the parts is busy, resets or is silent, and no gateway takes the store for away; fails without the change.

--- a/packages/core/src/gateway/storeHealth.ts
+++ b/packages/core/src/gateway/storeHealth.ts
@@ -6,18 +6,28 @@
     failed(): void;
 }
 
-/** Whether the store can be expected to answer a call that is made now. Times are monotonic milliseconds. */
+/**
+ * Whether the store can be expected to answer a call that is made now. Some of its parts can be away while others
+ * answer. Times are monotonic milliseconds.
+ */
 export interface StoreHealth {
-    /** Notes that a call starts. A call that waits for changes may be silent for long. */
-    begin(now: number, mayWait: boolean): StoreObservation;
+    /** Notes that a call of a part starts. A call that waits for changes may be silent for long. */
+    begin(now: number, part: string, mayWait: boolean): StoreObservation;
+    /** No part is expected to answer. */
     isAway(now: number): boolean;
+    isPartAway(part: string, now: number): boolean;
+    /** Calls failed or are late, so that it is to be learned whether other parts answer. */
+    isInDoubt(now: number): boolean;
 }
 
-/** Failures in a row after which the store counts as away, if the first of them is at least this old. */
+/** Failures in a row after which a part counts as away, and parts in a row that fail after which all do. */
 const fewestFailures = 3;
+/** The first of the failures is at least this old. */
 const shortestFailure = 150;
-/** A store without any answer counts as away after this long; a slow one takes half a second for an answer. */
+/** What does not answer at all counts as away after this long; a slow store takes half a second for an answer. */
 const longestSilence = 1_000;
+/** A call without an answer for this long is late enough to ask another part. */
+const doubtAfter = 300;
 
 /** The mean time between two probes of a store that counts as away, in ms. */
 const probeInterval = 250;
@@ -27,47 +37,84 @@
     return probeInterval * (0.5 + random());
 }
 
-/** Judges the store by the calls that are made of it. */
-export function createStoreHealth(): StoreHealth {
-    const pending = new Set<{ readonly at: number; }>();
+/** What is known of the calls to one part, or to all. */
+class CallRecord {
+    private readonly pending = new Set<{ readonly at: number; }>();
     /** Start of the newest call that was answered. */
-    let answeredAt = -Infinity;
-    let failures = 0;
-    let failingSince = Infinity;
+    private answeredAt = -Infinity;
+    private failingSince = Infinity;
+    /** What failed since the newest answer. */
+    private readonly failed = new Set<unknown>();
 
-    function begin(now: number, mayWait: boolean): StoreObservation {
-        const entry = { at: now };
+    begin(at: number, mayWait: boolean, identity: (failure: object) => unknown): StoreObservation {
+        const entry = { at };
         if (!mayWait) {
-            pending.add(entry);
+            this.pending.add(entry);
+        }
+        return { answered: () => this.answer(entry), failed: () => this.fail(entry, identity(entry)) };
+    }
+
+    isAway(now: number): boolean {
+        return (this.failed.size >= fewestFailures && now - this.failingSince > shortestFailure) ||
+            now - this.failingSince > longestSilence || this.isSilentFor(longestSilence, now);
+    }
+
+    isInDoubt(now: number): boolean {
+        return this.failed.size > 0 || this.isSilentFor(doubtAfter, now);
+    }
+
+    private answer(entry: { readonly at: number; }): void {
+        this.pending.delete(entry);
+        this.answeredAt = Math.max(this.answeredAt, entry.at);
+        // An answer to a call from before the failures says nothing about the store of now.
+        if (entry.at >= this.failingSince || this.failed.size < fewestFailures) {
+            this.failed.clear();
+            this.failingSince = Infinity;
         }
-        return {
-            answered() {
-                pending.delete(entry);
-                answeredAt = Math.max(answeredAt, entry.at);
-                // An answer to a call from before the failures says nothing about the store of now.
-                if (entry.at >= failingSince || failures < fewestFailures) {
-                    failures = 0;
-                    failingSince = Infinity;
-                }
-            },
-            failed() {
-                pending.delete(entry);
-                if (entry.at >= answeredAt) {
-                    failures += 1;
-                    failingSince = Math.min(failingSince, entry.at);
-                }
-            },
-        };
     }
 
-    function isSilent(now: number): boolean {
-        return [...pending].some(({ at }) => at >= answeredAt && now - at > longestSilence);
+    private fail(entry: { readonly at: number; }, identity: unknown): void {
+        this.pending.delete(entry);
+        if (entry.at >= this.answeredAt) {
+            this.failed.add(identity);
+            this.failingSince = Math.min(this.failingSince, entry.at);
+        }
+    }
+
+    private isSilentFor(time: number, now: number): boolean {
+        return [...this.pending].some(({ at }) => at >= this.answeredAt && now - at > time);
+    }
+}
+
+/** Judges the store by the calls that are made of it. */
+export function createStoreHealth(): StoreHealth {
+    const whole = new CallRecord();
+    const parts = new Map<string, CallRecord>();
+
+    function recordOf(part: string): CallRecord {
+        const record = parts.get(part) ?? new CallRecord();
+        parts.set(part, record);
+        return record;
     }
 
     return {
-        begin,
-        isAway: now =>
-            (failures >= fewestFailures && now - failingSince > shortestFailure) ||
-            now - failingSince > longestSilence || isSilent(now),
+        begin(now, part, mayWait) {
+            const ofPart = recordOf(part).begin(now, mayWait, failure => failure);
+            // However often one part fails, the others may answer.
+            const ofWhole = whole.begin(now, mayWait, () => part);
+            return {
+                answered() {
+                    ofPart.answered();
+                    ofWhole.answered();
+                },
+                failed() {
+                    ofPart.failed();
+                    ofWhole.failed();
+                },
+            };
+        },
+        isAway: now => whole.isAway(now),
+        isPartAway: (part, now) => parts.get(part)?.isAway(now) === true,
+        isInDoubt: now => whole.isInDoubt(now),
     };
 }
--- a/packages/core/test/gateway/storeHealth.test.ts
+++ b/packages/core/test/gateway/storeHealth.test.ts
@@ -4,33 +4,53 @@
 
 test("a store that refuses is away soon, one lost answer is not (guards against callers held while it is away)", () => {
     const health = createStoreHealth();
-    health.begin(0, false).failed();
+    health.begin(0, "a", false).failed();
     assert.equal(health.isAway(100), false);
-    health.begin(100, false).failed();
-    health.begin(200, false).failed();
+    health.begin(100, "b", false).failed();
+    health.begin(200, "c", false).failed();
     assert.equal(health.isAway(210), true);
-    health.begin(300, true).answered();
+    health.begin(300, "a", true).answered();
     assert.equal(health.isAway(301), false);
 });
 
+test("a store that answers nothing at all for a second is away, whichever parts were asked (guards against an outage that is seen late)", () => {
+    const health = createStoreHealth();
+    health.begin(0, "a", false).failed();
+    assert.equal(health.isInDoubt(1), true);
+    assert.equal(health.isAway(1_001), true);
+});
+
+test("a part that refuses is away, the store is not (guards against turns refused while most of the store answers)", () => {
+    const health = createStoreHealth();
+    for (const at of [0, 100, 200, 300]) {
+        health.begin(at, "down", false).failed();
+        health.begin(at, "up", false).answered();
+    }
+    assert.equal(health.isPartAway("down", 310), true);
+    assert.equal(health.isPartAway("up", 310), false);
+    assert.equal(health.isAway(310), false);
+    health.begin(320, "down", false).answered();
+    assert.equal(health.isPartAway("down", 321), false);
+});
+
 test("a silent store is away after a second, a slow one is not (guards against refusing what is only slow)", () => {
     const silent = createStoreHealth();
-    silent.begin(0, false);
+    silent.begin(0, "a", false);
     assert.equal(silent.isAway(900), false);
     assert.equal(silent.isAway(1_001), true);
     const slow = createStoreHealth();
-    slow.begin(0, false);
-    slow.begin(600, false).answered();
+    slow.begin(0, "a", false);
+    slow.begin(600, "a", false).answered();
     assert.equal(slow.isAway(1_100), false);
     const watch = createStoreHealth();
-    watch.begin(0, true);
+    watch.begin(0, "a", true);
     assert.equal(watch.isAway(5_000), false);
 });
 
 test("an old answer does not end an outage (guards against flapping on answers that were under way)", () => {
     const health = createStoreHealth();
-    const old = health.begin(0, true);
-    [10, 20, 30].forEach(at => health.begin(at, false).failed());
+    const old = health.begin(0, "a", true);
+    ["a", "b", "c"].forEach((part, index) => health.begin(10 * (index + 1), part, false).failed());
     old.answered();
     assert.equal(health.isAway(400), true);
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { createStoreHealth, type Declaration, type GatewaySettings, type ListenAddress, type Store,
+import { createStoreHealth, type Declaration, type GatewaySettings, type ListenAddress, type RowRange, type Store,
     type StoreRow } from "@tamarackgauge/core/gateway";
 import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
     upstreamTable } from "@tamarackgauge/platform";
@@ -45,13 +45,19 @@
 const toleratedOutage = 700;
 const summaryInterval = 10_000;
 
+/** Parts of the store that are probed; without rows, so that an answer is small. */
+const probedParts = 512;
+
+function probeRange(): RowRange {
+    return { table: peerTable.table, part: String(Math.floor(Math.random() * probedParts)), limit: 1 };
+}
+
 /** Starts a gateway: it serves what reaches it, and all that must last is in the store. */
 export async function createGateway({ settings, store: direct, log, now }: GatewayParts): Promise<Gateway> {
     const health = createStoreHealth();
     const metrics = createMetrics();
     const peerStore = createPeerStore({ peers: () => peers?.addresses() ?? [], now });
-    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, log, now,
-        probeRange: { ...peerTable, limit: 1 } });
+    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange });
     const peers: PeerList | undefined = settings.peers === undefined
         ? undefined
         : createPeerList({ name: settings.name, address: settings.peers, dataCentre: settings.dataCentre,
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -30,18 +30,19 @@
 export const patientPersistence: Persistence = { ...urgentPersistence, giveUpAfter: 1_700, waitsForReturn: true };
 
 /**
- * Repeats a call of the store until it is answered. Only for calls that may be applied twice: an answer can be lost,
- * and the first call may still be applied after the second.
+ * Repeats a call of the store until it is answered; `attempt` numbers the calls from 0. Only for calls that may be applied
+ * twice: an answer can be lost, and the first call may still be applied after the second.
  */
 export async function persist<Value>(
     store: PacedStore,
-    call: (timeout: number) => Promise<Value>,
+    call: (timeout: number, attempt: number) => Promise<Value>,
     { callTimeout, giveUpAfter, pause, waitsForReturn }: Persistence,
 ): Promise<Value> {
     const started = performance.now();
+    let attempts = 0;
     for (let round = 1;; round += 1) {
         try {
-            return await hedge(() => call(callTimeout), store.hedgeDelay() * round);
+            return await hedge(() => call(callTimeout, attempts++), store.hedgeDelay() * round);
         }
         catch (error) {
             const hopeless = !(error instanceof StoreError) || (error.failure === "away" && !waitsForReturn);
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -1,4 +1,4 @@
-import { createStorePace, probeDelay, type RowRange, type Store, StoreError,
+import { createStorePace, probeDelay, type RowRange, type Store, type StoreChange, StoreError,
     type StoreHealth } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
 import type { Metrics, StoreCallKind, StoreWay } from "./metrics.ts";
@@ -19,23 +19,28 @@
     readonly metrics: Metrics;
     readonly log: Log;
     readonly now: () => number;
-    /** What is read to learn whether the store answers again. */
-    readonly probeRange: RowRange;
+    /** What is read to learn whether the store answers; each time of another part. */
+    readonly probeRange: () => RowRange;
 }
 
 /** A probe that is not answered for this long is given up, in ms; the next ones do not wait for it. */
 const probeTimeout = 900;
+/** Probes that begin at once when a call has failed. */
+const probesOfFailure = 2;
 /** Probes without an answer at a time: a silent store leaves each of them open until it is given up. */
 const mostProbes = 4;
 
 /**
  * Creates a store whose calls go directly while it answers, else through another gateway. Without any way a call fails at
- * once. While the direct way is away it is probed, whichever calls are made meanwhile.
+ * once, and so does a call of a part that is away by itself. While calls fail the store is probed, whichever calls are
+ * made meanwhile.
  */
 export function createRoutedStore(parts: RoutedStoreParts): RoutedStore {
     const { direct, peers, health, metrics, log, now, probeRange } = parts;
     const pace = createStorePace();
     let lastWay: StoreWay | "none" = "direct";
+    /** When calls of a part that is away are made again, one at a time. */
+    const partProbedAt = new Map<string, number>();
     let probes = 0;
     let probeTimer = scheduleProbe();
 
@@ -51,16 +56,20 @@
     function scheduleProbe(): NodeJS.Timeout {
         return setTimeout(() => {
             probeTimer = scheduleProbe();
-            if (currentWay() !== "direct" && probes < mostProbes) {
+            if (currentWay() !== "direct" || health.isInDoubt(now())) {
                 void probe();
             }
         }, probeDelay(Math.random)).unref();
     }
 
     async function probe(): Promise<void> {
+        if (probes >= mostProbes) {
+            return;
+        }
         probes += 1;
+        const range = probeRange();
         try {
-            await observed("read", () => direct.read(probeRange, { timeout: probeTimeout }));
+            await observed("read", range.part, () => direct.read(range, { timeout: probeTimeout }));
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
@@ -73,9 +82,9 @@
         }
     }
 
-    async function observed<Value>(kind: StoreCallKind, call: () => Promise<Value>): Promise<Value> {
+    async function observed<Value>(kind: StoreCallKind, part: string, call: () => Promise<Value>): Promise<Value> {
         const startedAt = now();
-        const observation = health.begin(startedAt, kind === "feed");
+        const observation = health.begin(startedAt, part, kind === "feed");
         try {
             const value = await counted(kind, "direct", call());
             if (kind !== "feed") {
@@ -102,21 +111,47 @@
         }
     }
 
-    function route<Value>(kind: StoreCallKind, call: (store: Store) => Promise<Value>): Promise<Value> {
+    async function route<Value>(kind: StoreCallKind, part: string, call: (store: Store) => Promise<Value>) {
         if (currentWay() === "direct") {
-            return observed(kind, () => call(direct));
+            return callDirectly(kind, part, call);
         }
         if (!peers.mayTry()) {
-            return Promise.reject(new StoreError("away", "the store does not answer"));
+            throw new StoreError("away", "the store does not answer");
         }
         return counted(kind, "peer", call(peers));
     }
 
+    async function callDirectly<Value>(kind: StoreCallKind, part: string, call: (store: Store) => Promise<Value>) {
+        if (!mayCall(part)) {
+            throw new StoreError("away", "this part of the store does not answer");
+        }
+        try {
+            return await observed(kind, part, () => call(direct));
+        }
+        catch (error) {
+            Array.from({ length: probesOfFailure }, probe);
+            throw error;
+        }
+    }
+
+    /** A part that is away is asked now and then by one of its calls. */
+    function mayCall(part: string): boolean {
+        if (!health.isPartAway(part, now())) {
+            return true;
+        }
+        if (now() < (partProbedAt.get(part) ?? -Infinity)) {
+            return false;
+        }
+        partProbedAt.set(part, now() + probeDelay(Math.random));
+        return true;
+    }
+
     return {
-        read: (range, options) => route("read", store => store.read(range, options)),
-        change: (change, options) => route("change", store => store.change(change, options)),
+        read: (range, options) => route("read", range.part, store => store.read(range, options)),
+        change: (change, options) => route("change", partOf(change), store => store.change(change, options)),
         feed: (table, after, wait) =>
-            route("feed", store => store.feed(table, after, store === direct ? wait : Math.min(wait, relayedFeedWait))),
+            route("feed", "", store =>
+                store.feed(table, after, store === direct ? wait : Math.min(wait, relayedFeedWait))),
         hedgeDelay: () => pace.hedgeDelay(),
         isAway: () => currentWay() === "none",
         [Symbol.dispose]: () => clearTimeout(probeTimer),
@@ -125,3 +160,8 @@
 
 /** A feed by way of a peer waits this long, in ms: it holds one of the calls that the peer makes for others. */
 const relayedFeedWait = 500;
+
+/** All rows of a change are of one part. */
+function partOf({ conditions, puts, removals }: StoreChange): string {
+    return (puts?.[0] ?? conditions?.[0] ?? removals?.[0])?.part ?? "";
+}
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,5 +1,6 @@
 import { hash, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { CleanedTable } from "./cleaner.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -38,6 +39,11 @@
 
 const table = "turns";
 const parts = 256;
+/**
+ * Parts that may hold a turn: one part can be away while others answer. A reader looks into the first one, and into the
+ * others only if it does not find the turn there.
+ */
+const placesOfTurn = 3;
 /** Turns used within this time stay in memory, in ms. */
 const memoryTime = 8_000;
 /** A turn that is continued after this share of its retention is kept anew, so that it outlives what continues it. */
@@ -57,6 +63,7 @@
 
 interface Expiry {
     readonly id: string;
+    readonly part: string;
     readonly rows: number;
     /** Version of the first row. A later one says that the turn was kept anew. */
     readonly version: number;
@@ -109,15 +116,30 @@
             return known.turn;
         }
         metrics.turnFound("store");
-        const range = { table, part: partOf(id), from: id, to: `${id}0` };
-        const page = await persist(store, timeout => store.read(range, { timeout }), urgentPersistence);
-        const turn = decode(id, page.rows);
+        const turn = await findStored(id);
         if (turn !== undefined) {
             remembered.set(id, { turn, usedAt: now() });
         }
         return turn;
     }
 
+    /** A turn is unknown only if each part that may hold it says so. */
+    async function findStored(id: string): Promise<Turn | undefined> {
+        const [first, ...others] = placesOf(id);
+        const reading = readTurn(id, first!);
+        const early = await Promise.race([settled(reading), sleep(store.hedgeDelay(), undefined, { ref: false })]);
+        if (early?.status === "fulfilled" && early.value !== undefined) {
+            return early.value;
+        }
+        return firstFound([reading, ...others.map(part => readTurn(id, part))]);
+    }
+
+    async function readTurn(id: string, part: string): Promise<Turn | undefined> {
+        const range = { table, part, from: id, to: `${id}0` };
+        const page = await persist(store, timeout => store.read(range, { timeout }), urgentPersistence);
+        return decode(id, page.rows);
+    }
+
     async function keep(turn: NewTurn, history: readonly Turn[], retention: number): Promise<void> {
         const keptAt = Date.now();
         const ancestors = history.map(({ id }) => id);
@@ -126,13 +148,19 @@
     }
 
     async function write(turn: Turn, retention: number): Promise<void> {
-        const part = partOf(turn.id);
-        const puts = segmentsOf(turn).map((value, index) => ({ table, part, key: keyOf(turn.id, index), value }));
-        const result = await persist(store, timeout => store.change({ puts }, { timeout }), patientPersistence);
+        const places = placesOf(turn.id);
+        const segments = segmentsOf(turn);
+        await persist(store, (timeout, attempt) => writeAt(places[attempt % places.length]!, timeout),
+            patientPersistence);
         remembered.set(turn.id, { turn, usedAt: now() });
-        const version = result.applied ? result.version : 0;
-        const at = now() + retention * (1 + renewalShare) + removalDelay;
-        expiries.push({ id: turn.id, rows: puts.length, version, at });
+
+        async function writeAt(part: string, timeout: number): Promise<void> {
+            const puts = segments.map((value, index) => ({ table, part, key: keyOf(turn.id, index), value }));
+            const result = await store.change({ puts }, { timeout });
+            const version = result.applied ? result.version : 0;
+            const at = now() + retention * (1 + renewalShare) + removalDelay;
+            expiries.push({ id: turn.id, part, rows: puts.length, version, at });
+        }
     }
 
     function segmentsOf(turn: Turn): readonly Buffer[] {
@@ -159,8 +187,8 @@
         if (first === undefined) {
             return;
         }
-        const part = partOf(first.id);
-        const batch = due.filter(({ id }) => partOf(id) === part).slice(0, mostRemovals);
+        const { part } = first;
+        const batch = due.filter(entry => entry.part === part).slice(0, mostRemovals);
         const conditions = batch.map(({ id, version }) => ({ table, part, key: id, version }));
         const removals = batch.flatMap(({ id, rows }) =>
             Array.from({ length: rows }, (_, index) => ({ table, part, key: keyOf(id, index) }))
@@ -193,8 +221,34 @@
     keptFor: 3_600_000,
 };
 
-function partOf(id: string): string {
-    return String(hash(id) % parts);
+/** The parts that may hold a turn, the usual one first. */
+function placesOf(id: string): readonly string[] {
+    const first = hash(id) % parts;
+    // An odd distance leads to a different part each time.
+    const distance = (hash(`${id}\n`) % (parts / 2)) * 2 + 1;
+    return Array.from({ length: placesOfTurn }, (_, index) => String((first + index * distance) % parts));
+}
+
+/** The first turn that any of the reads finds; a failure only if none finds it and not all of them know. */
+async function firstFound(reads: readonly Promise<Turn | undefined>[]): Promise<Turn | undefined> {
+    const found = reads.map(async read => await read ?? Promise.reject(new NotFound()));
+    try {
+        return await Promise.any(found);
+    }
+    catch (error) {
+        const failure = (error as AggregateError).errors.find(each => !(each instanceof NotFound)) as Error | undefined;
+        if (failure !== undefined) {
+            throw failure;
+        }
+        return undefined;
+    }
+}
+
+class NotFound extends Error {}
+
+async function settled<Value>(promise: Promise<Value>): Promise<PromiseSettledResult<Value>> {
+    const [result] = await Promise.allSettled([promise]);
+    return result;
 }
 
 /** The first row of a turn has its id as key; a long turn goes on in rows behind it. */
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -42,6 +42,28 @@
     assert.doesNotMatch(broken.body, /event 5/);
 });
 
+test("turns go on while parts of the store are away, also at another gateway (guards against an outage of some parts that is taken for one of all)", async () => {
+    await using parts = await start();
+    const gateways = [parts.one, parts.two];
+    // Parts of budgets are left alone: a program's tokens are counted in one place.
+    const isDown = (part: string) => Number(part) < 256 && hash(`down ${part}`) % 4 === 0;
+    const programs = Array.from({ length: 60 }, (_, index) => `p${index}`)
+        .filter(program => hash(program) % 512 >= 256).slice(0, 16);
+    for (const mode of ["busy", "reset", "silent"] as const) {
+        gateways.forEach(({ door }) => door.setTrouble({ mode, parts: isDown }));
+        const statuses = await Promise.all(programs.map(async program => {
+            const [first, second] = [`${mode}.1.${program}`, `${mode}.2.${program}`];
+            const one = await call(parts.one, turn(first, program));
+            const two = await call(parts.two, turn(second, program, first));
+            return [one.status, two.status];
+        }));
+        assert.deepEqual(statuses, programs.map(() => [200, 200]), mode);
+        assert.deepEqual(await Promise.all(gateways.map(gateway => gateway.ready())), [200, 200], mode);
+    }
+    const ways = gateways.flatMap(({ lines }) => lines.filter(({ event }) => event === "store.way"));
+    assert.deepEqual(ways, []);
+});
+
 test("404 only when the store says so (guards against a turn denied because the store is away)", async () => {
     await using parts = await start();
     assert.equal((await call(parts.one, turn("t1", "p", "none"))).status, 404);
--- a/packages/standin/src/rowStore.ts
+++ b/packages/standin/src/rowStore.ts
@@ -13,6 +13,8 @@
     readonly count?: number;
     /** Strikes only this call. */
     readonly call?: "read" | "change" | "feed";
+    /** Strikes only calls of these parts. */
+    readonly parts?: (part: string) => boolean;
 }
 
 /** One listener of a row store, with troubles of its own: daemons can be turned away one by one. */
@@ -167,9 +169,9 @@
     let struck = 0;
     const counts = { reads: 0, changes: 0, feeds: 0 };
 
-    function strike(call: "read" | "change" | "feed"): RowStoreTrouble | undefined {
+    function strike(call: "read" | "change" | "feed", part: string): RowStoreTrouble | undefined {
         const strikes = trouble !== undefined && (trouble.call === undefined || trouble.call === call) &&
-            struck < (trouble.count ?? Infinity);
+            (trouble.parts === undefined || trouble.parts(part)) && struck < (trouble.count ?? Infinity);
         struck += strikes ? 1 : 0;
         return strikes ? trouble : undefined;
     }
@@ -179,11 +181,12 @@
         switch (`${method} /${path.join("/")}`) {
             case "GET /tamarackgauge/rows-get":
                 counts.reads += 1;
-                return await answer(received, strike("read"), () => ({ status: 200, body: read(query) }));
+                return await answer(received, strike("read", query.get("part") ?? ""),
+                    () => ({ status: 200, body: read(query) }));
             case "GET /tamarackgauge/rows-feed": {
                 counts.feeds += 1;
                 const result = await feed(query);
-                return await answer(received, strike("feed"), () => result);
+                return await answer(received, strike("feed", ""), () => result);
             }
             case "POST /tamarackgauge/rows-tx": {
                 counts.changes += 1;
@@ -191,7 +194,7 @@
                 if (change.put.length + change.remove.length + change.expectedRevision.length > mostEntries) {
                     throw new HttpError(413, "too many entries");
                 }
-                return await answer(received, strike("change"), () => apply(change));
+                return await answer(received, strike("change", partOf(change)), () => apply(change));
             }
         }
         sendJson(response, 404, { error: "there is no such path" });
@@ -235,6 +238,10 @@
     sendJson(response, status, body);
 }
 
+function partOf({ expectedRevision, put, remove }: Change): string {
+    return [...put, ...expectedRevision, ...remove][0]?.part ?? "";
+}
+
 function nameOf({ table, part, key }: { table: string; part: string; key: string; }): string {
     return `${table}\n${part}\n${key}`;
 }
