--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -129,7 +129,9 @@
             return await observed(kind, part, () => call(direct));
         }
         catch (error) {
-            Array.from({ length: probesOfFailure }, probe);
+            for (let begun = 0; begun < probesOfFailure; begun += 1) {
+                void probe();
+            }
             throw error;
         }
     }
