--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,7 +61,7 @@
     const peers: PeerList | undefined = settings.peers === undefined
         ? undefined
         : createPeerList({ name: settings.name, address: settings.peers, dataCentre: settings.dataCentre,
-            seeds: settings.knownPeers, store, log });
+            seeds: settings.knownPeers, store, log, now });
     let declaration: Declaration | undefined;
     let listed = false;
     let stopping = false;
@@ -143,7 +143,7 @@
         await sleep(rotationTime);
         const rest = settings.grace - exitMargin - (now() - started);
         await Promise.race([front.drain(), sleep(rest)]);
-        await Promise.race([ownBudgets.flush(), sleep(300)]);
+        await Promise.race([Promise.all([ownBudgets.flush(), peers?.leave()]), sleep(300)]);
         log.info("gateway.stopped", { active: front.active() });
     }
 
