Carry turns under way through an outage of the store

Ruled out: programs that begin, whose tokens cannot be reserved without the store; answers that are given out whole before they are kept. Change: a turn of a program under way runs if its history is in memory, its tokens can be had, and the outage is expected to end within its time (an outage that has lasted for a time is expected to last as long again); its last event waits for the store for as long as the call may last. A refused caller is told to come back after twice the time that the outage has lasted, 1 to 2.2 s, spread by a quarter.

--- a/packages/core/src/gateway/storeHealth.ts
+++ b/packages/core/src/gateway/storeHealth.ts
@@ -37,6 +37,25 @@
     return probeInterval * (0.5 + random());
 }
 
+/** Bounds of the time after which a caller should come back, in ms. */
+const shortestReturn = 1_000;
+const longestReturn = 2_200;
+
+/**
+ * Milliseconds after which a caller should come back that was refused because no way to the store is open. An outage that
+ * has lasted for a while is expected to last as long again, and a caller comes back only a few times. Spread by a quarter,
+ * so that callers do not come back together.
+ */
+export function returnAfterOutage(awayFor: number, random: Random): number {
+    const expected = Math.min(longestReturn, Math.max(shortestReturn, awayFor * 2));
+    return expected * (0.875 + random() * 0.25);
+}
+
+/** Whether an outage that has lasted for `awayFor` is expected to end within a time; such an outage lasts as long again. */
+export function endsWithin(time: number, awayFor: number): boolean {
+    return awayFor <= time;
+}
+
 /** What is known of the calls to one part, or to all. */
 class CallRecord {
     private readonly pending = new Set<{ readonly at: number; }>();
--- a/packages/core/test/gateway/storeHealth.test.ts
+++ b/packages/core/test/gateway/storeHealth.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createStoreHealth } from "../../src/gateway/index.ts";
+import { createStoreHealth, returnAfterOutage } from "../../src/gateway/index.ts";
 
 test("a store that refuses is away soon, one lost answer is not (guards against callers held while it is away)", () => {
     const health = createStoreHealth();
@@ -54,3 +54,10 @@
     old.answered();
     assert.equal(health.isAway(400), true);
 });
+
+test("callers come back later, and spread, the longer the store has been away (guards against callers that have used all their tries before it returns)", () => {
+    assert.equal(returnAfterOutage(200, () => 0.5), 1_000);
+    assert.ok(returnAfterOutage(900, () => 0.5) > returnAfterOutage(200, () => 1));
+    assert.ok(returnAfterOutage(60_000, () => 1) < 2_500);
+    assert.ok(returnAfterOutage(2_000, () => 1) - returnAfterOutage(2_000, () => 0) > 400);
+});
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,4 @@
-import { StoreError } from "@tamarackgauge/core/gateway";
+import { endsWithin, returnAfterOutage, StoreError } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import type { BudgetedTurn, Budgets, Reservation, TokenHold } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
@@ -10,8 +10,8 @@
 export interface ExchangeParts extends SendParts {
     readonly budgets: Budgets;
     readonly turns: Turns;
-    /** No way to the store is open. */
-    readonly isStoreAway: () => boolean;
+    /** Milliseconds for which no way to the store has been open; 0 while there is one. */
+    readonly storeAwayFor: () => number;
 }
 
 /** One call of a caller, from its last byte to the last byte of its answer. */
@@ -30,22 +30,23 @@
 const unknownTurn = 404;
 /** When a refused caller should come back, in ms. */
 const retrySoon = 100;
-/** Callers come back spread over a time in which the store may be back. */
-const retryStoreLeast = 700;
-const retryStoreSpread = 500;
 
-function storeAway(): OwnAnswer {
+function storeAway(awayFor: number): OwnAnswer {
     return { status: unavailable, reason: "the store does not answer",
-        retryAfter: retryStoreLeast + Math.random() * retryStoreSpread, elsewhere: true };
+        retryAfter: returnAfterOutage(awayFor, Math.random), elsewhere: true };
 }
 
+/** Priorities at the engine, from 0, the most urgent, to 9: that of a program's first turn on the most urgent route. */
+const firstPriority = 3;
+const leastUrgent = 9;
+
 /** A turn without a budget. */
 const unlimited: TokenHold = { settle: () => undefined };
 
 /** Why a turn may not run, if so. */
-function refusalOf(reservation: Reservation, history: History): OwnAnswer | undefined {
+function refusalOf(reservation: Reservation, history: History, awayFor: number): OwnAnswer | undefined {
     if (reservation === "unavailable" || history === "unavailable") {
-        return storeAway();
+        return storeAway(awayFor);
     }
     if (history === "unknown") {
         return { status: unknownTurn, reason: "there is no such turn" };
@@ -86,9 +87,8 @@
     }
 
     async function serveTurn(): Promise<void> {
-        // A turn that cannot be kept would run for nothing, also if its tokens are granted and its history is at hand.
-        if (route.retention !== undefined && parts.isStoreAway()) {
-            answerSelf(storeAway());
+        if (isHopeless()) {
+            answerSelf(storeAway(parts.storeAwayFor()));
             return;
         }
         const finding = findHistory();
@@ -98,7 +98,7 @@
         let used = 0;
         try {
             const previous = await finding;
-            const refusal = refusalOf(reservation, previous);
+            const refusal = refusalOf(reservation, previous, parts.storeAwayFor());
             if (refusal !== undefined) {
                 answerSelf(refusal);
                 return;
@@ -116,6 +116,16 @@
         }
     }
 
+    /**
+     * While the store is away a program cannot begin, as its tokens are not reserved yet; a turn of one under way may run if
+     * its history and tokens are at hand, and if the store is expected back in time to keep it.
+     */
+    function isHopeless(): boolean {
+        const awayFor = parts.storeAwayFor();
+        return route.retention !== undefined && awayFor > 0 &&
+            (head.previousTurn === undefined || !endsWithin(call.endsAt - now(), awayFor));
+    }
+
     async function findHistory(): Promise<History> {
         return route.retention === undefined || head.previousTurn === undefined ? [] : turns.history(head.previousTurn);
     }
@@ -194,7 +204,7 @@
         const turn: NewTurn = { id: head.id, input: call.body ?? Buffer.alloc(0), output, upstream };
         try {
             // A turn counts from the end of its answer, so it is kept before its last event goes out.
-            await turns.keep(turn, history, route.retention!);
+            await turns.keep(turn, history, route.retention!, call.endsAt - now());
             relay.finish();
         }
         catch (error) {
@@ -225,7 +235,7 @@
     /** Turns that continue a program go before those that begin one; urgent routes go before others. */
     function priorityOf(): number | undefined {
         return route.streamed
-            ? Math.min(9, 3 + route.priority * 2 - (head.previousTurn === undefined ? 0 : 1))
+            ? Math.min(leastUrgent, firstPriority + route.priority * 2 - (head.previousTurn === undefined ? 0 : 1))
             : undefined;
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,7 +65,6 @@
     let declaration: Declaration | undefined;
     let listed = false;
     let stopping = false;
-    let storeAwaySince: number | undefined;
     const upstreams = createUpstreams({ declaration: () => declaration, gateways: () => peers?.registered().length ?? 1,
         now });
     const budgets = createSharedBudgets({ own: () => ownBudgets, settings, peers: () => peers?.registered() ?? [],
@@ -78,7 +77,7 @@
     const turns = createTurns({ store, mostRowBytes: settings.mostRowBytes, metrics, log, now });
     const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
     const front = await createFront({ ...settings.callers, upstreams, declaration: () => declaration, budgets, turns,
-        isStoreAway: () => store.isAway(), log, metrics, now, dataCentre: settings.dataCentre,
+        storeAwayFor: () => store.awayFor(), log, metrics, now, dataCentre: settings.dataCentre,
         declarationAge: () => declarations.age() });
     const declarations = watchTable({ store, log, now, ...declarationRow, changed: takeDeclaration });
     const entries = watchTable({ store, log, now, ...upstreamTable, changed: takeEntries });
@@ -130,9 +129,7 @@
 
     /** A gateway without a way to the store asks for callers to go elsewhere. */
     function isReady(): boolean {
-        storeAwaySince = store.isAway() ? storeAwaySince ?? now() : undefined;
-        const cutOff = storeAwaySince !== undefined && now() - storeAwaySince > toleratedOutage;
-        return !stopping && declaration !== undefined && listed && !cutOff;
+        return !stopping && declaration !== undefined && listed && store.awayFor() <= toleratedOutage;
     }
 
     async function shutDown(): Promise<void> {
--- a/packages/gateway/src/persist.ts
+++ b/packages/gateway/src/persist.ts
@@ -26,8 +26,8 @@
 export const urgentPersistence: Persistence = { callTimeout: 1_500, giveUpAfter: 900, pause: 30,
     waitsForReturn: false };
 
-/** For what ends a turn: it has run, so it is worth all the time for which its caller may wait. */
-export const patientPersistence: Persistence = { ...urgentPersistence, giveUpAfter: 1_700, waitsForReturn: true };
+/** For what ends a turn, which has run: it waits for the store's return, for as long as its caller may wait. */
+export const patientPersistence: Persistence = { ...urgentPersistence, waitsForReturn: true };
 
 /**
  * Repeats a call of the store until it is answered; `attempt` numbers the calls from 0. Only for calls that may be applied
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -7,8 +7,8 @@
 
 /** The store by whatever way is open. */
 export interface RoutedStore extends PacedStore, Disposable {
-    /** No way to the store is open now. */
-    isAway(): boolean;
+    /** Milliseconds for which no way to the store has been open; 0 while there is one. */
+    awayFor(): number;
 }
 
 /** Parts of a routed store. */
@@ -39,6 +39,7 @@
     const { direct, peers, health, metrics, log, now, probeRange } = parts;
     const pace = createStorePace();
     let lastWay: StoreWay | "none" = "direct";
+    let awaySince = 0;
     /** When calls of a part that is away are made again, one at a time. */
     const partProbedAt = new Map<string, number>();
     let probes = 0;
@@ -49,6 +50,7 @@
         if (way !== lastWay) {
             log.warn("store.way", { way, before: lastWay });
             lastWay = way;
+            awaySince = now();
         }
         return way;
     }
@@ -155,7 +157,7 @@
             route("feed", "", store =>
                 store.feed(table, after, store === direct ? wait : Math.min(wait, relayedFeedWait))),
         hedgeDelay: () => pace.hedgeDelay(),
-        isAway: () => currentWay() === "none",
+        awayFor: () => currentWay() === "none" ? now() - awaySince : 0,
         [Symbol.dispose]: () => clearTimeout(probeTimer),
     };
 }
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -32,9 +32,9 @@
     history(id: string): Promise<History>;
     /**
      * Keeps a turn and all that it continues for `retention` milliseconds; rejects with a `StoreError` if it may not be
-     * kept.
+     * kept within `time` milliseconds.
      */
-    keep(turn: NewTurn, history: readonly Turn[], retention: number): Promise<void>;
+    keep(turn: NewTurn, history: readonly Turn[], retention: number, time: number): Promise<void>;
 }
 
 const table = "turns";
@@ -140,18 +140,20 @@
         return decode(id, page.rows);
     }
 
-    async function keep(turn: NewTurn, history: readonly Turn[], retention: number): Promise<void> {
+    async function keep(turn: NewTurn, history: readonly Turn[], retention: number, time: number): Promise<void> {
         const keptAt = Date.now();
         const ancestors = history.map(({ id }) => id);
         const aging = history.filter(before => keptAt - before.keptAt > retention * renewalShare);
-        await Promise.all([...aging, { ...turn, ancestors }].map(each => write({ ...each, keptAt }, retention)));
+        await Promise.all([...aging, { ...turn, ancestors }].map(each => write({ ...each, keptAt }, retention, time)));
     }
 
-    async function write(turn: Turn, retention: number): Promise<void> {
+    async function write(turn: Turn, retention: number, time: number): Promise<void> {
         const places = placesOf(turn.id);
         const segments = segmentsOf(turn);
-        await persist(store, (timeout, attempt) => writeAt(places[attempt % places.length]!, timeout),
-            patientPersistence);
+        await persist(store, (timeout, attempt) => writeAt(places[attempt % places.length]!, timeout), {
+            ...patientPersistence,
+            giveUpAfter: time,
+        });
         remembered.set(turn.id, { turn, usedAt: now() });
 
         async function writeAt(part: string, timeout: number): Promise<void> {
