Refuse, while stopping, what may last longer than the process

Ruled out: a time to stop that is too short for calls taken in the first 2.3 s; their time limits of 5 s end before the process. Change: from SIGTERM on each answer ends its connection; while the gateway drains, a connection is closed as it becomes idle, and a call whose time limit is later than the end of the process is answered 503, not run, come back at once on a new connection. Test: a call that follows on a stream's connection during a stop is not begun; without the change it is cut (socket hang up).

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -9,8 +9,13 @@
 export interface Front extends AsyncDisposable {
     /** Takes the routes and limits of a newer declaration. */
     declare(declaration: Declaration): void;
-    /** Accepts no more connections, and resolves when the last answer has ended. */
-    drain(): Promise<void>;
+    /** Lets each connection end with its next answer, so that callers open new ones elsewhere. */
+    announceStop(): void;
+    /**
+     * Accepts no more connections, and resolves when the last answer has ended. A call that may last longer than until
+     * `exitAt`, in monotonic milliseconds, is refused: it would be cut off.
+     */
+    drain(exitAt: number): Promise<void>;
     active(): number;
 }
 
@@ -35,12 +40,17 @@
 /** A caller that has not taken its answer for this long after the end of the call is disconnected, in ms. */
 const takingTime = 10_000;
 
+/** The call has not run, and another gateway takes it at once. */
+const stoppingRefusal: OwnAnswer = { status: unavailable, reason: "the gateway is stopping", retryAfter: 0,
+    elsewhere: true };
+
 /** Starts to listen for callers. */
 export async function createFront(parts: FrontParts): Promise<Front> {
     const { now, log, metrics } = parts;
     let routes: RouteTable | undefined;
     let declaration: Declaration | undefined;
     let closing = false;
+    let exitsAt = Infinity;
     let active = 0;
     let idle: (() => void) | undefined;
     const held = createByteBudget(parts.limits.held);
@@ -74,6 +84,9 @@
         const account = held.open();
         response.on("close", () => {
             account[Symbol.dispose]();
+            if (exitsAt < Infinity) {
+                server.closeIdleConnections();
+            }
             if (!response.writableFinished) {
                 exchange?.abandon();
             }
@@ -113,6 +126,10 @@
             return undefined;
         }
         const endsAt = arrivedAt + timeLimit(route, head.deadline);
+        if (endsAt > exitsAt) {
+            writeOwnAnswer(response, head.id, stoppingRefusal);
+            return undefined;
+        }
         const body = await readBody(request, { most: declaration.limits.body, time: endsAt - now(), account });
         const refusal = typeof body === "string" ? bodyRefusals[body] : undefined;
         if (refusal !== undefined) {
@@ -145,8 +162,9 @@
             : { status: unavailable, reason: "the declaration is not known", retryAfter: retryStart };
     }
 
-    async function drain(): Promise<void> {
+    async function drain(exitAt: number): Promise<void> {
         closing = true;
+        exitsAt = exitAt;
         server.close();
         server.closeIdleConnections();
         while (active > 0) {
@@ -159,6 +177,9 @@
 
     return {
         declare,
+        announceStop() {
+            closing = true;
+        },
         drain,
         active: () => active,
         async [Symbol.asyncDispose]() {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,9 +139,10 @@
         stopping = true;
         ownBudgets.stopLending();
         log.info("gateway.stopping", { active: front.active() });
+        front.announceStop();
         await sleep(rotationTime);
-        const rest = settings.grace - exitMargin - (now() - started);
-        await Promise.race([front.drain(), sleep(rest)]);
+        const exitAt = started + settings.grace - exitMargin;
+        await Promise.race([front.drain(exitAt), sleep(exitAt - now())]);
         await Promise.race([Promise.all([ownBudgets.flush(), peers?.leave()]), sleep(300)]);
         log.info("gateway.stopped", { active: front.active() });
     }
--- a/packages/gateway/test/outages.test.ts
+++ b/packages/gateway/test/outages.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { Agent } from "node:http";
 import { test } from "node:test";
 import { call, createFleet, type TestGateway, turn, until, untilReady } from "./harness.ts";
 
@@ -145,3 +146,28 @@
     assert.deepEqual(answers.map(({ whole, status }) => whole && status), [200, 200, 200]);
     await stopping;
 });
+
+test("a call that may last longer than a stopping gateway is refused, not begun (guards against a call cut by the end of the process)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway({ grace: 4_000 });
+    await untilReady(gateway);
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    fleet.engine.behave("pause");
+    // The stream has begun before the stop, so that its connection stays open until it ends.
+    const streaming = call(gateway, { path: "/plan/x", id: "1", body: "x", agent });
+    await until(() => fleet.engine.paused() === 1, "the stream runs");
+    // Another call keeps the gateway from ending at once.
+    fleet.tool.behave("silent");
+    const lasting = call(gateway, { path: "/pay/x", id: "3", body: "x" });
+    await until(() => fleet.tool.ran.length === 1, "the other call runs");
+    const stopping = gateway.gateway.shutDown();
+    const following = call(gateway, { path: "/plan/x", id: "2", body: "x", agent });
+    setTimeout(() => fleet.engine.resume(), 2_400);
+    assert.equal((await streaming).whole, true);
+    const refused = await following.catch(() => undefined);
+    assert.ok(refused === undefined || refused.status === 503, "refused, or closed before it was read");
+    assert.deepEqual(fleet.engine.ran.map(({ id }) => id), ["1"]);
+    assert.equal((await lasting).status, 504);
+    await stopping;
+    agent.destroy();
+});
