Learn what a service is like, and refuse programs that it cannot carry

Ruled out: occupancy alone (nothing is refused, engines of 64 places are slow at 30%); the time to the first byte alone.

--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -14,16 +14,12 @@
     readonly preferred: string | undefined;
 }
 
-/** Costs of a choice, in milliseconds that the call takes longer. */
+/** Costs of a choice, in milliseconds that the call takes longer, and in shares of the service's usual time of a call. */
 export interface ChoiceCosts {
-    /** Prompt tokens that an engine reads in a millisecond. */
-    readonly tokensPerMs: number;
-    /** What each call at the upstream adds while it has free slots. */
-    readonly perCall: number;
-    /** What each call adds that waits for a slot. */
-    readonly perWaitingCall: number;
-    /** Usual time of a call, which a slow VM multiplies. */
-    readonly usualCall: number;
+    /** What each call adds that runs for every place that the upstream has, as a share of the usual time. */
+    readonly perRunningShare: number;
+    /** What each call adds that waits, for every place. */
+    readonly perWaitingShare: number;
     /** What an upstream in another data centre costs: time on the way and the price of the bytes. */
     readonly otherDataCentre: number;
     /** Equal choices are spread by a random cost up to this. */
@@ -32,20 +28,16 @@
 
 /** Costs for model engines. */
 export const modelCosts: ChoiceCosts = {
-    tokensPerMs: 256,
-    perCall: 6,
-    perWaitingCall: 25,
-    usualCall: 280,
+    perRunningShare: 0.25,
+    perWaitingShare: 1.1,
     otherDataCentre: 35,
     spread: 3,
 };
 
 /** Costs for plain services. */
 export const plainCosts: ChoiceCosts = {
-    tokensPerMs: 256,
-    perCall: 1,
-    perWaitingCall: 8,
-    usualCall: 15,
+    perRunningShare: 0.4,
+    perWaitingShare: 2,
     otherDataCentre: 4,
     spread: 1,
 };
@@ -77,6 +69,12 @@
 /** A suspended upstream is still better than none. */
 const suspendedCost = 1e6;
 
+/** Tokens of a prompt that an upstream has to read; undefined where other gateways may have had it read. */
+export function readTokens(upstream: UpstreamState, parts: readonly PromptPart[], promptTokens: number) {
+    const kept = upstream.cache.matched(parts);
+    return kept === 0 ? undefined : Math.max(0, promptTokens - kept);
+}
+
 /** Tokens of the prompt that an upstream is believed to keep. */
 function keptTokens(upstream: UpstreamState, { parts, preferred }: Demand, assumed: number): number {
     const known = Math.max(upstream.cache.matched(parts), assumed);
@@ -121,10 +119,12 @@
     costs: ChoiceCosts,
     now: number,
 ): number {
-    const read = Math.max(0, demand.promptTokens - kept) / costs.tokensPerMs;
+    const { service, entry } = upstream;
+    const read = Math.max(0, demand.promptTokens - kept) / service.tokensPerMs;
     const calls = upstream.calls(now);
-    const waiting = Math.max(0, calls + 1 - upstream.entry.slots);
-    const slow = costs.usualCall * (upstream.slowness(now) - 1);
-    const distance = upstream.entry.dataCentre === demand.dataCentre ? 0 : costs.otherDataCentre;
-    return read + calls * costs.perCall + waiting * costs.perWaitingCall + slow + distance;
+    const waiting = Math.max(0, calls + 1 - entry.slots);
+    const busy = (calls * costs.perRunningShare + waiting * costs.perWaitingShare) * service.callTime / entry.slots;
+    const slow = service.callTime * (upstream.slowness(now) - 1);
+    const distance = entry.dataCentre === demand.dataCentre ? 0 : costs.otherDataCentre;
+    return read + busy + slow + distance;
 }
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export { hash, rankByRendezvous } from "../hash.ts";
+export * from "./admission.ts";
 export * from "./attempt.ts";
 export * from "./byteBudget.ts";
 export * from "./call.ts";
@@ -7,6 +8,7 @@
 export * from "./ledger.ts";
 export * from "./prefixCache.ts";
 export * from "./route.ts";
+export * from "./serviceEstimate.ts";
 export * from "./settings.ts";
 export * from "./store.ts";
 export * from "./storeHealth.ts";
--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -1,5 +1,6 @@
 import type { UpstreamEntry, UpstreamLoad } from "./call.ts";
 import { PrefixCache } from "./prefixCache.ts";
+import { ServiceEstimate } from "./serviceEstimate.ts";
 
 /** A failed upstream gets no calls for this long, in ms; each further failure in a row doubles the time. */
 const firstSuspension = 250;
@@ -16,7 +17,12 @@
     private failures = 0;
     private suspendedUntil = -Infinity;
 
-    constructor(public entry: UpstreamEntry, cacheTokens: number) {
+    constructor(
+        public entry: UpstreamEntry,
+        cacheTokens: number,
+        /** What all upstreams of the service are usually like. */
+        readonly service = new ServiceEstimate(),
+    ) {
         this.cache = new PrefixCache(cacheTokens);
     }
 
@@ -25,15 +31,20 @@
         this.load = load;
         this.loadAt = now;
         this.inFlightAtLoad = this.inFlight;
+        this.service.takeLoad(load, now);
     }
 
-    /** Calls at the upstream: the last report, corrected by the own calls sent and ended since. */
+    /**
+     * Calls at the upstream: the last report, corrected by the own calls sent and ended since. Of the calls of others, an
+     * old report says less than what the upstreams of the service have on average now.
+     */
     calls(now: number): number {
+        const usual = Math.max(0, (this.service.occupancy(now) ?? 0) * this.entry.slots - this.inFlight);
         if (this.load === undefined) {
-            return this.inFlight;
+            return this.inFlight + usual;
         }
         const others = Math.max(0, this.load.running + this.load.waiting - this.inFlightAtLoad);
-        return this.inFlight + others * 0.5 ** ((now - this.loadAt) / loadHalfLife);
+        return this.inFlight + usual + (others - usual) * 0.5 ** ((now - this.loadAt) / loadHalfLife);
     }
 
     /** How much longer than usual work takes; a report is soon out of date. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,4 +1,4 @@
-import type { AnswerHead, AttemptFailure } from "@tamarackgauge/core/gateway";
+import { type AnswerHead, type AttemptFailure, readTokens } from "@tamarackgauge/core/gateway";
 import { encodeRequest } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { WholeAnswer } from "./callerAnswer.ts";
@@ -43,6 +43,8 @@
     const chunks: Buffer[] = [];
     let answer: { readonly head: AnswerHead; readonly headers: IncomingHttpHeaders; } | undefined;
     let received = 0;
+    let beginning = 0;
+    const passedBefore = sink?.passed() ?? 0;
     let streaming = false;
     let over = false;
     let resolveEnd: (end: AttemptEnd) => void;
@@ -72,6 +74,10 @@
         if (head.load !== undefined) {
             state.report(head.load, now());
         }
+        if (isSuccess(head.status)) {
+            beginning = now() - sentAt;
+            state.service.takeBeginning({ time: beginning, read: toRead, load: head.load }, now());
+        }
         if (sink !== undefined && isSuccess(head.status) && isGenuine(head)) {
             clearTimeout(timer);
             streaming = true;
@@ -105,6 +111,10 @@
     }
 
     function takeEnd(): AttemptEnd {
+        if (isSuccess(answer!.head.status)) {
+            state.service.takeCall({ time: now() - sentAt, beginning, events: (sink?.passed() ?? 0) - passedBefore },
+                now());
+        }
         if (streaming) {
             return { kind: "streamed" };
         }
@@ -112,6 +122,8 @@
         return judge(head, { status: head.status, headers, body: Buffer.concat(chunks) });
     }
 
+    const sentAt = now();
+    const toRead = readTokens(state, call.head.parts, call.head.promptTokens);
     state.inFlight += 1;
     state.cache.use(call.head.parts);
     const sending = client.send({
@@ -134,7 +146,14 @@
                 unreachable: cause === "unreachable" }),
     });
 
-    return { end, wasSent: () => sending.wasSent(), cancel: () => stop("cancelled") };
+    function cancel(): void {
+        if (answer === undefined) {
+            state.service.takeWait(now() - sentAt, now());
+        }
+        stop("cancelled");
+    }
+
+    return { end, wasSent: () => sending.wasSent(), cancel };
 }
 
 /** How long an upstream may be silent before a call that may run again goes elsewhere. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,8 +1,8 @@
-import { endsWithin, returnAfterOutage, StoreError } from "@tamarackgauge/core/gateway";
+import { beginsProgram, endsWithin, refuseBeginning, returnAfterOutage, StoreError } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import type { BudgetedTurn, Budgets, Reservation, TokenHold } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
-import { type ReadCall, type SendParts, type SendResult, type Sends, startSends } from "./sends.ts";
+import { type ReadCall, type SendParts, type SendResult, type Sends, serviceOf, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
 import type { History, NewTurn, Turn, Turns } from "./turns.ts";
 
@@ -91,6 +91,11 @@
             answerSelf(storeAway(parts.storeAwayFor()));
             return;
         }
+        const refusedFor = beginsProgram(head) ? refuseProgram() : undefined;
+        if (refusedFor !== undefined) {
+            answerSelf({ status: unavailable, reason: "the engines are full", retryAfter: refusedFor });
+            return;
+        }
         const finding = findHistory();
         // A failure is met where the history is needed, when the tokens are known to be reserved or not.
         finding.catch(() => undefined);
@@ -126,6 +131,13 @@
             (head.previousTurn === undefined || !endsWithin(call.endsAt - now(), awayFor));
     }
 
+    /** Only a program's first turn may be refused for want of room: what is under way makes room when it ends. */
+    function refuseProgram(): number | undefined {
+        const estimate = parts.upstreams.estimate(serviceOf(call, parts.declaration()));
+        return refuseBeginning({ occupancy: estimate.occupancy(now()), delay: estimate.delay(now()),
+            callTime: estimate.callTime, priority: route.priority }, Math.random);
+    }
+
     async function findHistory(): Promise<History> {
         return route.retention === undefined || head.previousTurn === undefined ? [] : turns.history(head.previousTurn);
     }
@@ -235,7 +247,7 @@
     /** Turns that continue a program go before those that begin one; urgent routes go before others. */
     function priorityOf(): number | undefined {
         return route.streamed
-            ? Math.min(leastUrgent, firstPriority + route.priority * 2 - (head.previousTurn === undefined ? 0 : 1))
+            ? Math.min(leastUrgent, firstPriority + route.priority * 2 - (beginsProgram(head) ? 0 : 1))
             : undefined;
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,7 +125,7 @@
     }
 
     async function logSummary(): Promise<void> {
-        log.info("gateway.summary", { active: front.active(), upstreams: upstreams.count(),
+        log.info("gateway.summary", { active: front.active(), upstreams: upstreams.count(), ...upstreams.summary(),
             ...await metrics.summary() });
     }
 
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -31,6 +31,8 @@
     /** False if the caller does not keep up; `drained` resolves when it does. */
     data(chunk: Buffer): boolean;
     drained(): Promise<void>;
+    /** Whole events that were passed on. */
+    passed(): number;
     /** Bytes of an event that has not ended. */
     unfinished(): number;
     /** The last event that was passed on whole, if the stream may go on after it. */
@@ -134,7 +136,7 @@
     }
 
     function pick(): Upstream | undefined {
-        const service = serviceOf();
+        const service = serviceOf(call, declaration());
         const exhausted = reached.size >= route.mostUpstreams;
         const demand: Demand = { parts: head.parts, promptTokens: head.promptTokens, dataCentre,
             tried: exhausted ? new Set() : tried, preferred: plan.preferred };
@@ -151,12 +153,6 @@
             .find(upstream => upstream !== undefined && !upstream.state.entry.draining);
     }
 
-    function serviceOf(): string {
-        // The route may have been declared anew while the call waited.
-        const newest = declaration()?.routes.find(({ name }) => name === route.name) ?? route;
-        return pickService(newest, hash(head.program ?? head.id) / 2 ** 32);
-    }
-
     async function attempt(upstream: Upstream): Promise<AttemptEnd> {
         const { state } = upstream;
         current = startAttempt(upstream, plan, limits, now);
@@ -184,6 +180,13 @@
     return { result: run(), cancel };
 }
 
+/** The service of a call. The same program always goes to the same one while its route stays as it is. */
+export function serviceOf({ route, head }: Pick<ReadCall, "route" | "head">, declaration: Declaration | undefined) {
+    // The route may have been declared anew while the call waited.
+    const newest = declaration?.routes.find(({ name }) => name === route.name) ?? route;
+    return pickService(newest, hash(head.program ?? head.id) / 2 ** 32);
+}
+
 /** The upstream was reached and did not take the call. */
 function hadNoRoom({ failure, unreachable }: FailedAttempt): boolean {
     return failure === "notRun" && !unreachable;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -66,6 +66,7 @@
         begin,
         data,
         drained,
+        passed: () => events.length,
         unfinished: () => splitter.rest().length,
         finish,
         events: () => events,
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -1,4 +1,4 @@
-import { chooseUpstream, type Declaration, type Demand, modelCosts, plainCosts, type UpstreamEntry,
+import { chooseUpstream, type Declaration, type Demand, modelCosts, plainCosts, ServiceEstimate, type UpstreamEntry,
     UpstreamState } from "@tamarackgauge/core/gateway";
 import type { MemoryLimits } from "./limits.ts";
 import { createUpstreamClient, type UpstreamClient } from "./upstreamClient.ts";
@@ -15,7 +15,11 @@
     replace(entries: readonly UpstreamEntry[]): void;
     choose(service: string, demand: Demand): Upstream | undefined;
     find(id: string): Upstream | undefined;
+    /** What the upstreams of a service are usually like. */
+    estimate(service: string): ServiceEstimate;
     count(): number;
+    /** What is known of each service, as fields of a log line. */
+    summary(): Readonly<Record<string, number>>;
 }
 
 /** Parts of a set of upstreams. */
@@ -41,6 +45,14 @@
     const known = new Map<string, Upstream>();
     const byService = new Map<string, Map<string, UpstreamState>>();
 
+    const estimates = new Map<string, ServiceEstimate>();
+
+    function estimate(service: string): ServiceEstimate {
+        const known = estimates.get(service) ?? new ServiceEstimate();
+        estimates.set(service, known);
+        return known;
+    }
+
     function replace(entries: readonly UpstreamEntry[]): void {
         const listed = new Set(entries.map(({ id }) => id));
         [...known.keys()].filter(id => !listed.has(id)).forEach(remove);
@@ -59,7 +71,7 @@
 
     function add(entry: UpstreamEntry): void {
         const service = declaration()?.services.get(entry.service);
-        const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0);
+        const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0, estimate(entry.service));
         const client = createUpstreamClient({ host: entry.address, port: entry.port,
             mostConnections: () => connectionShare(entry.service), mostHeadBytes: limits.head });
         known.set(entry.id, { state, client });
@@ -92,13 +104,26 @@
         replace,
         choose,
         find: id => known.get(id),
+        estimate,
         count: () => known.size,
+        summary: () =>
+            Object.assign({}, ...[...estimates].map(([name, known]) => summaryOf(name, known, now()))) as Record<string,
+                number>,
         async [Symbol.asyncDispose]() {
             await Promise.all([...known.values()].map(({ client }) => client[Symbol.asyncDispose]()));
         },
     };
 }
 
+function summaryOf(service: string, estimate: ServiceEstimate, now: number): Record<string, number> {
+    return {
+        [`service.${service}.callMs`]: Math.round(estimate.callTime),
+        [`service.${service}.delayMs`]: Math.round(estimate.delay(now)),
+        [`service.${service}.occupancy`]: Math.round((estimate.occupancy(now) ?? 0) * 100) / 100,
+        [`service.${service}.tokensPerMs`]: Math.round(estimate.tokensPerMs),
+    };
+}
+
 /** A restart under the same id, or at another address, begins a life that knows nothing of the one before. */
 function isSameLife(left: UpstreamEntry, right: UpstreamEntry): boolean {
     return left.service === right.service && left.address === right.address && left.port === right.port &&
