--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,7 +3,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { WholeAnswer } from "./callerAnswer.ts";
 import type { MemoryLimits } from "./limits.ts";
-import type { SendPlan } from "./sends.ts";
+import type { SendPlan } from "./sendPlan.ts";
 import type { Upstream } from "./upstreams.ts";
 
 /** How one send of a call ended. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,8 @@
 import type { ServerResponse } from "node:http";
 import type { BudgetedTurn, Budgets, Reservation, TokenHold } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
-import { type ReadCall, type SendParts, type SendResult, type Sends, serviceOf, startSends } from "./sends.ts";
+import type { ReadCall } from "./sendPlan.ts";
+import { type SendParts, type SendResult, type Sends, serviceOf, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
 import type { History, NewTurn, Turn, Turns } from "./turns.ts";
 
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,44 +1,14 @@
-import { type AttemptFailure, type ByteAccount, type CallHead, type Declaration, type Demand, hash, nextStep,
-    pickService, type ServiceRoute } from "@tamarackgauge/core/gateway";
-import type { RawHeaders } from "@tamarackgauge/platform";
-import type { IncomingHttpHeaders } from "node:http";
+import { type AttemptFailure, type Declaration, type Demand, hash, nextStep,
+    pickService } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { WholeAnswer } from "./callerAnswer.ts";
 import type { MemoryLimits } from "./limits.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
+import type { ReadCall, SendPlan } from "./sendPlan.ts";
 import type { Upstream, Upstreams } from "./upstreams.ts";
 
-/** A call that has been read whole. Times are monotonic milliseconds. */
-export interface ReadCall {
-    readonly method: string;
-    readonly path: string;
-    readonly rawHeaders: RawHeaders;
-    readonly head: CallHead;
-    readonly route: ServiceRoute;
-    readonly body: Buffer | undefined;
-    /** Counts the bytes that are held for the call. */
-    readonly held: ByteAccount;
-    /** The moment by which the answer must have ended. */
-    readonly endsAt: number;
-}
-
-/** Takes a stream. */
-export interface StreamSink {
-    /** An upstream begins to answer with a stream; called once for each upstream. */
-    begin(status: number, headers: IncomingHttpHeaders): void;
-    /** False if the caller does not keep up; `drained` resolves when it does. */
-    data(chunk: Buffer): boolean;
-    drained(): Promise<void>;
-    /** Whole events that were passed on. */
-    passed(): number;
-    /** Bytes of an event that has not ended. */
-    unfinished(): number;
-    /** The last event that was passed on whole, if the stream may go on after it. */
-    resumeAfter(): string | undefined;
-}
-
 /** How the sends of a call ended. */
 export type SendResult =
     | { readonly kind: "answer"; readonly answer: WholeAnswer; readonly upstream: string; }
@@ -68,16 +38,6 @@
 /** `left`: the caller has gone. `late`: the time limit was reached, which may be the upstream's fault. */
 export type CancelReason = "left" | "late";
 
-/** What a call is like for its sends. */
-export interface SendPlan {
-    readonly call: ReadCall;
-    readonly priority: number | undefined;
-    /** The engine that keeps the session's memory, if known. */
-    readonly preferred: string | undefined;
-    /** Present for a call whose answer is a stream. */
-    readonly sink: StreamSink | undefined;
-}
-
 /** How often one call is sent at most, to the same upstream again included. */
 const mostSends = 4;
 /**
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -1,7 +1,7 @@
 import { EventSplitter, type StreamEvent } from "@tamarackgauge/core/gateway";
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import { beginStream } from "./callerAnswer.ts";
-import type { StreamSink } from "./sends.ts";
+import type { StreamSink } from "./sendPlan.ts";
 
 /** What a stream has carried to the caller so far. */
 export interface StreamRelay extends StreamSink {
