--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -3,6 +3,8 @@
 import { z } from "zod";
 
 const count = z.number().int().nonnegative();
+/** An event may count for a part of a token. */
+const tokens = z.number().nonnegative();
 const bytes = z.custom<Buffer>(value => Buffer.isBuffer(value));
 const rowName = z.object({ table: z.string(), part: z.string(), key: z.string() });
 const row = rowName.extend({ value: bytes, version: count, removed: z.boolean() });
@@ -14,7 +16,7 @@
     puts: z.array(rowName.extend({ value: bytes })).readonly().optional(),
     removals: z.array(rowName).readonly().optional(),
 });
-const turn = z.object({ program: z.string(), most: count, budget: count });
+const turn = z.object({ program: z.string(), most: tokens, budget: tokens });
 
 /** A call of the store that another gateway is asked to make; times in milliseconds. */
 const relayedCalls = [
@@ -28,7 +30,7 @@
     /** Counts a turn's most as generated; the answer is a `LoanOutcome`. */
     z.object({ kind: z.literal("borrow"), turn }),
     /** Tokens that were borrowed and not generated. */
-    z.object({ kind: z.literal("return"), program: z.string(), tokens: count }),
+    z.object({ kind: z.literal("return"), program: z.string(), tokens }),
     /** The asker needs tokens that a grant may hold and no turn uses; the answer is a `RecallOutcome`. */
     z.object({ kind: z.literal("recall"), holder: z.string(), program: z.string() }),
 ] as const;
