--- a/packages/core/src/gateway/admission.ts
+++ b/packages/core/src/gateway/admission.ts
@@ -9,6 +9,8 @@
     readonly delay: number;
     /** Time of a call that nothing holds up. */
     readonly callTime: number;
+    /** The time within which an answer of the service's most demanding route earns its full value. */
+    readonly target: number;
     /** Priority of the route; 0 is the most urgent. */
     readonly priority: number;
 }
@@ -29,8 +31,8 @@
 
 /** Calls for each place: engines whose places decide. */
 const occupancyRange: Range = { from: 1, to: 1.4 };
-/** Delay as a share of the time of a call: engines that slow down long before their places are taken. */
-const delayRange: Range = { from: 0.35, to: 1 };
+/** Delay as a share of what callers expect of a call: engines that slow down long before their places are taken. */
+const delayRange: Range = { from: 0.5, to: 1.5 };
 /** By each step of priority a range ends at a smaller load, so that less urgent programs are refused first. */
 const priorityStep = 0.05;
 const mostSteps = 2;
@@ -45,10 +47,10 @@
  * which it should come back.
  */
 export function refuseBeginning(request: AdmissionRequest, random: Random): number | undefined {
-    const { occupancy = 0, delay, callTime, priority } = request;
+    const { occupancy = 0, delay, callTime, target, priority } = request;
     const strictness = 1 + priorityStep * Math.min(mostSteps, priority);
     const excess = Math.max(shareOf(occupancyRange, occupancy, strictness),
-        shareOf(delayRange, delay / callTime, strictness));
+        shareOf(delayRange, delay / Math.max(callTime, target), strictness));
     if (random() >= excess) {
         return undefined;
     }
--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -14,12 +14,14 @@
     readonly preferred: string | undefined;
 }
 
-/** Costs of a choice, in milliseconds that the call takes longer, and in shares of the service's usual time of a call. */
+/** Costs of a choice, in milliseconds that the call takes longer, and in shares of a call that nothing holds up. */
 export interface ChoiceCosts {
     /** What each call adds that runs for every place that the upstream has, as a share of the usual time. */
     readonly perRunningShare: number;
     /** What each call adds that waits, for every place. */
     readonly perWaitingShare: number;
+    /** What an upstream adds that works at twice its usual time. */
+    readonly slownessShare: number;
     /** What an upstream in another data centre costs: time on the way and the price of the bytes. */
     readonly otherDataCentre: number;
     /** Equal choices are spread by a random cost up to this. */
@@ -28,16 +30,18 @@
 
 /** Costs for model engines. */
 export const modelCosts: ChoiceCosts = {
-    perRunningShare: 0.25,
-    perWaitingShare: 1.1,
+    perRunningShare: 0.8,
+    perWaitingShare: 3.3,
+    slownessShare: 3,
     otherDataCentre: 35,
     spread: 3,
 };
 
 /** Costs for plain services. */
 export const plainCosts: ChoiceCosts = {
-    perRunningShare: 0.4,
-    perWaitingShare: 2,
+    perRunningShare: 0.6,
+    perWaitingShare: 4.8,
+    slownessShare: 1.5,
     otherDataCentre: 4,
     spread: 1,
 };
@@ -124,7 +128,7 @@
     const calls = upstream.calls(now);
     const waiting = Math.max(0, calls + 1 - entry.slots);
     const busy = (calls * costs.perRunningShare + waiting * costs.perWaitingShare) * service.callTime / entry.slots;
-    const slow = service.callTime * (upstream.slowness(now) - 1);
+    const slow = service.callTime * costs.slownessShare * (upstream.slowness(now) - 1);
     const distance = entry.dataCentre === demand.dataCentre ? 0 : costs.otherDataCentre;
     return read + busy + slow + distance;
 }
--- a/packages/core/src/gateway/serviceEstimate.ts
+++ b/packages/core/src/gateway/serviceEstimate.ts
@@ -34,22 +34,26 @@
 
 /** Follows the value that a quarter of all values stay below: calls that nothing holds up. */
 class LowQuantile {
-    private quantile: number | undefined;
-    private taken = 0;
+    private quantile: number;
+    private first: number[] = [];
 
-    constructor(private readonly preset: number) {}
+    constructor(preset: number) {
+        this.quantile = preset;
+    }
 
     get value(): number {
-        return this.quantile ?? this.preset;
+        return this.quantile;
     }
 
     take(value: number): void {
-        this.taken += 1;
-        // Large steps at first; then so small that a load of some seconds does not pass for usual.
-        const step = this.value * Math.max(leastStep, firstStep / this.taken);
-        this.quantile = this.quantile === undefined
-            ? value
-            : this.quantile + (value < this.quantile ? -step * (1 - lowShare) : step * lowShare);
+        if (this.first.length < firstValues) {
+            this.first = [...this.first, value].sort((left, right) => left - right);
+            this.quantile = this.first[Math.floor(this.first.length * lowShare)]!;
+            return;
+        }
+        // Steps so small that a load of some seconds does not pass for usual.
+        const step = this.quantile * smallStep;
+        this.quantile += value < this.quantile ? -step * (1 - lowShare) : step * lowShare;
     }
 }
 
@@ -65,10 +69,10 @@
 /** The usual figures of a service before its first answers. */
 const firstCallTime = 100;
 const firstTokensPerMs = 128;
-/** Calls below the low quantile, and the parts of it by which the first call and later ones can move it. */
+/** Calls below the low quantile, how many make the first one, and the part of it by which a later call moves it. */
 const lowShare = 0.25;
-const firstStep = 0.3;
-const leastStep = 0.004;
+const firstValues = 48;
+const smallStep = 0.004;
 /** Events of a stream from which its pace can be told. */
 const fewestEvents = 3;
 /** What was told counts for half of its weight after this time, in ms, and for nothing below the least weight. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -134,9 +134,16 @@
 
     /** Only a program's first turn may be refused for want of room: what is under way makes room when it ends. */
     function refuseProgram(): number | undefined {
-        const estimate = parts.upstreams.estimate(serviceOf(call, parts.declaration()));
+        const declaration = parts.declaration();
+        const service = serviceOf(call, declaration);
+        const estimate = parts.upstreams.estimate(service);
+        // One target for all routes of the service, so that none is refused more because it may take longer.
+        const targets =
+            declaration?.routes.filter(each => each.streamed && each.shares.some(share => share.service === service))
+                .map(each => each.target) ?? [];
         return refuseBeginning({ occupancy: estimate.occupancy(now()), delay: estimate.delay(now()),
-            callTime: estimate.callTime, priority: route.priority }, Math.random);
+            callTime: estimate.callTime, target: Math.min(route.target, ...targets), priority: route.priority },
+            Math.random);
     }
 
     async function findHistory(): Promise<History> {
