--- /dev/null
+++ b/packages/core/test/gateway/serviceEstimate.test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ServiceEstimate, UpstreamState } from "../../src/gateway/index.ts";
+import { createRandom } from "../../src/index.ts";
+
+const idle = { running: 1, waiting: 0, slots: 64, slowness: 1 };
+
+test("the reading of prompts is learned, for slow and for fast engines (guards against figures of one type of engine)", () => {
+    for (const tokensPerMs of [30, 256]) {
+        const random = createRandom(7);
+        const service = new ServiceEstimate();
+        for (let call = 0; call < 60; call += 1) {
+            const read = 200 + random() * 6_000;
+            service.takeBeginning({ time: 12 + read / tokensPerMs + random() * 4, read, load: idle }, call * 100);
+        }
+        assert.ok(Math.abs(service.tokensPerMs / tokensPerMs - 1) < 0.2, `${service.tokensPerMs} of ${tokensPerMs}`);
+    }
+});
+
+test("what waits or runs on a busy engine says nothing of reading (guards against a rate that falls with the load)", () => {
+    const service = new ServiceEstimate();
+    const before = service.tokensPerMs;
+    for (let call = 0; call < 60; call += 1) {
+        const load = call % 2 === 0 ? { ...idle, waiting: 3 } : { ...idle, running: 60 };
+        service.takeBeginning({ time: 2_000 + call, read: call * 100, load }, call);
+    }
+    assert.equal(service.tokensPerMs, before);
+});
+
+test("a load of some seconds does not pass for usual (guards against programs admitted because all is slow)", () => {
+    const service = new ServiceEstimate();
+    const random = createRandom(3);
+    const call = (slowness: number, now: number) => {
+        const beginning = (20 + random() * 10) * slowness;
+        const time = beginning + 8 * 20 * slowness;
+        service.takeCall({ time, beginning, events: 9 }, now);
+    };
+    for (let at = 0; at < 10_000; at += 100) {
+        call(1, at);
+    }
+    const usual = service.callTime;
+    assert.ok(service.delay(10_000) < usual * 0.2, "calm");
+    for (let at = 10_000; at < 20_000; at += 100) {
+        call(4, at);
+    }
+    assert.ok(service.callTime < usual * 1.2, "the usual time stays");
+    assert.ok(service.delay(20_000) > usual * 2, "calls take long now");
+    for (let at = 20_000; at < 25_000; at += 100) {
+        call(1, at);
+    }
+    assert.ok(service.delay(25_000) < usual * 0.3, "the delay ends with the load");
+});
+
+test("an engine that told nothing lately counts as busy as the others (guards against all gateways choosing it)", () => {
+    const service = new ServiceEstimate();
+    const state = (id: string) =>
+        new UpstreamState({ id, service: "s", address: "10.0.0.1", port: 1, dataCentre: "a", slots: 8, draining: false,
+            born: 1 }, 1e5, service);
+    const [told, silent, old] = [state("told"), state("silent"), state("old")];
+    old.report({ running: 0, waiting: 0, slots: 8, slowness: 1 }, 0);
+    told.report({ running: 8, waiting: 4, slots: 8, slowness: 1 }, 10_000);
+    assert.ok(silent.calls(10_000) > 10);
+    assert.ok(old.calls(10_000) > 10);
+    assert.equal(told.calls(10_000), 12);
+});
