Never hold the reading of prompts to be faster than 256 tokens a ms

Ruled out: the old reports that fade to the mean of the service, which make engines more alike and so favour those that keep a prompt. Change: the estimate is bounded by 256 tokens a ms.

--- a/packages/core/src/gateway/serviceEstimate.ts
+++ b/packages/core/src/gateway/serviceEstimate.ts
@@ -84,7 +84,8 @@
 const fewestReadings = 20;
 const leastTokenSpread = 300;
 const slowestReading = 5;
-const fastestReading = 1_000;
+/** Reading is never held to be faster, as a line through few and scattered answers is too flat: shared parts would be spread. */
+const fastestReading = 256;
 /** An upstream that is busier, or works at more than this times its usual time, does not tell how long reading takes. */
 const leastOccupancy = 0.25;
 const usualSlowness = 1.2;
