Give up a turn that cannot be kept at its call's time limit

Cause: the last round of store calls could begin just before the limit and last 1.5 s more, so that a caller waited up to 1.3 s beyond its time limit for a connection that then closed; each pause of a stream left a listener behind. Change: the wait ends with the call's time limit; listeners of a pause go with it.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,6 @@
 import { beginsProgram, endsWithin, refuseBeginning, returnAfterOutage, StoreError } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { BudgetedTurn, Budgets, Reservation, TokenHold } from "./budgets.ts";
 import { type OwnAnswer, writeAnswer, writeOwnAnswer } from "./callerAnswer.ts";
 import type { ReadCall } from "./sendPlan.ts";
@@ -224,7 +225,8 @@
         const turn: NewTurn = { id: head.id, input: call.body ?? Buffer.alloc(0), output, upstream };
         try {
             // A turn counts from the end of its answer, so it is kept before its last event goes out.
-            await turns.keep(turn, history, route.retention!, call.endsAt - now());
+            const time = call.endsAt - now();
+            await before(time, turns.keep(turn, history, route.retention!, time));
             relay.finish();
         }
         catch (error) {
@@ -267,4 +269,21 @@
     return { route: route.name, done: run(), abandon };
 }
 
+/** Rejects with a `StoreError` if the store has not answered by then, in ms. */
+async function before(time: number, answer: Promise<void>): Promise<void> {
+    const controller = new AbortController();
+    const late = sleep(time, undefined, { signal: controller.signal }).then(() => {
+        throw new StoreError("unknown", "the store did not answer within the time of the call");
+    });
+    // Whichever comes second is of no interest: a turn that was given up may be kept all the same.
+    late.catch(() => undefined);
+    answer.catch(() => undefined);
+    try {
+        await Promise.race([answer, late]);
+    }
+    finally {
+        controller.abort();
+    }
+}
+
 const lineFeed = Buffer.from("\n");
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -40,8 +40,8 @@
     const pace = createStorePace();
     let lastWay: StoreWay | "none" = "direct";
     let awaySince = 0;
-    /** When calls of a part that is away are made again, one at a time. */
-    const partProbedAt = new Map<string, number>();
+    /** From when on a part that is away may be called again. */
+    const nextCallOfPart = new Map<string, number>();
     let probes = 0;
     let probeTimer = scheduleProbe();
 
@@ -143,10 +143,10 @@
         if (!health.isPartAway(part, now())) {
             return true;
         }
-        if (now() < (partProbedAt.get(part) ?? -Infinity)) {
+        if (now() < (nextCallOfPart.get(part) ?? -Infinity)) {
             return false;
         }
-        partProbedAt.set(part, now() + probeDelay(Math.random));
+        nextCallOfPart.set(part, now() + probeDelay(Math.random));
         return true;
     }
 
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -49,8 +49,13 @@
 
     function drained(): Promise<void> {
         return new Promise(resolve => {
-            response.once("drain", resolve);
-            response.once("close", resolve);
+            const done = () => {
+                response.off("drain", done);
+                response.off("close", done);
+                resolve();
+            };
+            response.on("drain", done);
+            response.on("close", done);
         });
     }
 
--- a/packages/gateway/test/outages.test.ts
+++ b/packages/gateway/test/outages.test.ts
@@ -171,3 +171,20 @@
     await stopping;
     agent.destroy();
 });
+
+test("a turn whose store is silent at its end is given up at the call's time limit (guards against callers held beyond it)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    fleet.engine.behave("pause");
+    const next = turn("t1", "p");
+    const startedAt = performance.now();
+    const answering = call(gateway, { ...next, headers: { ...next.headers, "x-deadline-ms": "700" } });
+    await until(() => fleet.engine.paused() === 1, "the turn runs");
+    gateway.door.setTrouble({ mode: "silent" });
+    fleet.engine.resume();
+    const answer = await answering;
+    const time = performance.now() - startedAt;
+    assert.equal(answer.whole, false);
+    assert.ok(time >= 650 && time < 1_150, `${time} ms`);
+});
