--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -30,8 +30,8 @@
 
 /** Costs for model engines. */
 export const modelCosts: ChoiceCosts = {
-    perRunningShare: 0.8,
-    perWaitingShare: 3.3,
+    perRunningShare: 0.25,
+    perWaitingShare: 1.1,
     slownessShare: 3,
     otherDataCentre: 35,
     spread: 3,
