--- a/packages/gateway/test/outages.test.ts
+++ b/packages/gateway/test/outages.test.ts
@@ -1,12 +1,22 @@
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
 import { test } from "node:test";
-import { call, createFleet, type TestGateway, turn, until, untilReady } from "./harness.ts";
+import { call, createFleet, type Fleet, type TestGateway, turn, until, untilReady } from "./harness.ts";
 
 function total({ reads, changes, feeds }: { reads: number; changes: number; feeds: number; }): number {
     return reads + changes + feeds;
 }
 
+/** Starts a gateway that has served the turn `t1` of the program `p`, and knows that the store is away since. */
+async function startInOutage(fleet: Fleet): Promise<TestGateway> {
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    assert.equal((await call(gateway, turn("t1", "p"))).status, 200);
+    gateway.door.setTrouble({ mode: "reset" });
+    await until(async () => await gateway.ready() === 503, "the outage is known");
+    return gateway;
+}
+
 test("a gateway that the store turns away serves through another one (guards against an outage of some)", async () => {
     await using fleet = await createFleet();
     const helper = await fleet.startGateway();
@@ -83,11 +93,7 @@
 
 test("a turn that is not expected to be kept in time does not run, though its tokens are granted (guards against work for nothing)", async () => {
     await using fleet = await createFleet();
-    const gateway = await fleet.startGateway();
-    await untilReady(gateway);
-    assert.equal((await call(gateway, turn("t1", "p"))).status, 200);
-    gateway.door.setTrouble({ mode: "reset" });
-    await until(async () => await gateway.ready() === 503, "the outage is known");
+    const gateway = await startInOutage(fleet);
     const next = turn("t2", "p", "t1");
     const granted = await call(gateway, { ...next, headers: { ...next.headers, "x-deadline-ms": "500" } });
     assert.equal(granted.status, 503);
@@ -96,11 +102,7 @@
 
 test("a turn under way runs while the store is away and ends when it is back (guards against programs that an outage ends)", async () => {
     await using fleet = await createFleet();
-    const gateway = await fleet.startGateway();
-    await untilReady(gateway);
-    assert.equal((await call(gateway, turn("t1", "p"))).status, 200);
-    gateway.door.setTrouble({ mode: "reset" });
-    await until(async () => await gateway.ready() === 503, "the outage is known");
+    const gateway = await startInOutage(fleet);
     const answering = call(gateway, turn("t2", "p", "t1"));
     await until(() => fleet.engine.ran.length === 2, "the turn runs");
     assert.equal((await call(gateway, turn("n1", "new"))).status, 503);
