A stop waits for connections whose request is still coming, and for answers still being taken

The drain ended as soon as no call was under way. Node.js counts a connection that has sent nothing yet, or part of a head, as busy, so that closing idle connections leaves it open; its request then ran while the process left the store, and the end of the process cut it. An answer that the caller was still taking did not count as under way either. Ruled out: keep-alive connections between requests. They are closed as idle, before a request is read. Change: after the listener is closed, connections have 1 s to send their request; a call is under way until its answer is taken; what comes after the drain is refused as not run. Test: a head that arrives in two parts across the stop; on the code before, the connection ends without an answer.

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,7 +1,9 @@
 import { type ByteAccount, createByteBudget, createRouteTable, type Declaration, type RouteTable,
     timeLimit } from "@tamarackgauge/core/gateway";
 import { decodeRequest } from "@tamarackgauge/platform";
+import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type OwnAnswer, writeOwnAnswer } from "./callerAnswer.ts";
 import { type Exchange, type ExchangeParts, startExchange } from "./exchange.ts";
 
@@ -39,6 +41,8 @@
 const declarationTrust = 4_500;
 /** A caller that has not taken its answer for this long after the end of the call is disconnected, in ms. */
 const takingTime = 10_000;
+/** A connection that was accepted before a stop may take this long to send its request, in ms. */
+const openingTime = 1_000;
 
 /** The call has not run, and another gateway takes it at once. */
 const stoppingRefusal: OwnAnswer = { status: unavailable, reason: "the gateway is stopping", retryAfter: 0,
@@ -100,13 +104,11 @@
             response.destroy();
         }
         finally {
-            if (!response.closed) {
-                setTimeout(() => response.destroy(), takingTime).unref();
-            }
-            active -= 1;
-            metrics.setActive(active);
             metrics.callEnded(exchange?.route ?? "none", response.headersSent ? response.statusCode : 0,
                 now() - arrivedAt);
+            await taken(response);
+            active -= 1;
+            metrics.setActive(active);
             if (active === 0) {
                 idle?.();
             }
@@ -165,14 +167,17 @@
     async function drain(exitAt: number): Promise<void> {
         closing = true;
         exitsAt = exitAt;
-        server.close();
+        const closed = new Promise(resolve => server.close(resolve));
         server.closeIdleConnections();
+        await Promise.race([closed, sleep(openingTime)]);
         while (active > 0) {
             await new Promise<void>(resolve => {
                 idle = resolve;
             });
             server.closeIdleConnections();
         }
+        // What still comes would be cut off by the end of the process.
+        exitsAt = -Infinity;
     }
 
     return {
@@ -189,6 +194,16 @@
     };
 }
 
+/** Resolves when the caller has taken its answer, or has been disconnected because it did not. */
+async function taken(response: ServerResponse): Promise<void> {
+    if (response.closed) {
+        return;
+    }
+    const timer = setTimeout(() => response.destroy(), takingTime);
+    await once(response, "close");
+    clearTimeout(timer);
+}
+
 /** Why a body could not be read. `broken`: the caller has left, and there is nobody to answer. */
 type BodyFailure = "tooLarge" | "tooSlow" | "noRoom" | "broken";
 
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -3,7 +3,7 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { call, createFleet, serveRaw, turn, until, untilReady } from "./harness.ts";
+import { call, createFleet, received, serveRaw, turn, until, untilReady } from "./harness.ts";
 
 const mebibyte = 2 ** 20;
 const chunk = Buffer.alloc(64 * 1_024, "x");
@@ -120,18 +120,15 @@
     const gateway = await fleet.startGateway();
     await untilReady(gateway);
     const socket = connect(gateway.settings.callers.port, "127.0.0.1");
-    let text = "";
+    const text = received(socket);
     socket.on("error", () => undefined);
-    socket.on("data", data => {
-        text += data.toString("latin1");
-    });
     socket.write(
         "POST /pay/x HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: 1\r\nx-deadline-ms: 600\r\ncontent-length: 9999\r\n\r\n",
     );
     const dripping = setInterval(() => socket.write("x"), 50);
     await once(socket, "close");
     clearInterval(dripping);
-    assert.match(text, /^HTTP\/1.1 408 /);
+    assert.match(text(), /^HTTP\/1.1 408 /);
     assert.equal(fleet.tool.ran.length, 0);
 });
 
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -244,6 +244,15 @@
     };
 }
 
+/** Collects what arrives on a connection. */
+export function received(socket: Socket): () => string {
+    let text = "";
+    socket.on("data", chunk => {
+        text += chunk.toString("latin1");
+    });
+    return () => text;
+}
+
 /** Ports below those that the kernel gives to connections, so that no connection takes a port before it is listened at. */
 const firstPort = 10_000;
 const portCount = 22_000;
--- a/packages/gateway/test/malformed.test.ts
+++ b/packages/gateway/test/malformed.test.ts
@@ -3,12 +3,13 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { createServer, type RequestListener } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
 import { WebSocket, WebSocketServer } from "ws";
 import { openPeerLink } from "../src/peerLink.ts";
 import { watchTable } from "../src/watch.ts";
-import { call, createFleet, type Fleet, serveRaw, type TestGateway, turn, until, untilReady } from "./harness.ts";
+import { call, createFleet, type Fleet, received, serveRaw, type TestGateway, turn, until,
+    untilReady } from "./harness.ts";
 
 const garbage = [Buffer.from([0xc1]), Buffer.from("{}"), pack({ id: 1 }), pack([]),
     pack({ id: 1, result: { rows: 7 } }), pack({ id: 1, call: { kind: "borrow" } }),
@@ -160,11 +161,3 @@
     }
     await assertServes(fleet, gateway, "t1");
 });
-
-function received(socket: Socket): () => string {
-    let text = "";
-    socket.on("data", chunk => {
-        text += chunk.toString("latin1");
-    });
-    return () => text;
-}
--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -3,10 +3,11 @@
 import { once } from "node:events";
 import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
 import { Agent } from "node:http";
+import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { test } from "node:test";
-import { call, createFleet, type Fleet, freeAddress, readiness, turn, until } from "./harness.ts";
+import { call, createFleet, type Fleet, freeAddress, readiness, received, turn, until } from "./harness.ts";
 
 const main = join(import.meta.dirname, "../src/main.ts");
 const root = join(import.meta.dirname, "../../..");
@@ -85,6 +86,17 @@
     return gateway;
 }
 
+/** Whether nothing listens at a port. */
+function refuses(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        socket.once("connect", () => resolve(false));
+        socket.once("error", () => resolve(true));
+        socket.once("close", () => socket.destroy());
+        socket.end();
+    });
+}
+
 test("SIGHUP reads the settings again and ends nothing (guards against a process that a changed setting ends)", async () => {
     await using fleet = await createFleet();
     await using gateway = await startProcess(fleet);
@@ -144,7 +156,7 @@
                 const answer = await call(gateway, { path: "/look/x", id, agent });
                 ended.whole += answer.whole && answer.status === 200 ? 1 : 0;
                 if (!answer.whole || answer.status !== 200) {
-                    ended.cut.push(`${id} ${answer.status}`);
+                    ended.cut.push(`${id} ${answer.status} ${answer.body}`);
                 }
             }
             catch (error) {
@@ -167,6 +179,23 @@
     assert.deepEqual(ended.cut, []);
 });
 
+test("a request that arrives in parts across a stop is answered (guards against connections that are cut before their first request)", async () => {
+    await using fleet = await createFleet();
+    await using gateway = await startProcess(fleet);
+    const socket = connect(gateway.settings.callers.port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    const answer = received(socket);
+    await once(socket, "connect");
+    socket.write("GET /look/x HTTP/1.1\r\nhost: fleet");
+    gateway.child.kill("SIGTERM");
+    await until(async () => await refuses(gateway.settings.callers.port), "the gateway listens no more");
+    socket.write(".test\r\nx-request-id: late\r\n\r\n");
+    await until(() => socket.destroyed, "the connection ends");
+    assert.match(answer(), /^HTTP\/1.1 200 /);
+    assert.ok(fleet.tool.ran.some(ran => ran.id === "late"));
+    assert.equal(await gateway.ended, 0);
+});
+
 test("after the loss of all processes turns go on and budgets hold (guards against state kept in memory)", async () => {
     await using fleet = await createFleet();
     const budget = 400;
