Calls that find all connections in use wait for one in order of urgency

Cause: a gateway takes its share of an upstream's connections (9 of 110 where it is alone). A call that found all of them in use was given back at once and asked again after growing pauses, so calls overtook each other and, after half a second of bad luck, one was refused while connections had become free many times. Ruled out: the stop itself; the refusals come in the first moments of the callers' pressing too. Change: such calls wait in the upstream's client, the most urgent first, for up to 250 ms. A call that is given up before it was sent says that it has not run, and its upstream counts as not reached.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -65,8 +65,9 @@
     }
 
     function stop(reason: string): void {
+        const wasSent = sending.wasSent();
         sending.cancel();
-        finish(failure("unknown", reason));
+        finish(wasSent ? failure("unknown", reason) : { ...failure("notRun", reason), unreachable: true });
     }
 
     function takeHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
@@ -137,6 +138,7 @@
             resumeAfter: sink?.resumeAfter(),
         }),
         body: call.body,
+        priority: plan.priority ?? 0,
     }, {
         head: takeHead,
         data: takeData,
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -13,6 +13,8 @@
     /** Names and values in turn. */
     readonly headers: string[];
     readonly body: Buffer | undefined;
+    /** Order among calls that wait for a connection: from 0, the most urgent, to 9. */
+    readonly priority: number;
 }
 
 /**
@@ -60,17 +62,28 @@
 /** An idle connection is given up this long before the upstream closes it. */
 const idleMargin = 1_000;
 
+/** A call that finds all connections in use waits this long for one, in ms, before it may go to another upstream. */
+const connectionWait = 250;
+
 /** A connection, which carries one call at a time. */
 interface Connection {
     readonly client: Client;
     busy: boolean;
 }
 
-/** Creates a client of the upstream at an address. Calls do not wait for a connection: that is decided elsewhere. */
+/** A call that waits for a connection. */
+interface WaitingSend {
+    readonly priority: number;
+    start(connection: Connection): void;
+}
+
+/** Creates a client of the upstream at an address. */
 export function createUpstreamClient(parts: UpstreamClientParts): UpstreamClient {
     const { host, port, mostConnections, mostHeadBytes } = parts;
     /** The one used last comes first, so that the others become idle and are closed. */
     let connections: Connection[] = [];
+    /** The most urgent first, and among equals the one that came first. */
+    let waiting: WaitingSend[] = [];
 
     function takeConnection(): Connection | undefined {
         const idle = connections.find(({ busy }) => !busy);
@@ -103,15 +116,51 @@
             // Its call has ended, so that nobody waits for the end of the connection.
             connection.client.destroy().catch(() => undefined);
         }
+        startWaiting();
+    }
+
+    function startWaiting(): void {
+        const connection = waiting.length === 0 ? undefined : takeConnection();
+        if (connection !== undefined) {
+            waiting.shift()!.start(connection);
+        }
     }
 
     function send(call: Send, observer: SendObserver): Sending {
         const connection = takeConnection();
-        if (connection === undefined) {
-            queueMicrotask(() => observer.fail("noRoom", "all connections to the upstream are in use"));
-            return unsent;
+        return connection === undefined ? waitAndSend(call, observer) : sendOn(connection, call, observer);
+    }
+
+    function waitAndSend(call: Send, observer: SendObserver): Sending {
+        let started: Sending | undefined;
+        const timer = setTimeout(() => {
+            withdraw();
+            observer.fail("noRoom", "all connections to the upstream are in use");
+        }, connectionWait);
+        const own: WaitingSend = {
+            priority: call.priority,
+            start(connection) {
+                clearTimeout(timer);
+                started = sendOn(connection, call, observer);
+            },
+        };
+        const behind = waiting.findIndex(({ priority }) => priority > call.priority);
+        waiting.splice(behind < 0 ? waiting.length : behind, 0, own);
+
+        function withdraw(): void {
+            clearTimeout(timer);
+            waiting = waiting.filter(other => other !== own);
         }
-        return sendOn(connection, call, observer);
+
+        return {
+            cancel() {
+                withdraw();
+                started?.cancel();
+            },
+            wasSent: () => started?.wasSent() === true,
+            pause: () => started?.pause(),
+            resume: () => started?.resume(),
+        };
     }
 
     function sendOn(connection: Connection, { call, method, path, headers, body }: Send, observer: SendObserver) {
@@ -190,7 +239,3 @@
         },
     };
 }
-
-/** A call that never left this process. */
-const unsent: Sending = { cancel: () => undefined, wasSent: () => false, pause: () => undefined,
-    resume: () => undefined };
