Links to other gateways in a module of their own

Cause: links, rests after failures and what is known of lost peers were part of the shared budgets, where another use of the same links would have needed a second copy. No change of what they do; a failed return of tokens now lets its peer rest too.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import type { MemoryLimits } from "./limits.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
+import { createPeerContacts } from "./peerContacts.ts";
 import { createPeerList, type PeerList, peerTable } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
@@ -69,8 +70,9 @@
     let stopping = false;
     const upstreams = createUpstreams({ declaration: () => declaration, gateways: () => peers?.registered().length ?? 1,
         limits, now });
+    const contacts = createPeerContacts({ log, now });
     const budgets = createSharedBudgets({ own: () => ownBudgets, settings, peers: () => peers?.registered() ?? [],
-        metrics, log, now });
+        contacts, metrics, log });
     const ownBudgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
         recallFrom: budgets.recallFrom, log, now });
     const peerServer = settings.peers === undefined
@@ -160,7 +162,7 @@
             store[Symbol.dispose]();
             cleaner[Symbol.dispose]();
             turns[Symbol.dispose]();
-            budgets[Symbol.dispose]();
+            contacts[Symbol.dispose]();
             ownBudgets[Symbol.dispose]();
             peers?.[Symbol.dispose]();
             const parts = [front, declarations, entries, upstreams, peerStore,
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -2,11 +2,12 @@
 import type { BudgetedTurn, Budgets, LoanOutcome, RecallOutcome, Reservation, TokenHold } from "./budgets.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import { type AskLimits, openPeerLink, type PeerLink } from "./peerLink.ts";
+import type { PeerContacts } from "./peerContacts.ts";
+import type { AskLimits } from "./peerLink.ts";
 import type { Peer } from "./peerList.ts";
 
 /** Budgets whose tokens the gateways of a data centre keep together. */
-export interface SharedBudgets extends Budgets, Disposable {
+export interface SharedBudgets extends Budgets {
     /** Asks the gateway that wrote a grant to give back what it does not use. */
     readonly recallFrom: (holder: string, program: string) => Promise<RecallOutcome>;
 }
@@ -16,9 +17,9 @@
     readonly own: () => Budgets;
     readonly settings: Pick<GatewaySettings, "name" | "dataCentre">;
     readonly peers: () => readonly Peer[];
+    readonly contacts: PeerContacts;
     readonly metrics: Metrics;
     readonly log: Log;
-    readonly now: () => number;
 }
 
 /** A home that is silent for longer is done without; one that waits for the store is waited for. */
@@ -26,40 +27,21 @@
 const returnLimits: AskLimits = { timeout: 1_000 };
 /** A recall includes a write of the store. */
 const recallLimits: AskLimits = { timeout: 1_000 };
-/** A peer that failed is not asked for this long, in ms; each further failure in a row doubles the time. */
-const firstRest = 1_000;
-const longestRest = 16_000;
-
 /** A peer that has not answered for this long has ended rather than been frozen or cut off, in ms. */
 const goneAfter = 10_000;
 
-interface Contact {
-    link: PeerLink | undefined;
-    failures: number;
-    restsUntil: number;
-    /** When the first of the present failures came. */
-    lostAt: number | undefined;
-}
-
 /**
  * Creates budgets that keep the tokens of a program at one gateway of the data centre, its home, which all others ask.
  * So a program's turns need few writes, whichever gateways they come to, and running programs go on while the store
  * is away. Gateways may disagree on the home: each has a grant of its own in the program's row.
  */
-export function createSharedBudgets({ own, settings, peers, metrics, log, now }: SharedBudgetsParts): SharedBudgets {
-    const contacts = new Map<string, Contact>();
-
-    function contactOf(name: string): Contact {
-        const contact = contacts.get(name) ??
-            { link: undefined, failures: 0, restsUntil: -Infinity, lostAt: undefined };
-        contacts.set(name, contact);
-        return contact;
-    }
-
+export function createSharedBudgets(
+    { own, settings, peers, contacts, metrics, log }: SharedBudgetsParts,
+): SharedBudgets {
     function homeOf(program: string): Peer | undefined {
         const near = peers().filter(peer =>
             peer.dataCentre === settings.dataCentre &&
-            (peer.name === settings.name || now() >= contactOf(peer.name).restsUntil)
+            (peer.name === settings.name || !contacts.rests(peer.name))
         );
         const [home] = rankByRendezvous(program, near.map(({ name }) => name));
         return home === settings.name ? undefined : near.find(({ name }) => name === home);
@@ -81,18 +63,15 @@
     }
 
     async function borrow(home: Peer, turn: BudgetedTurn): Promise<LoanOutcome> {
-        const contact = contactOf(home.name);
-        const link = readyLink(home, contact);
-        if (link === undefined) {
+        // A turn does not wait for a connection.
+        if (!contacts.isReady(home)) {
             return "unavailable";
         }
         try {
-            const outcome = await link.ask({ kind: "borrow", turn }, loanLimits);
-            answered(contact);
-            return outcome;
+            return await contacts.ask(home, { kind: "borrow", turn }, loanLimits);
         }
-        catch (error) {
-            rest(home, contact, error as Error);
+        catch {
+            // The contacts have logged it.
             return "unavailable";
         }
     }
@@ -112,45 +91,7 @@
 
     /** Never repeated: tokens that were returned twice would be generated twice. */
     async function giveBack(home: Peer, program: string, tokens: number): Promise<void> {
-        const link = await linkTo(home, contactOf(home.name));
-        await link.ask({ kind: "return", program, tokens }, returnLimits);
-    }
-
-    /** A turn does not wait for a connection. */
-    function readyLink(peer: Peer, contact: Contact): PeerLink | undefined {
-        const link = currentLink(peer, contact);
-        return link.isOpen ? link : undefined;
-    }
-
-    async function linkTo(peer: Peer, contact: Contact): Promise<PeerLink> {
-        const link = currentLink(peer, contact);
-        await link.open;
-        return link;
-    }
-
-    function currentLink(peer: Peer, contact: Contact): PeerLink {
-        if (contact.link === undefined || contact.link.closed) {
-            contact.link = openPeerLink(peer.address);
-            contact.link.open.catch((error: Error) => rest(peer, contact, error));
-        }
-        return contact.link;
-    }
-
-    function answered(contact: Contact): void {
-        contact.failures = 0;
-        contact.lostAt = undefined;
-    }
-
-    function rest(home: Peer, contact: Contact, error: Error): void {
-        contact.lostAt ??= now();
-        if (now() < contact.restsUntil) {
-            return;
-        }
-        const time = Math.min(longestRest, firstRest * 2 ** contact.failures);
-        contact.failures += 1;
-        contact.restsUntil = now() + time;
-        contact.link?.terminate();
-        log.info("budget.homeAway", { home: home.name, reason: error.message, rests: time });
+        await contacts.ask(home, { kind: "return", program, tokens }, returnLimits);
     }
 
     async function recallFrom(holder: string, program: string): Promise<RecallOutcome> {
@@ -159,29 +100,24 @@
             return "gone";
         }
         const peer = peers().find(known => known.name === name);
-        const contact = contactOf(name);
-        if (peer === undefined || now() < contact.restsUntil) {
-            return presumed(contact);
+        if (peer === undefined || contacts.rests(name)) {
+            return presumed(name);
         }
         try {
-            const link = await linkTo(peer, contact);
-            const outcome = await link.ask({ kind: "recall", holder, program }, recallLimits);
-            answered(contact);
-            return outcome;
+            return await contacts.ask(peer, { kind: "recall", holder, program }, recallLimits);
         }
-        catch (error) {
-            rest(peer, contact, error as Error);
-            return presumed(contact);
+        catch {
+            // The contacts have logged it.
+            return presumed(name);
         }
     }
 
-    function presumed({ lostAt }: Contact): RecallOutcome {
-        return lostAt !== undefined && now() - lostAt > goneAfter ? "gone" : "pending";
+    function presumed(name: string): RecallOutcome {
+        return contacts.lostFor(name) > goneAfter ? "gone" : "pending";
     }
 
     return {
         reserve,
         recallFrom,
-        [Symbol.dispose]: () => contacts.forEach(({ link }) => link?.terminate()),
     };
 }
