Judge load by the median of calls, without those at upstreams that tell that they are slow

After the burst 15 first turns a second were still refused with "the engines are full" at a median occupancy of 0.7: the mean of the two or three calls that a gateway of 195 sees in a second is moved by one call at an engine whose VM is slow for a moment. Such a refusal is not true. Change: medians of the excess of calls and of the time to the first byte; calls at upstreams that told that work takes more than 1.2 times the usual say nothing of load.

--- a/packages/core/src/gateway/serviceEstimate.ts
+++ b/packages/core/src/gateway/serviceEstimate.ts
@@ -32,6 +32,28 @@
     }
 }
 
+/**
+ * The median of what was told lately. A load holds up all calls, so it moves the median; a few calls at a slow upstream, which
+ * would move a mean of few values, do not.
+ */
+class RecentMedian {
+    private told: readonly { readonly value: number; readonly at: number; }[] = [];
+
+    take(value: number, now: number): void {
+        this.told = [...this.told.slice(1 - mostTold), { value, at: now }];
+    }
+
+    /** Undefined if nothing was told lately. */
+    value(now: number): number | undefined {
+        const late = this.told.filter(({ at }) => now - at <= medianWindow);
+        const few = this.told.slice(-fewestTold).filter(({ at }) => now - at <= longestWindow);
+        const sorted = (late.length < fewestTold ? few : late).map(({ value }) => value).sort((left, right) =>
+            left - right
+        );
+        return sorted[Math.floor((sorted.length - 1) / 2)];
+    }
+}
+
 /** Follows the value that a quarter of all values stay below: calls that nothing holds up. */
 class LowQuantile {
     private quantile: number;
@@ -64,6 +86,8 @@
     readonly beginning: number;
     /** Events of a stream. */
     readonly events: number;
+    /** How long work took at the upstream as the answer began; 1 is usual. */
+    readonly slowness: number;
 }
 
 /** The usual figures of a service before its first answers. */
@@ -78,6 +102,11 @@
 /** What was told counts for half of its weight after this time, in ms, and for nothing below the least weight. */
 const recentHalfLife = 1_000;
 const leastWeight = 0.02;
+/** A median is of the values of this time, in ms; of fewer than the least number it is of the last ones of the longer time. */
+const medianWindow = 1_500;
+const longestWindow = 5_000;
+const fewestTold = 3;
+const mostTold = 64;
 /** What an answer says of the reading of prompts counts for this share after the next one. */
 const readingMemory = 0.99;
 /** Weight of answers and spread of their tokens below which the reading is not known. */
@@ -99,8 +128,8 @@
     private readonly undisturbedBeginnings = new LowQuantile(0);
     /** Time between two events of a stream. */
     private readonly undisturbedPace = new LowQuantile(0);
-    private readonly recentBeginnings = new RecentMean();
-    private readonly recentExcess = new RecentMean();
+    private readonly recentBeginnings = new RecentMedian();
+    private readonly recentExcess = new RecentMedian();
     private readonly recentOccupancy = new RecentMean();
     /** Weighted sums of a line through the answers: time over tokens read. */
     private sums = { weight: 0, tokens: 0, time: 0, tokensSquared: 0, product: 0 };
@@ -146,6 +175,9 @@
 
     /** Takes how an answer began; only one that did not wait for a place says how long reading takes. */
     takeBeginning({ time, read, load }: BeginningOfAnswer, now: number): void {
+        if (load !== undefined && isHeldUp(load)) {
+            return;
+        }
         this.undisturbedBeginnings.take(time);
         this.recentBeginnings.take(time, now);
         if (read === undefined || !isUndisturbed(load)) {
@@ -162,7 +194,10 @@
     }
 
     /** Takes how a call went that was answered. */
-    takeCall({ time, beginning, events }: AnsweredCall, now: number): void {
+    takeCall({ time, beginning, events, slowness }: AnsweredCall, now: number): void {
+        if (isHeldUp({ slowness })) {
+            return;
+        }
         this.undisturbedCalls.take(time);
         if (events < fewestEvents) {
             this.recentExcess.take(Math.max(0, time - this.undisturbedCalls.value), now);
@@ -176,6 +211,10 @@
 }
 
 function isUndisturbed(load: UpstreamLoad | undefined): boolean {
-    return load === undefined ||
-        (load.waiting === 0 && load.running <= load.slots * mostOccupancy && load.slowness <= usualSlowness);
+    return load === undefined || (load.waiting === 0 && load.running <= load.slots * mostOccupancy);
+}
+
+/** An upstream shares its VM with others: it may be slow for a moment without any load of ours. */
+function isHeldUp({ slowness }: Pick<UpstreamLoad, "slowness">): boolean {
+    return slowness > usualSlowness;
 }
--- a/packages/core/test/gateway/admission.test.ts
+++ b/packages/core/test/gateway/admission.test.ts
@@ -53,3 +53,13 @@
     context.diagnostic(`in time: ${withAdmission.join(", ")}; without admission: ${without.join(", ")}`);
     withAdmission.forEach((share, index) => assert.ok(share > without[index]!));
 });
+
+/** The large site between its bursts: a few engines are slow at any time, and answers differ in length. */
+const calmLoad = { ...largeLoad, burstRate: largeLoad.usualRate, noisyShare: 0.15, batchSlowdown: 0.3,
+    sizeSpread: 0.6 };
+
+test("without a burst hardly any program is refused (guards against refusals for a few calls at a slow engine)", context => {
+    const results = [1, 2, 3].map(seed => playBurst({ admits: true, load: calmLoad }, seed));
+    context.diagnostic(`first turns refused: ${results.map(({ refused }) => refused).join(", ")}`);
+    results.forEach(({ refused }) => assert.ok(refused <= 0.02));
+});
--- a/packages/core/test/gateway/burst.ts
+++ b/packages/core/test/gateway/burst.ts
@@ -4,7 +4,10 @@
 
 /** A burst as on a day of the grown site whose engines never recovered from it; times in milliseconds. */
 const usualLoad = { engines: 10, slots: 16, callTime: 300, usualRate: 0.06, burstRate: 0.2, burstFrom: 3_000,
-    burstTo: 9_000, lastArrival: 24_000, turns: 5, pause: 150, patience: 2_000, gateways: 20, aim: 2.3 };
+    burstTo: 9_000, lastArrival: 24_000, turns: 5, pause: 150, patience: 2_000, gateways: 20, aim: 2.3,
+    /** Share of the engines that work 2.5 times as long for 600 ms. */
+    noisyShare: 0, /** By how much longer calls take on an engine whose places are all taken. */ batchSlowdown: 0,
+    /** By how much the number of events differs between calls: 0 for not at all. */ sizeSpread: 0 };
 
 interface Waiting {
     readonly start: () => void;
@@ -13,6 +16,9 @@
 }
 
 const mostTries = 6;
+const usualEvents = 9;
+/** The engines that are slow for a while change after this, in ms. */
+const noiseTime = 600;
 
 /** What differs between two plays of a burst. */
 export interface BurstOptions {
@@ -26,8 +32,8 @@
     readonly inTime: number;
     /** In time, of all. */
     readonly inTimeOfAll: number;
-    /** Too late by less than the time that they had, of all. */
-    readonly late: number;
+    /** First turns that were refused, of all. */
+    readonly refused: number;
 }
 
 /** Plays a burst in virtual time. */
@@ -36,7 +42,24 @@
     const random = createRandom(seed);
     const events: { at: number; act: () => void; }[] = [];
     let now = 0;
-    const after = (delay: number, act: () => void) => void events.push({ at: now + delay, act });
+
+    /** The last event comes first; among events of the same moment the one that was added first. */
+    function after(delay: number, act: () => void): void {
+        const at = now + delay;
+        let low = 0;
+        let high = events.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if (events[middle]!.at > at) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        events.splice(low, 0, { at, act });
+    }
+
     const engines = Array.from({ length: load.engines }, () => ({ running: 0, queue: [] as Waiting[] }));
     const gateways = Array.from({ length: load.gateways }, () => {
         const estimate = new ServiceEstimate();
@@ -50,15 +73,18 @@
     let inTime = 0;
     let begun = 0;
     let inTimeOfAll = 0;
-    let late = 0;
+    let asked = 0;
+    let refused = 0;
 
     function run(urgent: boolean, done: (answered: boolean, comeBack?: number) => void): void {
         const gateway = gateways[Math.floor(random() * gateways.length)]!;
+        asked += urgent ? 0 : 1;
         if (!urgent && admits) {
             const wait = refuseBeginning({ occupancy: gateway.estimate.occupancy(now),
                 delay: gateway.estimate.delay(now), callTime: gateway.estimate.callTime, target: 250, priority: 0 },
                 random);
             if (wait !== undefined) {
+                refused += 1;
                 done(false, wait);
                 return;
             }
@@ -70,14 +96,18 @@
         const sentAt = now;
         const waiting: Waiting = { urgent, left: false, start() {
             engine.running += 1;
-            const report = { running: engine.running, waiting: engine.queue.length, slots: load.slots, slowness: 1 };
+            const slowness = noiseOf(Number(state.entry.id));
+            const report = { running: engine.running, waiting: engine.queue.length, slots: load.slots, slowness };
             state.report(report, now);
             const beginning = now - sentAt;
             state.service.takeBeginning({ time: beginning, read: undefined, load: report }, now);
-            after(load.callTime, () => {
+            const events = drawEvents();
+            const crowding = 1 + load.batchSlowdown * engine.running / load.slots;
+            const time = load.callTime * (0.1 + 0.9 * events / usualEvents) * slowness * crowding;
+            after(time, () => {
                 engine.running -= 1;
                 state.inFlight -= 1;
-                state.service.takeCall({ time: now - sentAt, beginning, events: 9 }, now);
+                state.service.takeCall({ time: now - sentAt, beginning, events, slowness }, now);
                 next();
                 done(!waiting.left);
             });
@@ -102,6 +132,16 @@
         }
     }
 
+    function drawEvents(): number {
+        const deviation = random() + random() + random() + random() - 2;
+        return Math.max(1, Math.round(usualEvents * Math.exp(load.sizeSpread * deviation * 1.7)));
+    }
+
+    function noiseOf(index: number): number {
+        const drawn = createRandom(Math.floor(now / noiseTime) * 1_000 + index + seed * 7)();
+        return drawn < load.noisyShare ? 2.5 : 1;
+    }
+
     /** A caller tries twice and heeds when it should come back; its program sends the turn anew, three times in all. */
     function pauseBefore(tries: number, comeBack: number): number {
         return tries % 2 === 1 ? Math.min(comeBack, load.patience / 3) : 100 + random() * 300;
@@ -124,7 +164,6 @@
                     const isInTime = now - startedAt < ideal * load.aim;
                     inTime += counts && isInTime ? 1 : 0;
                     inTimeOfAll += isInTime ? 1 : 0;
-                    late += !isInTime && now - startedAt < ideal * load.aim * 2 ? 1 : 0;
                 }
                 else if (tries < mostTries) {
                     after(answered ? load.pause : pauseBefore(tries, comeBack), turn);
@@ -144,10 +183,9 @@
 
     arrive();
     while (events.length > 0) {
-        const next = events.reduce((least, event, index) => event.at < events[least]!.at ? index : least, 0);
-        const [event] = events.splice(next, 1);
-        now = event!.at;
-        event!.act();
+        const event = events.pop()!;
+        now = event.at;
+        event.act();
     }
-    return { inTime: inTime / owed, inTimeOfAll: inTimeOfAll / begun, late: late / begun };
+    return { inTime: inTime / owed, inTimeOfAll: inTimeOfAll / begun, refused: refused / asked };
 }
--- a/packages/core/test/gateway/serviceEstimate.test.ts
+++ b/packages/core/test/gateway/serviceEstimate.test.ts
@@ -33,7 +33,7 @@
     const call = (slowness: number, now: number) => {
         const beginning = (20 + random() * 10) * slowness;
         const time = beginning + 8 * 20 * slowness;
-        service.takeCall({ time, beginning, events: 9 }, now);
+        service.takeCall({ time, beginning, events: 9, slowness: 1 }, now);
     };
     for (let at = 0; at < 10_000; at += 100) {
         call(1, at);
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -113,8 +113,8 @@
 
     function takeEnd(): AttemptEnd {
         if (isSuccess(answer!.head.status)) {
-            state.service.takeCall({ time: now() - sentAt, beginning, events: (sink?.passed() ?? 0) - passedBefore },
-                now());
+            state.service.takeCall({ time: now() - sentAt, beginning, events: (sink?.passed() ?? 0) - passedBefore,
+                slowness: answer!.head.load?.slowness ?? 1 }, now());
         }
         if (streaming) {
             return { kind: "streamed" };
