A resumable stream that stalls goes on at another engine, whatever bytes still come

Cause: after its head a stream was watched by its time limit only. An engine that stalls and sends a byte now and then held it until then, though the route allows to go on elsewhere. Change: the longest pause that a route declares (gapAimMs) is decoded; a resumable stream without a whole event for four times that, 0.6 s at least, is cancelled there and resumed. Time in which the caller does not read does not count. Tests: a stream that drips bytes (ends incomplete on the code before) and one whose events come three times as late as declared, which stays where it is.

--- a/packages/core/src/gateway/route.ts
+++ b/packages/core/src/gateway/route.ts
@@ -18,6 +18,8 @@
     readonly streamed: boolean;
     /** A broken stream may go on at another upstream. */
     readonly resumable: boolean;
+    /** The longest time between two events of a stream that is on time; undefined if the operators name none. */
+    readonly longestPause: number | undefined;
     /** How long a turn can be continued; undefined where the caller sends the whole history itself. */
     readonly retention: number | undefined;
     readonly timeout: number;
--- a/packages/core/test/gateway/route.test.ts
+++ b/packages/core/test/gateway/route.test.ts
@@ -9,6 +9,7 @@
     execution: "repeatable",
     streamed: false,
     resumable: false,
+    longestPause: undefined,
     retention: undefined,
     timeout: 1_000,
     target: 100,
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -35,6 +35,9 @@
 /** A repeatable call without an answer is given to another upstream after this many times its target. */
 const patienceOfTarget = 4;
 const fewestPatience = 150;
+/** A stream that may go on elsewhere does so after a pause of this many times the longest one that is on time, or of the least. */
+const stallOfPause = 4;
+const shortestStall = 600;
 
 /** Sends a call to an upstream. */
 export function startAttempt({ state, client }: Upstream, plan: SendPlan, limits: MemoryLimits,
@@ -52,6 +55,8 @@
         resolveEnd = resolve;
     });
     const patience = silenceLimit(plan);
+    const stallLimit = stallLimitOf(plan);
+    let stall: NodeJS.Timeout | undefined;
     const timer = patience === undefined ? undefined : setTimeout(() => stop("no answer in time"), patience);
 
     function finish(result: AttemptEnd): void {
@@ -60,6 +65,7 @@
         }
         over = true;
         clearTimeout(timer);
+        clearTimeout(stall);
         state.inFlight -= 1;
         resolveEnd(result);
     }
@@ -83,6 +89,7 @@
             clearTimeout(timer);
             streaming = true;
             sink.begin(head.status, headers);
+            watchPause();
         }
     }
 
@@ -96,15 +103,38 @@
             chunks.push(chunk);
             return;
         }
-        if (!sink!.data(chunk)) {
-            sending.pause();
-            void sink!.drained().then(() => sending.resume());
-        }
+        passOn(chunk);
         if (sink!.unfinished() > limits.event) {
             stop("an event is too long");
         }
     }
 
+    /** Only whole events count: an upstream that sends a byte now and then has stalled too. */
+    function passOn(chunk: Buffer): void {
+        const before = sink!.passed();
+        const isTaken = sink!.data(chunk);
+        if (sink!.passed() > before) {
+            watchPause();
+        }
+        if (!isTaken) {
+            sending.pause();
+            clearTimeout(stall);
+            void sink!.drained().then(goOn);
+        }
+    }
+
+    function goOn(): void {
+        sending.resume();
+        watchPause();
+    }
+
+    function watchPause(): void {
+        clearTimeout(stall);
+        if (stallLimit !== undefined && !over) {
+            stall = setTimeout(() => stop("no event in time"), stallLimit);
+        }
+    }
+
     function mostBytes(): number {
         const { headers } = answer!;
         const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
@@ -165,6 +195,13 @@
         : undefined;
 }
 
+/** How long a stream that may go on at another upstream may be without a whole event. */
+function stallLimitOf({ call: { route } }: SendPlan): number | undefined {
+    return route.resumable && route.longestPause !== undefined
+        ? Math.max(shortestStall, route.longestPause * stallOfPause)
+        : undefined;
+}
+
 /** Judges an answer that has arrived whole. */
 function judge(head: AnswerHead, answer: WholeAnswer): AttemptEnd {
     if (head.notRun) {
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -3,7 +3,7 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { call, createFleet, received, serveRaw, turn, until, untilReady } from "./harness.ts";
+import { call, createFleet, declaration, received, serveRaw, turn, until, untilReady } from "./harness.ts";
 
 const mebibyte = 2 ** 20;
 const chunk = Buffer.alloc(64 * 1_024, "x");
@@ -70,6 +70,56 @@
     await until(() => endless.open() === 0, "its connection is closed");
 });
 
+test("a stream that sends a byte now and then goes on at another engine (guards against stalled streams that never end)", async () => {
+    await using fleet = await createFleet();
+    using stalled = await serveRaw(socket => {
+        socket.once("data", request => {
+            socket.write(`${genuine(identityOf(request))}content-type: text/event-stream\r\n\r\n`);
+            socket.write(`id: 1\ndata: event 1 of ${identityOf(request)}\n\n`);
+            const dripping = setInterval(() => socket.write(":"), 50);
+            socket.on("close", () => clearInterval(dripping));
+        });
+    });
+    fleet.declare({ routes: declaration.routes.map(route => ({ ...route, gapAimMs: 100 })) });
+    fleet.register(fleet.engine, { address: stalled.address });
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    const answer = call(gateway, { path: "/plan/x", id: "1", body: "x" });
+    await until(() => stalled.open() === 1, "the stream has begun");
+    fleet.register(fleet.spare);
+    const { status, body, whole } = await answer;
+    assert.equal(status, 200);
+    assert.equal(whole, true);
+    assert.deepEqual(body.match(/event \d of \w+/g), [1, 2, 3, 4, 5].map(event => `event ${event} of 1`));
+    assert.equal(fleet.spare.ran[0]!.headers["last-event-id"], "1");
+    await until(() => stalled.open() === 0, "the stalled connection is closed");
+});
+
+test("a stream whose events come late stays where it is (guards against slow but sound streams that are cut)", async () => {
+    await using fleet = await createFleet();
+    using slow = await serveRaw(socket => {
+        socket.once("data", async request => {
+            socket.write(`${genuine(identityOf(request))}content-type: text/event-stream\r\nconnection: close\r\n\r\n`);
+            for (const event of [1, 2, 3, 4, 5]) {
+                await sleep(300);
+                socket.write(`id: ${event}\ndata: event ${event}\n\n`);
+            }
+            socket.end();
+        });
+    });
+    fleet.declare({ routes: declaration.routes.map(route => ({ ...route, gapAimMs: 100 })) });
+    fleet.register(fleet.engine, { address: slow.address });
+    const gateway = await fleet.startGateway();
+    await untilReady(gateway);
+    const answer = call(gateway, { path: "/plan/x", id: "1", body: "x" });
+    await until(() => slow.open() === 1, "the stream has begun");
+    fleet.register(fleet.spare);
+    const { body, whole } = await answer;
+    assert.equal(whole, true);
+    assert.equal(body.match(/event \d/g)?.length, 5);
+    assert.equal(fleet.spare.ran.length, 0);
+});
+
 test("a hundred answers without end at once stay within the limit of all calls (guards against a VM of 178 MB that runs out of memory)", async () => {
     await using fleet = await createFleet();
     using endless = await createEndless(heads["a body in chunks"]);
