--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { call, createFleet, declaration, received, serveRaw, turn, until, untilReady } from "./harness.ts";
@@ -95,18 +95,20 @@
     await until(() => stalled.open() === 0, "the stalled connection is closed");
 });
 
+/** Five events, each 300 ms after the one before. */
+async function answerSlowly(socket: Socket): Promise<void> {
+    const [request] = await once(socket, "data") as [Buffer];
+    socket.write(`${genuine(identityOf(request))}content-type: text/event-stream\r\nconnection: close\r\n\r\n`);
+    for (const event of [1, 2, 3, 4, 5]) {
+        await sleep(300);
+        socket.write(`id: ${event}\ndata: event ${event}\n\n`);
+    }
+    socket.end();
+}
+
 test("a stream whose events come late stays where it is (guards against slow but sound streams that are cut)", async () => {
     await using fleet = await createFleet();
-    using slow = await serveRaw(socket => {
-        socket.once("data", async request => {
-            socket.write(`${genuine(identityOf(request))}content-type: text/event-stream\r\nconnection: close\r\n\r\n`);
-            for (const event of [1, 2, 3, 4, 5]) {
-                await sleep(300);
-                socket.write(`id: ${event}\ndata: event ${event}\n\n`);
-            }
-            socket.end();
-        });
-    });
+    using slow = await serveRaw(socket => void answerSlowly(socket));
     fleet.declare({ routes: declaration.routes.map(route => ({ ...route, gapAimMs: 100 })) });
     fleet.register(fleet.engine, { address: slow.address });
     const gateway = await fleet.startGateway();
