Engines serve programs that are nearly done before those that have just begun

Cause: in a burst all turns wait at the engines in two classes, first turns and others, first come first served in each. Programs near their end miss their time behind younger ones, and what they generated is lost. Change: the engine priority counts the turns behind a turn, in four steps for the most urgent routes and three for others, and a turn of a more urgent route is always before. One module holds what a first turn is and what its priority is.

--- a/packages/core/src/gateway/admission.ts
+++ b/packages/core/src/gateway/admission.ts
@@ -1,5 +1,4 @@
 import type { Random } from "../clock.ts";
-import type { CallHead } from "./call.ts";
 
 /** What is known when a program's first turn asks for admission. Times are in milliseconds. */
 export interface AdmissionRequest {
@@ -15,14 +14,6 @@
     readonly priority: number;
 }
 
-/** Parts of the prompt of a program's first turn: what programs share, and its own input. */
-const partsOfFirstTurn = 2;
-
-/** Whether a turn is the first of its program. Where callers send the whole history, later turns have more parts. */
-export function beginsProgram({ previousTurn, parts }: Pick<CallHead, "previousTurn" | "parts">): boolean {
-    return previousTurn === undefined && parts.length <= partsOfFirstTurn;
-}
-
 /** A range of load: below it every program begins, above it none does, and within it a growing share is refused. */
 interface Range {
     readonly from: number;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -14,4 +14,5 @@
 export * from "./storeHealth.ts";
 export * from "./storePace.ts";
 export * from "./tokenAccount.ts";
+export * from "./turnPriority.ts";
 export * from "./upstreamState.ts";
--- a/packages/core/test/gateway/admission.test.ts
+++ b/packages/core/test/gateway/admission.test.ts
@@ -1,16 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { beginsProgram, refuseBeginning } from "../../src/gateway/index.ts";
+import { refuseBeginning } from "../../src/gateway/index.ts";
 import { playBurst } from "./burst.ts";
 
-const part = (id: string) => ({ id, tokens: 100 });
-
-test("only the first turn of a program begins one (guards against programs under way that are refused for want of room)", () => {
-    assert.equal(beginsProgram({ previousTurn: undefined, parts: [part("shared"), part("own")] }), true);
-    assert.equal(beginsProgram({ previousTurn: "t1", parts: [part("shared"), part("own")] }), false);
-    assert.equal(beginsProgram({ previousTurn: undefined, parts: ["a", "b", "c"].map(part) }), false);
-});
-
 test("a program begins while places are free, and is told when to come back else (guards against a refusal with free places)", () => {
     const ask = (occupancy: number | undefined, random: number) =>
         refuseBeginning({ occupancy, delay: 0, callTime: 300, target: 250, priority: 0 }, () => random);
--- a/packages/core/test/gateway/burst.ts
+++ b/packages/core/test/gateway/burst.ts
@@ -1,4 +1,4 @@
-import { chooseUpstream, modelCosts, refuseBeginning, ServiceEstimate,
+import { chooseUpstream, modelCosts, refuseBeginning, ServiceEstimate, turnPriority,
     UpstreamState } from "../../src/gateway/index.ts";
 import { createRandom } from "../../src/index.ts";
 
@@ -11,7 +11,7 @@
 
 interface Waiting {
     readonly start: () => void;
-    readonly urgent: boolean;
+    readonly priority: number;
     left: boolean;
 }
 
@@ -24,6 +24,8 @@
 export interface BurstOptions {
     readonly admits: boolean;
     readonly load?: Partial<typeof usualLoad>;
+    /** Priority in an engine's queue of a turn that follows this many; 0 is the most urgent. */
+    readonly priorityOf?: (turns: number) => number;
 }
 
 /** Shares of the programs. */
@@ -36,8 +38,11 @@
     readonly refused: number;
 }
 
+const usualPriority = (turns: number) => turnPriority(0, turns);
+
 /** Plays a burst in virtual time. */
-export function playBurst({ admits, load: changes }: BurstOptions, seed: number): BurstResult {
+export function playBurst({ admits, load: changes, priorityOf = usualPriority }: BurstOptions,
+    seed: number): BurstResult {
     const load = { ...usualLoad, ...changes };
     const random = createRandom(seed);
     const events: { at: number; act: () => void; }[] = [];
@@ -76,10 +81,10 @@
     let asked = 0;
     let refused = 0;
 
-    function run(urgent: boolean, done: (answered: boolean, comeBack?: number) => void): void {
+    function run(turns: number, done: (answered: boolean, comeBack?: number) => void): void {
         const gateway = gateways[Math.floor(random() * gateways.length)]!;
-        asked += urgent ? 0 : 1;
-        if (!urgent && admits) {
+        asked += turns === 0 ? 1 : 0;
+        if (turns === 0 && admits) {
             const wait = refuseBeginning({ occupancy: gateway.estimate.occupancy(now),
                 delay: gateway.estimate.delay(now), callTime: gateway.estimate.callTime, target: 250, priority: 0 },
                 random);
@@ -94,7 +99,7 @@
         const engine = engines[Number(state.entry.id)]!;
         state.inFlight += 1;
         const sentAt = now;
-        const waiting: Waiting = { urgent, left: false, start() {
+        const waiting: Waiting = { priority: priorityOf(turns), left: false, start() {
             engine.running += 1;
             const slowness = noiseOf(Number(state.entry.id));
             const report = { running: engine.running, waiting: engine.queue.length, slots: load.slots, slowness };
@@ -126,8 +131,8 @@
 
         function next(): void {
             while (engine.running < load.slots && engine.queue.length > 0) {
-                const first = engine.queue.findIndex(each => each.urgent);
-                engine.queue.splice(Math.max(0, first), 1)[0]!.start();
+                const most = Math.min(...engine.queue.map(({ priority }) => priority));
+                engine.queue.splice(engine.queue.findIndex(({ priority }) => priority === most), 1)[0]!.start();
             }
         }
     }
@@ -156,7 +161,7 @@
         let tries = 0;
 
         function turn(): void {
-            run(left < load.turns, (answered, comeBack = 0) => {
+            run(load.turns - left, (answered, comeBack = 0) => {
                 tries = answered ? 0 : tries + 1;
                 left -= answered ? 1 : 0;
                 if (left === 0) {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,5 @@
-import { beginsProgram, endsWithin, refuseBeginning, returnAfterOutage, StoreError } from "@tamarackgauge/core/gateway";
+import { beginsProgram, endsWithin, refuseBeginning, returnAfterOutage, StoreError, turnPriority,
+    turnsBefore } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { BudgetedTurn, Budgets, Reservation, TokenHold } from "./budgets.ts";
@@ -38,10 +39,6 @@
         retryAfter: returnAfterOutage(awayFor, Math.random), elsewhere: true };
 }
 
-/** Priorities at the engine, from 0, the most urgent, to 9: that of a program's first turn on the most urgent route. */
-const firstPriority = 3;
-const leastUrgent = 9;
-
 /** A turn without a budget. */
 const unlimited: TokenHold = { settle: () => undefined };
 
@@ -181,7 +178,10 @@
         const relay = route.streamed
             ? createStreamRelay({ response, holdsLast: keeps, resumable: route.resumable })
             : undefined;
-        sends = startSends(parts, { call: sent, priority: priorityOf(), sink: relay,
+        const priority = route.streamed
+            ? turnPriority(route.priority, turnsBefore(head, history?.length ?? 0))
+            : undefined;
+        sends = startSends(parts, { call: sent, priority, sink: relay,
             preferred: history?.[history.length - 1]?.upstream });
         const result = await sends.result;
         logEnd(result);
@@ -254,13 +254,6 @@
         writeOwnAnswer(response, head.id, answer);
     }
 
-    /** Turns that continue a program go before those that begin one; urgent routes go before others. */
-    function priorityOf(): number | undefined {
-        return route.streamed
-            ? Math.min(leastUrgent, firstPriority + route.priority * 2 - (beginsProgram(head) ? 0 : 1))
-            : undefined;
-    }
-
     function abandon(): void {
         left = true;
         sends?.cancel("left");
