--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -1,90 +1,13 @@
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn, spawnSync } from "node:child_process";
+import { spawnSync } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, open, rename, rm, writeFile } from "node:fs/promises";
+import { open, rename, writeFile } from "node:fs/promises";
 import { Agent } from "node:http";
 import { connect } from "node:net";
-import { tmpdir } from "node:os";
-import { dirname, join } from "node:path";
+import { join } from "node:path";
 import { test } from "node:test";
-import { call, createFleet, type Fleet, freeAddress, readiness, received, turn, until } from "./harness.ts";
-
-const main = join(import.meta.dirname, "../src/main.ts");
-const root = join(import.meta.dirname, "../../..");
-
-/** A gateway as a process of its own, as the platform starts it. */
-interface GatewayProcess extends AsyncDisposable {
-    readonly child: ChildProcess;
-    readonly settings: GatewayAddresses;
-    readonly file: string;
-    /** The exit code or the signal that ended it. */
-    readonly ended: Promise<number | string>;
-    log(): string;
-}
-
-interface GatewayAddresses {
-    readonly callers: { readonly port: number; };
-    readonly readiness: { readonly port: number; };
-    readonly peers: { readonly port: number; };
-}
-
-async function chooseAddresses(): Promise<GatewayAddresses> {
-    const [callers, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
-    return { callers, readiness, peers };
-}
-
-async function settingsText(fleet: Fleet, addresses: GatewayAddresses): Promise<string> {
-    const door = await fleet.rows.open();
-    return [
-        "nodeName=g",
-        "ip=127.0.0.1",
-        "zone=a",
-        `bind.front=127.0.0.1:${addresses.callers.port}`,
-        `bind.readiness=127.0.0.1:${addresses.readiness.port}`,
-        `bind.control=127.0.0.1:${addresses.peers.port}`,
-        `provider.address=${door.address}:${door.port}`,
-        "provider.rowBytes=65536",
-        "bounds.graceS=8",
-        "bounds.drainMs=2000",
-        "bounds.passMs=120",
-    ].join("\n");
-}
-
-async function settingsFolder(): Promise<string> {
-    return mkdtemp(join(tmpdir(), "tamarackgauge-"));
-}
-
-/** Starts a process whose settings file lies in a folder of its own; the folder goes with the process. */
-function spawnProcess(file: string, settings: GatewayAddresses): GatewayProcess {
-    const child = spawn(process.execPath, ["--import", "tsx", main], { cwd: root, stdio: ["ignore", "pipe", "inherit"],
-        env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: file } });
-    let text = "";
-    child.stdout.on("data", (chunk: Buffer) => {
-        text += chunk.toString();
-    });
-    const ended = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
-    return {
-        child,
-        settings,
-        file,
-        ended,
-        log: () => text,
-        async [Symbol.asyncDispose]() {
-            child.kill("SIGKILL");
-            await ended;
-            await rm(dirname(file), { recursive: true });
-        },
-    };
-}
-
-async function startProcess(fleet: Fleet): Promise<GatewayProcess> {
-    const addresses = await chooseAddresses();
-    const file = join(await settingsFolder(), "settings.conf");
-    await writeFile(file, await settingsText(fleet, addresses));
-    const gateway = spawnProcess(file, addresses);
-    await until(async () => await readiness(addresses.readiness.port) === 200, "the process is ready");
-    return gateway;
-}
+import { chooseAddresses, settingsFolder, settingsText, spawnProcess, startProcess } from "./gatewayProcess.ts";
+import { call, createFleet, readiness, received, turn, until } from "./harness.ts";
 
 /** Whether nothing listens at a port. */
 function refuses(port: number): Promise<boolean> {
@@ -112,7 +35,7 @@
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
     const file = join(await settingsFolder(), "settings.conf");
-    const text = await settingsText(fleet, addresses);
+    const text = settingsText(await fleet.rows.open(), addresses);
     // The process waits in its read of a named pipe until the test has written the settings.
     spawnSync("mkfifo", [file]);
     await using gateway = spawnProcess(file, addresses);
