--- /dev/null
+++ b/packages/gateway/bench/soakCommand.ts
@@ -0,0 +1,27 @@
+import { command, number, option, run } from "cmd-ts";
+import { soak } from "./soak.ts";
+
+const soakCommand = command({
+    name: "soak",
+    description: "Play programs against gateways that faults strike; exits with 1 if a promise was broken",
+    args: {
+        seed: option({ type: number, long: "seed", defaultValue: () => Date.now() % 1e6,
+            description: "fixes the faults" }),
+        seconds: option({ type: number, long: "seconds", defaultValue: () => 30, description: "length of the run" }),
+        gateways: option({ type: number, long: "gateways", defaultValue: () => 3, description: "gateway processes" }),
+        callers: option({ type: number, long: "callers", defaultValue: () => 12, description: "programs at a time" }),
+    },
+    async handler({ seed, seconds, gateways, callers }) {
+        const { plan, calls, answered, breaches, lines } = await soak({ seed, time: seconds * 1_000, gateways,
+            callers });
+        console.log(
+            `seed ${seed}: ${plan.length} faults, ${calls} calls, ${answered} answered, ${breaches.length} breaches`,
+        );
+        plan.forEach(fault => console.log(`${fault.at} ${fault.kind} ${fault.target} ${fault.length}`));
+        breaches.forEach(({ promise, call, detail }) => console.log(`BROKEN ${promise}: ${call} ${detail}`));
+        lines.forEach(line => console.log(line));
+        process.exitCode = breaches.length === 0 ? 0 : 1;
+    },
+});
+
+void run(soakCommand, process.argv.slice(2));
--- /dev/null
+++ b/packages/gateway/bench/soakJudge.ts
@@ -0,0 +1,95 @@
+import type { CallerAnswer } from "../test/harness.ts";
+
+/** A call as its caller made it. */
+export interface SoakCall {
+    readonly id: string;
+    /** A tool call may run once at most; a turn belongs to a program. */
+    readonly turn: SoakTurn | undefined;
+    /** What the upstream gives that serves it, in whole. */
+    readonly expected: RegExp;
+}
+
+/** A turn of a program. */
+export interface SoakTurn {
+    readonly program: string;
+    /** Earlier turns that were answered whole, the oldest first. */
+    readonly before: readonly string[];
+}
+
+/** How a call ended for its caller. */
+export interface SoakEnd {
+    readonly call: SoakCall;
+    /** Undefined if the connection ended without an answer. */
+    readonly answer: CallerAnswer | undefined;
+    /** Milliseconds. */
+    readonly time: number;
+    /** Its gateway was killed or paused while the call was under way: it may have no answer or a late one. */
+    readonly excused: boolean;
+}
+
+/** A call that an upstream began to work on. */
+export interface SoakRun {
+    readonly id: string;
+    readonly body: string;
+}
+
+/** A promise that was broken. */
+export interface Breach {
+    readonly promise: string;
+    readonly call: string;
+    readonly detail: string;
+}
+
+/** Statuses that say that a call has not run and never will. */
+const notRun = new Set([408, 421, 429, 503]);
+const unknownTurn = 404;
+/** A call is answered within its route's time limit and this, in ms. */
+const timeLimit = 2_500;
+const margin = 2_000;
+
+/** Judges what callers and upstreams have seen over the whole run: a refusal must stay true after it was given. */
+export function judge(ends: readonly SoakEnd[], runs: readonly SoakRun[]): readonly Breach[] {
+    const ran = new Map<string, SoakRun[]>();
+    runs.forEach(run => ran.set(run.id, [...ran.get(run.id) ?? [], run]));
+    return ends.flatMap(end => breachesOf(end, ran.get(end.call.id) ?? []));
+}
+
+function breachesOf({ call, answer, time, excused }: SoakEnd, runs: readonly SoakRun[]): readonly Breach[] {
+    const breaches: Breach[] = [];
+    const breach = (promise: string, detail: string) => void breaches.push({ promise, call: call.id, detail });
+    if (runs.length > 1) {
+        breach("runs at most once", `ran ${runs.length} times`);
+    }
+    if (answer !== undefined && notRun.has(answer.status) && runs.length > 0) {
+        breach("a refusal is true", `status ${answer.status}: ${answer.body}`);
+    }
+    if (answer?.status === 200 && answer.whole && !call.expected.test(answer.body)) {
+        breach("an answer is whole and the caller's own", answer.body);
+    }
+    if (answer?.status === unknownTurn && call.turn !== undefined && call.turn.before.length > 0) {
+        breach("a turn that was answered is kept", `after ${call.turn.before.at(-1)}`);
+    }
+    const history = (call.turn?.before ?? []).map(historyOf).join("");
+    runs.filter(({ body }) => call.turn !== undefined && body !== `${history}${inputOf(call.id)}`)
+        .forEach(({ body }) => breach("an engine reads the program's history", body));
+    if (!excused && time > timeLimit + margin) {
+        breach("a call is answered in time", `${Math.round(time)} ms`);
+    }
+    if (!excused && answer === undefined && runs.length > 0) {
+        breach("a call that has run is answered", "its connection ended");
+    }
+    return breaches;
+}
+
+/** Events of a turn. */
+export const eventsOfTurn = 5;
+
+/** The input of a turn. */
+export function inputOf(id: string): string {
+    return `input of ${id};`;
+}
+
+function historyOf(id: string): string {
+    const events = Array.from({ length: eventsOfTurn }, (_, index) => `event ${index + 1} of ${id}\n`);
+    return `${inputOf(id)}${events.join("")}`;
+}
