--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -100,10 +100,9 @@
         return answer;
     }
 
+    /** Also one that is about to stop: what it takes until then it must answer. */
     function pickGateway(): SoakGateway {
-        const open = fleet.gateways.filter(({ isOff }) => !isOff);
-        const among = open.length === 0 ? fleet.gateways : open;
-        return among[Math.floor(Math.random() * among.length)]!;
+        return fleet.gateways[Math.floor(Math.random() * fleet.gateways.length)]!;
     }
 }
 
--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -10,8 +10,6 @@
     readonly addresses: GatewayAddresses;
     /** Not since then has its process been killed or paused, in monotonic milliseconds. */
     undisturbedSince: number;
-    /** No call is begun here: its process is gone or about to go. */
-    isOff: boolean;
 }
 
 /** Gateways as processes, stand-ins for all else, and faults that strike them. */
@@ -30,6 +28,8 @@
     readonly name: string;
     readonly door: RowStoreDoor;
     process: GatewayProcess;
+    /** A fault ends its process, so that an exit is expected. */
+    mayExit: boolean;
     /** The last change of its process; changes come one after another. */
     changing: Promise<void>;
 }
@@ -54,19 +54,18 @@
     const members = await Promise.all(Array.from({ length: count }, (_, index) => startMember(fleet, `g${index}`)));
     members.forEach(watch);
 
-    /** An exit is expected only while a fault holds its member off. */
     function watch(member: Member): void {
         const { process } = member;
         process.child.stdout?.on("data", (chunk: Buffer) => lines.push(...chunk.toString().split("\n")));
         void process.ended.then(code => {
-            if (!member.isOff && member.process === process) {
+            if (!member.mayExit && member.process === process) {
                 exits.push(`${member.name} ended with ${code}`);
             }
         });
     }
 
     async function replace(member: Member, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
-        member.isOff = true;
+        member.mayExit = true;
         member.process.child.kill(signal);
         const code = await member.process.ended;
         if (signal === "SIGTERM" && code !== 0) {
@@ -75,7 +74,7 @@
         await member.process[Symbol.asyncDispose]();
         member.process = await startAt(member.door, member.addresses, member.name);
         watch(member);
-        member.isOff = false;
+        member.mayExit = false;
     }
 
     async function kill(member: Member): Promise<void> {
@@ -141,7 +140,7 @@
         linesOf: call => lines.filter(line => line.includes(`"${call}"`)),
         async [Symbol.asyncDispose]() {
             await Promise.all(members.map(member => member.changing));
-            members.forEach(member => member.isOff = true);
+            members.forEach(member => member.mayExit = true);
             await Promise.all(members.map(({ process }) => process[Symbol.asyncDispose]()));
             await fleet[Symbol.asyncDispose]();
         },
@@ -152,7 +151,7 @@
     const door = await fleet.rows.open();
     const addresses = await chooseAddresses();
     const process = await startAt(door, addresses, name);
-    return { name, door, addresses, process, undisturbedSince: performance.now(), isOff: false,
+    return { name, door, addresses, process, undisturbedSince: performance.now(), mayExit: false,
         changing: Promise.resolve() };
 }
 
