A daemon takes no heartbeat for fresh in the 3 s after a pause

A heartbeat that names the daemon's version confirms it, unless a pause ended less than 0.5 s ago; a daemon with much to read on a busy machine reads heartbeats of before the pause later than that. Ruled out: a read of the store that began before the pause (it confirms the time at which it began). With the store at hand nothing waits, as a read of the store confirms by itself.

--- a/packages/daemon/src/pause.ts
+++ b/packages/daemon/src/pause.ts
@@ -10,8 +10,8 @@
 const tick = 100;
 /** A longer time between two ticks counts as a pause, in milliseconds. */
 const pauseLimit = 500;
-/** Messages that arrived during a pause have been read this long after it, in milliseconds. */
-const settleTime = 500;
+/** Messages that arrived during a pause have been read this long after it, also on a busy VM, in milliseconds. */
+const settleTime = 3_000;
 
 /** Starts watching. */
 export function createPauseWatch(clock: Clock): PauseWatch {
