The soak judges token budgets and refusals for a spent budget

Programs with a budget of 130 tokens among those with 1,000; a budget plus the most of one turn holds over all that callers received, and a turn answered 402 has not run.

--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -25,7 +25,10 @@
 }
 
 const turnsOfProgram = 4;
+/** Token budgets of programs in turn: one holds all turns of 50 tokens, the other only some. */
+const budgets = [1_000, 130];
 const triesOfTurn = 3;
+const budgetSpent = 402;
 const pauseAfterFailure = 100;
 /** Nobody can wait longer than that for an answer, in ms. */
 const patience = 12_000;
@@ -60,14 +63,14 @@
 
     async function callOn(caller: number): Promise<void> {
         for (let serial = 0; !isOver; serial += 1) {
-            await playProgram(`p${caller}-${serial}`);
+            await playProgram(`p${caller}-${serial}`, budgets[serial % budgets.length]!);
         }
     }
 
-    async function playProgram(program: string): Promise<void> {
+    async function playProgram(program: string, budget: number): Promise<void> {
         const before: string[] = [];
         while (before.length < turnsOfProgram && !isOver) {
-            const id = await playTurn({ program, before: [...before] });
+            const id = await playTurn({ program, budget, before: [...before] });
             if (id === undefined) {
                 return;
             }
@@ -81,11 +84,14 @@
     async function playTurn(played: SoakTurn): Promise<string | undefined> {
         for (let tries = 0; tries < triesOfTurn && !isOver; tries += 1) {
             const id = `${played.program}-${played.before.length}-${tries}`;
-            const answer = await make(turn(id, played.program, played.before.at(-1)), { turn: played,
+            const answer = await make(turn(id, played.program, played.before.at(-1), played.budget), { turn: played,
                 expected: turnAnswer(id) });
             if (answer?.status === 200 && answer.whole) {
                 return id;
             }
+            if (answer?.status === budgetSpent) {
+                return undefined;
+            }
             await sleep(pauseAfterFailure);
         }
         return undefined;
--- a/packages/gateway/bench/soakJudge.ts
+++ b/packages/gateway/bench/soakJudge.ts
@@ -12,6 +12,8 @@
 /** A turn of a program. */
 export interface SoakTurn {
     readonly program: string;
+    /** Tokens that the program may generate. */
+    readonly budget: number;
     /** Earlier turns that were answered whole, the oldest first. */
     readonly before: readonly string[];
 }
@@ -41,7 +43,7 @@
 }
 
 /** Statuses that say that a call has not run and never will. */
-const notRun = new Set([408, 421, 429, 503]);
+const notRun = new Set([402, 408, 421, 429, 503]);
 const unknownTurn = 404;
 /** A call is answered within its route's time limit and this, in ms. */
 const timeLimit = 2_500;
@@ -51,7 +53,30 @@
 export function judge(ends: readonly SoakEnd[], runs: readonly SoakRun[]): readonly Breach[] {
     const ran = new Map<string, SoakRun[]>();
     runs.forEach(run => ran.set(run.id, [...ran.get(run.id) ?? [], run]));
-    return ends.flatMap(end => breachesOf(end, ran.get(end.call.id) ?? []));
+    return [...ends.flatMap(end => breachesOf(end, ran.get(end.call.id) ?? [])), ...overspent(ends)];
+}
+
+/** Tokens of an event, and the most of a turn. */
+const tokensPerEvent = 10;
+const mostOfTurn = 60;
+
+/** Programs whose callers got more than their budget and the most of one turn. */
+function overspent(ends: readonly SoakEnd[]): readonly Breach[] {
+    const spent = new Map<string, { budget: number; tokens: number; }>();
+    for (const { call: { turn }, answer } of ends) {
+        if (turn !== undefined) {
+            const before = spent.get(turn.program)?.tokens ?? 0;
+            spent.set(turn.program, { budget: turn.budget, tokens: before + tokensOf(answer) });
+        }
+    }
+    return [...spent].filter(([, { budget, tokens }]) => tokens > budget + mostOfTurn)
+        .map(([program, { budget, tokens }]) => ({ promise: "a budget holds", call: program,
+            detail: `${tokens} tokens of ${budget}` })
+        );
+}
+
+function tokensOf(answer: CallerAnswer | undefined): number {
+    return (answer?.body.match(/^data: event/gm)?.length ?? 0) * tokensPerEvent;
 }
 
 function breachesOf({ call, answer, time, excused }: SoakEnd, runs: readonly SoakRun[]): readonly Breach[] {
--- a/packages/gateway/test/soak.test.ts
+++ b/packages/gateway/test/soak.test.ts
@@ -6,7 +6,7 @@
 import { planFaults } from "../bench/soakPlan.ts";
 
 const toolCall: SoakCall = { id: "c1", turn: undefined, expected: /^ok$/ };
-const turnCall: SoakCall = { id: "t2", turn: { program: "p", before: ["t1"] }, expected: /^ok$/ };
+const turnCall: SoakCall = { id: "t2", turn: { program: "p", budget: 40, before: ["t1"] }, expected: /^ok$/ };
 const answered = (status: number, body = "ok", whole = true) => ({ status, headers: {}, body, whole });
 const end = (changes: Partial<SoakEnd>): SoakEnd => ({ call: toolCall, answer: answered(200), time: 10, excused: false,
     ...changes });
@@ -31,6 +31,12 @@
     assert.deepEqual(promises([end({ call: turnCall })], [{ id: "t2", body: "input of t2;" }]), [
         "an engine reads the program's history",
     ]);
+    const spent = end({ call: { ...turnCall, expected: /^/ }, answer: answered(200, "data: event 1\n\n".repeat(11)) });
+    assert.deepEqual(promises([spent], []), ["a budget holds"]);
+    assert.deepEqual(
+        promises([end({ call: turnCall, answer: answered(402) })], [{ id: "t2", body: `${historyOfT1}input of t2;` }]),
+        ["a refusal is true"],
+    );
     assert.deepEqual(promises([end({ time: 9_000 })], [run]), ["a call is answered in time"]);
     assert.deepEqual(promises([end({ answer: undefined })], [run]), ["a call that has run is answered"]);
     assert.deepEqual(promises([end({ answer: undefined, time: 9_000, excused: true })], [run]), []);
