--- a/packages/core/src/gateway/serviceEstimate.ts
+++ b/packages/core/src/gateway/serviceEstimate.ts
@@ -1,4 +1,5 @@
 import type { UpstreamLoad } from "./call.ts";
+import { LowQuantile, RecentMean, RecentMedian } from "./statistics.ts";
 
 /** How a call at an upstream went, told when its answer began. Times are in milliseconds. */
 export interface BeginningOfAnswer {
@@ -9,76 +10,6 @@
     readonly load: UpstreamLoad | undefined;
 }
 
-/** A mean of what was told lately: each value counts for half after a half-life, in ms. */
-class RecentMean {
-    private sum = 0;
-    private weight = 0;
-    private at = 0;
-
-    take(value: number, now: number): void {
-        const fade = this.fade(now);
-        this.sum = this.sum * fade + value;
-        this.weight = this.weight * fade + 1;
-        this.at = now;
-    }
-
-    /** Undefined if nothing was told lately. */
-    value(now: number): number | undefined {
-        return this.weight * this.fade(now) < leastWeight ? undefined : this.sum / this.weight;
-    }
-
-    private fade(now: number): number {
-        return 0.5 ** (Math.max(0, now - this.at) / recentHalfLife);
-    }
-}
-
-/**
- * The median of what was told lately. A load holds up all calls, so it moves the median; a few calls at a slow upstream, which
- * would move a mean of few values, do not.
- */
-class RecentMedian {
-    private told: readonly { readonly value: number; readonly at: number; }[] = [];
-
-    take(value: number, now: number): void {
-        this.told = [...this.told.slice(1 - mostTold), { value, at: now }];
-    }
-
-    /** Undefined if nothing was told lately. */
-    value(now: number): number | undefined {
-        const late = this.told.filter(({ at }) => now - at <= medianWindow);
-        const few = this.told.slice(-fewestTold).filter(({ at }) => now - at <= longestWindow);
-        const sorted = (late.length < fewestTold ? few : late).map(({ value }) => value).sort((left, right) =>
-            left - right
-        );
-        return sorted[Math.floor((sorted.length - 1) / 2)];
-    }
-}
-
-/** Follows the value that a quarter of all values stay below: calls that nothing holds up. */
-class LowQuantile {
-    private quantile: number;
-    private first: number[] = [];
-
-    constructor(preset: number) {
-        this.quantile = preset;
-    }
-
-    get value(): number {
-        return this.quantile;
-    }
-
-    take(value: number): void {
-        if (this.first.length < firstValues) {
-            this.first = [...this.first, value].sort((left, right) => left - right);
-            this.quantile = this.first[Math.floor(this.first.length * lowShare)]!;
-            return;
-        }
-        // Steps so small that a load of some seconds does not pass for usual.
-        const step = this.quantile * smallStep;
-        this.quantile += value < this.quantile ? -step * (1 - lowShare) : step * lowShare;
-    }
-}
-
 /** How a call went, told when its answer had ended. Times are in milliseconds. */
 export interface AnsweredCall {
     readonly time: number;
@@ -93,20 +24,8 @@
 /** The usual figures of a service before its first answers. */
 const firstCallTime = 100;
 const firstTokensPerMs = 128;
-/** Calls below the low quantile, how many make the first one, and the part of it by which a later call moves it. */
-const lowShare = 0.25;
-const firstValues = 48;
-const smallStep = 0.004;
 /** Events of a stream from which its pace can be told. */
 const fewestEvents = 3;
-/** What was told counts for half of its weight after this time, in ms, and for nothing below the least weight. */
-const recentHalfLife = 1_000;
-const leastWeight = 0.02;
-/** A median is of the values of this time, in ms; of fewer than the least number it is of the last ones of the longer time. */
-const medianWindow = 1_500;
-const longestWindow = 5_000;
-const fewestTold = 3;
-const mostTold = 64;
 /** What an answer says of the reading of prompts counts for this share after the next one. */
 const readingMemory = 0.99;
 /** Weight of answers and spread of their tokens below which the reading is not known. */
