An error of a response does not keep its call under way

Cause, found by reading: the wait for the end of an answer used events.once, which rejects when the response emits an error first; the call would then have counted as under way until the end of a stop.

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,7 +1,6 @@
 import { type ByteAccount, createByteBudget, createRouteTable, type Declaration, type RouteTable,
     timeLimit } from "@tamarackgauge/core/gateway";
 import { decodeRequest } from "@tamarackgauge/platform";
-import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type OwnAnswer, writeOwnAnswer } from "./callerAnswer.ts";
@@ -200,7 +199,8 @@
         return;
     }
     const timer = setTimeout(() => response.destroy(), takingTime);
-    await once(response, "close");
+    // Not `once` of node:events, which rejects when the response emits an error before it closes.
+    await new Promise<void>(resolve => response.once("close", () => resolve()));
     clearTimeout(timer);
 }
 
