--- a/packages/core/src/gateway/turnPriority.ts
+++ b/packages/core/src/gateway/turnPriority.ts
@@ -25,6 +25,6 @@
  * turns a program has behind it, the sooner its next one runs. A turn of a more urgent route always goes first.
  */
 export function turnPriority(routePriority: number, turns: number): number {
-    const route = Math.min(firstTurns.length - 1, Math.max(0, routePriority));
+    const route = Math.floor(Math.min(firstTurns.length - 1, Math.max(0, routePriority)));
     return firstTurns[route]! - Math.min(stepsOfRoute[route]! - 1, turns);
 }
--- a/packages/core/test/gateway/turnPriority.test.ts
+++ b/packages/core/test/gateway/turnPriority.test.ts
@@ -23,7 +23,7 @@
     for (const [urgent, other] of [[0, 1], [1, 2], [0, 2]] as const) {
         assert.ok(turnPriority(urgent, 0) < turnPriority(other, 100));
     }
-    const all = [0, 1, 2, 3, 50].flatMap(route => [0, 1, 2, 3, 100].map(turns => turnPriority(route, turns)));
+    const all = [-1, 0, 0.5, 1, 2, 3, 50].flatMap(route => [0, 1, 2, 3, 100].map(turns => turnPriority(route, turns)));
     assert.deepEqual([Math.min(...all), Math.max(...all)], [0, 9]);
 });
 
