Rows of gateways are judged once for the list and the removal

Each look judged a row twice, and one that expired between the two was listed and removed. Test: a clock that steps between looks; fails on the code before.

--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -78,8 +78,10 @@
             await register();
             const rows = await readRows();
             seen = new Map(rows.map(row => [row.key, seenOf(row)]));
-            listed = rows.flatMap(row => isGone(row) ? [] : peerOf(row) ?? []);
-            await remove(rows.filter(isGone));
+            // Judged once: a row that expires in between would be removed and still be listed.
+            const gone = new Set(rows.filter(isGone));
+            listed = rows.flatMap(row => gone.has(row) ? [] : peerOf(row) ?? []);
+            await remove([...gone]);
             schedule(isFirst ? times.first : times.refresh);
         }
         catch (error) {
--- a/packages/gateway/test/peerList.test.ts
+++ b/packages/gateway/test/peerList.test.ts
@@ -14,9 +14,9 @@
     const store = createStore({ host: door.address, port: door.port });
     const lists: Disposable[] = [];
 
-    function join(name: string) {
+    function join(name: string, now = () => performance.now()) {
         const list = createPeerList({ name, address: { host: "127.0.0.1", port: 1 }, dataCentre: "a", seeds: [], store,
-            log: { info: () => undefined, warn: () => undefined }, now: () => performance.now(), times });
+            log: { info: () => undefined, warn: () => undefined }, now, times });
         lists.push(list);
         return { list, names: () => list.registered().map(peer => peer.name) };
     }
@@ -38,6 +38,17 @@
     assert.deepEqual(parts.rows.keys("gateways"), ["stays"]);
 });
 
+test("a row that expires while the list is judged is not removed and listed at once (guards against calls to a VM that was just taken off)", async () => {
+    await using parts = await start();
+    let time = 0;
+    // Each look at the clock takes a while, as on a busy VM, so that rows expire between two looks.
+    const stays = parts.join("stays", () => time += times.expiry / 2);
+    parts.rows.put("gateways", "", "goes", Buffer.from(pack(["127.0.0.1", 1, "a"])));
+    await until(() => stays.names().length === 2, "both are listed");
+    await until(() => !parts.rows.keys("gateways").includes("goes"), "the row is removed");
+    assert.deepEqual(stays.names(), ["stays"]);
+});
+
 test("a gateway that ends takes itself off the list (guards against calls to a VM that was stopped on purpose)", async () => {
     await using parts = await start();
     const { list } = parts.join("ends");
