--- a/packages/core/test/gateway/burst.ts
+++ b/packages/core/test/gateway/burst.ts
@@ -2,17 +2,42 @@
     UpstreamState } from "../../src/gateway/index.ts";
 import { createRandom } from "../../src/index.ts";
 
-/** A burst as on a day of the grown site whose engines never recovered from it; times in milliseconds. */
-const usualLoad = { engines: 10, slots: 16, callTime: 300, usualRate: 0.06, burstRate: 0.2, burstFrom: 3_000,
-    burstTo: 9_000, lastArrival: 24_000, turns: 5, pause: 150, patience: 2_000, gateways: 20, aim: 2.3,
+/** A load; times in milliseconds, rates in programs a millisecond. */
+export interface BurstLoad {
+    readonly engines: number;
+    /** Places of an engine. */
+    readonly slots: number;
+    /** Time of a call of the usual length that nothing holds up. */
+    readonly callTime: number;
+    readonly usualRate: number;
+    readonly burstRate: number;
+    readonly burstFrom: number;
+    readonly burstTo: number;
+    readonly lastArrival: number;
+    /** Turns of a program, and the pause after each. */
+    readonly turns: number;
+    readonly pause: number;
+    /** How long a caller waits for an engine to begin. */
+    readonly patience: number;
+    readonly gateways: number;
+    /** The time of a program that is in time, as a share of the time that nothing holds up. */
+    readonly aim: number;
     /** Share of the engines that work 2.5 times as long for 600 ms. */
-    noisyShare: 0, /** By how much longer calls take on an engine whose places are all taken. */ batchSlowdown: 0,
-    /** By how much the number of events differs between calls: 0 for not at all. */ sizeSpread: 0 };
+    readonly noisyShare: number;
+    /** By how much longer calls take on an engine whose places are all taken. */
+    readonly batchSlowdown: number;
+    /** By how much the number of events differs between calls: 0 for not at all. */
+    readonly sizeSpread: number;
+}
+
+/** A burst as on a day of the grown site whose engines never recovered from it. */
+const usualLoad: BurstLoad = { engines: 10, slots: 16, callTime: 300, usualRate: 0.06, burstRate: 0.2, burstFrom: 3_000,
+    burstTo: 9_000, lastArrival: 24_000, turns: 5, pause: 150, patience: 2_000, gateways: 20, aim: 2.3, noisyShare: 0,
+    batchSlowdown: 0, sizeSpread: 0 };
 
 interface Waiting {
     readonly start: () => void;
     readonly priority: number;
-    left: boolean;
 }
 
 const mostTries = 6;
@@ -23,7 +48,7 @@
 /** What differs between two plays of a burst. */
 export interface BurstOptions {
     readonly admits: boolean;
-    readonly load?: Partial<typeof usualLoad>;
+    readonly load?: Partial<BurstLoad>;
     /** Priority in an engine's queue of a turn that follows this many; 0 is the most urgent. */
     readonly priorityOf?: (turns: number) => number;
 }
@@ -45,10 +70,11 @@
     seed: number): BurstResult {
     const load = { ...usualLoad, ...changes };
     const random = createRandom(seed);
+    /** The next one is the last of the list. */
     const events: { at: number; act: () => void; }[] = [];
     let now = 0;
 
-    /** The last event comes first; among events of the same moment the one that was added first. */
+    /** Of two events at the same moment the one that was added first is the next. */
     function after(delay: number, act: () => void): void {
         const at = now + delay;
         let low = 0;
@@ -99,7 +125,7 @@
         const engine = engines[Number(state.entry.id)]!;
         state.inFlight += 1;
         const sentAt = now;
-        const waiting: Waiting = { priority: priorityOf(turns), left: false, start() {
+        const waiting: Waiting = { priority: priorityOf(turns), start() {
             engine.running += 1;
             const slowness = noiseOf(Number(state.entry.id));
             const report = { running: engine.running, waiting: engine.queue.length, slots: load.slots, slowness };
@@ -114,7 +140,7 @@
                 state.inFlight -= 1;
                 state.service.takeCall({ time: now - sentAt, beginning, events, slowness }, now);
                 next();
-                done(!waiting.left);
+                done(true);
             });
         } };
         engine.queue.push(waiting);
--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -114,9 +114,7 @@
 
 /** Undefined if the connection ends without an answer. */
 async function answerOf(gateway: SoakGateway, outgoing: TestCall): Promise<CallerAnswer | undefined> {
-    const settings = { callers: gateway.addresses.callers };
-    return Promise.race([call({ settings }, outgoing).catch(() => undefined),
-        sleep(patience, undefined, { ref: false })]);
+    return Promise.race([call(gateway, outgoing).catch(() => undefined), sleep(patience, undefined, { ref: false })]);
 }
 
 /** Each gateway serves a turn and a tool call soon after the last fault. */
--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -7,7 +7,7 @@
 
 /** A gateway of a soak, over all processes that serve at its addresses. */
 export interface SoakGateway {
-    readonly addresses: GatewayAddresses;
+    readonly settings: GatewayAddresses;
     /** Not since then has its process been killed or paused, in monotonic milliseconds. */
     undisturbedSince: number;
 }
@@ -49,14 +49,14 @@
 export async function startSoakFleet(count: number): Promise<SoakFleet> {
     const fleet = await createFleet();
     fleet.register(fleet.spare);
-    const lines: string[] = [];
+    const processes: GatewayProcess[] = [];
     const exits: string[] = [];
     const members = await Promise.all(Array.from({ length: count }, (_, index) => startMember(fleet, `g${index}`)));
     members.forEach(watch);
 
     function watch(member: Member): void {
         const { process } = member;
-        process.child.stdout?.on("data", (chunk: Buffer) => lines.push(...chunk.toString().split("\n")));
+        processes.push(process);
         void process.ended.then(code => {
             if (!member.mayExit && member.process === process) {
                 exits.push(`${member.name} ended with ${code}`);
@@ -72,7 +72,7 @@
             exits.push(`${member.name} ended with ${code} after SIGTERM`);
         }
         await member.process[Symbol.asyncDispose]();
-        member.process = await startAt(member.door, member.addresses, member.name);
+        member.process = await startAt(member.door, member.settings, member.name);
         watch(member);
         member.mayExit = false;
     }
@@ -137,7 +137,8 @@
         strike,
         runs: () => [fleet.engine, fleet.spare, fleet.tool].flatMap(({ ran }) => ran),
         exits: () => exits,
-        linesOf: call => lines.filter(line => line.includes(`"${call}"`)),
+        linesOf: call =>
+            processes.flatMap(process => process.log().split("\n")).filter(line => line.includes(`"${call}"`)),
         async [Symbol.asyncDispose]() {
             await Promise.all(members.map(member => member.changing));
             members.forEach(member => member.mayExit = true);
@@ -149,9 +150,9 @@
 
 async function startMember(fleet: Fleet, name: string): Promise<Member> {
     const door = await fleet.rows.open();
-    const addresses = await chooseAddresses();
-    const process = await startAt(door, addresses, name);
-    return { name, door, addresses, process, undisturbedSince: performance.now(), mayExit: false,
+    const settings = await chooseAddresses();
+    const process = await startAt(door, settings, name);
+    return { name, door, settings, process, undisturbedSince: performance.now(), mayExit: false,
         changing: Promise.resolve() };
 }
 
--- a/packages/gateway/bench/soakJudge.ts
+++ b/packages/gateway/bench/soakJudge.ts
@@ -1,4 +1,4 @@
-import type { CallerAnswer } from "../test/harness.ts";
+import { type CallerAnswer, inputOf } from "../test/harness.ts";
 
 /** A call as its caller made it. */
 export interface SoakCall {
@@ -109,11 +109,6 @@
 /** Events of a turn. */
 export const eventsOfTurn = 5;
 
-/** The input of a turn. */
-export function inputOf(id: string): string {
-    return `input of ${id};`;
-}
-
 function historyOf(id: string): string {
     const events = Array.from({ length: eventsOfTurn }, (_, index) => `event ${index + 1} of ${id}\n`);
     return `${inputOf(id)}${events.join("")}`;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -54,18 +54,15 @@
     const end = new Promise<AttemptEnd>(resolve => {
         resolveEnd = resolve;
     });
-    const patience = silenceLimit(plan);
-    const stallLimit = stallLimitOf(plan);
-    let stall: NodeJS.Timeout | undefined;
-    const timer = patience === undefined ? undefined : setTimeout(() => stop("no answer in time"), patience);
+    const limit = silenceLimit(plan);
+    let silence: NodeJS.Timeout | undefined;
 
     function finish(result: AttemptEnd): void {
         if (over) {
             return;
         }
         over = true;
-        clearTimeout(timer);
-        clearTimeout(stall);
+        clearTimeout(silence);
         state.inFlight -= 1;
         resolveEnd(result);
     }
@@ -86,10 +83,9 @@
             state.service.takeBeginning({ time: beginning, read: toRead, load: head.load }, now());
         }
         if (sink !== undefined && isSuccess(head.status) && isGenuine(head)) {
-            clearTimeout(timer);
             streaming = true;
             sink.begin(head.status, headers);
-            watchPause();
+            watchSilence();
         }
     }
 
@@ -114,24 +110,25 @@
         const before = sink!.passed();
         const isTaken = sink!.data(chunk);
         if (sink!.passed() > before) {
-            watchPause();
+            watchSilence();
         }
         if (!isTaken) {
             sending.pause();
-            clearTimeout(stall);
+            clearTimeout(silence);
             void sink!.drained().then(goOn);
         }
     }
 
     function goOn(): void {
         sending.resume();
-        watchPause();
+        watchSilence();
     }
 
-    function watchPause(): void {
-        clearTimeout(stall);
-        if (stallLimit !== undefined && !over) {
-            stall = setTimeout(() => stop("no event in time"), stallLimit);
+    /** Begins to wait anew: for the whole of a plain answer, or for the next event of a stream. */
+    function watchSilence(): void {
+        clearTimeout(silence);
+        if (limit !== undefined && !over) {
+            silence = setTimeout(() => stop(streaming ? "no event in time" : "no answer in time"), limit);
         }
     }
 
@@ -178,6 +175,10 @@
                 unreachable: cause === "unreachable" }),
     });
 
+    if (!call.route.streamed) {
+        watchSilence();
+    }
+
     function cancel(): void {
         if (answer === undefined) {
             state.service.takeWait(now() - sentAt, now());
@@ -188,18 +189,15 @@
     return { end, wasSent: () => sending.wasSent(), cancel };
 }
 
-/** How long an upstream may be silent before a call that may run again goes elsewhere. */
+/** How long a plain answer or the next whole event of a stream may take, if the call may go on at another upstream. */
 function silenceLimit({ call: { route } }: SendPlan): number | undefined {
-    return route.execution === "repeatable" && !route.streamed
-        ? Math.max(fewestPatience, route.target * patienceOfTarget)
-        : undefined;
-}
-
-/** How long a stream that may go on at another upstream may be without a whole event. */
-function stallLimitOf({ call: { route } }: SendPlan): number | undefined {
-    return route.resumable && route.longestPause !== undefined
-        ? Math.max(shortestStall, route.longestPause * stallOfPause)
-        : undefined;
+    if (route.execution !== "repeatable") {
+        return undefined;
+    }
+    if (!route.streamed) {
+        return Math.max(fewestPatience, route.target * patienceOfTarget);
+    }
+    return route.longestPause === undefined ? undefined : Math.max(shortestStall, route.longestPause * stallOfPause);
 }
 
 /** Judges an answer that has arrived whole. */
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -80,18 +80,17 @@
         return {
             settle(used) {
                 if (used < most) {
-                    giveBack(home, program, most - used).catch((error: Error) => {
-                        log.warn("budget.notReturned", { program, home: home.name, tokens: most - used,
-                            reason: error.message });
-                    });
+                    giveBack(home, program, most - used);
                 }
             },
         };
     }
 
     /** Never repeated: tokens that were returned twice would be generated twice. */
-    async function giveBack(home: Peer, program: string, tokens: number): Promise<void> {
-        await contacts.ask(home, { kind: "return", program, tokens }, returnLimits);
+    function giveBack(home: Peer, program: string, tokens: number): void {
+        contacts.ask(home, { kind: "return", program, tokens }, returnLimits).catch((error: Error) => {
+            log.warn("budget.notReturned", { program, home: home.name, tokens, reason: error.message });
+        });
     }
 
     async function recallFrom(holder: string, program: string): Promise<RecallOutcome> {
@@ -116,8 +115,5 @@
         return contacts.lostFor(name) > goneAfter ? "gone" : "pending";
     }
 
-    return {
-        reserve,
-        recallFrom,
-    };
+    return { reserve, recallFrom };
 }
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -48,9 +48,9 @@
     const estimates = new Map<string, ServiceEstimate>();
 
     function estimate(service: string): ServiceEstimate {
-        const known = estimates.get(service) ?? new ServiceEstimate();
-        estimates.set(service, known);
-        return known;
+        const found = estimates.get(service) ?? new ServiceEstimate();
+        estimates.set(service, found);
+        return found;
     }
 
     function replace(entries: readonly UpstreamEntry[]): void {
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -186,9 +186,14 @@
     return outgoing;
 }
 
+/** The input of a turn. */
+export function inputOf(id: string): string {
+    return `input of ${id};`;
+}
+
 /** A turn of a program, as the platform's callers send it. */
 export function turn(id: string, program: string, previous?: string, budget = 1_000): TestCall {
-    return { path: "/turn/x", id, body: `input of ${id};`, headers: {
+    return { path: "/turn/x", id, body: inputOf(id), headers: {
         "x-program-id": program,
         "x-token-budget": String(budget),
         "x-token-usage": "100,60",
--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -9,17 +9,6 @@
 import { chooseAddresses, settingsFolder, settingsText, spawnProcess, startProcess } from "./gatewayProcess.ts";
 import { call, createFleet, readiness, received, turn, until } from "./harness.ts";
 
-/** Whether nothing listens at a port. */
-function refuses(port: number): Promise<boolean> {
-    return new Promise(resolve => {
-        const socket = connect(port, "127.0.0.1");
-        socket.once("connect", () => resolve(false));
-        socket.once("error", () => resolve(true));
-        socket.once("close", () => socket.destroy());
-        socket.end();
-    });
-}
-
 test("SIGHUP reads the settings again and ends nothing (guards against a process that a changed setting ends)", async () => {
     await using fleet = await createFleet();
     await using gateway = await startProcess(fleet);
@@ -111,7 +100,7 @@
     await once(socket, "connect");
     socket.write("GET /look/x HTTP/1.1\r\nhost: fleet");
     gateway.child.kill("SIGTERM");
-    await until(async () => await refuses(gateway.settings.callers.port), "the gateway listens no more");
+    await until(async () => await readiness(gateway.settings.callers.port) === 0, "the gateway listens no more");
     socket.write(".test\r\nx-request-id: late\r\n\r\n");
     await until(() => socket.destroyed, "the connection ends");
     assert.match(answer(), /^HTTP\/1.1 200 /);
