--- a/packages/daemon/test/client.ts
+++ b/packages/daemon/test/client.ts
@@ -68,12 +68,16 @@
 
     /** Comes back as a caller does: these refusals say that the call has not run, and when to ask again. */
     async function call(wanted: TestCall): Promise<TestAnswer> {
+        const giveUpAt = performance.now() + longestReturning;
         for (;;) {
             const answer = await callOnce(wanted);
             const { error } = answer;
             if (wanted.takesRefusal === true || error?.run !== "notRun" || !starvedCodes.has(error.code)) {
                 return answer;
             }
+            if (performance.now() > giveUpAt) {
+                throw new Error(`refused for ${longestReturning} ms, last with ${JSON.stringify(error)}`);
+            }
             await sleep(error.retryAfterMs ?? usualReturn);
         }
     }
@@ -114,6 +118,8 @@
 const starvedCodes = new Set([4081, 5034]);
 /** Milliseconds after which a caller comes back that was not told when. */
 const usualReturn = 100;
+/** A daemon that refuses for longer, in ms, fails the test with its refusal, instead of a test that never ends. */
+const longestReturning = 60_000;
 
 const nothing: TestAnswer = {
     status: 0,
