Admission: engines' latency counts only while half of their slots are taken

Cause: the excess of calls over their usual time also holds what the gateway itself causes (a busy VM, new connections). Change: below an occupancy of 0.5 the excess latency is left out.

--- a/packages/core/src/gateway/admission.ts
+++ b/packages/core/src/gateway/admission.ts
@@ -2,7 +2,7 @@
 
 /** Inputs to the admission decision for a program's first turn. Times are in milliseconds. */
 export interface AdmissionRequest {
-    /** Calls per slot of the service, including waiting calls; undefined if unknown. */
+    /** Calls per slot of the service, including waiting calls; undefined if its upstreams do not report their load. */
     readonly occupancy: number | undefined;
     /** How far the recent latency of calls exceeds the baseline. */
     readonly excessLatency: number;
@@ -27,6 +27,11 @@
  * slots are in use.
  */
 const excessLatencyRange: LoadRange = { from: 0.5, to: 1.5 };
+/**
+ * Excess latency counts only from this occupancy. Below it, the latency has other causes than the engines' load, such
+ * as a busy gateway, new connections or a slow engine, and refusing programs would not shorten it.
+ */
+const minOccupancyForLatency = 0.5;
 /** Each priority step raises the effective load by this share, so that less urgent programs are refused first. */
 const loadFactorPerPriority = 0.05;
 const maxPrioritySteps = 2;
@@ -41,10 +46,13 @@
  * checked, so that running programs finish and free capacity.
  */
 export function decideAdmission(request: AdmissionRequest, random: Random): number | undefined {
-    const { occupancy = 0, excessLatency, baselineLatency, targetLatency, priority } = request;
+    const { occupancy, excessLatency, baselineLatency, targetLatency, priority } = request;
     const loadFactor = 1 + loadFactorPerPriority * Math.min(maxPrioritySteps, priority);
-    const refusalProbability = Math.max(positionInRange(occupancyRange, occupancy, loadFactor),
-        positionInRange(excessLatencyRange, excessLatency / Math.max(baselineLatency, targetLatency), loadFactor));
+    const relativeExcess = occupancy !== undefined && occupancy < minOccupancyForLatency
+        ? 0
+        : excessLatency / Math.max(baselineLatency, targetLatency);
+    const refusalProbability = Math.max(positionInRange(occupancyRange, occupancy ?? 0, loadFactor),
+        positionInRange(excessLatencyRange, relativeExcess, loadFactor));
     if (random() >= refusalProbability) {
         return undefined;
     }
--- a/packages/gateway/test/malformed.test.ts
+++ b/packages/gateway/test/malformed.test.ts
@@ -57,6 +57,8 @@
     await waitUntil(() => fleet.rowStore.keys("gateways").includes("g1"), "the first gateway is registered");
     const second = await fleet.startGateway({ name: "g2" });
     await waitUntilReady(second);
+    // A gateway may be ready before it has read the list of gateways, without which it knows no other.
+    await waitUntil(() => second.storeEndpoint.answeredReads("gateways") > 0, "the second gateway has read the list");
     second.storeEndpoint.setFault({ mode: "reset" });
     await waitUntil(async () => (await call(second, turnCall("t1", "p"))).status === 200,
         "the second gateway serves through the first");
--- a/packages/standin/src/rowStore.ts
+++ b/packages/standin/src/rowStore.ts
@@ -23,6 +23,8 @@
     setFault(fault: RowStoreFault | undefined): void;
     /** Number of received calls, including those that a fault affected. */
     calls(): { readonly reads: number; readonly changes: number; readonly feeds: number; };
+    /** Number of reads of a table that were answered. */
+    answeredReads(table: string): number;
 }
 
 /** A row store with conditional writes, change feeds and a history, like that of the users' platform. */
@@ -169,6 +171,7 @@
     let fault: RowStoreFault | undefined;
     let affectedCalls = 0;
     const counts = { reads: 0, changes: 0, feeds: 0 };
+    const answeredReads = new Map<string, number>();
 
     function takeFault(call: "read" | "change" | "feed", part: string): RowStoreFault | undefined {
         const applies = fault !== undefined && (fault.call === undefined || fault.call === call) &&
@@ -177,13 +180,19 @@
         return applies ? fault : undefined;
     }
 
+    function countAndRead(query: URLSearchParams): object {
+        const table = query.get("table") ?? "";
+        answeredReads.set(table, (answeredReads.get(table) ?? 0) + 1);
+        return read(query);
+    }
+
     async function handle(received: Received): Promise<void> {
         const { method, path, query, response } = received;
         switch (`${method} /${path.join("/")}`) {
             case "GET /tamarackgauge/rows-get":
                 counts.reads += 1;
                 return await answer(received, takeFault("read", query.get("part") ?? ""),
-                    () => ({ status: 200, body: read(query) }));
+                    () => ({ status: 200, body: countAndRead(query) }));
             case "GET /tamarackgauge/rows-feed": {
                 counts.feeds += 1;
                 const result = await feed(query);
@@ -209,6 +218,7 @@
             affectedCalls = 0;
         },
         calls: () => ({ ...counts }),
+        answeredReads: table => answeredReads.get(table) ?? 0,
     };
 }
 
