--- a/packages/core/src/gateway/admission.ts
+++ b/packages/core/src/gateway/admission.ts
@@ -1,4 +1,5 @@
 import type { Random } from "../clock.ts";
+import type { RefusalCause } from "./retryDelay.ts";
 
 /** Inputs to the admission decision for a program's first turn. Times are in milliseconds. */
 export interface AdmissionRequest {
@@ -35,17 +36,13 @@
 /** Each priority step raises the effective load by this share, so that less urgent programs are refused first. */
 const loadFactorPerPriority = 0.05;
 const maxPrioritySteps = 2;
-/** Bounds of the retry delay of a refused program. */
-const minRetryDelayMs = 250;
-const maxRetryDelayMs = 1_000;
-
 /**
- * Decides whether a new program is admitted: returns undefined if it is, otherwise the milliseconds after which the
- * caller should retry. Without admission control, a burst starts more programs than the engines can serve: every turn
- * queues, callers time out and retry, and the engines stay full after the burst has ended. Only first turns are
- * checked, so that running programs finish and free capacity.
+ * Decides whether a new program is admitted: returns undefined if it is, otherwise why it is refused. Without admission
+ * control, a burst starts more programs than the engines can serve: every turn queues, callers time out and retry, and
+ * the engines stay full after the burst has ended. Only first turns are checked, so that running programs finish and
+ * free capacity.
  */
-export function decideAdmission(request: AdmissionRequest, random: Random): number | undefined {
+export function decideAdmission(request: AdmissionRequest, random: Random): RefusalCause | undefined {
     const { occupancy, excessLatency, baselineLatency, targetLatency, priority } = request;
     const loadFactor = 1 + loadFactorPerPriority * Math.min(maxPrioritySteps, priority);
     const relativeExcess = occupancy !== undefined && occupancy < minOccupancyForLatency
@@ -53,12 +50,9 @@
         : excessLatency / Math.max(baselineLatency, targetLatency);
     const refusalProbability = Math.max(positionInRange(occupancyRange, occupancy ?? 0, loadFactor),
         positionInRange(excessLatencyRange, relativeExcess, loadFactor));
-    if (random() >= refusalProbability) {
-        return undefined;
-    }
-    // By then the calls that wait now should have started. The jitter prevents refused programs from retrying together.
-    const retryDelay = Math.min(maxRetryDelayMs, Math.max(minRetryDelayMs, excessLatency + baselineLatency));
-    return retryDelay * (0.75 + random() * 0.5);
+    return random() < refusalProbability
+        ? { kind: "enginesFull", expectedWait: excessLatency + baselineLatency }
+        : undefined;
 }
 
 function positionInRange({ from, to }: LoadRange, load: number, loadFactor: number): number {
--- /dev/null
+++ b/packages/core/src/gateway/retryDelay.ts
@@ -0,0 +1,51 @@
+import type { Random } from "../clock.ts";
+
+/** Why a call is refused that has not run and will not run. Times are in milliseconds. */
+export type RefusalCause =
+    /**
+     * The store could not be reached, or the declaration was not known, for as long as the call could wait. `isolated`:
+     * no other gateway can be reached either, so the cause probably concerns this gateway only.
+     */
+    | { readonly kind: "storeAway"; readonly isolated: boolean; }
+    /** The engines are overloaded; by the end of `expectedWait` the calls that wait now should have started. */
+    | { readonly kind: "enginesFull"; readonly expectedWait: number; }
+    /** The upstreams refused the call, or no connection to them was free. */
+    | { readonly kind: "upstreamsFull"; }
+    /** The gateway holds as many bodies as its memory allows. */
+    | { readonly kind: "memoryFull"; }
+    /** The process is about to end; another gateway can serve the call. */
+    | { readonly kind: "stopping"; }
+    /** The call's time has ended, so no further attempt can be in time. */
+    | { readonly kind: "outOfTime"; };
+
+/** Bounds of the delay after a refusal because the engines are overloaded. */
+const minOverloadDelayMs = 250;
+const maxOverloadDelayMs = 1_000;
+/** Delay after a call has already waited here for the store: the next gateway lets it wait again. */
+const storeAwayDelayMs = 100;
+const upstreamsFullDelayMs = 100;
+const memoryFullDelayMs = 300;
+
+/**
+ * Milliseconds after which the caller of a refused call should try again; undefined if it should not. Callers try a few times only, so the delay is
+ * long where an early attempt would be refused as well, and short where the next gateway can serve the call or lets it
+ * wait. The jitter of a quarter keeps callers that were refused together from returning together.
+ */
+export function retryDelay(cause: RefusalCause, random: Random): number | undefined {
+    return cause.kind === "outOfTime" ? undefined : baseDelay(cause) * (0.75 + random() * 0.5);
+}
+
+function baseDelay(cause: Exclude<RefusalCause, { kind: "outOfTime"; }>): number {
+    switch (cause.kind) {
+        case "storeAway":
+            return cause.isolated ? 0 : storeAwayDelayMs;
+        case "enginesFull":
+            return Math.min(maxOverloadDelayMs, Math.max(minOverloadDelayMs, cause.expectedWait));
+        case "upstreamsFull":
+            return upstreamsFullDelayMs;
+        case "memoryFull":
+            return memoryFullDelayMs;
+        case "stopping":
+            return 0;
+    }
+}
--- a/packages/core/src/gateway/route.ts
+++ b/packages/core/src/gateway/route.ts
@@ -20,6 +20,8 @@
     readonly resumable: boolean;
     /** Target for the maximum time between two events of a stream; undefined if the operators set none. */
     readonly maxEventInterval: number | undefined;
+    /** How long a caller waits without a byte of the answer before it abandons the attempt. */
+    readonly callerPatience: number;
     /** How long a turn is kept so that it can be continued; undefined if callers send the whole history themselves. */
     readonly retention: number | undefined;
     readonly timeout: number;
--- a/packages/core/src/gateway/storeHealth.ts
+++ b/packages/core/src/gateway/storeHealth.ts
@@ -1,5 +1,3 @@
-import type { Random } from "../clock.ts";
-
 /** Reports the outcome of a store call. */
 export interface StoreObservation {
     answered(): void;
@@ -29,33 +27,6 @@
 /** Age of an unanswered call after which other parts are probed. */
 const suspectAfterMs = 300;
 
-/** Mean interval between probes of an unavailable store. */
-const probeIntervalMs = 250;
-
-/** Milliseconds until the next probe. The jitter keeps gateways that lost the store together from probing together. */
-export function probeDelay(random: Random): number {
-    return probeIntervalMs * (0.5 + random());
-}
-
-/** Bounds of the retry delay of callers. */
-const minRetryDelayMs = 1_000;
-const maxRetryDelayMs = 2_200;
-
-/**
- * Retry delay in ms for a caller that was refused because the store cannot be reached. An outage is expected to last as
- * long again as it has lasted so far, and callers retry only a few times. A jitter of a quarter prevents them from
- * retrying together.
- */
-export function outageRetryDelay(outageAge: number, random: Random): number {
-    const retryDelay = Math.min(maxRetryDelayMs, Math.max(minRetryDelayMs, outageAge * 2));
-    return retryDelay * (0.875 + random() * 0.25);
-}
-
-/** Whether an outage is expected to end within `time`: it is expected to last as long again as it has lasted so far. */
-export function outageEndsWithin(time: number, outageAge: number): boolean {
-    return outageAge <= time;
-}
-
 /** Outcomes of the calls to one part, or to the whole store. */
 class CallHistory {
     private readonly pending = new Set<{ readonly at: number; }>();
--- a/packages/core/test/gateway/route.test.ts
+++ b/packages/core/test/gateway/route.test.ts
@@ -10,6 +10,7 @@
     streamed: false,
     resumable: false,
     maxEventInterval: undefined,
+    callerPatience: 2_000,
     retention: undefined,
     timeout: 1_000,
     targetLatency: 100,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,21 +1,16 @@
-import { countPrecedingTurns, decideAdmission, isFirstTurn, outageEndsWithin, outageRetryDelay, StoreError,
+import { countPrecedingTurns, type RefusalCause, retryDelay, StoreError,
     turnPriority } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { BudgetedTurn, Budgets, ReservationResult, TokenReservation } from "./budgets.ts";
 import { type LocalAnswer, writeLocalAnswer, writeUpstreamAnswer } from "./callerAnswer.ts";
 import type { ReceivedCall } from "./sendPlan.ts";
-import { type SendParts, type SendResult, type Sends, serviceOf, startSends } from "./sends.ts";
+import { type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
-import type { History, NewTurn, Turn, Turns } from "./turns.ts";
+import { type PreparedTurn, prepareTurn, type TurnPreparationParts, type TurnRefusal } from "./turnPreparation.ts";
+import type { NewTurn, Turn } from "./turns.ts";
 
 /** Parts that all exchanges share. */
-export interface ExchangeParts extends SendParts {
-    readonly budgets: Budgets;
-    readonly turns: Turns;
-    /** Milliseconds since the store became unreachable, directly and through peers; 0 while it can be reached. */
-    readonly storeOutageAge: () => number;
-}
+export type ExchangeParts = TurnPreparationParts;
 
 /** Serves one call, from the end of its request body to the end of its answer. */
 export interface Exchange {
@@ -31,44 +26,51 @@
 const gatewayTimeout = 504;
 const paymentRequired = 402;
 const notFound = 404;
-/** Retry delay that a refused caller is told. */
-const retryDelayMs = 100;
-
-function storeUnavailableAnswer(outageAge: number): LocalAnswer {
-    return { status: serviceUnavailable, reason: "the store does not answer",
-        retryAfter: outageRetryDelay(outageAge, Math.random), closeConnection: true };
+/** What a refused caller is told about each cause. */
+const refusalReasons: Readonly<Record<RefusalCause["kind"], string>> = {
+    storeAway: "the store does not answer",
+    enginesFull: "the engines are full",
+    upstreamsFull: "no upstream takes calls",
+    memoryFull: "too many bodies are held",
+    stopping: "the gateway is stopping",
+    outOfTime: "no time was left",
+};
+
+/** Causes of a refusal that concern only this gateway or the way to it, so that another one may serve the call. */
+const causesToGoElsewhere: ReadonlySet<RefusalCause["kind"]> = new Set(["storeAway", "memoryFull", "stopping"]);
+
+/** The answer to a call that has not run and will not run. */
+export function refusalAnswer(cause: RefusalCause, reason = refusalReasons[cause.kind]): LocalAnswer {
+    return { status: serviceUnavailable, reason, retryAfter: retryDelay(cause, Math.random),
+        closeConnection: causesToGoElsewhere.has(cause.kind) };
 }
 
-/** Reservation of a turn that has no token budget. */
-const unlimitedReservation: TokenReservation = { settle: () => undefined };
-
-/** Returns the answer that refuses a turn, or undefined if the turn may run. */
-function refusalAnswer(reservation: ReservationResult, history: History, outageAge: number): LocalAnswer | undefined {
-    if (reservation === "unavailable" || history === "unavailable") {
-        return storeUnavailableAnswer(outageAge);
+function turnRefusalAnswer(refusal: TurnRefusal): LocalAnswer {
+    switch (refusal.kind) {
+        case "refused":
+            return refusalAnswer(refusal.cause);
+        case "noSuchTurn":
+            return { status: notFound, reason: "there is no such turn" };
+        case "budgetSpent":
+            return { status: paymentRequired, reason: "the program's token budget is spent" };
+        case "left":
+            return refusalAnswer({ kind: "outOfTime" });
     }
-    if (history === "unknown") {
-        return { status: notFound, reason: "there is no such turn" };
-    }
-    return reservation === "exhausted"
-        ? { status: paymentRequired, reason: "the program's token budget is spent" }
-        : undefined;
 }
 
 /** Starts serving a call. */
 export function startExchange(parts: ExchangeParts, call: ReceivedCall, response: ServerResponse): Exchange {
-    const { budgets, turns, log, now } = parts;
+    const { turns, log, now } = parts;
     const { head, route } = call;
     const program = head.program ?? head.id;
-    const budgetedTurn: BudgetedTurn | undefined = head.tokenBudget === undefined
-        ? undefined
-        : { program, most: head.maxTokens, budget: head.tokenBudget };
     const startedAt = now();
+    const ended = new AbortController();
     let sends: Sends | undefined;
     let disconnected = false;
     let timedOut = false;
     const timer = setTimeout(() => {
         timedOut = true;
+        ended.abort();
         sends?.cancel("late");
     }, call.deadlineAt - startedAt);
 
@@ -86,72 +88,27 @@
     }
 
     async function serveTurn(): Promise<void> {
-        if (cannotFinishDuringOutage()) {
-            answerLocally(storeUnavailableAnswer(parts.storeOutageAge()));
-            return;
+        const preparation = await prepareTurn(parts, call, ended.signal);
+        if (preparation.kind === "prepared") {
+            await servePrepared(preparation);
         }
-        const retryDelay = isFirstTurn(head) ? checkAdmission() : undefined;
-        if (retryDelay !== undefined) {
-            answerLocally({ status: serviceUnavailable, reason: "the engines are full", retryAfter: retryDelay });
-            return;
+        else if (!disconnected) {
+            answerLocally(turnRefusalAnswer(preparation));
         }
-        const historyLookup = findHistory();
-        // Prevents an unhandled rejection while the reservation is pending; the await below handles the failure.
-        historyLookup.catch(() => undefined);
-        const reservation = await reserve();
-        let usedTokens = 0;
+    }
+
+    async function servePrepared({ reservation, history }: PreparedTurn): Promise<void> {
+        // If the call fails, the engine may have generated the maximum number of tokens.
+        let usedTokens = head.maxTokens;
         try {
-            const previous = await historyLookup;
-            const refusal = refusalAnswer(reservation, previous, parts.storeOutageAge());
-            if (refusal !== undefined) {
-                answerLocally(refusal);
-                return;
-            }
-            const history = previous as readonly Turn[];
-            // If the call fails from here on, the engine may have generated the maximum number of tokens.
-            usedTokens = head.maxTokens;
             const events = await serve({ ...call, body: bodyWithHistory(history) }, history);
             usedTokens = events * maxTokensPerEvent();
         }
         finally {
-            if (typeof reservation !== "string") {
-                reservation.settle(usedTokens);
-            }
+            reservation.settle(usedTokens);
         }
     }
 
-    /**
-     * While the store is unavailable, a program cannot start because no tokens are reserved for it yet. A turn of a running
-     * program may run if the store is expected to recover in time to keep the turn; its history and its tokens may be
-     * available in this process.
-     */
-    function cannotFinishDuringOutage(): boolean {
-        const outageAge = parts.storeOutageAge();
-        return route.retention !== undefined && outageAge > 0 &&
-            (head.previousTurn === undefined || !outageEndsWithin(call.deadlineAt - now(), outageAge));
-    }
-
-    /**
-     * Returns the retry delay in ms if a new program is refused because the engines are overloaded. Only first turns are
-     * checked: running programs free capacity when they finish.
-     */
-    function checkAdmission(): number | undefined {
-        const declaration = parts.declaration();
-        const service = serviceOf(call, declaration);
-        const estimate = parts.upstreams.estimate(service);
-        // The smallest target of all routes of the service, so that their programs are refused at the same load.
-        const targetLatencies =
-            declaration?.routes.filter(each => each.streamed && each.shares.some(share => share.service === service))
-                .map(each => each.targetLatency) ?? [];
-        return decideAdmission({ occupancy: estimate.occupancy(now()), excessLatency: estimate.excessLatency(now()),
-            baselineLatency: estimate.baselineLatency, targetLatency: Math.min(route.targetLatency, ...targetLatencies),
-            priority: route.priority }, Math.random);
-    }
-
-    async function findHistory(): Promise<History> {
-        return route.retention === undefined || head.previousTurn === undefined ? [] : turns.history(head.previousTurn);
-    }
-
     /** The body sent to the engine: all earlier inputs and outputs, followed by the new input. */
     function bodyWithHistory(history: readonly Turn[]): Buffer | undefined {
         return history.length === 0
@@ -159,10 +116,6 @@
             : Buffer.concat([...history.flatMap(({ input, output }) => [input, output]), call.body ?? Buffer.alloc(0)]);
     }
 
-    async function reserve(): Promise<ReservationResult> {
-        return budgetedTurn === undefined ? unlimitedReservation : budgets.reserve(budgetedTurn);
-    }
-
     /** The maximum over all services of the route, because any of them may have generated the events. */
     function maxTokensPerEvent(): number {
         const services = parts.declaration()?.services;
@@ -175,7 +128,7 @@
             return 0;
         }
         if (timedOut) {
-            answerLocally({ status: serviceUnavailable, reason: "no time was left", retryAfter: retryDelayMs });
+            answerLocally(refusalAnswer({ kind: "outOfTime" }));
             return 0;
         }
         const keepsTurn = history !== undefined && route.retention !== undefined;
@@ -212,8 +165,7 @@
                 if (!disconnected) {
                     answerLocally(result.sent
                         ? { status: gatewayTimeout, reason: "the time limit was reached" }
-                        : { status: serviceUnavailable, reason: "the time limit was reached",
-                            retryAfter: retryDelayMs });
+                        : refusalAnswer({ kind: "outOfTime" }));
                 }
                 return;
             case "failed":
@@ -250,18 +202,21 @@
             return;
         }
         answerLocally(failure === "notRun"
-            ? { status: serviceUnavailable, reason, retryAfter: retryDelayMs }
+            ? refusalAnswer({ kind: "upstreamsFull" }, reason)
             : { status: badGateway, reason });
     }
 
     function answerLocally(answer: LocalAnswer): void {
         log.warn("call.refused", { call: head.id, program: head.program, route: route.name, status: answer.status,
-            reason: answer.reason, ms: Math.round(now() - startedAt), begun: response.headersSent });
+            reason: answer.reason, ms: Math.round(now() - call.arrivedAt), begun: response.headersSent,
+            retryAfter: answer.retryAfter === undefined ? undefined : Math.round(answer.retryAfter),
+            timeLeft: Math.round(call.deadlineAt - now()) });
         writeLocalAnswer(response, head.id, answer);
     }
 
     function abandon(): void {
         disconnected = true;
+        ended.abort();
         sends?.cancel("left");
     }
 
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,10 +1,10 @@
-import { type ByteAccount, createByteBudget, createRouteTable, type Declaration, effectiveTimeout,
-    type RouteTable } from "@tamarackgauge/core/gateway";
+import { type ByteAccount, type CallHead, createByteBudget, createRouteTable, type Declaration, effectiveTimeout,
+    maxWait, type RouteTable } from "@tamarackgauge/core/gateway";
 import { decodeRequest } from "@tamarackgauge/platform";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type LocalAnswer, writeLocalAnswer } from "./callerAnswer.ts";
-import { type Exchange, type ExchangeParts, startExchange } from "./exchange.ts";
+import { type Exchange, type ExchangeParts, refusalAnswer, startExchange } from "./exchange.ts";
 
 /** HTTP server for callers. */
 export interface Frontend extends AsyncDisposable {
@@ -24,6 +24,8 @@
 export interface FrontendParts extends ExchangeParts {
     readonly host: string;
     readonly port: number;
+    /** Resolves when the declaration and upstreams are known, without which no call can be served. */
+    readonly initialized: Promise<void>;
     /** Milliseconds since the declaration was last known to be current. */
     readonly declarationAge: () => number;
 }
@@ -32,8 +34,11 @@
 const notFound = 404;
 const requestTimeout = 408;
 const payloadTooLarge = 413;
-const serviceUnavailable = 503;
-const retryDelayMs = 300;
+/**
+ * Patience assumed for the caller of a call that arrives before the declaration is known. It is the shortest patience
+ * that a route can have.
+ */
+const undeclaredPatienceMs = 2_000;
 /** Maximum size of a request head that Node.js parses. */
 const maxHeaderBytes = 65_536;
 /** An unknown path is refused with 404 only if the declaration was confirmed within this time. */
@@ -43,10 +48,6 @@
 /** How long a connection accepted before the shutdown may take to send its first request. */
 const firstRequestTimeoutMs = 1_000;
 
-/** Refuses a call that has not run and that another gateway can serve immediately. */
-const stoppingAnswer: LocalAnswer = { status: serviceUnavailable, reason: "the gateway is stopping", retryAfter: 0,
-    closeConnection: true };
-
 /** Starts listening for callers. */
 export async function createFrontend(parts: FrontendParts): Promise<Frontend> {
     const { now, log, metrics } = parts;
@@ -55,6 +56,7 @@
     let closing = false;
     let drainDeadline = Infinity;
     let active = 0;
+    let initialized = false;
     let notifyIdle: (() => void) | undefined;
     const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
     const server = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true }, (request, response) => {
@@ -118,6 +120,9 @@
         byteAccount: ByteAccount) {
         const head = decodeRequest(request.headers);
         const url = request.url ?? "/";
+        if (!initialized) {
+            await waitUntilInitialized(head);
+        }
         const route = routes?.find(request.headers.host ?? "", url);
         if (route === undefined || declaration === undefined) {
             writeLocalAnswer(response, head?.id, unknownRouteAnswer());
@@ -129,12 +134,12 @@
         }
         const endsAt = arrivedAt + effectiveTimeout(route, head.deadline);
         if (endsAt > drainDeadline) {
-            writeLocalAnswer(response, head.id, stoppingAnswer);
+            writeLocalAnswer(response, head.id, refusalAnswer({ kind: "stopping" }));
             return undefined;
         }
         const body = await readBody(request, { maxBytes: declaration.limits.bodyBytes, timeoutMs: endsAt - now(),
             account: byteAccount });
-        const refusal = typeof body === "string" ? bodyRefusals[body] : undefined;
+        const refusal = typeof body === "string" ? bodyRefusal(body) : undefined;
         if (refusal !== undefined) {
             // The rest of the body must not be parsed as another request.
             response.setHeader("connection", "close");
@@ -154,15 +159,23 @@
             route,
             body: hasBody ? body : undefined,
             byteAccount,
+            arrivedAt,
             deadlineAt: endsAt,
         }, response);
     }
 
+    /** In a gateway that has started while the store is away, calls wait as turns wait for the store. */
+    async function waitUntilInitialized(head: CallHead | undefined): Promise<void> {
+        const time = maxWait({ timeLeft: head?.deadline ?? Infinity, patience: undeclaredPatienceMs });
+        await Promise.race([parts.initialized.then(() => initialized = true), sleep(time, undefined, { ref: false })]);
+    }
+
     /** The answer is 404 only while the declaration is known to be current; otherwise the caller is told to retry. */
-    function unknownRouteAnswer() {
+    function unknownRouteAnswer(): LocalAnswer {
         return routes !== undefined && parts.declarationAge() < maxDeclarationAgeMs
             ? { status: notFound, reason: "no route takes this path" }
-            : { status: serviceUnavailable, reason: "the declaration is not known", retryAfter: retryDelayMs };
+            : refusalAnswer({ kind: "storeAway", isolated: parts.storeOutage.isIsolated() },
+                "the declaration is not known");
     }
 
     async function drain(deadline: number): Promise<void> {
@@ -209,12 +222,18 @@
 /** Why a body could not be read. `broken`: the caller has disconnected, so no answer is sent. */
 type BodyFailure = "tooLarge" | "tooSlow" | "noRoom" | "broken";
 
-const bodyRefusals: Readonly<Record<BodyFailure, LocalAnswer | undefined>> = {
-    tooLarge: { status: payloadTooLarge, reason: "the body is too large" },
-    tooSlow: { status: requestTimeout, reason: "the body did not arrive in time" },
-    noRoom: { status: serviceUnavailable, reason: "too many bodies are held", retryAfter: retryDelayMs },
-    broken: undefined,
-};
+function bodyRefusal(failure: BodyFailure): LocalAnswer | undefined {
+    switch (failure) {
+        case "tooLarge":
+            return { status: payloadTooLarge, reason: "the body is too large" };
+        case "tooSlow":
+            return { status: requestTimeout, reason: "the body did not arrive in time" };
+        case "noRoom":
+            return refusalAnswer({ kind: "memoryFull" });
+        case "broken":
+            return undefined;
+    }
+}
 
 interface BodyLimits {
     readonly maxBytes: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { createPeerStore } from "./peerStore.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
+import type { StoreOutage } from "./turnPreparation.ts";
 import { createTurns, turnTable } from "./turns.ts";
 import { createUpstreams } from "./upstreams.ts";
 import { watchTable } from "./watch.ts";
@@ -67,6 +68,10 @@
             seeds: settings.knownPeers, store, log, now });
     let declaration: Declaration | undefined;
     let upstreamsKnown = false;
+    let resolveInitialized: () => void;
+    const initialized = new Promise<void>(resolve => {
+        resolveInitialized = resolve;
+    });
     let stopping = false;
     const upstreams = createUpstreams({ declaration: () => declaration,
         gateways: () => peerList?.registered().length ?? 1, limits, now });
@@ -81,8 +86,10 @@
             now });
     const turns = createTurns({ store, maxRowBytes: settings.maxRowBytes, metrics, log, now });
     const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
+    const storeOutage: StoreOutage = { age: () => store.unavailableFor(), isIsolated: () => store.isIsolated(),
+        ended: (maxMs, signal) => store.whenReachable(maxMs, signal) };
     const frontend = await createFrontend({ ...settings.callerAddress, limits, upstreams,
-        declaration: () => declaration, budgets, turns, storeOutageAge: () => store.unavailableFor(), log, metrics, now,
+        declaration: () => declaration, budgets, turns, storeOutage, initialized, log, metrics, now,
         dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age() });
     const declarationWatch = watchTable({ store, log, now, ...declarationRow, onChange: applyDeclaration });
     const upstreamWatch = watchTable({ store, log, now, ...upstreamTable, onChange: applyUpstreamRows });
@@ -125,8 +132,11 @@
             return;
         }
         const entries = [...rows].flatMap(([id, row]) => decodeUpstream(id, row.value) ?? []);
-        upstreamsKnown = upstreamsKnown || entries.length > 0;
         upstreams.replace(entries);
+        if (entries.length > 0) {
+            upstreamsKnown = true;
+            resolveInitialized();
+        }
     }
 
     async function logSummary(): Promise<void> {
--- a/packages/gateway/src/peerStore.ts
+++ b/packages/gateway/src/peerStore.ts
@@ -8,6 +8,8 @@
     isUsable(): boolean;
     /** Whether a peer was able to reach the store at the last call. */
     reachesStore(): boolean;
+    /** Whether none of the peers that were asked lately answered at all. */
+    isUnreachable(): boolean;
 }
 
 /** Dependencies of a peer store. */
@@ -22,6 +24,8 @@
 const peerBackoffMs = 1_000;
 /** Time for which no peer is asked after no peer was able to reach the store. */
 const allPeersBackoffMs = 500;
+/** Number of peers in a row that must be unreachable before this gateway counts as cut off from all of them. */
+const minUnreachablePeers = 3;
 /** Additional time allowed for an answer through a peer. */
 const relayMarginMs = 100;
 
@@ -30,6 +34,8 @@
     const backoffUntil = new Map<string, number>();
     let allPeersBackoffUntil = -Infinity;
     let storeReached = false;
+    /** Peers that could not be reached since one of them last answered. */
+    const unreachablePeers = new Set<string>();
     let link: PeerLink | undefined;
 
     async function ask<const Call extends RelayedCall>(call: Call, timeout: number): Promise<PeerResult<Call["kind"]>> {
@@ -41,10 +47,14 @@
             try {
                 const result = await current.request(call, { timeout: timeout + relayMarginMs });
                 storeReached = true;
+                unreachablePeers.clear();
                 return result;
             }
             catch (error) {
                 const { failure } = error as StoreError;
+                if (failure !== "unknown") {
+                    unreachablePeers.clear();
+                }
                 if (failure !== "away") {
                     throw error;
                 }
@@ -71,6 +81,7 @@
             }
             catch {
                 // The peer has ended or is unreachable, so another one is tried.
+                unreachablePeers.add(keyOf(current.address));
                 backOff(current);
             }
         }
@@ -97,6 +108,7 @@
         feed: (table, after, wait) => ask({ kind: "feed", table, after, wait }, wait + relayMarginMs * 8),
         isUsable: () => now() >= allPeersBackoffUntil,
         reachesStore: () => storeReached,
+        isUnreachable: () => unreachablePeers.size >= minUnreachablePeers,
         async [Symbol.asyncDispose]() {
             link?.terminate();
         },
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -9,6 +9,10 @@
 export interface RoutedStore extends HedgeableStore, Disposable {
     /** Milliseconds for which the store has been reachable neither directly nor through a peer; 0 while it is. */
     unavailableFor(): number;
+    /** Whether the store cannot be reached, and no other gateway either. */
+    isIsolated(): boolean;
+    /** Resolves when the store can be reached again, after `maxMs`, or when the signal is aborted. */
+    whenReachable(maxMs: number, signal: AbortSignal): Promise<void>;
 }
 
 /** Dependencies of a routed store. */
@@ -28,7 +32,7 @@
 /** Number of probes that start immediately after a failed call. */
 const probesPerFailure = 2;
 /** Maximum number of concurrent probes. If the store is silent, each stays open until its timeout. */
-const maxPendingProbes = 4;
+const maxPendingProbes = 12;
 
 /**
  * Creates a store that is called directly while it answers, and otherwise through another gateway. A call fails
@@ -42,26 +46,48 @@
     let wayChangedAt = 0;
     /** Time of the next call that is allowed to an unavailable part. */
     const nextCallAtByPart = new Map<string, number>();
+    /** Called when the store can be reached again. */
+    const recoveryListeners = new Set<() => void>();
     let pendingProbes = 0;
     let probeTimer = scheduleProbe();
 
     function currentWay(): StoreWay | "none" {
         const way = !health.isUnavailable(now()) ? "direct" : peers.reachesStore() ? "peer" : "none";
         if (way !== lastWay) {
-            log.warn("store.way", { way, before: lastWay });
+            log.warn("store.way", { way, before: lastWay, after: Math.round(now() - wayChangedAt) });
             lastWay = way;
             wayChangedAt = now();
+            if (way !== "none") {
+                recoveryListeners.forEach(listener => listener());
+            }
         }
         return way;
     }
 
+    function whenReachable(maxMs: number, signal: AbortSignal): Promise<void> {
+        if (currentWay() !== "none" || signal.aborted) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const finish = () => {
+                clearTimeout(timer);
+                recoveryListeners.delete(finish);
+                signal.removeEventListener("abort", finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, maxMs);
+            recoveryListeners.add(finish);
+            signal.addEventListener("abort", finish);
+        });
+    }
+
     function scheduleProbe(): NodeJS.Timeout {
         return setTimeout(() => {
             probeTimer = scheduleProbe();
             if (currentWay() !== "direct" || health.isSuspected(now())) {
                 void probe();
             }
-        }, probeDelay(Math.random)).unref();
+        }, probeDelay(recoveryListeners.size > 0, Math.random)).unref();
     }
 
     async function probe(): Promise<void> {
@@ -81,6 +107,7 @@
         }
         finally {
             pendingProbes -= 1;
+            currentWay();
         }
     }
 
@@ -146,7 +173,7 @@
         if (now() < (nextCallAtByPart.get(part) ?? -Infinity)) {
             return false;
         }
-        nextCallAtByPart.set(part, now() + probeDelay(Math.random));
+        nextCallAtByPart.set(part, now() + probeDelay(false, Math.random));
         return true;
     }
 
@@ -158,6 +185,8 @@
                 store.feed(table, after, store === direct ? wait : Math.min(wait, maxRelayedFeedWaitMs))),
         hedgeDelay: () => latency.hedgeDelay(),
         unavailableFor: () => currentWay() === "none" ? now() - wayChangedAt : 0,
+        isIsolated: () => currentWay() === "none" && peers.isUnreachable(),
+        whenReachable,
         [Symbol.dispose]: () => clearTimeout(probeTimer),
     };
 }
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -22,6 +22,7 @@
     readonly body: Buffer | undefined;
     /** Accounts for the bytes that are buffered for the call. */
     readonly byteAccount: ByteAccount;
+    readonly arrivedAt: number;
     /** Time at which the answer must be complete. */
     readonly deadlineAt: number;
 }
--- /dev/null
+++ b/packages/gateway/src/turnPreparation.ts
@@ -0,0 +1,152 @@
+import { decideAdmission, isFirstTurn, maxWait, outageEndsWithin,
+    type RefusalCause } from "@tamarackgauge/core/gateway";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { BudgetedTurn, Budgets, ReservationResult, TokenReservation } from "./budgets.ts";
+import type { ReceivedCall } from "./sendPlan.ts";
+import { type SendParts, serviceOf } from "./sends.ts";
+import type { History, Turn, Turns } from "./turns.ts";
+
+/** What a turn needs from the store before it may run. */
+export interface PreparedTurn {
+    readonly kind: "prepared";
+    readonly reservation: TokenReservation;
+    readonly history: readonly Turn[];
+}
+
+/** Why a turn may not run. `left`: its caller has left or its time has ended while it waited. */
+export type TurnRefusal =
+    | { readonly kind: "refused"; readonly cause: RefusalCause; }
+    | { readonly kind: "noSuchTurn"; }
+    | { readonly kind: "budgetSpent"; }
+    | { readonly kind: "left"; };
+
+/** Parts that the preparation of turns needs. */
+export interface TurnPreparationParts extends SendParts {
+    readonly budgets: Budgets;
+    readonly turns: Turns;
+    readonly storeOutage: StoreOutage;
+}
+
+/** The state of the store as this gateway knows it. */
+export interface StoreOutage {
+    /** Milliseconds for which the store has been unreachable, directly and through peers; 0 while it can be reached. */
+    age(): number;
+    /** Whether no other gateway can be reached either. */
+    isIsolated(): boolean;
+    /** Resolves when the store can be reached again, after `maxMs`, or when the signal is aborted. */
+    ended(maxMs: number, signal: AbortSignal): Promise<void>;
+}
+
+/** Interval between two tries of a turn while the store answers, but not for the parts that hold its rows. */
+const partRetryIntervalMs = 150;
+
+/** Reservation of a turn that has no token budget. */
+const unlimitedReservation: TokenReservation = { settle: () => undefined };
+
+/**
+ * Reserves a turn's tokens and finds the turns before it. While the store does not answer, the turn waits for it, because
+ * its caller tries only a few times. The signal is aborted when the caller leaves or the call's time has ended.
+ */
+export async function prepareTurn(parts: TurnPreparationParts, call: ReceivedCall,
+    signal: AbortSignal): Promise<PreparedTurn | TurnRefusal> {
+    const { storeOutage, now } = parts;
+    const waitsUntil = call.arrivedAt +
+        maxWait({ timeLeft: call.deadlineAt - call.arrivedAt, patience: call.route.callerPatience });
+    for (;;) {
+        const result = cannotFinishDuringOutage(parts, call) ? "unavailable" : await tryToPrepare(parts, call);
+        if (result !== "unavailable") {
+            return result;
+        }
+        const waitLeft = waitsUntil - now();
+        const isolated = storeOutage.isIsolated();
+        if (waitLeft <= 0 || isolated) {
+            return { kind: "refused", cause: { kind: "storeAway", isolated } };
+        }
+        await waitForStore(storeOutage, waitLeft, signal);
+        if (signal.aborted) {
+            return { kind: "left" };
+        }
+    }
+}
+
+/** Waits at most `waitLeft` until the outage ends or, if only parts of the store are away, for a short while. */
+async function waitForStore(outage: StoreOutage, waitLeft: number, signal: AbortSignal): Promise<void> {
+    if (outage.age() > 0) {
+        await outage.ended(waitLeft, signal);
+        return;
+    }
+    // A rejection means that the signal was aborted, which the caller of this function checks.
+    await sleep(Math.min(waitLeft, partRetryIntervalMs), undefined, { signal }).catch(() => undefined);
+}
+
+/**
+ * While the store is unavailable, a program cannot start because no tokens are reserved for it yet. A turn of a running
+ * program may run if the store is expected to recover in time to keep the turn; its history and its tokens may be
+ * available in this process.
+ */
+function cannotFinishDuringOutage({ storeOutage, now }: TurnPreparationParts,
+    { head, route, deadlineAt }: ReceivedCall): boolean {
+    const outageAge = storeOutage.age();
+    return route.retention !== undefined && outageAge > 0 &&
+        (head.previousTurn === undefined || !outageEndsWithin(deadlineAt - now(), outageAge));
+}
+
+/** Prepares the turn with what the store answers now; `unavailable` if it does not answer. */
+async function tryToPrepare(parts: TurnPreparationParts,
+    call: ReceivedCall): Promise<PreparedTurn | TurnRefusal | "unavailable"> {
+    const overload = isFirstTurn(call.head) ? checkAdmission(parts, call) : undefined;
+    if (overload !== undefined) {
+        return { kind: "refused", cause: overload };
+    }
+    const historyLookup = findHistory(parts, call);
+    // Prevents an unhandled rejection while the reservation is pending; the await below handles the failure.
+    historyLookup.catch(() => undefined);
+    const reservation = await reserve(parts, call);
+    let history: History | undefined;
+    try {
+        history = await historyLookup;
+    }
+    finally {
+        if (typeof reservation !== "string" && !Array.isArray(history)) {
+            reservation.settle(0);
+        }
+    }
+    if (reservation === "unavailable" || history === "unavailable") {
+        return "unavailable";
+    }
+    if (history === "unknown") {
+        return { kind: "noSuchTurn" };
+    }
+    return reservation === "exhausted" ? { kind: "budgetSpent" } : { kind: "prepared", reservation, history };
+}
+
+/**
+ * Returns why a new program is refused if the engines are overloaded. Only first turns are checked: running programs
+ * free capacity when they finish.
+ */
+function checkAdmission(parts: TurnPreparationParts, call: ReceivedCall): RefusalCause | undefined {
+    const { route } = call;
+    const now = parts.now();
+    const declaration = parts.declaration();
+    const service = serviceOf(call, declaration);
+    const estimate = parts.upstreams.estimate(service);
+    // The smallest target of all routes of the service, so that their programs are refused at the same load.
+    const targetLatencies =
+        declaration?.routes.filter(each => each.streamed && each.shares.some(share => share.service === service))
+            .map(each => each.targetLatency) ?? [];
+    return decideAdmission({ occupancy: estimate.occupancy(now), excessLatency: estimate.excessLatency(now),
+        baselineLatency: estimate.baselineLatency, targetLatency: Math.min(route.targetLatency, ...targetLatencies),
+        priority: route.priority }, Math.random);
+}
+
+async function findHistory({ turns }: TurnPreparationParts, { head, route }: ReceivedCall): Promise<History> {
+    return route.retention === undefined || head.previousTurn === undefined ? [] : turns.history(head.previousTurn);
+}
+
+async function reserve({ budgets }: TurnPreparationParts, { head }: ReceivedCall): Promise<ReservationResult> {
+    if (head.tokenBudget === undefined) {
+        return unlimitedReservation;
+    }
+    const turn: BudgetedTurn = { program: head.program ?? head.id, most: head.maxTokens, budget: head.tokenBudget };
+    return budgets.reserve(turn);
+}
