--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -14,6 +14,8 @@
     readonly reason: string;
     /** Milliseconds after which the caller should retry. */
     readonly retryAfter?: number;
+    /** What the decision was based on, for the log. */
+    readonly details?: Readonly<Record<string, unknown>>;
     /** Closes the connection, so that the retry opens a new one and may reach another gateway. */
     readonly closeConnection?: boolean;
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -41,8 +41,9 @@
 
 /** The answer to a call that has not run and will not run. */
 export function refusalAnswer(cause: RefusalCause, reason = refusalReasons[cause.kind]): LocalAnswer {
+    const { kind, ...details } = cause;
     return { status: serviceUnavailable, reason, retryAfter: retryDelay(cause, Math.random),
-        closeConnection: causesToGoElsewhere.has(cause.kind) };
+        closeConnection: causesToGoElsewhere.has(kind), details };
 }
 
 function turnRefusalAnswer(refusal: TurnRefusal): LocalAnswer {
@@ -58,16 +59,26 @@
     }
 }
 
+/**
+ * How far a call has got. `preparing`: it waits for the store or for tokens. `sent`: an upstream works on it, or it waits
+ * for one. `keeping`: its turn is being stored. `answered`: its answer has ended, also if it is a refusal.
+ */
+type CallPhase = "preparing" | "sent" | "keeping" | "answered";
+
+function roundIfKnown(value: number | undefined): number | undefined {
+    return value === undefined ? undefined : Math.round(value);
+}
+
 /** Starts serving a call. */
 export function startExchange(parts: ExchangeParts, call: ReceivedCall, response: ServerResponse): Exchange {
     const { turns, log, now } = parts;
     const { head, route } = call;
-    const program = head.program ?? head.id;
     const startedAt = now();
     const ended = new AbortController();
     let sends: Sends | undefined;
     let disconnected = false;
     let timedOut = false;
+    let phase: CallPhase = "preparing";
     const timer = setTimeout(() => {
         timedOut = true;
         ended.abort();
@@ -140,43 +151,58 @@
             : undefined;
         sends = startSends(parts, { call: callToSend, priority, sink: relay,
             preferred: history?.[history.length - 1]?.upstream });
+        phase = "sent";
+        const sentAt = now();
         const result = await sends.result;
-        logAnswer(result);
-        await finish(result, relay, keepsTurn ? history : undefined);
+        phase = "keeping";
+        const receivedAt = now();
+        const delivered = await finish(result, relay, keepsTurn ? history : undefined);
+        if (delivered && "upstream" in result) {
+            log.info("call.answered", { ...callFields(), upstream: result.upstream,
+                preparedMs: Math.round(sentAt - call.arrivedAt), upstreamMs: Math.round(receivedAt - sentAt),
+                keptMs: Math.round(now() - receivedAt) });
+        }
         return relay?.events().length ?? 0;
     }
 
-    function logAnswer(result: SendResult): void {
-        if (result.kind === "answer" || result.kind === "streamed") {
-            log.info("call.answered", { call: head.id, program: head.program, route: route.name,
-                upstream: result.upstream, ms: Math.round(now() - startedAt) });
-        }
+    /** Fields of each log line about the call. `after` and `turn` tell which tries concern the same turn. */
+    function callFields() {
+        const elapsed = now() - call.arrivedAt;
+        return { call: head.id, program: head.program, route: route.name, after: head.previousTurn,
+            turn: route.streamed ? countPrecedingTurns(head, 0) : undefined, ms: Math.round(elapsed),
+            timeLeft: Math.round(call.deadlineAt - now()),
+            programLeft: head.programDeadline === undefined ? undefined : Math.round(head.programDeadline - elapsed) };
     }
 
-    async function finish(result: SendResult, relay: StreamRelay | undefined, history: readonly Turn[] | undefined) {
+    /** Ends the answer; returns whether it is that of an upstream and complete. */
+    async function finish(result: SendResult, relay: StreamRelay | undefined,
+        history: readonly Turn[] | undefined): Promise<boolean> {
         switch (result.kind) {
             case "streamed":
-                await finishStream(relay!, history, result.upstream);
-                return;
+                return finishStream(relay!, history, result.upstream);
             case "answer":
+                phase = "answered";
                 writeUpstreamAnswer(response, result.answer);
-                return;
+                return true;
             case "cancelled":
                 if (!disconnected) {
                     answerLocally(result.sent
                         ? { status: gatewayTimeout, reason: "the time limit was reached" }
                         : refusalAnswer({ kind: "outOfTime" }));
                 }
-                return;
+                return false;
             case "failed":
                 answerFailure(result);
+                return false;
         }
     }
 
-    async function finishStream(relay: StreamRelay, history: readonly Turn[] | undefined, upstream: string) {
+    async function finishStream(relay: StreamRelay, history: readonly Turn[] | undefined,
+        upstream: string): Promise<boolean> {
         if (history === undefined) {
+            phase = "answered";
             relay.finish();
-            return;
+            return true;
         }
         const output = Buffer.concat(relay.events().flatMap(({ data }) => [data, lineFeed]));
         const turn: NewTurn = { id: head.id, input: call.body ?? Buffer.alloc(0), output, upstream };
@@ -185,14 +211,18 @@
             // is sent.
             const timeLeft = call.deadlineAt - now();
             await withTimeout(timeLeft, turns.save(turn, history, route.retention!, timeLeft));
+            phase = "answered";
             relay.finish();
+            return true;
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
                 throw error;
             }
-            log.warn("turn.notKept", { call: head.id, program, reason: error.message });
+            log.warn("turn.notKept", { ...callFields(), reason: error.message });
+            phase = "answered";
             response.destroy();
+            return false;
         }
     }
 
@@ -207,15 +237,18 @@
     }
 
     function answerLocally(answer: LocalAnswer): void {
-        log.warn("call.refused", { call: head.id, program: head.program, route: route.name, status: answer.status,
-            reason: answer.reason, ms: Math.round(now() - call.arrivedAt), begun: response.headersSent,
-            retryAfter: answer.retryAfter === undefined ? undefined : Math.round(answer.retryAfter),
-            timeLeft: Math.round(call.deadlineAt - now()) });
+        log.warn("call.refused", { ...callFields(), status: answer.status, reason: answer.reason,
+            begun: response.headersSent, retryAfter: roundIfKnown(answer.retryAfter),
+            outageMs: Math.round(parts.storeOutage.age()), ...answer.details });
+        phase = "answered";
         writeLocalAnswer(response, head.id, answer);
     }
 
     function abandon(): void {
         disconnected = true;
+        if (phase !== "answered") {
+            log.warn("call.left", { ...callFields(), phase, begun: response.headersSent });
+        }
         ended.abort();
         sends?.cancel("left");
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -88,11 +88,12 @@
     const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
     const storeOutage: StoreOutage = { age: () => store.unavailableFor(), isIsolated: () => store.isIsolated(),
         ended: (maxMs, signal) => store.whenReachable(maxMs, signal) };
+    const pause = (maxMs: number) => store.pause(maxMs);
     const frontend = await createFrontend({ ...settings.callerAddress, limits, upstreams,
         declaration: () => declaration, budgets, turns, storeOutage, initialized, log, metrics, now,
         dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age() });
-    const declarationWatch = watchTable({ store, log, now, ...declarationRow, onChange: applyDeclaration });
-    const upstreamWatch = watchTable({ store, log, now, ...upstreamTable, onChange: applyUpstreamRows });
+    const declarationWatch = watchTable({ store, log, now, pause, ...declarationRow, onChange: applyDeclaration });
+    const upstreamWatch = watchTable({ store, log, now, pause, ...upstreamTable, onChange: applyUpstreamRows });
     const readiness = createServer((request, response) => {
         const path = (request.url ?? "").split("?")[0];
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -6,11 +6,19 @@
 /** Kinds of store calls. */
 export type StoreCallKind = "read" | "change" | "feed";
 
+/** A store call that has ended. `table` is `probe` for calls that only check whether the store answers. */
+export interface StoreCallRecord {
+    readonly kind: StoreCallKind;
+    readonly table: string;
+    readonly way: StoreWay;
+    readonly outcome: "answered" | "failed";
+}
+
 /** Metrics of one gateway. */
 export interface Metrics {
     /** Records the end of a caller's call; `status` is 0 if there was no answer. */
     recordCall(route: string, status: number, ms: number): void;
-    recordStoreCall(kind: StoreCallKind, way: StoreWay, outcome: "answered" | "failed"): void;
+    recordStoreCall(call: StoreCallRecord): void;
     /** Records the end of one attempt at an upstream. */
     recordSend(service: string, outcome: string): void;
     /** Records whether a previous turn was found in memory or had to be read from the store. */
@@ -35,7 +43,7 @@
         help: "Time from a call's arrival to the end of its answer", labelNames: ["route"], buckets: latencyBucketsMs,
         registers });
     const storeCalls = new Counter({ name: "tamarackgauge_store_calls_total", help: "Calls of the store",
-        labelNames: ["kind", "way", "outcome"], registers });
+        labelNames: ["kind", "way", "outcome", "table"], registers });
     const sends = new Counter({ name: "tamarackgauge_sends_total", help: "Sends to upstreams that have ended",
         labelNames: ["service", "outcome"], registers });
     const turnLookups = new Counter({ name: "tamarackgauge_previous_turns_total",
@@ -50,7 +58,7 @@
             calls.inc({ status: String(status) });
             duration.observe({ route }, ms);
         },
-        recordStoreCall: (kind, way, outcome) => storeCalls.inc({ kind, way, outcome }),
+        recordStoreCall: ({ kind, way, outcome, table }) => storeCalls.inc({ kind, way, outcome, table }),
         recordSend: (service, outcome) => sends.inc({ service, outcome }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
--- a/packages/gateway/src/routedStore.ts
+++ b/packages/gateway/src/routedStore.ts
@@ -11,6 +11,8 @@
     unavailableFor(): number;
     /** Whether the store cannot be reached, and no other gateway either. */
     isIsolated(): boolean;
+    /** Resolves after `maxMs`, or earlier if an outage ends meanwhile. For retries that no caller waits for. */
+    pause(maxMs: number): Promise<void>;
     /** Resolves when the store can be reached again, after `maxMs`, or when the signal is aborted. */
     whenReachable(maxMs: number, signal: AbortSignal): Promise<void>;
 }
@@ -27,8 +29,19 @@
     readonly probeRange: () => RowRange;
 }
 
+/** What a store call concerns. */
+interface CallTarget {
+    readonly kind: StoreCallKind;
+    readonly table: string;
+    readonly part: string;
+}
+
+/** Stands for the table in the metrics of probes. */
+const probeLabel = "probe";
 /** Timeout of a probe. Further probes do not wait for it. */
 const probeTimeoutMs = 900;
+/** While a call that started this recently was answered, a failure concerns a single part, and no probe is needed. */
+const recentAnswerMs = 100;
 /** Number of probes that start immediately after a failed call. */
 const probesPerFailure = 2;
 /** Maximum number of concurrent probes. If the store is silent, each stays open until its timeout. */
@@ -48,6 +61,10 @@
     const nextCallAtByPart = new Map<string, number>();
     /** Called when the store can be reached again. */
     const recoveryListeners = new Set<() => void>();
+    /** Callers' calls that wait for the end of an outage. */
+    let waitingCalls = 0;
+    /** Start time of the last call that the store answered directly. */
+    let lastAnsweredStart = -Infinity;
     let pendingProbes = 0;
     let probeTimer = scheduleProbe();
 
@@ -64,30 +81,37 @@
         return way;
     }
 
-    function whenReachable(maxMs: number, signal: AbortSignal): Promise<void> {
-        if (currentWay() !== "none" || signal.aborted) {
-            return Promise.resolve();
-        }
+    function pause(maxMs: number, signal?: AbortSignal): Promise<void> {
         return new Promise(resolve => {
             const finish = () => {
                 clearTimeout(timer);
                 recoveryListeners.delete(finish);
-                signal.removeEventListener("abort", finish);
+                signal?.removeEventListener("abort", finish);
                 resolve();
             };
             const timer = setTimeout(finish, maxMs);
             recoveryListeners.add(finish);
-            signal.addEventListener("abort", finish);
+            signal?.addEventListener("abort", finish);
         });
     }
 
+    async function whenReachable(maxMs: number, signal: AbortSignal): Promise<void> {
+        if (currentWay() !== "none" || signal.aborted) {
+            return;
+        }
+        waitingCalls += 1;
+        await pause(maxMs, signal);
+        waitingCalls -= 1;
+    }
+
     function scheduleProbe(): NodeJS.Timeout {
         return setTimeout(() => {
             probeTimer = scheduleProbe();
-            if (currentWay() !== "direct" || health.isSuspected(now())) {
+            const answeredRecently = now() - lastAnsweredStart < recentAnswerMs;
+            if (currentWay() !== "direct" || (health.isSuspected(now()) && !answeredRecently)) {
                 void probe();
             }
-        }, probeDelay(recoveryListeners.size > 0, Math.random)).unref();
+        }, probeDelay(waitingCalls > 0, Math.random)).unref();
     }
 
     async function probe(): Promise<void> {
@@ -97,7 +121,8 @@
         pendingProbes += 1;
         const range = probeRange();
         try {
-            await observe("read", range.part, () => direct.read(range, { timeout: probeTimeoutMs }));
+            await observe({ kind: "read", table: probeLabel, part: range.part }, () =>
+                direct.read(range, { timeout: probeTimeoutMs }));
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
@@ -111,14 +136,15 @@
         }
     }
 
-    async function observe<Value>(kind: StoreCallKind, part: string, call: () => Promise<Value>): Promise<Value> {
+    async function observe<Value>(target: CallTarget, call: () => Promise<Value>): Promise<Value> {
         const startedAt = now();
-        const observation = health.begin(startedAt, part, kind === "feed");
+        const observation = health.begin(startedAt, target.part, target.kind === "feed");
         try {
-            const value = await countOutcome(kind, "direct", call());
-            if (kind !== "feed") {
+            const value = await countOutcome(target, "direct", call());
+            if (target.kind !== "feed") {
                 latency.record(now() - startedAt);
             }
+            lastAnsweredStart = Math.max(lastAnsweredStart, startedAt);
             observation.answered();
             return value;
         }
@@ -128,43 +154,51 @@
         }
     }
 
-    async function countOutcome<Value>(kind: StoreCallKind, way: StoreWay, call: Promise<Value>): Promise<Value> {
+    async function countOutcome<Value>({ kind, table }: CallTarget, way: StoreWay, call: Promise<Value>) {
         try {
             const value = await call;
-            metrics.recordStoreCall(kind, way, "answered");
+            metrics.recordStoreCall({ kind, table, way, outcome: "answered" });
             return value;
         }
         catch (error) {
-            metrics.recordStoreCall(kind, way, "failed");
+            metrics.recordStoreCall({ kind, table, way, outcome: "failed" });
             throw error;
         }
     }
 
-    async function route<Value>(kind: StoreCallKind, part: string, call: (store: Store) => Promise<Value>) {
+    async function route<Value>(target: CallTarget, call: (store: Store) => Promise<Value>) {
         if (currentWay() === "direct") {
-            return callDirectly(kind, part, call);
+            return callDirectly(target, call);
         }
         if (!peers.isUsable()) {
             throw new StoreError("away", "the store does not answer");
         }
-        return countOutcome(kind, "peer", call(peers));
+        return countOutcome(target, "peer", call(peers));
     }
 
-    async function callDirectly<Value>(kind: StoreCallKind, part: string, call: (store: Store) => Promise<Value>) {
-        if (!mayCallPart(part)) {
+    async function callDirectly<Value>(target: CallTarget, call: (store: Store) => Promise<Value>) {
+        if (!mayCallPart(target.part)) {
             throw new StoreError("away", "this part of the store does not answer");
         }
         try {
-            return await observe(kind, part, () => call(direct));
+            return await observe(target, () => call(direct));
         }
         catch (error) {
-            for (let started = 0; started < probesPerFailure; started += 1) {
-                void probe();
-            }
+            probeAfterFailure();
             throw error;
         }
     }
 
+    /** Other parts need no probes if one of them has just answered. */
+    function probeAfterFailure(): void {
+        if (now() - lastAnsweredStart < recentAnswerMs) {
+            return;
+        }
+        for (let started = 0; started < probesPerFailure; started += 1) {
+            void probe();
+        }
+    }
+
     /** Whether a part may be called. While it is unavailable, single calls are let through to probe it. */
     function mayCallPart(part: string): boolean {
         if (!health.isPartUnavailable(part, now())) {
@@ -178,15 +212,16 @@
     }
 
     return {
-        read: (range, options) => route("read", range.part, store => store.read(range, options)),
-        change: (change, options) => route("change", partOf(change), store => store.change(change, options)),
+        read: (range, options) => route({ kind: "read", ...range }, store => store.read(range, options)),
+        change: (change, options) => route(targetOf(change), store => store.change(change, options)),
         feed: (table, after, wait) =>
-            route("feed", "", store =>
+            route({ kind: "feed", table, part: "" }, store =>
                 store.feed(table, after, store === direct ? wait : Math.min(wait, maxRelayedFeedWaitMs))),
         hedgeDelay: () => latency.hedgeDelay(),
         unavailableFor: () => currentWay() === "none" ? now() - wayChangedAt : 0,
         isIsolated: () => currentWay() === "none" && peers.isUnreachable(),
         whenReachable,
+        pause: maxMs => pause(maxMs),
         [Symbol.dispose]: () => clearTimeout(probeTimer),
     };
 }
@@ -196,7 +231,8 @@
  */
 const maxRelayedFeedWaitMs = 500;
 
-/** Returns the part of a change; all its rows belong to the same part. */
-function partOf({ conditions, puts, removals }: StoreChange): string {
-    return (puts?.[0] ?? conditions?.[0] ?? removals?.[0])?.part ?? "";
+/** Returns what a change concerns; all its rows belong to the same part. */
+function targetOf({ conditions, puts, removals }: StoreChange): CallTarget {
+    const { table, part } = puts?.[0] ?? conditions?.[0] ?? removals?.[0] ?? { table: "", part: "" };
+    return { kind: "change", table, part };
 }
--- a/packages/gateway/src/watch.ts
+++ b/packages/gateway/src/watch.ts
@@ -15,6 +15,8 @@
     readonly part: string;
     readonly log: Log;
     readonly now: () => number;
+    /** Waits before a retry: resolves after `maxMs`, or earlier if an outage of the store ends. */
+    readonly pause?: (maxMs: number) => Promise<void>;
     /** Called with all rows after the first read and after each change. */
     readonly onChange: (rows: ReadonlyMap<string, StoreRow>) => void;
 }
@@ -26,7 +28,7 @@
 const maxRetryDelayMs = 400;
 
 /** Starts to watch a part of a table. */
-export function watchTable({ store, table, part, log, now, onChange }: TableWatchParts): TableWatch {
+export function watchTable({ store, table, part, log, now, pause = sleep, onChange }: TableWatchParts): TableWatch {
     let rows = new Map<string, StoreRow>();
     let version: number | undefined;
     let newestVersion = 0;
@@ -42,7 +44,7 @@
             }
             catch (error) {
                 logFailure(error);
-                await sleep(retryDelayMs);
+                await pause(retryDelayMs);
                 retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
             }
         }
