--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,5 +1,6 @@
 import { benchCommands, replayCommand } from "@tamarackgauge/bench";
 import { createGatewayCommands } from "@tamarackgauge/gateway";
+import { lossesCommand } from "@tamarackgauge/losses";
 import { createOperatorCommands, exitCodes, type Terminal } from "@tamarackgauge/operator";
 import { standinCommands } from "@tamarackgauge/standin";
 import { timelineCommand } from "@tamarackgauge/timeline";
@@ -15,6 +16,7 @@
             daemon: createDaemonCommand(terminal, runDaemon),
             ...createGatewayCommands(terminal),
             ...createOperatorCommands(terminal),
+            losses: lossesCommand,
             timeline: timelineCommand,
             standin: standinCommands,
             bench: benchCommands,
--- a/packages/gateway/src/commands.ts
+++ b/packages/gateway/src/commands.ts
@@ -2,7 +2,8 @@
 import { parseSettings, problemText, SettingsError } from "@tamarackgauge/platform";
 import { array, command, multioption, positional, string } from "cmd-ts";
 import { readFileSync } from "node:fs";
-import { explainCall, parseLogLines, renderLogLine } from "./explain.ts";
+import { explainCall } from "./explain.ts";
+import { parseLogLines, renderLogLine } from "./logLine.ts";
 import { runGateway } from "./run.ts";
 
 const standardInput = 0;
--- a/packages/gateway/test/explain.test.ts
+++ b/packages/gateway/test/explain.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { explainCall, parseLogLines } from "../src/explain.ts";
+import { explainCall } from "../src/explain.ts";
+import { parseLogLines } from "../src/logLine.ts";
 
 const line = (time: number, vm: string, event: string, fields: object) =>
     JSON.stringify({ level: 30, time, vm, event, ...fields });
--- /dev/null
+++ b/packages/losses/src/index.ts
@@ -0,0 +1,1 @@
+export { lossesCommand } from "./command.ts";
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./command.ts";
+export * from "./escape.ts";
 export * from "./event.ts";
 export * from "./golden.ts";
 export * from "./html.ts";
