--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -81,14 +81,15 @@
 
 /**
  * While the store is unavailable, a program cannot start because no tokens are reserved for it yet. A turn of a running
- * program may run if the store is expected to recover in time to keep the turn; its history and its tokens may be
- * available in this process.
+ * program may run if the store is expected to recover while its caller still waits for the last event; its history and
+ * its tokens may be available in this process.
  */
 function cannotFinishDuringOutage({ storeOutage, now }: TurnPreparationParts,
     { head, route, deadlineAt }: ReceivedCall): boolean {
     const outageAge = storeOutage.age();
+    const time = Math.min(deadlineAt - now(), route.callerPatience);
     return route.retention !== undefined && outageAge > 0 &&
-        (head.previousTurn === undefined || !outageEndsWithin(deadlineAt - now(), outageAge));
+        (head.previousTurn === undefined || !outageEndsWithin(time, outageAge));
 }
 
 /** Prepares the turn with what the store answers now; `unavailable` if it does not answer. */
