--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,12 +1,13 @@
 import { type ByteAccount, type CallHead, createByteBudget, createRouteTable, type Declaration, effectiveTimeout,
     maxWait, type RouteTable } from "@tamarackgauge/core/gateway";
 import { decodeRequest } from "@tamarackgauge/platform";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type LocalAnswer, writeLocalAnswer } from "./callerAnswer.ts";
+import type { CallerServer } from "./callerServer.ts";
 import { type Exchange, type ExchangeParts, refusalAnswer, startExchange } from "./exchange.ts";
 
-/** HTTP server for callers. */
+/** Serves the requests of callers. */
 export interface Frontend extends AsyncDisposable {
     /** Applies the routes and limits of a newer declaration. */
     setDeclaration(declaration: Declaration): void;
@@ -22,8 +23,7 @@
 
 /** Parts of the frontend. */
 export interface FrontendParts extends ExchangeParts {
-    readonly host: string;
-    readonly port: number;
+    readonly callerServer: CallerServer;
     /** Resolves when the declaration and upstreams are known, without which no call can be served. */
     readonly initialized: Promise<void>;
     /** Milliseconds since the declaration was last known to be current. */
@@ -39,8 +39,6 @@
  * that a route can have.
  */
 const undeclaredPatienceMs = 2_000;
-/** Maximum size of a request head that Node.js parses. */
-const maxHeaderBytes = 65_536;
 /** An unknown path is refused with 404 only if the declaration was confirmed within this time. */
 const maxDeclarationAgeMs = 4_500;
 /** A caller that has not read its whole answer this long after the end of the call is disconnected. */
@@ -48,8 +46,8 @@
 /** How long a connection accepted before the shutdown may take to send its first request. */
 const firstRequestTimeoutMs = 1_000;
 
-/** Starts listening for callers. */
-export async function createFrontend(parts: FrontendParts): Promise<Frontend> {
+/** Starts serving callers. */
+export function createFrontend(parts: FrontendParts): Frontend {
     const { now, log, metrics } = parts;
     let routes: RouteTable | undefined;
     let declaration: Declaration | undefined;
@@ -59,9 +57,7 @@
     let initialized = false;
     let notifyIdle: (() => void) | undefined;
     const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
-    const server = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true }, (request, response) => {
-        void serve(request, response);
-    });
+    const { server } = parts.callerServer;
     server.on("clientError", (error: Error & { code?: string; }, socket) => {
         if (socket.writable && error.code !== "ECONNRESET") {
             socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
@@ -70,7 +66,7 @@
             socket.destroy();
         }
     });
-    await listen(server, parts.host, parts.port);
+    parts.callerServer.setListener((request, response) => void serve(request, response));
 
     function setDeclaration(next: Declaration): void {
         declaration = next;
@@ -274,14 +270,3 @@
         }
     });
 }
-
-/** Resolves when the server listens on the address. */
-export function listen(server: Server, host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host, port, backlog: 1024 }, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,8 +7,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
+import { type CallerServer, listen, openCallerServer } from "./callerServer.ts";
 import { createCleaner } from "./cleaner.ts";
-import { createFrontend, listen } from "./front.ts";
+import { createFrontend } from "./front.ts";
 import type { MemoryLimits } from "./limits.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
@@ -37,6 +38,8 @@
     readonly limits: MemoryLimits;
     /** Direct connection to the store, not through a peer. */
     readonly store: Store;
+    /** The server for callers if it already listens. */
+    readonly callerServer?: CallerServer;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -57,7 +60,9 @@
 }
 
 /** Starts a gateway. Any gateway can serve any call, because all durable state is in the store. */
-export async function createGateway({ settings, limits, store: direct, log, now }: GatewayParts): Promise<Gateway> {
+export async function createGateway(parts: GatewayParts): Promise<Gateway> {
+    const { settings, limits, store: direct, log, now } = parts;
+    const callerServer = parts.callerServer ?? await openCallerServer(settings.callerAddress);
     const health = createStoreHealth();
     const metrics = createMetrics();
     const peerStore = createPeerStore({ peers: () => peerList?.addresses() ?? [], now });
@@ -80,25 +85,25 @@
         peers: () => peerList?.registered() ?? [], contacts, metrics, log });
     const ownBudgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
         recallFrom: budgets.recallFrom, log, now });
-    const peerServer = settings.peerAddress === undefined
-        ? undefined
-        : await createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log,
-            now });
     const turns = createTurns({ store, maxRowBytes: settings.maxRowBytes, metrics, log, now });
     const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
     const storeOutage: StoreOutage = { age: () => store.unavailableFor(), isIsolated: () => store.isIsolated(),
         ended: (maxMs, signal) => store.whenReachable(maxMs, signal) };
     const pause = (maxMs: number) => store.pause(maxMs);
-    const frontend = await createFrontend({ ...settings.callerAddress, limits, upstreams,
-        declaration: () => declaration, budgets, turns, storeOutage, initialized, log, metrics, now,
-        dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age() });
+    const frontend = createFrontend({ callerServer, limits, upstreams, declaration: () => declaration, budgets, turns,
+        storeOutage, initialized, log, metrics, now, dataCentre: settings.dataCentre,
+        declarationAge: () => declarationWatch.age() });
     const declarationWatch = watchTable({ store, log, now, pause, ...declarationRow, onChange: applyDeclaration });
     const upstreamWatch = watchTable({ store, log, now, pause, ...upstreamTable, onChange: applyUpstreamRows });
+    const peerServer = settings.peerAddress === undefined
+        ? undefined
+        : await createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log,
+            now });
     const readiness = createServer((request, response) => {
         const path = (request.url ?? "").split("?")[0];
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
-    await listen(readiness, settings.readinessAddress.host, settings.readinessAddress.port);
+    await listen(readiness, settings.readinessAddress);
     const metricsServer = settings.metricsAddress === undefined
         ? undefined
         : await serveMetrics(settings.metricsAddress, metrics);
@@ -186,12 +191,12 @@
     };
 }
 
-async function serveMetrics({ host, port }: SocketAddress, metrics: Metrics): Promise<Server> {
+async function serveMetrics(address: SocketAddress, metrics: Metrics): Promise<Server> {
     const server = createServer((_, response) => {
         void metrics.text().then(text =>
             response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text)
         );
     });
-    await listen(server, host, port);
+    await listen(server, address);
     return server;
 }
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -1,19 +1,25 @@
 import { createStore, loadSettings, problemText, SettingsError } from "@tamarackgauge/platform";
+import type { CallerServer } from "./callerServer.ts";
 import { createGateway, type Gateway } from "./gateway.ts";
 import { loadLimits } from "./limits.ts";
 import { createLineBuffer, createLog, type Log } from "./log.ts";
+import { listenForSignals, type Signals } from "./signals.ts";
 
 const exitSuccess = 0;
 const exitInvalidSettings = 2;
 
+/** What a process has set up before this module is loaded. */
+export interface EarlyStart {
+    readonly signals: Signals;
+    /** The server for callers if it already listens. */
+    readonly callerServer: CallerServer | undefined;
+}
+
 /** Runs a gateway with the platform's settings until SIGTERM; returns the exit code. */
-export async function runGateway(environment: NodeJS.ProcessEnv): Promise<number> {
+export async function runGateway(environment: NodeJS.ProcessEnv,
+    { signals, callerServer }: EarlyStart = { signals: listenForSignals(), callerServer: undefined }): Promise<number> {
     const now = () => performance.now();
     const output = createLineBuffer(process.stdout);
-    // Listeners are added first: without one, a signal that arrives while the settings are read would end the process.
-    let onHangUp: () => void = () => undefined;
-    process.on("SIGHUP", () => onHangUp());
-    const terminated = new Promise(resolve => process.once("SIGTERM", resolve));
     try {
         const settings = loadSettings(environment);
         const log = createLog(settings.name, output.write, now);
@@ -22,10 +28,11 @@
         process.on("unhandledRejection", logFault);
         process.on("uncaughtException", logFault);
         const store = createStore(settings.storeAddress);
-        const gatewayStart = createGateway({ settings, limits: loadLimits(environment), store, log, now });
-        onHangUp = () => void gatewayStart.then(gateway => reload(gateway, environment, log));
+        const gatewayStart = createGateway({ settings, limits: loadLimits(environment), store, callerServer, log,
+            now });
+        signals.setHangUpListener(() => void gatewayStart.then(gateway => reload(gateway, environment, log)));
         const gateway = await gatewayStart;
-        await terminated;
+        await signals.terminated;
         await gateway.shutDown();
         return exitSuccess;
     }
