--- a/packages/gateway/test/callerServer.test.ts
+++ b/packages/gateway/test/callerServer.test.ts
@@ -6,7 +6,8 @@
 
 test("requests that arrive before they can be handled are answered later (guards against callers refused while a process loads)", async () => {
     const address = await freeAddress();
-    const { server, setListener } = await openCallerServer(address);
+    const callerServer = await openCallerServer(address);
+    const { server } = callerServer;
     const statuses = Array.from({ length: 3 }, () =>
         new Promise(resolve => {
             request({ ...address, agent: false }, response => {
@@ -15,7 +16,7 @@
             }).end();
         }));
     await new Promise(resolve => server.once("request", resolve));
-    setListener((_, response) => response.writeHead(204).end());
+    callerServer.setListener((_, response) => response.writeHead(204).end());
     assert.deepEqual(await Promise.all(statuses), [204, 204, 204]);
     server.closeAllConnections();
     server.close();
