--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -72,7 +72,7 @@
             unexpectedExits.push(`${member.name} ended with ${code} after SIGTERM`);
         }
         await member.process[Symbol.asyncDispose]();
-        member.process = await startProcessAt(member.storeEndpoint, member.settings, member.name);
+        member.process = await startProcessAt(member.storeEndpoint, member.settings, { name: member.name });
         watchForExit(member);
         member.exitExpected = false;
     }
@@ -154,7 +154,7 @@
 async function startMember(fleet: Fleet, name: string): Promise<GatewayMember> {
     const storeEndpoint = await fleet.rowStore.open();
     const settings = await chooseAddresses();
-    const process = await startProcessAt(storeEndpoint, settings, name);
+    const process = await startProcessAt(storeEndpoint, settings, { name });
     return { name, storeEndpoint, settings, process, undisturbedSince: performance.now(), exitExpected: false,
         lastChange: Promise.resolve() };
 }
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -54,10 +54,17 @@
     return mkdtemp(join(tmpdir(), "tamarackgauge-"));
 }
 
-/** Starts a process. Its settings file must be in its own folder, which is deleted with the process. */
-export function spawnProcess(settingsFile: string, settings: GatewayAddresses): GatewayProcess {
-    const child = spawn(process.execPath, ["--import", "tsx", mainFile], { cwd: repositoryRoot,
-        stdio: ["ignore", "pipe", "inherit"], env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: settingsFile } });
+/** Arguments of Node.js that run the sources. */
+const sourceProgram = ["--import", "tsx", mainFile];
+
+/**
+ * Starts a process. Its settings file must be in its own folder, which is deleted with the process. `program` has the
+ * arguments of Node.js.
+ */
+export function spawnProcess(settingsFile: string, settings: GatewayAddresses,
+    program: readonly string[] = sourceProgram): GatewayProcess {
+    const child = spawn(process.execPath, program, { cwd: repositoryRoot, stdio: ["ignore", "pipe", "inherit"],
+        env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: settingsFile } });
     let output = "";
     child.stdout.on("data", (chunk: Buffer) => {
         output += chunk.toString();
@@ -78,16 +85,16 @@
 }
 
 /** Starts a process and waits until it is ready. */
-export async function startProcess(fleet: Fleet): Promise<GatewayProcess> {
-    return startProcessAt(await fleet.rowStore.open(), await chooseAddresses());
+export async function startProcess(fleet: Fleet, program?: readonly string[]): Promise<GatewayProcess> {
+    return startProcessAt(await fleet.rowStore.open(), await chooseAddresses(), { program });
 }
 
 /** Starts a process at given addresses and waits until it is ready. */
 export async function startProcessAt(storeEndpoint: RowStoreListener, addresses: GatewayAddresses,
-    name?: string): Promise<GatewayProcess> {
+    { name, program }: { name?: string; program?: readonly string[]; } = {}): Promise<GatewayProcess> {
     const settingsFile = join(await createSettingsFolder(), "settings.conf");
     await writeFile(settingsFile, settingsText(storeEndpoint, addresses, name));
-    const gateway = spawnProcess(settingsFile, addresses);
+    const gateway = spawnProcess(settingsFile, addresses, program);
     await waitUntil(async () => await fetchReadinessStatus(addresses.readinessAddress.port) === 200,
         "the process is ready");
     return gateway;
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -1,12 +1,15 @@
-// Builds the gateway into target/, so that it starts without resolving modules in node_modules: gateway.cjs listens for
+// Builds the gateway into target/, or into the folder given as argument, so that it starts without resolving modules in node_modules: gateway.cjs listens for
 // callers and then loads the rest, gatewayProgram.cjs. The modules of libraries that the gateway does not use are left
 // out, as loading them takes most of the start.
 import { build } from "esbuild";
 
+const outFolder = process.argv[2] ?? "target";
 const programFile = "./gatewayProgram.cjs";
 
-/** The modules of undici that the gateway uses; its main module loads all others too. */
-const usedUndici = `module.exports = {
+/** The modules of undici that the gateway uses; its main module loads all others too, and adds `request` to dispatchers. */
+const usedUndici = `
+require("undici/lib/dispatcher/dispatcher.js").prototype.request = require("undici/lib/api/api-request.js");
+module.exports = {
     Agent: require("undici/lib/dispatcher/agent.js"),
     Client: require("undici/lib/dispatcher/client.js"),
     buildConnector: require("undici/lib/core/connect.js"),
@@ -48,8 +51,8 @@
 };
 
 await Promise.all([
-    build({ ...options, entryPoints: ["packages/gateway/src/main.ts"], outfile: "target/gateway.cjs",
+    build({ ...options, entryPoints: ["packages/gateway/src/main.ts"], outfile: `${outFolder}/gateway.cjs`,
         plugins: [loadProgramSeparately] }),
-    build({ ...options, entryPoints: ["packages/gateway/src/run.ts"], outfile: "target/gatewayProgram.cjs",
+    build({ ...options, entryPoints: ["packages/gateway/src/run.ts"], outfile: `${outFolder}/gatewayProgram.cjs`,
         plugins: [leaveOutUnused] }),
 ]);
