--- a/review/1/case.jsx
+++ b/review/1/case.jsx
@@ -59,6 +59,7 @@
                 return;
             }
             if (running + waiting.length >= slots + queue) {
+                record(`${id} refuses ${callId} as not run`);
                 answer(callId, refusal(callId, "503 Service Unavailable"), true);
                 return;
             }
--- a/review/lib/deployment.jsx
+++ b/review/lib/deployment.jsx
@@ -210,6 +210,9 @@
  * rejects if the connection ends without an answer's head.
  */
 export function send({ port, path, method, headers = {}, body, agent = false }) {
+    if (headers["X-Request-Id"] !== undefined) {
+        record(`client: sends ${headers["X-Request-Id"]} (${path}) to 127.0.0.1:${port}`);
+    }
     return new Promise((resolve, reject) => {
         const outgoing = request({ host: "127.0.0.1", port, path, agent, headers,
             method: method ?? (body === undefined ? "GET" : "POST") }, response => {
