--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
-#!/usr/bin/env bash
-set -uo pipefail
+#!/bin/sh
+set -u
 . "$(dirname "$0")/../lib/run.sh"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
-#!/usr/bin/env bash
+#!/bin/sh
 # Builds the stand-ins and clients that the scripts start, into target/review. Run it after the build of the deploy file.
-set -euo pipefail
+set -eu
 cd "$(dirname "$0")/.."
 for source in review/*/case.jsx; do
     number="$(basename "$(dirname "$source")")"
