Turns: rows and their removal in modules of their own

turns.ts held the access to turns, the format of their rows and the removal of expired rows. The format is now in turnRow.ts, the removal in turnRemoval.ts.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,7 +7,8 @@
 import { type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
 import { type PreparedTurn, prepareTurn, type TurnPreparationParts, type TurnRefusal } from "./turnPreparation.ts";
-import type { NewTurn, Turn } from "./turns.ts";
+import type { Turn } from "./turnRow.ts";
+import type { NewTurn } from "./turns.ts";
 
 /** Parts that all exchanges share. */
 export type ExchangeParts = TurnPreparationParts;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,8 @@
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
 import type { StoreOutage } from "./turnPreparation.ts";
-import { createTurns, turnTable } from "./turns.ts";
+import { turnTable } from "./turnRow.ts";
+import { createTurns } from "./turns.ts";
 import { createUpstreams } from "./upstreams.ts";
 import { watchTable } from "./watch.ts";
 
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -4,7 +4,8 @@
 import type { BudgetedTurn, Budgets, ReservationResult, TokenReservation } from "./budgets.ts";
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendParts, serviceOf } from "./sends.ts";
-import type { History, Turn, Turns } from "./turns.ts";
+import type { Turn } from "./turnRow.ts";
+import type { History, Turns } from "./turns.ts";
 
 /** What a turn needs from the store before it may run. */
 export interface PreparedTurn {
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,24 +1,10 @@
-import { hash, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
-import { pack, unpack } from "msgpackr";
+import { StoreError } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { CleanedTable } from "./cleaner.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 import { callWithRetries, type HedgeableStore, patientRetryPolicy, urgentRetryPolicy } from "./storeRetry.ts";
-
-/** A turn that was answered completely, and the ids of the preceding turns. */
-export interface Turn {
-    readonly id: string;
-    /** Ids of the preceding turns, the oldest first. */
-    readonly ancestors: readonly string[];
-    readonly input: Buffer;
-    /** The data of the answer's events, each followed by a line feed. */
-    readonly output: Buffer;
-    /** Id of the engine that generated the answer and may still have the turn in its cache. */
-    readonly upstream: string;
-    /** Time of the last write of its rows, in ms since 1970, by the clock of the VM that wrote them. */
-    readonly keptAt: number;
-}
+import { createTurnRemoval } from "./turnRemoval.ts";
+import { candidatePartsOf, decodeTurn, encodeTurn, type Turn, turnRowKey, turnTableName as table } from "./turnRow.ts";
 
 /** A turn that has just completed. */
 export type NewTurn = Omit<Turn, "ancestors" | "keptAt">;
@@ -38,13 +24,6 @@
     save(turn: NewTurn, history: readonly Turn[], retention: number, maxDuration: number): Promise<void>;
 }
 
-const table = "turns";
-const partCount = 256;
-/**
- * Number of parts in which a turn may be stored, as a part can be unavailable while others answer. Readers read the
- * first part, and the others only if that did not return the turn.
- */
-const partsPerTurn = 3;
 /** Turns that were not used for this time are removed from memory. */
 const cacheTtlMs = 8_000;
 /**
@@ -56,26 +35,13 @@
  * continues that turn may be in flight.
  */
 const removalDelayMs = 5_000;
-const removalIntervalMs = 2_000;
-/** Number of turns whose rows are removed in one store call. The store accepts 100 entries in a call. */
-const maxTurnsPerRemoval = 20;
-/** The store limits the size of base64 text, which encodes three bytes in four characters. */
-const bytesPerBase64Char = 3 / 4;
+const evictionIntervalMs = 2_000;
 
 interface CachedTurn {
     readonly turn: Turn;
     lastUsedAt: number;
 }
 
-interface Expiry {
-    readonly id: string;
-    readonly part: string;
-    readonly rowCount: number;
-    /** Version of the first row. If the row has a later version, the turn was written again. */
-    readonly version: number;
-    readonly removeAt: number;
-}
-
 /** Dependencies of turns. */
 export interface TurnsParts {
     readonly store: HedgeableStore;
@@ -89,13 +55,9 @@
 /** Creates the access to the turns of the programs whose calls this gateway receives. */
 export function createTurns({ store, maxRowBytes, metrics, log, now }: TurnsParts): Turns & Disposable {
     const cache = new Map<string, CachedTurn>();
-    const expiries: Expiry[] = [];
-    const segmentBytes = Math.floor(maxRowBytes * bytesPerBase64Char) - 64;
-    const cleanupTimer = setInterval(() => {
-        evictIdle();
-        void removeExpired();
-    }, removalIntervalMs);
-    cleanupTimer.unref();
+    const removal = createTurnRemoval({ store, log, now });
+    const evictionTimer = setInterval(evictIdle, evictionIntervalMs);
+    evictionTimer.unref();
 
     async function history(id: string): Promise<History> {
         try {
@@ -144,7 +106,7 @@
     async function readTurn(id: string, part: string): Promise<Turn | undefined> {
         const range = { table, part, from: id, to: `${id}0` };
         const page = await callWithRetries(store, timeout => store.read(range, { timeout }), urgentRetryPolicy);
-        return decode(id, page.rows);
+        return decodeTurn(id, page.rows);
     }
 
     async function save(turn: NewTurn, history: readonly Turn[], retention: number,
@@ -159,7 +121,7 @@
 
     async function writeTurn(turn: Turn, retention: number, maxDuration: number): Promise<void> {
         const candidateParts = candidatePartsOf(turn.id);
-        const segments = segmentsOf(turn);
+        const segments = encodeTurn(turn, maxRowBytes);
         await callWithRetries(store,
             (timeout, attempt) => writeToPart(candidateParts[attempt % candidateParts.length]!, timeout), {
             ...patientRetryPolicy,
@@ -168,23 +130,14 @@
         cache.set(turn.id, { turn, lastUsedAt: now() });
 
         async function writeToPart(part: string, timeout: number): Promise<void> {
-            const puts = segments.map((value, index) => ({ table, part, key: keyOf(turn.id, index), value }));
+            const puts = segments.map((value, index) => ({ table, part, key: turnRowKey(turn.id, index), value }));
             const result = await store.change({ puts }, { timeout });
             const version = result.applied ? result.version : 0;
             const removeAt = now() + retention * (1 + renewalFraction) + removalDelayMs;
-            expiries.push({ id: turn.id, part, rowCount: puts.length, version, removeAt });
+            removal.schedule({ id: turn.id, part, rowCount: puts.length, version, removeAt });
         }
     }
 
-    function segmentsOf(turn: Turn): readonly Buffer[] {
-        const encoded = encode(turn);
-        const segments: Buffer[] = [];
-        for (let offset = 0; offset < encoded.length; offset += segmentBytes) {
-            segments.push(encoded.subarray(offset, offset + segmentBytes));
-        }
-        return segments;
-    }
-
     function evictIdle(): void {
         for (const [id, { lastUsedAt }] of cache) {
             if (now() - lastUsedAt > cacheTtlMs) {
@@ -193,53 +146,10 @@
         }
     }
 
-    /** Removes the expired rows of one part; the next calls remove those of the other parts. */
-    async function removeExpired(): Promise<void> {
-        const due = expiries.filter(({ removeAt }) => removeAt < now());
-        const first = due[0];
-        if (first === undefined) {
-            return;
-        }
-        const { part } = first;
-        const batch = due.filter(entry => entry.part === part).slice(0, maxTurnsPerRemoval);
-        const conditions = batch.map(({ id, version }) => ({ table, part, key: id, version }));
-        const removals = batch.flatMap(({ id, rowCount }) =>
-            Array.from({ length: rowCount }, (_, index) => ({ table, part, key: keyOf(id, index) }))
-        );
-        try {
-            const result = await store.change({ conditions, removals }, { timeout: removalIntervalMs });
-            const rows = result.applied ? [] : result.rows;
-            const isCurrent = (entry: Expiry) =>
-                rows.some(({ key, version }) => key === entry.id && version === entry.version);
-            batch.filter(entry => !isCurrent(entry)).forEach(entry => expiries.splice(expiries.indexOf(entry), 1));
-        }
-        catch (error) {
-            if (!(error instanceof StoreError)) {
-                throw error;
-            }
-            log.info("rows.notRemoved", { table, part, turns: batch.length, reason: error.message,
-                againIn: removalIntervalMs });
-        }
-    }
-
-    return { history, save, [Symbol.dispose]: () => clearInterval(cleanupTimer) };
-}
-
-/** Describes the table of turns to the cleaner. */
-export const turnTable: CleanedTable = {
-    table,
-    partCount,
-    entryKeyOf: key => key.replace(/\/\d{3}$/, ""),
-    writtenAt: rows => decode("", rows)!.keptAt,
-    maxAgeMs: 3_600_000,
-};
-
-/** The parts in which a turn may be stored, the preferred one first. */
-function candidatePartsOf(id: string): readonly string[] {
-    const first = hash(id) % partCount;
-    // As the number of parts is a power of two, an odd distance never leads to the same part twice.
-    const distance = (hash(`${id}\n`) % (partCount / 2)) * 2 + 1;
-    return Array.from({ length: partsPerTurn }, (_, index) => String((first + index * distance) % partCount));
+    return { history, save, [Symbol.dispose]() {
+        clearInterval(evictionTimer);
+        removal[Symbol.dispose]();
+    } };
 }
 
 /** Returns the first turn that a read finds. Rejects only if none finds it and at least one failed. */
@@ -263,22 +173,3 @@
     const [result] = await Promise.allSettled([promise]);
     return result;
 }
-
-/** Key of a turn's row. The key of the first row is the turn's id; a long turn continues in further rows. */
-function keyOf(id: string, index: number): string {
-    return index === 0 ? id : `${id}/${String(index).padStart(3, "0")}`;
-}
-
-function encode({ ancestors, input, output, upstream, keptAt }: Turn): Buffer {
-    return Buffer.from(pack([ancestors, input, output, upstream, keptAt]));
-}
-
-function decode(id: string, rows: readonly StoreRow[]): Turn | undefined {
-    if (rows.length === 0) {
-        return undefined;
-    }
-    const [ancestors, input, output, upstream, keptAt] = unpack(
-        Buffer.concat(rows.map(({ value }) => value)),
-    ) as [string[], Buffer, Buffer, string, number];
-    return { id, ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream, keptAt };
-}
