Turns: rows say until when they are kept, and are renewed for a longer retention

Callers were answered 404 for a turn that had been answered whole well within its retentionS, after the operators had split a route (or raised its retentionS) while the program ran.

Cause: whether an earlier turn of the chain is written again was decided by its age and the NEW turn's retention, but its rows were removed by the retention with which it had been written. The two agree only while all turns of a chain have one retention.

Two new tests in turns.test.ts failed before the change (t1 had been removed). The second one is a related path: two gateways renew one turn for two retentions, and the shorter one was written over the longer.

Why it works: a row holds the time until which it is kept; a turn is written again if that is before the end of its successor's retention, under the condition that the row has not changed since it was read. The rows are removed by the same time, and later while a route with a longer retention is declared. The cleaner counts from the same time.

--- a/packages/gateway/src/budgetRow.ts
+++ b/packages/gateway/src/budgetRow.ts
@@ -46,7 +46,7 @@
     table,
     partCount,
     entryKeyOf: key => key,
-    writtenAt: ([row]) => (unpack(row!.value) as [number, unknown, number])[2],
+    retainedUntil: ([row]) => (unpack(row!.value) as [number, unknown, number])[2],
     // A program that makes its next call later than this starts with a new budget.
     maxAgeMs: 24 * 3_600_000,
 };
--- a/packages/gateway/src/cleaner.ts
+++ b/packages/gateway/src/cleaner.ts
@@ -8,12 +8,13 @@
     /** Returns the key of the first row of the entry that a row belongs to. */
     readonly entryKeyOf: (key: string) => string;
     /**
-     * Returns when an entry was written, in ms since 1970; throws or returns no number if its rows cannot be decoded.
+     * Returns until when an entry is needed at least, in ms since 1970; throws or returns no number if its rows cannot be
+     * decoded.
      */
-    readonly writtenAt: (rows: readonly StoreRow[]) => number;
+    readonly retainedUntil: (rows: readonly StoreRow[]) => number;
     /**
-     * Age in ms after which rows are removed. It is far longer than any retention, so that clock differences between
-     * VMs cannot cause the removal of rows that are still needed.
+     * Time in ms after `retainedUntil` at which rows are removed. It is so long that clock differences between VMs cannot
+     * cause the removal of rows that are still needed.
      */
     readonly maxAgeMs: number;
 }
@@ -92,20 +93,20 @@
     }
 
     function isExpired(target: CleanedTable, rows: readonly StoreRow[]): boolean {
-        const writtenAt = writtenAtOf(target, rows);
-        if (!Number.isFinite(writtenAt)) {
+        const retainedUntil = retainedUntilOf(target, rows);
+        if (!Number.isFinite(retainedUntil)) {
             log.warn("rows.unreadable", { table: target.table, key: rows[0]!.key });
             return false;
         }
-        return Date.now() - writtenAt > target.maxAgeMs;
+        return Date.now() - retainedUntil > target.maxAgeMs;
     }
 
     return { [Symbol.dispose]: () => clearInterval(timer) };
 }
 
-function writtenAtOf({ writtenAt }: CleanedTable, rows: readonly StoreRow[]): number {
+function retainedUntilOf({ retainedUntil }: CleanedTable, rows: readonly StoreRow[]): number {
     try {
-        return writtenAt(rows);
+        return retainedUntil(rows);
     }
     catch {
         // The caller logs that the rows cannot be decoded.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -86,7 +86,7 @@
         peers: () => peerList?.registered() ?? [], contacts, metrics, log });
     const ownBudgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
         recallFrom: budgets.recallFrom, log, now });
-    const turns = createTurns({ store, maxRowBytes: settings.maxRowBytes, metrics, log, now });
+    const turns = createTurns({ store, maxRowBytes: settings.maxRowBytes, longestRetention, metrics, log, now });
     const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
     const storeOutage: StoreOutage = { age: () => store.unavailableFor(), isIsolated: () => store.isIsolated(),
         ended: (maxMs, signal) => store.whenReachable(maxMs, signal) };
@@ -111,6 +111,10 @@
     const summaryTimer = setInterval(() => void logSummary(), summaryIntervalMs);
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
+    function longestRetention(): number {
+        return Math.max(0, ...declaration?.routes.map(({ retention }) => retention ?? 0) ?? []);
+    }
+
     function applyDeclaration(rows: ReadonlyMap<string, StoreRow>): void {
         const row = rows.get(declarationRow.key);
         if (row === undefined) {
--- a/packages/gateway/src/turnRemoval.ts
+++ b/packages/gateway/src/turnRemoval.ts
@@ -10,7 +10,10 @@
     readonly rowCount: number;
     /** Version of the first row. If the row has a later version, the turn was written again. */
     readonly version: number;
+    /** Monotonic time in ms. */
     readonly removeAt: number;
+    /** Retention in ms for which the turn was written. */
+    readonly retention: number;
 }
 
 /** Removes the rows of turns whose retention has ended. */
@@ -21,6 +24,11 @@
 /** Dependencies of the removal. */
 export interface TurnRemovalParts {
     readonly store: HedgeableStore;
+    /**
+     * Longest retention of any route at present, in ms. Rows that were written for a shorter one are kept for this one,
+     * as operators may move a program to another route.
+     */
+    readonly longestRetention: () => number;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -30,14 +38,18 @@
 const maxTurnsPerRemoval = 20;
 
 /** Starts the removal of the rows that this gateway writes. */
-export function createTurnRemoval({ store, log, now }: TurnRemovalParts): TurnRemoval {
+export function createTurnRemoval({ store, longestRetention, log, now }: TurnRemovalParts): TurnRemoval {
     const expiries: Expiry[] = [];
     const timer = setInterval(() => void removeExpired(), removalIntervalMs);
     timer.unref();
 
+    function isDue({ removeAt, retention }: Expiry): boolean {
+        return removeAt + Math.max(0, longestRetention() - retention) < now();
+    }
+
     /** Removes the expired rows of one part; the next calls remove those of the other parts. */
     async function removeExpired(): Promise<void> {
-        const due = expiries.filter(({ removeAt }) => removeAt < now());
+        const due = expiries.filter(isDue);
         const first = due[0];
         if (first === undefined) {
             return;
--- a/packages/gateway/src/turnRow.ts
+++ b/packages/gateway/src/turnRow.ts
@@ -14,6 +14,16 @@
     readonly upstream: string;
     /** Time of the last write of its rows, in ms since 1970, by the clock of the VM that wrote them. */
     readonly keptAt: number;
+    /** Its rows are not removed before this time, by the same clock. */
+    readonly keptUntil: number;
+    /** Where its first row was found or written; undefined if that is not known. */
+    readonly location?: TurnLocation;
+}
+
+/** The part that holds a turn's rows, and the version of the first one. */
+export interface TurnLocation {
+    readonly part: string;
+    readonly version: number;
 }
 
 /** Name of the table of turns. */
@@ -33,7 +43,7 @@
     table: turnTableName,
     partCount,
     entryKeyOf: key => key.replace(/\/\d{3}$/, ""),
-    writtenAt: rows => decodeTurn("", rows)!.keptAt,
+    retainedUntil: rows => decodeTurn("", rows)!.keptUntil,
     maxAgeMs: 3_600_000,
 };
 
@@ -51,9 +61,9 @@
 }
 
 /** Encodes a turn as the values of its rows. `maxRowBytes` is the maximum size of a value as base64 text. */
-export function encodeTurn({ ancestors, input, output, upstream, keptAt }: Turn,
+export function encodeTurn({ ancestors, input, output, upstream, keptAt, keptUntil }: Turn,
     maxRowBytes: number): readonly Buffer[] {
-    const encoded = Buffer.from(pack([ancestors, input, output, upstream, keptAt]));
+    const encoded = Buffer.from(pack([ancestors, input, output, upstream, keptAt, keptUntil]));
     const segmentBytes = Math.floor(maxRowBytes * bytesPerBase64Char) - rowMarginBytes;
     const segments: Buffer[] = [];
     for (let offset = 0; offset < encoded.length; offset += segmentBytes) {
@@ -67,8 +77,11 @@
     if (rows.length === 0) {
         return undefined;
     }
-    const [ancestors, input, output, upstream, keptAt] = unpack(
+    // Rows of earlier versions of the program do not have the last value.
+    const [ancestors, input, output, upstream, keptAt, keptUntil = keptAt] = unpack(
         Buffer.concat(rows.map(({ value }) => value)),
-    ) as [string[], Buffer, Buffer, string, number];
-    return { id, ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream, keptAt };
+    ) as [string[], Buffer, Buffer, string, number, number | undefined];
+    const { part, version } = rows[0]!;
+    return { id, ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream, keptAt, keptUntil,
+        location: { part, version } };
 }
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -2,12 +2,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import { callWithRetries, type HedgeableStore, patientRetryPolicy, urgentRetryPolicy } from "./storeRetry.ts";
+import { callWithRetries, type HedgeableStore, urgentRetryPolicy } from "./storeRetry.ts";
 import { createTurnRemoval } from "./turnRemoval.ts";
-import { candidatePartsOf, decodeTurn, encodeTurn, type Turn, turnRowKey, turnTableName as table } from "./turnRow.ts";
+import { candidatePartsOf, decodeTurn, type Turn, turnTableName as table } from "./turnRow.ts";
+import { createTurnWriter, termOf } from "./turnWriter.ts";
 
 /** A turn that has just completed. */
-export type NewTurn = Omit<Turn, "ancestors" | "keptAt">;
+export type NewTurn = Pick<Turn, "id" | "input" | "output" | "upstream">;
 
 /** The turns that a turn continues, the oldest first. `unavailable`: the store could not be read. */
 export type History = readonly Turn[] | "unknown" | "unavailable";
@@ -26,15 +27,6 @@
 
 /** Turns that were not used for this time are removed from memory. */
 const cacheTtlMs = 8_000;
-/**
- * A turn that is continued after this fraction of its retention is written again, so that it outlives its successors.
- */
-const renewalFraction = 0.5;
-/**
- * Rows are removed this long after the retention of the last turn that relies on them has ended, as a call that
- * continues that turn may be in flight.
- */
-const removalDelayMs = 5_000;
 const evictionIntervalMs = 2_000;
 
 interface CachedTurn {
@@ -47,15 +39,20 @@
     readonly store: HedgeableStore;
     /** Maximum size of a row value as base64 text. */
     readonly maxRowBytes: number;
+    /** Longest retention of any route at present, in ms. */
+    readonly longestRetention: () => number;
     readonly metrics: Metrics;
     readonly log: Log;
     readonly now: () => number;
 }
 
 /** Creates the access to the turns of the programs whose calls this gateway receives. */
-export function createTurns({ store, maxRowBytes, metrics, log, now }: TurnsParts): Turns & Disposable {
+export function createTurns(
+    { store, maxRowBytes, longestRetention, metrics, log, now }: TurnsParts,
+): Turns & Disposable {
     const cache = new Map<string, CachedTurn>();
-    const removal = createTurnRemoval({ store, log, now });
+    const removal = createTurnRemoval({ store, longestRetention, log, now });
+    const writer = createTurnWriter({ store, maxRowBytes, removal, now, readTurn });
     const evictionTimer = setInterval(evictIdle, evictionIntervalMs);
     evictionTimer.unref();
 
@@ -86,7 +83,7 @@
         metrics.recordTurnLookup("store");
         const turn = await findStoredTurn(id);
         if (turn !== undefined) {
-            cache.set(id, { turn, lastUsedAt: now() });
+            remember(turn);
         }
         return turn;
     }
@@ -111,31 +108,18 @@
 
     async function save(turn: NewTurn, history: readonly Turn[], retention: number,
         maxDuration: number): Promise<void> {
-        const keptAt = Date.now();
+        const term = termOf(retention, maxDuration);
         const ancestors = history.map(({ id }) => id);
-        const renewed = history.filter(previous => keptAt - previous.keptAt > retention * renewalFraction);
-        await Promise.all(
-            [...renewed, { ...turn, ancestors }].map(each => writeTurn({ ...each, keptAt }, retention, maxDuration)),
-        );
+        const stale = history.map(previous => cache.get(previous.id)?.turn ?? previous)
+            .filter(({ keptUntil }) => keptUntil < term.neededUntil);
+        await Promise.all([
+            ...stale.map(async previous => remember(await writer.renew(previous, term))),
+            writer.write({ ...turn, ancestors }, term).then(remember),
+        ]);
     }
 
-    async function writeTurn(turn: Turn, retention: number, maxDuration: number): Promise<void> {
-        const candidateParts = candidatePartsOf(turn.id);
-        const segments = encodeTurn(turn, maxRowBytes);
-        await callWithRetries(store,
-            (timeout, attempt) => writeToPart(candidateParts[attempt % candidateParts.length]!, timeout), {
-            ...patientRetryPolicy,
-            giveUpAfter: maxDuration,
-        });
+    function remember(turn: Turn): void {
         cache.set(turn.id, { turn, lastUsedAt: now() });
-
-        async function writeToPart(part: string, timeout: number): Promise<void> {
-            const puts = segments.map((value, index) => ({ table, part, key: turnRowKey(turn.id, index), value }));
-            const result = await store.change({ puts }, { timeout });
-            const version = result.applied ? result.version : 0;
-            const removeAt = now() + retention * (1 + renewalFraction) + removalDelayMs;
-            removal.schedule({ id: turn.id, part, rowCount: puts.length, version, removeAt });
-        }
     }
 
     function evictIdle(): void {
--- a/packages/gateway/test/cleaner.test.ts
+++ b/packages/gateway/test/cleaner.test.ts
@@ -11,7 +11,7 @@
     table: "turns",
     partCount: 1,
     entryKeyOf: key => key.replace(/\/\d{3}$/, ""),
-    writtenAt: rows => (unpack(Buffer.concat(rows.map(({ value }) => value))) as { at: number; }).at,
+    retainedUntil: rows => (unpack(Buffer.concat(rows.map(({ value }) => value))) as { at: number; }).at,
     maxAgeMs: hour,
 };
 
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -175,6 +175,49 @@
     await waitUntil(() => setup.fleet.rowStore.keys("turns").length < kept, "rows are removed");
 });
 
+/** Declares one retention for turns under `/turn/x`, in seconds, and another for `/turn/`. */
+const twoRetentions = (short: number, long: number) => [
+    ...declaration.routes.map(route => route.name === "turn" ? { ...route, retentionS: short } : route),
+    { ...declaration.routes[0]!, name: "split", prefix: "/turn/split/", retentionS: long },
+];
+
+const turnOnSplitRoute = (id: string, previous?: string) => ({ ...turnCall(id, "p", previous), path: "/turn/split/x" });
+
+test("a turn that is continued on a route with a longer retention is kept for that (guards against a 404 after the operators split a route)", async () => {
+    await using setup = await startGateways();
+    const short = 1;
+    setup.fleet.declare({ version: 2, routes: twoRetentions(short, short) });
+    await Promise.all([setup.one, setup.two].map(gateway => waitForDeclaration(gateway, 2)));
+    assert.equal((await call(setup.one, turnOnSplitRoute("t1"))).status, 200);
+    setup.fleet.declare({ version: 3, routes: twoRetentions(short, 60) });
+    await Promise.all([setup.one, setup.two].map(gateway => waitForDeclaration(gateway, 3)));
+    assert.equal((await call(setup.two, turnOnSplitRoute("t2", "t1"))).status, 200);
+    // A further program shows when rows with the short retention would have been removed: its rows are, once the
+    // long retention is withdrawn.
+    setup.fleet.declare({ version: 4, routes: twoRetentions(short, short) });
+    await Promise.all([setup.one, setup.two].map(gateway => waitForDeclaration(gateway, 4)));
+    assert.equal((await call(setup.one, turnCall("other", "q"))).status, 200);
+    await waitUntil(() => !setup.fleet.rowStore.keys("turns").includes("other"), "rows with the short retention go");
+    assert.deepEqual(setup.fleet.rowStore.keys("turns").toSorted(), ["t1", "t2"]);
+});
+
+test("a renewal for a short retention does not shorten a longer one (guards against a chain of turns lost because two routes continue it)", async () => {
+    await using setup = await startGateways();
+    setup.fleet.declare({ version: 2, routes: twoRetentions(3, 60) });
+    await Promise.all([setup.one, setup.two].map(gateway => waitForDeclaration(gateway, 2)));
+    assert.equal((await call(setup.one, turnCall("t1", "p"))).status, 200);
+    // The second gateway reads the turn before the first one renews it for the long retention.
+    assert.equal((await call(setup.two, turnCall("a", "p", "t1"))).status, 200);
+    assert.equal((await call(setup.one, turnOnSplitRoute("b", "t1"))).status, 200);
+    // Now the second gateway's knowledge of the turn says that it must be renewed.
+    await sleep(2_500);
+    assert.equal((await call(setup.two, turnCall("c", "p", "t1"))).status, 200);
+    setup.fleet.declare({ version: 3, routes: twoRetentions(1, 1) });
+    await Promise.all([setup.one, setup.two].map(gateway => waitForDeclaration(gateway, 3)));
+    await waitUntil(() => !setup.fleet.rowStore.keys("turns").includes("c"), "rows with the short retention go");
+    assert.deepEqual(setup.fleet.rowStore.keys("turns").toSorted(), ["b", "t1"]);
+});
+
 test("a history that cannot be read leaves no tokens reserved (guards against a budget that leaks with each attempt)", async () => {
     await using setup = await startGateways();
     setup.fleet.rowStore.put("turns", String(hash("bad") % 256), "bad", "no turn");
