Turns: large turns are written and read in parts, within memory limits

Callers lost all their calls at a gateway that ended with "heap out of memory" when twelve turns of 4 MB came at once, which the declared maxBodyBytes allows. Turns of more than 750 KB were cut after they had run, also one at a time.

Cause: the limit on buffered bytes counted bodies and answers once. A turn that was kept was packed into one more buffer, and each call of the store made base64 and JSON texts of all of it, up to four at once and again after each refusal. The store refuses a call of more than 1 MB, so none of them could succeed.

Why it works: a turn is written in calls of at most 512 KiB of text, its first row last, encoded call by call; at most 4 MiB of such text are in flight. It is read page by page and removed 99 rows a call. The history and the body built from it are reserved before the turn runs, or it is refused with 503.

--- a/packages/core/src/gateway/byteBudget.ts
+++ b/packages/core/src/gateway/byteBudget.ts
@@ -2,6 +2,8 @@
 export interface ByteAccount extends Disposable {
     /** Reserves bytes before they are buffered; false if the budget is exhausted or the account is disposed of. */
     reserve(bytes: number): boolean;
+    /** Gives back reserved bytes that are not buffered any more; the rest is given back with the account. */
+    release(bytes: number): void;
 }
 
 /** Limit on the bytes that all calls of a process buffer together. */
@@ -25,6 +27,11 @@
                     totalBytes += bytes;
                     return true;
                 },
+                release(bytes) {
+                    const released = Math.min(bytes, accountBytes);
+                    accountBytes -= released;
+                    totalBytes -= released;
+                },
                 [Symbol.dispose]() {
                     disposed = true;
                     totalBytes -= accountBytes;
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -2,6 +2,7 @@
 export * from "./admission.ts";
 export * from "./attempt.ts";
 export * from "./byteBudget.ts";
+export * from "./byteSemaphore.ts";
 export * from "./call.ts";
 export * from "./choice.ts";
 export * from "./event.ts";
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
+import { sizeOf } from "./turnCache.ts";
 import { type PreparedTurn, prepareTurn, type TurnPreparationParts, type TurnRefusal } from "./turnPreparation.ts";
 import type { Turn } from "./turnRow.ts";
 import type { NewTurn } from "./turns.ts";
@@ -110,6 +111,11 @@
     }
 
     async function servePrepared({ reservation, history }: PreparedTurn): Promise<void> {
+        if (!reserveBodyWithHistory(history)) {
+            reservation.settle(0);
+            answerLocally(refusalAnswer({ kind: "memoryFull" }));
+            return;
+        }
         // If the call fails, the engine may have generated the maximum number of tokens.
         let usedTokens = head.maxTokens;
         try {
@@ -121,6 +127,11 @@
         }
     }
 
+    function reserveBodyWithHistory(history: readonly Turn[]): boolean {
+        return history.length === 0 ||
+            call.byteAccount.reserve(sum(history.map(sizeOf)) + (call.body?.length ?? 0));
+    }
+
     /** The body sent to the engine: all earlier inputs and outputs, followed by the new input. */
     function bodyWithHistory(history: readonly Turn[]): Buffer | undefined {
         return history.length === 0
@@ -145,7 +156,7 @@
         }
         const keepsTurn = history !== undefined && route.retention !== undefined;
         const relay = route.streamed
-            ? createStreamRelay({ response, holdBackLastEvent: keepsTurn, resumable: route.resumable })
+            ? createStreamRelay({ response, keepsOutput: keepsTurn, resumable: route.resumable })
             : undefined;
         const priority = route.streamed
             ? turnPriority(route.priority, countPrecedingTurns(head, history?.length ?? 0))
@@ -163,7 +174,7 @@
                 preparedMs: Math.round(sentAt - call.arrivedAt), upstreamMs: Math.round(receivedAt - sentAt),
                 keptMs: Math.round(now() - receivedAt) });
         }
-        return relay?.events().length ?? 0;
+        return relay?.relayedEvents() ?? 0;
     }
 
     /** Fields of each log line about the call. `after` and `turn` tell which tries concern the same turn. */
@@ -205,8 +216,7 @@
             relay.finish();
             return true;
         }
-        const output = Buffer.concat(relay.events().flatMap(({ data }) => [data, lineFeed]));
-        const turn: NewTurn = { id: head.id, input: call.body ?? Buffer.alloc(0), output, upstream };
+        const turn: NewTurn = { id: head.id, input: call.body ?? Buffer.alloc(0), output: relay.output(), upstream };
         try {
             // A caller may continue a turn as soon as its answer is complete, so the turn is stored before the last event
             // is sent.
@@ -274,4 +284,6 @@
     }
 }
 
-const lineFeed = Buffer.from("\n");
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -17,7 +17,7 @@
     /** One event of a stream. */
     maxEventBytes: byteLimit(kibibyte, mebibyte),
     /** Request bodies and answers of all calls together. */
-    maxBufferedBytes: byteLimit(mebibyte, 48 * mebibyte),
+    maxBufferedBytes: byteLimit(mebibyte, 32 * mebibyte),
 });
 
 /** Limits on buffered data, in bytes. */
--- a/packages/gateway/src/storeRetry.ts
+++ b/packages/gateway/src/storeRetry.ts
@@ -16,19 +16,24 @@
     readonly retryDelay: number;
     /** Whether calls are also retried while the store is unavailable. */
     readonly retriesWhileAway: boolean;
+    /** Number of calls that may be under way at once; 1 if the call is not hedged. */
+    readonly maxConcurrentCalls: number;
 }
 
 const maxRetryDelayMs = 120;
 /** Maximum number of hedged calls. With four, one write in 16 has no answer if every other answer is lost. */
-const maxConcurrentCalls = 4;
+const maxHedgedCalls = 4;
 
 /** For calls that a caller waits for. */
 export const urgentRetryPolicy: RetryPolicy = { callTimeout: 1_500, giveUpAfter: 900, retryDelay: 30,
-    retriesWhileAway: false };
+    retriesWhileAway: false, maxConcurrentCalls: maxHedgedCalls };
 
 /** For the write that stores a completed turn. It is retried during an outage, until the caller's time limit. */
 export const patientRetryPolicy: RetryPolicy = { ...urgentRetryPolicy, retriesWhileAway: true };
 
+/** For the writes that store a large completed turn. Hedging would multiply the bytes that are sent. */
+export const largeWriteRetryPolicy: RetryPolicy = { ...patientRetryPolicy, maxConcurrentCalls: 1 };
+
 /**
  * Hedges and retries a store call until it is answered; `attempt` is the number of calls made before. Only for calls
  * that may be applied twice: an answer can be lost, and the first call may be applied after the second.
@@ -36,13 +41,13 @@
 export async function callWithRetries<Value>(
     store: HedgeableStore,
     call: (timeout: number, attempt: number) => Promise<Value>,
-    { callTimeout, giveUpAfter, retryDelay, retriesWhileAway }: RetryPolicy,
+    { callTimeout, giveUpAfter, retryDelay, retriesWhileAway, maxConcurrentCalls }: RetryPolicy,
 ): Promise<Value> {
     const startedAt = performance.now();
     let attempts = 0;
     for (let round = 1;; round += 1) {
         try {
-            return await hedge(() => call(callTimeout, attempts++), store.hedgeDelay() * round);
+            return await hedge(() => call(callTimeout, attempts++), store.hedgeDelay() * round, maxConcurrentCalls);
         }
         catch (error) {
             const isPermanent = !(error instanceof StoreError) || (error.failure === "away" && !retriesWhileAway);
@@ -58,7 +63,7 @@
 /**
  * Makes a further call after each delay without an answer. Resolves with the first answer; rejects if all calls fail.
  */
-function hedge<Value>(call: () => Promise<Value>, delay: number): Promise<Value> {
+function hedge<Value>(call: () => Promise<Value>, delay: number, maxConcurrentCalls: number): Promise<Value> {
     return new Promise((resolve, reject) => {
         let pending = 0;
         let calls = 0;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -5,8 +5,8 @@
 
 /** Relay of a stream to the caller. */
 export interface StreamRelay extends StreamSink {
-    /** Events that were received from upstreams, including one that is held back. */
-    events(): readonly StreamEvent[];
+    /** The data of all events, each followed by a line feed, if the relay keeps it. */
+    output(): Buffer;
     /** Writes the event that is held back, and ends the answer. */
     finish(): void;
 }
@@ -14,17 +14,24 @@
 /** Dependencies and options of a relay. */
 export interface StreamRelayParts {
     readonly response: ServerResponse;
-    /** Whether the newest event is held back until the next one arrives or `finish` is called. */
-    readonly holdBackLastEvent: boolean;
+    /**
+     * Whether the data of the events is kept. The newest event is then held back until the next one arrives or `finish`
+     * is called.
+     */
+    readonly keepsOutput: boolean;
     readonly resumable: boolean;
 }
 
 /** Reading from the upstream pauses while more than this is buffered for the caller. */
 const maxBufferedBytes = 256 * 1_024;
 
+const lineFeed = Buffer.from("\n");
+
 /** Creates a relay. It writes complete events only, as an upstream may stop in the middle of an event. */
-export function createStreamRelay({ response, holdBackLastEvent, resumable }: StreamRelayParts): StreamRelay {
-    const events: StreamEvent[] = [];
+export function createStreamRelay({ response, keepsOutput, resumable }: StreamRelayParts): StreamRelay {
+    let eventCount = 0;
+    let lastEventId: string | undefined;
+    const output: Buffer[] = [];
     let splitter = new EventSplitter();
     let heldEvent: Buffer | undefined;
 
@@ -34,19 +41,24 @@
     }
 
     function data(chunk: Buffer): boolean {
-        for (const event of splitter.push(chunk)) {
-            events.push(event);
-            if (heldEvent !== undefined) {
-                response.write(heldEvent);
-            }
-            heldEvent = holdBackLastEvent ? event.raw : undefined;
-            if (!holdBackLastEvent) {
-                response.write(event.raw);
-            }
-        }
+        splitter.push(chunk).forEach(relay);
         return response.writableLength <= maxBufferedBytes;
     }
 
+    function relay(event: StreamEvent): void {
+        eventCount += 1;
+        lastEventId = event.id;
+        if (!keepsOutput) {
+            response.write(event.raw);
+            return;
+        }
+        output.push(event.data, lineFeed);
+        if (heldEvent !== undefined) {
+            response.write(heldEvent);
+        }
+        heldEvent = event.raw;
+    }
+
     function drained(): Promise<void> {
         return new Promise(resolve => {
             const settle = () => {
@@ -71,10 +83,10 @@
         begin,
         write: data,
         drained,
-        relayedEvents: () => events.length,
+        relayedEvents: () => eventCount,
         incompleteBytes: () => splitter.remainder().length,
         finish,
-        events: () => events,
-        resumeAfter: () => resumable ? events[events.length - 1]?.id : undefined,
+        output: () => Buffer.concat(output),
+        resumeAfter: () => resumable ? lastEventId : undefined,
     };
 }
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -113,6 +113,9 @@
             reservation.settle(0);
         }
     }
+    if (history === "noRoom") {
+        return { kind: "refused", cause: { kind: "memoryFull" } };
+    }
     if (reservation === "unavailable" || history === "unavailable") {
         return "unavailable";
     }
@@ -141,8 +144,11 @@
         priority: route.priority }, Math.random);
 }
 
-async function findHistory({ turns }: TurnPreparationParts, { head, route }: ReceivedCall): Promise<History> {
-    return route.retention === undefined || head.previousTurn === undefined ? [] : turns.history(head.previousTurn);
+async function findHistory({ turns }: TurnPreparationParts,
+    { head, route, byteAccount }: ReceivedCall): Promise<History> {
+    return route.retention === undefined || head.previousTurn === undefined
+        ? []
+        : turns.history(head.previousTurn, byteAccount);
 }
 
 async function reserve({ budgets }: TurnPreparationParts, { head }: ReceivedCall): Promise<ReservationResult> {
--- a/packages/gateway/src/turnRemoval.ts
+++ b/packages/gateway/src/turnRemoval.ts
@@ -1,4 +1,4 @@
-import { StoreError } from "@tamarackgauge/core/gateway";
+import { StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
 import type { HedgeableStore } from "./storeRetry.ts";
 import { turnRowKey, turnTableName as table } from "./turnRow.ts";
@@ -7,8 +7,13 @@
 export interface Expiry {
     readonly id: string;
     readonly part: string;
+    /** Index of the first row that is still to be removed; rows before it have been. */
+    readonly firstRow: number;
     readonly rowCount: number;
-    /** Version of the first row. If the row has a later version, the turn was written again. */
+    /**
+     * Version of the turn's first row; 0 if it has been removed. If the row has a later version, the turn was written
+     * again.
+     */
     readonly version: number;
     /** Monotonic time in ms. */
     readonly removeAt: number;
@@ -34,8 +39,8 @@
 }
 
 const removalIntervalMs = 2_000;
-/** Number of turns whose rows are removed in one store call. The store accepts 100 entries in a call. */
-const maxTurnsPerRemoval = 20;
+/** The store accepts this many conditions and removals in one call. */
+const maxEntriesPerCall = 100;
 
 /** Starts the removal of the rows that this gateway writes. */
 export function createTurnRemoval({ store, longestRetention, log, now }: TurnRemovalParts): TurnRemoval {
@@ -55,17 +60,18 @@
             return;
         }
         const { part } = first;
-        const batch = due.filter(entry => entry.part === part).slice(0, maxTurnsPerRemoval);
+        const batch = batchWithin(due.filter(entry => entry.part === part));
         const conditions = batch.map(({ id, version }) => ({ table, part, key: id, version }));
-        const removals = batch.flatMap(({ id, rowCount }) =>
-            Array.from({ length: rowCount }, (_, index) => ({ table, part, key: turnRowKey(id, index) }))
+        const removals = batch.flatMap(entry =>
+            rowsToRemove(entry).map(index => ({ table, part, key: turnRowKey(entry.id, index) }))
         );
         try {
             const result = await store.change({ conditions, removals }, { timeout: removalIntervalMs });
-            const rows = result.applied ? [] : result.rows;
-            const isCurrent = (entry: Expiry) =>
-                rows.some(({ key, version }) => key === entry.id && version === entry.version);
-            batch.filter(entry => !isCurrent(entry)).forEach(entry => expiries.splice(expiries.indexOf(entry), 1));
+            const settled = result.applied ? batch : batch.filter(entry => hasChanged(entry, result.rows));
+            settled.forEach(entry => expiries.splice(expiries.indexOf(entry), 1));
+            if (result.applied) {
+                expiries.push(...batch.flatMap(remainderOf));
+            }
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
@@ -78,3 +84,30 @@
 
     return { schedule: expiry => void expiries.push(expiry), [Symbol.dispose]: () => clearInterval(timer) };
 }
+
+/** Whether a turn's first row is not the one that is to be removed; `rows` are the current first rows. */
+function hasChanged({ id, version }: Expiry, rows: readonly StoreRow[]): boolean {
+    return version !== (rows.find(({ key }) => key === id)?.version ?? 0);
+}
+
+/** Indexes of the rows of a turn that one call removes. */
+function rowsToRemove({ firstRow, rowCount }: Expiry): readonly number[] {
+    const count = Math.min(rowCount - firstRow, maxEntriesPerCall - 1);
+    return Array.from({ length: count }, (_, index) => firstRow + index);
+}
+
+/** What remains to be removed of a turn after one call. */
+function remainderOf(entry: Expiry): readonly Expiry[] {
+    const firstRow = entry.firstRow + rowsToRemove(entry).length;
+    return firstRow < entry.rowCount ? [{ ...entry, firstRow, version: 0 }] : [];
+}
+
+/** The first turns whose rows can be removed in one call. */
+function batchWithin(entries: readonly Expiry[]): readonly Expiry[] {
+    let count = 0;
+    const end = entries.findIndex(entry => {
+        count += 1 + rowsToRemove(entry).length;
+        return count > maxEntriesPerCall;
+    });
+    return end < 0 ? entries : entries.slice(0, end);
+}
--- a/packages/gateway/src/turnRow.ts
+++ b/packages/gateway/src/turnRow.ts
@@ -37,6 +37,7 @@
 /** The store limits the size of base64 text, which encodes three bytes in four characters. */
 const bytesPerBase64Char = 3 / 4;
 const rowMarginBytes = 64;
+const rowKeySeparator = "/";
 
 /** Describes the table of turns to the cleaner. */
 export const turnTable: CleanedTable = {
@@ -57,31 +58,76 @@
 
 /** Key of a turn's row. The key of the first row is the turn's id; a long turn continues in further rows. */
 export function turnRowKey(id: string, index: number): string {
-    return index === 0 ? id : `${id}/${String(index).padStart(3, "0")}`;
+    return index === 0 ? id : `${id}${rowKeySeparator}${String(index).padStart(3, "0")}`;
 }
 
-/** Encodes a turn as the values of its rows. `maxRowBytes` is the maximum size of a value as base64 text. */
+/**
+ * A turn as the values of its rows. The values together are a marker byte, the length of the header, the header, the
+ * input and the output. Each value is built when it is asked for, so that a large turn is not copied as a whole.
+ */
+export interface EncodedTurn {
+    readonly rowCount: number;
+    value(index: number): Buffer;
+}
+
+/** A byte with which no value of msgpack begins: rows of earlier versions of the program hold one such value. */
+const formatMarker = 0xc1;
+const headerLengthBytes = 4;
+
+/** Encodes a turn. `maxRowBytes` is the maximum size of a value as base64 text. */
 export function encodeTurn({ ancestors, input, output, upstream, keptAt, keptUntil }: Turn,
-    maxRowBytes: number): readonly Buffer[] {
-    const encoded = Buffer.from(pack([ancestors, input, output, upstream, keptAt, keptUntil]));
-    const segmentBytes = Math.floor(maxRowBytes * bytesPerBase64Char) - rowMarginBytes;
-    const segments: Buffer[] = [];
-    for (let offset = 0; offset < encoded.length; offset += segmentBytes) {
-        segments.push(encoded.subarray(offset, offset + segmentBytes));
+    maxRowBytes: number): EncodedTurn {
+    const header = pack([ancestors, input.length, upstream, keptAt, keptUntil]);
+    const start = Buffer.alloc(1 + headerLengthBytes);
+    start.writeUInt8(formatMarker);
+    start.writeUInt32BE(header.length, 1);
+    const pieces = [start, Buffer.from(header), input, output];
+    const totalBytes = pieces.reduce((sum, { length }) => sum + length, 0);
+    const valueBytes = maxValueBytes(maxRowBytes);
+    return {
+        rowCount: Math.ceil(totalBytes / valueBytes),
+        value: index => sliceOf(pieces, index * valueBytes, Math.min(totalBytes, (index + 1) * valueBytes)),
+    };
+}
+
+function maxValueBytes(maxRowBytes: number): number {
+    return Math.floor(maxRowBytes * bytesPerBase64Char) - rowMarginBytes;
+}
+
+/** Returns a range of the concatenation of `pieces`. */
+function sliceOf(pieces: readonly Buffer[], from: number, to: number): Buffer {
+    let offset = 0;
+    const slices: Buffer[] = [];
+    for (const piece of pieces) {
+        slices.push(piece.subarray(Math.max(0, from - offset), Math.max(0, to - offset)));
+        offset += piece.length;
     }
-    return segments;
+    return Buffer.concat(slices);
 }
 
-/** Decodes the rows of a turn; undefined if there are none. */
+/** Decodes the rows of a turn; undefined if there is no complete turn because its first row is missing. */
 export function decodeTurn(id: string, rows: readonly StoreRow[]): Turn | undefined {
-    if (rows.length === 0) {
+    const first = rows[0];
+    if (first === undefined || first.key.includes(rowKeySeparator)) {
         return undefined;
     }
-    // Rows of earlier versions of the program do not have the last value.
-    const [ancestors, input, output, upstream, keptAt, keptUntil = keptAt] = unpack(
-        Buffer.concat(rows.map(({ value }) => value)),
-    ) as [string[], Buffer, Buffer, string, number, number | undefined];
-    const { part, version } = rows[0]!;
-    return { id, ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream, keptAt, keptUntil,
-        location: { part, version } };
+    const location = { part: first.part, version: first.version };
+    const bytes = Buffer.concat(rows.map(({ value }) => value));
+    if (bytes[0] !== formatMarker) {
+        return { id, location, ...decodeEarlierFormat(bytes) };
+    }
+    const headerStart = 1 + headerLengthBytes;
+    const inputStart = headerStart + bytes.readUInt32BE(1);
+    const [ancestors, inputLength, upstream, keptAt, keptUntil] = unpack(
+        bytes.subarray(headerStart, inputStart),
+    ) as [string[], number, string, number, number];
+    const outputStart = inputStart + inputLength;
+    return { id, location, ancestors, upstream, keptAt, keptUntil, input: bytes.subarray(inputStart, outputStart),
+        output: bytes.subarray(outputStart) };
+}
+
+/** Decodes the rows of earlier versions of the program, which do not say until when they are kept. */
+function decodeEarlierFormat(bytes: Buffer) {
+    const [ancestors, input, output, upstream, keptAt] = unpack(bytes) as [string[], Buffer, Buffer, string, number];
+    return { ancestors, input: Buffer.from(input), output: Buffer.from(output), upstream, keptAt, keptUntil: keptAt };
 }
--- a/packages/gateway/src/turnWriter.ts
+++ b/packages/gateway/src/turnWriter.ts
@@ -1,7 +1,8 @@
-import { type RowCondition, StoreError } from "@tamarackgauge/core/gateway";
-import { callWithRetries, type HedgeableStore, patientRetryPolicy } from "./storeRetry.ts";
+import { type ChangeResult, createByteSemaphore, type RowCondition, StoreError } from "@tamarackgauge/core/gateway";
+import { callWithRetries, type HedgeableStore, largeWriteRetryPolicy, patientRetryPolicy } from "./storeRetry.ts";
+import { sizeOf } from "./turnCache.ts";
 import type { TurnRemoval } from "./turnRemoval.ts";
-import { candidatePartsOf, encodeTurn, type Turn, type TurnLocation, turnRowKey,
+import { candidatePartsOf, type EncodedTurn, encodeTurn, type Turn, type TurnLocation, turnRowKey,
     turnTableName as table } from "./turnRow.ts";
 
 /** How long a turn and its ancestors are to be kept. */
@@ -46,6 +47,15 @@
  * clocks of VMs differ.
  */
 const removalDelayMs = 5_000;
+/** Base64 text in one call of the store, which accepts 1 MB. */
+const maxBytesPerCall = 512 * 1_024;
+/** The store accepts 100 entries in a call, of which one is the condition. */
+const maxRowsPerCall = 99;
+/**
+ * Base64 text of all calls with several rows that are in flight at once. Further ones wait, because each of these texts
+ * takes several times its size on the heap while it is sent.
+ */
+const maxBytesInLargeWrites = 4 * 1_024 * 1_024;
 /** Number of times that a renewal is tried anew because the rows have changed. */
 const maxConflicts = 3;
 
@@ -58,41 +68,61 @@
 
 /** Creates the writer of the turns that this gateway completes. */
 export function createTurnWriter({ store, maxRowBytes, removal, readTurn, now }: TurnWriterParts): TurnWriter {
+    const rowsPerCall = Math.min(maxRowsPerCall, Math.max(1, Math.floor(maxBytesPerCall / maxRowBytes)));
+    const largeWrites = createByteSemaphore(maxBytesInLargeWrites);
+
     async function write(turn: UnwrittenTurn, term: Term): Promise<Turn> {
         const kept = withTerm(turn, term);
-        const location = await callAnyPart(turn.id, term, (part, timeout) => put(kept, part, term, [], timeout));
+        const location = await callAnyPart(turn, term, (part, timeout) => put(kept, part, term, [], timeout));
         return { ...kept, ...location === undefined ? {} : { location } };
     }
 
     /** Calls `callPart` for the parts in which a turn may be stored, one after the other, until one call succeeds. */
-    function callAnyPart<Value>(id: string, { maxDuration }: Term,
+    function callAnyPart<Value>(turn: UnwrittenTurn, { maxDuration }: Term,
         callPart: (part: string, timeout: number) => Promise<Value>): Promise<Value> {
-        const candidateParts = candidatePartsOf(id);
+        const candidateParts = candidatePartsOf(turn.id);
+        const policy = sizeOf(turn) < maxBytesPerCall / 2 ? patientRetryPolicy : largeWriteRetryPolicy;
         return callWithRetries(store,
             (timeout, attempt) => callPart(candidateParts[attempt % candidateParts.length]!, timeout), {
-            ...patientRetryPolicy,
+            ...policy,
             giveUpAfter: maxDuration,
         });
     }
 
-    /** Writes the rows of a turn; returns undefined if a condition did not hold. */
+    /**
+     * Writes the rows of a turn; returns undefined if a condition did not hold. The first row is written last, as readers
+     * take a turn without it for missing.
+     */
     async function put(turn: Turn, part: string, { retention }: Term, conditions: readonly RowCondition[],
         timeout: number): Promise<TurnLocation | undefined> {
-        const puts = encodeTurn(turn, maxRowBytes).map((value, index) => ({ table, part,
-            key: turnRowKey(turn.id, index), value })
-        );
-        const result = await store.change({ conditions, puts }, { timeout });
+        const encoded = encodeTurn(turn, maxRowBytes);
+        const batches = batchesOf(encoded.rowCount, rowsPerCall);
+        for (const indexes of batches.slice(1)) {
+            await putRows(turn.id, part, encoded, indexes, [], timeout);
+        }
+        const result = await putRows(turn.id, part, encoded, batches[0]!, conditions, timeout);
         if (!result.applied) {
             return undefined;
         }
         const { version } = result;
-        removal.schedule({ id: turn.id, part, rowCount: puts.length, version, retention,
+        removal.schedule({ id: turn.id, part, firstRow: 0, rowCount: encoded.rowCount, version, retention,
             removeAt: now() + turn.keptUntil - turn.keptAt + removalDelayMs });
         return { part, version };
     }
 
+    async function putRows(id: string, part: string, encoded: EncodedTurn, indexes: readonly number[],
+        conditions: readonly RowCondition[], timeout: number): Promise<ChangeResult> {
+        const write = () => {
+            const puts = indexes.map(index => ({ table, part, key: turnRowKey(id, index),
+                value: encoded.value(index) })
+            );
+            return store.change({ conditions, puts }, { timeout });
+        };
+        return indexes.length === 1 ? write() : largeWrites.run(indexes.length * maxRowBytes, write);
+    }
+
     function renew(turn: Turn, term: Term): Promise<Turn> {
-        return callAnyPart(turn.id, term, (part, timeout) => renewIn(part, turn, term, timeout));
+        return callAnyPart(turn, term, (part, timeout) => renewIn(part, turn, term, timeout));
     }
 
     /**
@@ -123,3 +153,10 @@
     const { id, ancestors, input, output, upstream } = turn;
     return { id, ancestors, input, output, upstream, keptAt, keptUntil };
 }
+
+/** The indexes of a turn's rows, divided into the calls in which they are written. */
+function batchesOf(rowCount: number, rowsPerCall: number): readonly (readonly number[])[] {
+    const indexes = Array.from({ length: rowCount }, (_, index) => index);
+    return Array.from({ length: Math.ceil(rowCount / rowsPerCall) },
+        (_, batch) => indexes.slice(batch * rowsPerCall, (batch + 1) * rowsPerCall));
+}
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,8 +1,9 @@
-import { StoreError } from "@tamarackgauge/core/gateway";
+import { type ByteAccount, type RowPage, type RowRange, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 import { callWithRetries, type HedgeableStore, urgentRetryPolicy } from "./storeRetry.ts";
+import { createTurnCache, sizeOf } from "./turnCache.ts";
 import { createTurnRemoval } from "./turnRemoval.ts";
 import { candidatePartsOf, decodeTurn, type Turn, turnTableName as table } from "./turnRow.ts";
 import { createTurnWriter, termOf } from "./turnWriter.ts";
@@ -10,13 +11,19 @@
 /** A turn that has just completed. */
 export type NewTurn = Pick<Turn, "id" | "input" | "output" | "upstream">;
 
-/** The turns that a turn continues, the oldest first. `unavailable`: the store could not be read. */
-export type History = readonly Turn[] | "unknown" | "unavailable";
+/**
+ * The turns that a turn continues, the oldest first. `unavailable`: the store could not be read. `noRoom`: the memory for
+ * them could not be reserved.
+ */
+export type History = readonly Turn[] | "unknown" | "unavailable" | "noRoom";
 
 /** Turns that were answered completely, each stored in one or more rows. */
 export interface Turns {
-    /** Returns a turn and all preceding turns; `unknown` only if the store reports that a turn does not exist. */
-    history(id: string): Promise<History>;
+    /**
+     * Returns a turn and all preceding turns; `unknown` only if the store reports that a turn does not exist. Their bytes
+     * are reserved from the account.
+     */
+    history(id: string, account: ByteAccount): Promise<History>;
     /**
      * Stores a turn and, where needed, extends the retention of the preceding turns, so that all are kept for
      * `retention` milliseconds. Rejects with a `StoreError` if this cannot be confirmed within `maxDuration`
@@ -25,15 +32,6 @@
     save(turn: NewTurn, history: readonly Turn[], retention: number, maxDuration: number): Promise<void>;
 }
 
-/** Turns that were not used for this time are removed from memory. */
-const cacheTtlMs = 8_000;
-const evictionIntervalMs = 2_000;
-
-interface CachedTurn {
-    readonly turn: Turn;
-    lastUsedAt: number;
-}
-
 /** Dependencies of turns. */
 export interface TurnsParts {
     readonly store: HedgeableStore;
@@ -50,40 +48,39 @@
 export function createTurns(
     { store, maxRowBytes, longestRetention, metrics, log, now }: TurnsParts,
 ): Turns & Disposable {
-    const cache = new Map<string, CachedTurn>();
+    const cache = createTurnCache(now);
     const removal = createTurnRemoval({ store, longestRetention, log, now });
     const writer = createTurnWriter({ store, maxRowBytes, removal, now, readTurn });
-    const evictionTimer = setInterval(evictIdle, evictionIntervalMs);
-    evictionTimer.unref();
 
-    async function history(id: string): Promise<History> {
+    async function history(id: string, account: ByteAccount): Promise<History> {
+        let reservedBytes = 0;
+        const reserve = (turn: Turn) => {
+            if (!account.reserve(sizeOf(turn))) {
+                throw new NoRoomError();
+            }
+            reservedBytes += sizeOf(turn);
+        };
         try {
-            const last = await findTurn(id);
+            const last = await findTurn(id, reserve);
             if (last === undefined) {
                 return "unknown";
             }
-            const ancestors = await Promise.all(last.ancestors.map(findTurn));
+            const ancestors = await Promise.all(last.ancestors.map(ancestor => findTurn(ancestor, reserve)));
             return ancestors.every(turn => turn !== undefined) ? [...ancestors, last] : "unknown";
         }
         catch (error) {
-            if (error instanceof StoreError) {
-                return "unavailable";
-            }
-            throw error;
+            account.release(reservedBytes);
+            return failureOf(error);
         }
     }
 
-    async function findTurn(id: string): Promise<Turn | undefined> {
+    async function findTurn(id: string, reserve: (turn: Turn) => void): Promise<Turn | undefined> {
         const cached = cache.get(id);
-        if (cached !== undefined) {
-            cached.lastUsedAt = now();
-            metrics.recordTurnLookup("memory");
-            return cached.turn;
-        }
-        metrics.recordTurnLookup("store");
-        const turn = await findStoredTurn(id);
+        metrics.recordTurnLookup(cached === undefined ? "store" : "memory");
+        const turn = cached ?? await findStoredTurn(id);
         if (turn !== undefined) {
-            remember(turn);
+            reserve(turn);
+            cache.add(turn);
         }
         return turn;
     }
@@ -101,37 +98,34 @@
     }
 
     async function readTurn(id: string, part: string): Promise<Turn | undefined> {
-        const range = { table, part, from: id, to: `${id}0` };
-        const page = await callWithRetries(store, timeout => store.read(range, { timeout }), urgentRetryPolicy);
-        return decodeTurn(id, page.rows);
+        const rows: StoreRow[] = [];
+        let page = await readPage({ table, part, from: id, to: `${id}0` });
+        rows.push(...page.rows);
+        while (page.more && page.rows.length > 0) {
+            page = await readPage({ table, part, from: `${rows.at(-1)!.key}\0`, to: `${id}0` });
+            rows.push(...page.rows);
+        }
+        return decodeTurn(id, rows);
+    }
+
+    function readPage(range: RowRange): Promise<RowPage> {
+        return callWithRetries(store, timeout => store.read(range, { timeout }), urgentRetryPolicy);
     }
 
     async function save(turn: NewTurn, history: readonly Turn[], retention: number,
         maxDuration: number): Promise<void> {
         const term = termOf(retention, maxDuration);
         const ancestors = history.map(({ id }) => id);
-        const stale = history.map(previous => cache.get(previous.id)?.turn ?? previous)
+        const stale = history.map(previous => cache.get(previous.id) ?? previous)
             .filter(({ keptUntil }) => keptUntil < term.neededUntil);
         await Promise.all([
-            ...stale.map(async previous => remember(await writer.renew(previous, term))),
-            writer.write({ ...turn, ancestors }, term).then(remember),
+            ...stale.map(previous => writer.renew(previous, term).then(cache.add)),
+            writer.write({ ...turn, ancestors }, term).then(cache.add),
         ]);
     }
 
-    function remember(turn: Turn): void {
-        cache.set(turn.id, { turn, lastUsedAt: now() });
-    }
-
-    function evictIdle(): void {
-        for (const [id, { lastUsedAt }] of cache) {
-            if (now() - lastUsedAt > cacheTtlMs) {
-                cache.delete(id);
-            }
-        }
-    }
-
     return { history, save, [Symbol.dispose]() {
-        clearInterval(evictionTimer);
+        cache[Symbol.dispose]();
         removal[Symbol.dispose]();
     } };
 }
@@ -153,6 +147,20 @@
 
 class NotFound extends Error {}
 
+/** Returns why a history could not be found; rethrows errors that no part of the lookup expects. */
+function failureOf(error: unknown): History {
+    if (error instanceof NoRoomError) {
+        return "noRoom";
+    }
+    if (error instanceof StoreError) {
+        return "unavailable";
+    }
+    throw error;
+}
+
+/** The bytes of a turn could not be reserved. */
+class NoRoomError extends Error {}
+
 async function settle<Value>(promise: Promise<Value>): Promise<PromiseSettledResult<Value>> {
     const [result] = await Promise.allSettled([promise]);
     return result;
--- a/packages/gateway/test/bundle.test.ts
+++ b/packages/gateway/test/bundle.test.ts
@@ -1,25 +1,13 @@
 import assert from "node:assert/strict";
-import { spawnSync } from "node:child_process";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
+import { writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { test } from "node:test";
-import { chooseAddresses, createSettingsFolder, settingsText, spawnProcess, startProcess } from "./gatewayProcess.ts";
+import { buildDeployedProgram, chooseAddresses, createSettingsFolder, settingsText, spawnProcess,
+    startProcess } from "./gatewayProcess.ts";
 import { call, createFleet, turnCall } from "./harness.ts";
 
-const repositoryRoot = join(import.meta.dirname, "../../..");
-
-/** Builds the gateway as for the platform, into a temporary folder. */
-async function bundleGateway() {
-    const folder = await mkdtemp(join(tmpdir(), "gateway-"));
-    const { status, stderr } = spawnSync(process.execPath, ["scripts/bundleGateway.mjs", folder], { cwd: repositoryRoot,
-        encoding: "utf8" });
-    assert.equal(status, 0, stderr);
-    return { program: [join(folder, "gateway.cjs")], [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) };
-}
-
 test("the bundle serves turns and tool calls (guards against a module that is left out although it is used)", async () => {
-    await using bundle = await bundleGateway();
+    await using bundle = await buildDeployedProgram();
     await using fleet = await createFleet();
     await using gateway = await startProcess(fleet, bundle.program);
     assert.equal((await call(gateway, turnCall("t1", "p"))).status, 200);
@@ -30,7 +18,7 @@
 });
 
 test("the bundle names invalid settings (guards against an error that is lost before the program is loaded)", async () => {
-    await using bundle = await bundleGateway();
+    await using bundle = await buildDeployedProgram();
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
     const file = join(await createSettingsFolder(), "settings.conf");
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -1,7 +1,8 @@
 import type { RowStoreListener } from "@tamarackgauge/standin";
-import { type ChildProcess, spawn } from "node:child_process";
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fetchReadinessStatus, type Fleet, freeAddress, waitUntil } from "./harness.ts";
@@ -84,6 +85,24 @@
     };
 }
 
+/** The gateway as it is deployed. */
+export interface DeployedProgram extends AsyncDisposable {
+    /** Arguments of Node.js, from the deploy file. */
+    readonly program: readonly string[];
+}
+
+/** Builds the gateway into a temporary folder, to be started with the arguments of the deploy file. */
+export async function buildDeployedProgram(): Promise<DeployedProgram> {
+    const folder = await mkdtemp(join(tmpdir(), "gateway-"));
+    const { status, stderr } = spawnSync(process.execPath, ["scripts/bundleGateway.mjs", folder], { cwd: repositoryRoot,
+        encoding: "utf8" });
+    assert.equal(status, 0, stderr);
+    const deployFile = await readFile(join(repositoryRoot, "deploy/system.toml"), "utf8");
+    const [, ...program] = /^run = "(.*)"$/m.exec(deployFile)![1]!.split(" ");
+    return { program: program.map(argument => argument.replace(/^target\//, `${folder}/`)),
+        [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) };
+}
+
 /** Starts a process and waits until it is ready. */
 export async function startProcess(fleet: Fleet, program?: readonly string[]): Promise<GatewayProcess> {
     return startProcessAt(await fleet.rowStore.open(), await chooseAddresses(), { program });
--- /dev/null
+++ b/packages/gateway/test/memory.test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { buildDeployedProgram, startProcess } from "./gatewayProcess.ts";
+import { call, createFleet, declaration, type Fleet, turnCall } from "./harness.ts";
+
+const kibibyte = 1_024;
+const mebibyte = kibibyte * kibibyte;
+/** Memory of the smallest VM on which gateways run. */
+const maxResidentBytes = 220 * mebibyte;
+const largeBody = "x".repeat(4_000_000);
+const turnsAtOnce = 12;
+const rounds = 3;
+const samplingIntervalMs = 20;
+
+/** Resident memory of a process in bytes; 0 if it is ending. */
+function residentBytes(pid: number): number {
+    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "latin1"))?.[1] ?? 0) * kibibyte;
+}
+
+function declareLargeBodies(fleet: Fleet): void {
+    fleet.declare({ routes: declaration.routes.map(route => ({ ...route, timeoutMs: 20_000 })),
+        limits: { ...declaration.limits, maxBodyBytes: 4_194_304 } });
+}
+
+test("twelve turns of 4 MB at once stay within the VM's memory, and those that are taken are kept (guards against a process that ends and cuts all its calls)", async () => {
+    await using fleet = await createFleet();
+    await using deployed = await buildDeployedProgram();
+    declareLargeBodies(fleet);
+    await using gateway = await startProcess(fleet, deployed.program);
+    let ended = false;
+    void gateway.exited.then(() => ended = true);
+    let maxBytes = 0;
+    const sampling = setInterval(
+        () => maxBytes = ended ? maxBytes : Math.max(maxBytes, residentBytes(gateway.child.pid!)),
+        samplingIntervalMs,
+    );
+    const statuses: number[] = [];
+    for (let round = 0; round < rounds; round += 1) {
+        const answers = await Promise.all(Array.from({ length: turnsAtOnce }, (_, index) => {
+            const id = `t${round}.${index}`;
+            return call(gateway, { ...turnCall(id, id), body: largeBody }).catch(() => ({ status: 0, whole: false }));
+        }));
+        statuses.push(...answers.map(({ status, whole }) => whole ? status : 0));
+    }
+    clearInterval(sampling);
+    assert.equal(ended, false);
+    assert.deepEqual(statuses.filter(status => status !== 200 && status !== 503), []);
+    assert.ok(statuses.filter(status => status === 200).length >= rounds, String(statuses));
+    assert.ok(maxBytes < maxResidentBytes, `${Math.round(maxBytes / mebibyte)} MiB`);
+    assert.equal((await call(gateway, { path: "/look/x", id: "small" })).status, 200);
+});
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -82,6 +82,22 @@
     assert.equal(setup.fleet.engine.executed[1]?.body, `${input}${outputOf("t1")}input of t2;`);
 });
 
+test("a turn larger than one call of the store is stored completely and removed completely (guards against answers that are cut after they have run)", async () => {
+    await using fleet = await createFleet();
+    const retentionS = 1;
+    fleet.declare({ routes: declaration.routes.map(route => route.name === "turn" ? { ...route, retentionS } : route),
+        limits: { ...declaration.limits, maxBodyBytes: 4_194_304 } });
+    const maxRowBytes = 8_192;
+    const [one, two] = [await fleet.startGateway({ maxRowBytes }), await fleet.startGateway({ maxRowBytes })];
+    await Promise.all([waitUntilReady(one), waitUntilReady(two)]);
+    const input = "0123456789".repeat(180_000);
+    assert.equal((await call(one, { ...turnCall("t1", "p"), body: input })).status, 200);
+    assert.ok(fleet.rowStore.keys("turns").length > 200);
+    assert.equal((await call(two, turnCall("t2", "p", "t1"))).status, 200);
+    assert.equal(fleet.engine.executed[1]?.body, `${input}${outputOf("t1")}input of t2;`);
+    await waitUntil(() => fleet.rowStore.keys("turns").length === 0, "all rows are removed");
+});
+
 test("a budget is enforced across all gateways (guards against each of them spending the whole budget)", async () => {
     await using setup = await startGateways();
     const gateways = [setup.one, setup.two];
--- a/packages/standin/src/rowStore.ts
+++ b/packages/standin/src/rowStore.ts
@@ -58,6 +58,8 @@
 
 const maxRows = 500;
 const maxEntries = 100;
+/** Maximum size of a call that writes, and of the values in one answer. */
+const maxCallBytes = 1_048_576;
 
 /** Creates an empty row store. */
 export function createRowStore(): RowStore {
@@ -103,7 +105,8 @@
             .filter(row => row.table === query.get("table") && row.part === (query.get("part") ?? ""))
             .filter(row => row.key >= from && (to === null || row.key < to))
             .sort((left, right) => left.key < right.key ? -1 : 1);
-        return { rows: found.slice(0, limit), hasMore: found.length > limit, ver: version, nowMs: now() };
+        const page = withinBytes(found.slice(0, limit), maxCallBytes);
+        return { rows: page, hasMore: found.length > page.length, ver: version, nowMs: now() };
     }
 
     async function feed(query: URLSearchParams): Promise<{ status: number; body: object; }> {
@@ -161,6 +164,16 @@
     };
 }
 
+/** The first rows whose values have at most `maxBytes` together, but at least one. */
+function withinBytes(found: readonly Row[], maxBytes: number): readonly Row[] {
+    let bytes = 0;
+    const end = found.findIndex((row, index) => {
+        bytes += row.value.length;
+        return bytes > maxBytes && index > 0;
+    });
+    return end < 0 ? found : found.slice(0, end);
+}
+
 interface RowCalls {
     readonly apply: (change: Change) => { status: number; body: object; };
     readonly read: (query: URLSearchParams) => object;
@@ -200,6 +213,9 @@
             }
             case "POST /tamarackgauge/rows-tx": {
                 counts.changes += 1;
+                if (received.body.length > maxCallBytes) {
+                    throw new HttpError(413, "the call is too long");
+                }
                 const change = parseBody(received, changeSchema);
                 if (change.put.length + change.remove.length + change.expectedRevision.length > maxEntries) {
                     throw new HttpError(413, "too many entries");
