Start: a port that is in use is tried again, and a failed start ends the process

Operators saw that the system did not start, or that its processes ended by themselves. Here, with one gateway and another socket on one of its ports: with the callers' port taken the process ended at once; with the readiness, the peers' or the metrics port taken it accepted callers' connections and neither became ready nor ended, also after the port was free again.

Cause: listening was tried once.

Evidence: the first six tests of startup.test.ts failed on the code before (each of four ports in use for a while, the metrics port in use for good, the callers' port in use for good; the run was then ended by its time limit). All twelve pass now.

Why it works: an address that is in use or not configured yet is tried again for 15 s; then the process ends with exit code 3 and a line that names the address. Metrics are tried beside the start. SIGTERM ends a process that waits for a port. Settings that are missing or half written are read again for 3 s. The store away at the start, and a log that nobody reads, were tried too and held before.

--- a/packages/core/test/gateway/byteSemaphore.test.ts
+++ b/packages/core/test/gateway/byteSemaphore.test.ts
@@ -4,7 +4,7 @@
 
 /** Lets all operations that may start do so. */
 function nextTurn(): Promise<void> {
-    return new Promise<void>(resolve => void setImmediate(resolve));
+    return new Promise(resolve => setImmediate(() => resolve()));
 }
 
 /** Starts operations of the given sizes, which end on request; returns which have started. */
@@ -20,10 +20,11 @@
             });
         })
     );
-    results.forEach(result => result.catch(() => undefined));
+    results.forEach(result => void result.catch(() => undefined));
+
     async function finish(index: number): Promise<void> {
         finishers[index]!();
-        await Promise.allSettled([results[index]]);
+        await Promise.allSettled(results.slice(index, index + 1));
         await nextTurn();
     }
 
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,5 +1,6 @@
 import type { SocketAddress } from "@tamarackgauge/core/gateway";
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from "node:http";
+import { listen } from "./listen.ts";
 
 /** The listening server for callers. Requests that arrive before they can be handled wait. */
 export interface CallerServer {
@@ -10,8 +11,6 @@
 
 /** Maximum size of a request head that Node.js parses. */
 const maxHeaderBytes = 65_536;
-/** Maximum number of connections that wait to be accepted. */
-const backlog = 1_024;
 
 /**
  * Starts listening for callers. This module loads quickly, so that a process that starts accepts connections before the
@@ -31,14 +30,3 @@
         },
     };
 }
-
-/** Resolves when the server listens on the address. */
-export function listen(server: Server, { host, port }: SocketAddress): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host, port, backlog }, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,10 +7,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
-import { type CallerServer, listen, openCallerServer } from "./callerServer.ts";
+import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { createCleaner } from "./cleaner.ts";
 import { createFrontend } from "./front.ts";
 import type { MemoryLimits } from "./limits.ts";
+import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
 import { createPeerContacts } from "./peerContacts.ts";
@@ -107,7 +108,7 @@
     await listen(readiness, settings.readinessAddress);
     const metricsServer = settings.metricsAddress === undefined
         ? undefined
-        : await serveMetrics(settings.metricsAddress, metrics);
+        : serveMetrics(settings.metricsAddress, metrics, log);
     const summaryTimer = setInterval(() => void logSummary(), summaryIntervalMs);
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
@@ -196,12 +197,13 @@
     };
 }
 
-async function serveMetrics(address: SocketAddress, metrics: Metrics): Promise<Server> {
+/** Serves the metrics. Calls are served without them too, so an address that is in use is only logged. */
+function serveMetrics(address: SocketAddress, metrics: Metrics, log: Log): Server {
     const server = createServer((_, response) => {
         void metrics.text().then(text =>
             response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text)
         );
     });
-    await listen(server, address);
+    listen(server, address).catch((error: Error) => log.warn("metrics.unavailable", { reason: error.message }));
     return server;
 }
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -1,8 +1,10 @@
 import { type FeedResult, type RowPage, type SocketAddress, type Store, StoreError,
     type StoreHealth } from "@tamarackgauge/core/gateway";
 import { pack } from "msgpackr";
+import { createServer } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
+import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
 import { decodePeerRequest, isTokenCall, type PeerAnswer, type RelayedCall, type TokenCall } from "./peerMessage.ts";
 
@@ -20,17 +22,15 @@
 /** Maximum number of concurrent calls made for other gateways; more are refused, so that own calls are not delayed. */
 const maxRelayedCalls = 48;
 const maxMessageBytes = 4 * 1024 * 1024;
+const upgradeRequiredStatus = 426;
 
 /** Makes store calls for gateways that cannot reach the store, and lends tokens of programs. */
 export async function createPeerServer(parts: PeerServerParts): Promise<AsyncDisposable> {
     const { address, log } = parts;
-    const server = new WebSocketServer({ host: address.host, port: address.port, maxPayload: maxMessageBytes,
-        perMessageDeflate: false });
+    const httpServer = createServer((_, response) => response.writeHead(upgradeRequiredStatus).end());
+    await listen(httpServer, address);
+    const server = new WebSocketServer({ server: httpServer, maxPayload: maxMessageBytes, perMessageDeflate: false });
     let relayedCalls = 0;
-    await new Promise<void>((resolve, reject) => {
-        server.once("listening", resolve);
-        server.once("error", reject);
-    });
     server.on("connection", socket => {
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
         socket.on("message", data => {
@@ -97,6 +97,8 @@
         async [Symbol.asyncDispose]() {
             server.clients.forEach(client => client.terminate());
             await new Promise(resolve => server.close(resolve));
+            httpServer.closeAllConnections();
+            await new Promise(resolve => httpServer.close(resolve));
         },
     };
 }
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -18,6 +18,8 @@
     /** Resolves with the exit code, or with the signal that ended the process. */
     readonly exited: Promise<number | string>;
     output(): string;
+    /** What the process has written to its standard error. */
+    errors(): string;
 }
 
 /** Addresses on which a gateway listens. */
@@ -25,12 +27,14 @@
     readonly callerAddress: { readonly port: number; };
     readonly readinessAddress: { readonly port: number; };
     readonly peerAddress: { readonly port: number; };
+    readonly metricsAddress: { readonly port: number; };
 }
 
 /** Chooses free addresses. */
 export async function chooseAddresses(): Promise<GatewayAddresses> {
-    const [callers, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
-    return { callerAddress: callers, readinessAddress: readiness, peerAddress: peers };
+    const [callers, readiness, peers, metrics] = await Promise.all([freeAddress(), freeAddress(), freeAddress(),
+        freeAddress()]);
+    return { callerAddress: callers, readinessAddress: readiness, peerAddress: peers, metricsAddress: metrics };
 }
 
 /** Settings file of a gateway that uses the given store endpoint. */
@@ -42,6 +46,7 @@
         `bind.front=127.0.0.1:${addresses.callerAddress.port}`,
         `bind.readiness=127.0.0.1:${addresses.readinessAddress.port}`,
         `bind.control=127.0.0.1:${addresses.peerAddress.port}`,
+        `portRange=1,${addresses.metricsAddress.port}`,
         `provider.address=${storeEndpoint.address}:${storeEndpoint.port}`,
         "provider.rowBytes=65536",
         "bounds.graceS=8",
@@ -64,12 +69,16 @@
  */
 export function spawnProcess(settingsFile: string, settings: GatewayAddresses,
     program: readonly string[] = sourceProgram): GatewayProcess {
-    const child = spawn(process.execPath, program, { cwd: repositoryRoot, stdio: ["ignore", "pipe", "inherit"],
+    const child = spawn(process.execPath, program, { cwd: repositoryRoot, stdio: ["ignore", "pipe", "pipe"],
         env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: settingsFile } });
     let output = "";
     child.stdout.on("data", (chunk: Buffer) => {
         output += chunk.toString();
     });
+    let errors = "";
+    child.stderr.on("data", (chunk: Buffer) => {
+        errors += chunk.toString();
+    });
     const exited = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
     return {
         child,
@@ -77,6 +86,7 @@
         settingsFile,
         exited,
         output: () => output,
+        errors: () => errors,
         async [Symbol.asyncDispose]() {
             child.kill("SIGKILL");
             await exited;
--- /dev/null
+++ b/packages/gateway/test/startup.test.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { join } from "node:path";
+import { test } from "node:test";
+import { chooseAddresses, createSettingsFolder, type GatewayAddresses, settingsText,
+    spawnProcess } from "./gatewayProcess.ts";
+import { call, createFleet, fetchReadinessStatus, type Fleet, turnCall, waitUntil } from "./harness.ts";
+
+const names = ["callerAddress", "readinessAddress", "peerAddress", "metricsAddress"] as const;
+
+/** Occupies a port, as an outgoing connection or another process may do. */
+async function occupy({ port }: { readonly port: number; }) {
+    const server = createServer();
+    server.listen(port, "127.0.0.1");
+    await once(server, "listening");
+    return { port, [Symbol.asyncDispose]: () => new Promise<void>(resolve => server.close(() => resolve())) };
+}
+
+/** Starts a process without waiting until it is ready. */
+async function spawnGateway(fleet: Fleet, addresses: GatewayAddresses, writeSettings = true) {
+    const settingsFile = join(await createSettingsFolder(), "settings.conf");
+    const text = settingsText(await fleet.rowStore.open(), addresses);
+    if (writeSettings) {
+        await writeFile(settingsFile, text);
+    }
+    return { gateway: spawnProcess(settingsFile, addresses), settingsFile, text };
+}
+
+async function waitUntilServing(fleet: Fleet, addresses: GatewayAddresses): Promise<void> {
+    await waitUntil(async () => await fetchReadinessStatus(addresses.readinessAddress.port) === 200, "it is ready");
+    assert.equal((await call({ settings: addresses }, turnCall("t1", "p"))).status, 200);
+}
+
+for (const name of names) {
+    test(`a gateway whose ${name} is in use at the start serves once it is free (guards against a process that stays unready or ends again and again)`, async () => {
+        await using fleet = await createFleet();
+        const addresses = await chooseAddresses();
+        const occupied = await occupy(addresses[name]);
+        const { gateway } = await spawnGateway(fleet, addresses);
+        await using process = gateway;
+        // The sources take some time to load; the address must be in use when the process listens.
+        await Promise.race([process.exited, new Promise(resolve => setTimeout(resolve, 3_000))]);
+        assert.equal(process.child.exitCode, null);
+        await occupied[Symbol.asyncDispose]();
+        await waitUntilServing(fleet, addresses);
+    });
+}
+
+test("a gateway serves although its metricsAddress stays in use (guards against a process that serves nobody for lack of metrics)", async () => {
+    await using fleet = await createFleet();
+    const addresses = await chooseAddresses();
+    await using occupied = await occupy(addresses.metricsAddress);
+    const { gateway } = await spawnGateway(fleet, addresses);
+    await using process = gateway;
+    await waitUntilServing(fleet, addresses);
+    await waitUntil(() => process.output().includes("metrics.unavailable"), "the reason is logged");
+    assert.match(process.output(), new RegExp(`cannot listen on 127.0.0.1:${occupied.port}`));
+});
+
+for (const name of ["callerAddress", "readinessAddress", "peerAddress"] as const) {
+    test(`a gateway whose ${name} stays in use ends and names it (guards against a process that neither serves nor ends)`, async () => {
+        await using fleet = await createFleet();
+        const addresses = await chooseAddresses();
+        await using occupied = await occupy(addresses[name]);
+        const { gateway } = await spawnGateway(fleet, addresses);
+        await using process = gateway;
+        assert.equal(await process.exited, 3);
+        assert.match(process.errors(), new RegExp(`cannot listen on 127.0.0.1:${occupied.port}: .*EADDRINUSE`));
+    });
+}
+
+test("a gateway that waits for a port ends when it is asked to stop (guards against a process that the platform has to kill)", async () => {
+    await using fleet = await createFleet();
+    for (const name of ["callerAddress", "readinessAddress"] as const) {
+        const addresses = await chooseAddresses();
+        await using occupied = await occupy(addresses[name]);
+        const { gateway } = await spawnGateway(fleet, addresses);
+        await using process = gateway;
+        await new Promise(resolve => setTimeout(resolve, 2_000));
+        process.child.kill("SIGTERM");
+        assert.equal(await process.exited, 0, `${name} ${occupied.port}`);
+    }
+});
+
+test("a gateway waits for a settings file that is missing or half written at the start (guards against a process that ends again and again)", async () => {
+    await using fleet = await createFleet();
+    const addresses = await chooseAddresses();
+    const { gateway, settingsFile, text } = await spawnGateway(fleet, addresses, false);
+    await using process = gateway;
+    await new Promise(resolve => setTimeout(resolve, 1_500));
+    await writeFile(settingsFile, text.slice(0, text.length / 2));
+    await new Promise(resolve => setTimeout(resolve, 500));
+    assert.equal(process.child.exitCode, null);
+    await writeFile(settingsFile, text);
+    await waitUntilServing(fleet, addresses);
+});
+
+test("a gateway whose log has no reader keeps serving (guards against a process that a closed pipe ends)", async () => {
+    await using fleet = await createFleet();
+    const addresses = await chooseAddresses();
+    const { gateway } = await spawnGateway(fleet, addresses);
+    await using process = gateway;
+    process.child.stdout!.destroy();
+    process.child.stderr!.destroy();
+    await waitUntilServing(fleet, addresses);
+    for (let index = 0; index < 20; index += 1) {
+        assert.equal((await call(process, turnCall(`u${index}`, `q${index}`))).status, 200);
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    assert.equal(process.child.exitCode, null);
+});
+
+test("a gateway that starts while the store is away serves when it is back (guards against a process that ends or stays unready)", async () => {
+    await using fleet = await createFleet();
+    for (const mode of ["reset", "silent", "busy"] as const) {
+        const addresses = await chooseAddresses();
+        const settingsFile = join(await createSettingsFolder(), "settings.conf");
+        const storeEndpoint = await fleet.rowStore.open();
+        storeEndpoint.setFault({ mode });
+        await writeFile(settingsFile, settingsText(storeEndpoint, addresses, `g-${mode}`));
+        await using process = spawnProcess(settingsFile, addresses);
+        await waitUntil(async () => await fetchReadinessStatus(addresses.readinessAddress.port) === 503, "it answers");
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        assert.equal(process.child.exitCode, null);
+        storeEndpoint.setFault(undefined);
+        await waitUntilServing(fleet, addresses);
+    }
+});
