Upstreams: odd entries are skipped, and an attempt that throws has not run

Callers' connections were closed without an answer when another writer had left an entry with an impossible address among the upstreams, such as 127.0.0.1:99999.

Cause: the address had to match only digits, dots and up to five digits of a port, and what opening the connection threw (TypeError: Invalid URL) ended the call in place of the attempt. An address such as 999.999.1.1 became a name look-up.

Why it works: such an entry is left out of the list, with one log line; whatever an attempt throws has not been sent, so another upstream is tried, also for calls that may run only once.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -166,7 +166,6 @@
 
     const sentAt = now();
     const prefillTokens = tokensToPrefill(state, call.head.parts, call.head.promptTokens);
-    state.inFlight += 1;
     state.cache.record(call.head.parts);
     const activeRequest = client.send({
         callId: call.head.id,
@@ -190,6 +189,8 @@
                 unreachable: cause === "unreachable" }),
     });
 
+    // Not earlier, as the attempt has not started if the client throws.
+    state.inFlight += 1;
     if (!call.route.streamed) {
         restartProgressTimer();
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import { createStoreHealth, type Declaration, type GatewaySettings, type RowRange, type SocketAddress, type Store,
-    type StoreRow } from "@tamarackgauge/core/gateway";
+    type StoreRow, type UpstreamEntry } from "@tamarackgauge/core/gateway";
 import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
     upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
@@ -143,7 +143,7 @@
         if (declaration === undefined) {
             return;
         }
-        const entries = [...rows].flatMap(([id, row]) => decodeUpstream(id, row.value) ?? []);
+        const entries = decodeUpstreams(rows);
         upstreams.replace(entries);
         if (entries.length > 0) {
             upstreamsKnown = true;
@@ -151,6 +151,16 @@
         }
     }
 
+    /** Ids of the rows that cannot be decoded, each of which is logged once. */
+    let unreadableUpstreams: ReadonlySet<string> = new Set();
+    function decodeUpstreams(rows: ReadonlyMap<string, StoreRow>): readonly UpstreamEntry[] {
+        const decoded = [...rows].map(([id, row]) => ({ id, entry: decodeUpstream(id, row.value) }));
+        const unreadable = decoded.filter(({ entry }) => entry === undefined).map(({ id }) => id);
+        unreadable.filter(id => !unreadableUpstreams.has(id)).forEach(id => log.warn("upstream.unreadable", { id }));
+        unreadableUpstreams = new Set(unreadable);
+        return decoded.flatMap(({ entry }) => entry ?? []);
+    }
+
     async function logSummary(): Promise<void> {
         log.info("gateway.summary", { active: frontend.activeCalls(), upstreams: upstreams.count(),
             ...upstreams.summary(), ...await metrics.summary() });
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -122,8 +122,7 @@
 
     async function attempt(upstream: Upstream): Promise<AttemptEnd> {
         const { state } = upstream;
-        current = startAttempt(upstream, { ...plan, usedConnections }, limits, now);
-        const end = await current.end;
+        const end = await startAttemptSafely(upstream);
         if (end.kind !== "failure" || !end.unreachable) {
             reachedIds.add(state.entry.id);
         }
@@ -138,6 +137,18 @@
         return end;
     }
 
+    /** An error before anything was sent is a failed attempt, so that another upstream is tried. */
+    async function startAttemptSafely(upstream: Upstream): Promise<AttemptEnd> {
+        try {
+            current = startAttempt(upstream, { ...plan, usedConnections }, limits, now);
+        }
+        catch (error) {
+            const reason = (error as Error).message;
+            return { kind: "failure", failure: "notRun", reason, unreachable: true };
+        }
+        return current.end;
+    }
+
     function cancel(reason: CancelReason): void {
         cancelled = reason;
         sentAtCancel = current?.wasSent() === true;
