Shutdown: the end of the process is checked before a call is sent, and calls under way are answered

Callers' connections were closed without an answer at the end of a planned stop, for calls that may run only once too: a request whose body was whole only late in the grace was passed on, and calls at a slow engine were cut with the process.

Cause: whether a call may outlast the process was decided when its head arrived, and for the first 2.3 s after SIGTERM there is no such limit. Nothing answered the calls that still ran when the process ended.

Why it works: the check stands immediately before the send, so whatever a call waited for is covered; the refusal is true, as the call has not run. Calls that still run 0.4 s before the platform kills the process get 504 if they were sent, 503 if not.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -12,7 +12,10 @@
 import type { NewTurn } from "./turns.ts";
 
 /** Parts that all exchanges share. */
-export type ExchangeParts = TurnPreparationParts;
+export interface ExchangeParts extends TurnPreparationParts {
+    /** The monotonic time at which a call must have ended to be sent, as the process ends then; it may change. */
+    readonly latestEnd: () => number;
+}
 
 /** Serves one call, from the end of its request body to the end of its answer. */
 export interface Exchange {
@@ -21,6 +24,8 @@
     readonly done: Promise<void>;
     /** Cancels the call because its caller has disconnected. */
     abandon(): void;
+    /** Ends the call because the process ends: with 503 if it has not run, with 504 if it may have run. */
+    interrupt(): void;
 }
 
 const badGateway = 502;
@@ -81,11 +86,13 @@
     let disconnected = false;
     let timedOut = false;
     let phase: CallPhase = "preparing";
-    const timer = setTimeout(() => {
+    const timer = setTimeout(endInTime, call.deadlineAt - startedAt);
+
+    function endInTime(): void {
         timedOut = true;
         ended.abort();
         sends?.cancel("late");
-    }, call.deadlineAt - startedAt);
+    }
 
     async function run(): Promise<void> {
         try {
@@ -154,6 +161,10 @@
             answerLocally(refusalAnswer({ kind: "outOfTime" }));
             return 0;
         }
+        if (call.deadlineAt > parts.latestEnd()) {
+            answerLocally(refusalAnswer({ kind: "stopping" }));
+            return 0;
+        }
         const keepsTurn = history !== undefined && route.retention !== undefined;
         const relay = route.streamed
             ? createStreamRelay({ response, keepsOutput: keepsTurn, resumable: route.resumable })
@@ -264,7 +275,7 @@
         sends?.cancel("left");
     }
 
-    return { route: route.name, done: run(), abandon };
+    return { route: route.name, done: run(), abandon, interrupt: endInTime };
 }
 
 /** Rejects with a `StoreError` if the store operation takes longer than `timeoutMs`. */
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -18,11 +18,13 @@
      * (monotonic milliseconds) is refused, because the end of the process would interrupt it.
      */
     drain(deadline: number): Promise<void>;
+    /** Answers the calls that are still running, because the process ends. */
+    interrupt(): void;
     activeCalls(): number;
 }
 
 /** Parts of the frontend. */
-export interface FrontendParts extends ExchangeParts {
+export interface FrontendParts extends Omit<ExchangeParts, "latestEnd"> {
     readonly callerServer: CallerServer;
     /** Resolves when the declaration and upstreams are known, without which no call can be served. */
     readonly initialized: Promise<void>;
@@ -56,6 +58,8 @@
     let active = 0;
     let initialized = false;
     let notifyIdle: (() => void) | undefined;
+    const exchanges = new Set<Exchange>();
+    const exchangeParts: ExchangeParts = { ...parts, latestEnd: () => drainDeadline };
     const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
     const { server } = parts.callerServer;
     server.on("clientError", (error: Error & { code?: string; }, socket) => {
@@ -94,13 +98,17 @@
         });
         try {
             exchange = await startCall(request, response, arrivedAt, byteAccount);
-            await exchange?.done;
+            if (exchange !== undefined) {
+                exchanges.add(exchange);
+                await exchange.done;
+            }
         }
         catch (error) {
             log.warn("call.broken", { reason: (error as Error).stack ?? String(error) });
             response.destroy();
         }
         finally {
+            exchanges.delete(exchange!);
             metrics.recordCall(exchange?.route ?? "none", response.headersSent ? response.statusCode : 0,
                 now() - arrivedAt);
             await waitUntilClosed(response);
@@ -147,7 +155,7 @@
         }
         const hasBody = body.length > 0 || request.headers["content-length"] !== undefined ||
             request.headers["transfer-encoding"] !== undefined;
-        return startExchange(parts, {
+        return startExchange(exchangeParts, {
             method: request.method ?? "GET",
             path: url,
             rawHeaders: request.rawHeaders,
@@ -196,6 +204,10 @@
             closing = true;
         },
         drain,
+        interrupt() {
+            drainDeadline = -Infinity;
+            exchanges.forEach(exchange => exchange.interrupt());
+        },
         activeCalls: () => active,
         async [Symbol.asyncDispose]() {
             server.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,6 +50,8 @@
 const balancerRemovalMs = 2_300;
 /** Calls that still run this long before the platform kills the process are abandoned. */
 const exitMarginMs = 400;
+/** Maximum time for the last answers and the last calls of the store before the process ends. */
+const maxFinalWritesMs = 300;
 /** The gateway stays ready during store outages up to this long. */
 const maxReadyOutageMs = 700;
 const summaryIntervalMs = 10_000;
@@ -179,8 +181,13 @@
         frontend.disableKeepAlive();
         await sleep(balancerRemovalMs);
         const deadline = startedAt + settings.shutdownGrace - exitMarginMs;
-        await Promise.race([frontend.drain(deadline), sleep(deadline - now())]);
-        await Promise.race([Promise.all([ownBudgets.flush(), peerList?.deregister()]), sleep(300)]);
+        const drained = frontend.drain(deadline);
+        await Promise.race([drained, sleep(deadline - now())]);
+        frontend.interrupt();
+        await Promise.race([
+            Promise.all([drained, ownBudgets.flush(), peerList?.deregister()]),
+            sleep(maxFinalWritesMs),
+        ]);
         log.info("gateway.stopped", { active: frontend.activeCalls() });
     }
 
--- /dev/null
+++ b/packages/gateway/test/shutdown.test.ts
@@ -0,0 +1,58 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { call, collectText, createFleet, declaration, turnCall, waitUntil, waitUntilReady } from "./harness.ts";
+
+/** A gateway that is killed this long after it was asked to stop, and routes whose calls may take longer. */
+const graceMs = 4_000;
+/** After this time a gateway that was asked to stop takes only calls that end in time. */
+const intakeMs = 2_300;
+
+async function startFleet() {
+    const fleet = await createFleet();
+    fleet.declare({ routes: declaration.routes.map(route => ({ ...route, timeoutMs: 10_000 })) });
+    const gateway = await fleet.startGateway({ shutdownGrace: graceMs });
+    await waitUntilReady(gateway);
+    return { fleet, gateway, [Symbol.asyncDispose]: () => fleet[Symbol.asyncDispose]() };
+}
+
+test("a call whose body is whole only late in a shutdown is refused and not passed on (guards against calls cut at the end of the process)", async () => {
+    await using parts = await startFleet();
+    const socket = connect(parts.gateway.settings.callerAddress.port, "127.0.0.1");
+    const text = collectText(socket);
+    await once(socket, "connect");
+    const stopped = parts.gateway.gateway.shutDown();
+    socket.write("POST /pay/x HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: slow\r\ncontent-length: 2\r\n\r\na");
+    await sleep(intakeMs + 300);
+    socket.write("b");
+    await waitUntil(() => text().length > 0, "the call is answered");
+    assert.match(text(), /^HTTP\/1.1 503 /);
+    await stopped;
+    assert.deepEqual(parts.fleet.tool.executed, []);
+});
+
+test("a turn that waits for the store until late in a shutdown is refused (guards against calls cut at the end of the process)", async () => {
+    await using parts = await startFleet();
+    parts.gateway.storeEndpoint.setFault({ mode: "slow", ms: intakeMs + 300, call: "change" });
+    const answer = call(parts.gateway, turnCall("t1", "p"));
+    await sleep(50);
+    const stopped = parts.gateway.gateway.shutDown();
+    assert.equal((await answer).status, 503);
+    await stopped;
+    assert.deepEqual(parts.fleet.engine.executed, []);
+});
+
+test("calls that still run at the end of the process are answered (guards against connections closed without an answer)", async () => {
+    await using parts = await startFleet();
+    parts.fleet.tool.behave("silent", "silent");
+    const answers = ["c1", "c2"].map(id => call(parts.gateway, { path: "/pay/x", id, body: "x" }));
+    await waitUntil(() => parts.fleet.tool.executed.length >= 2, "the calls run");
+    await parts.gateway.gateway.shutDown();
+    const statuses = await Promise.race([Promise.all(answers), sleep(0).then(() => "unanswered")]);
+    assert.deepEqual(Array.isArray(statuses) && statuses.map(({ status, whole }) => [status, whole]), [[504, true], [
+        504,
+        true,
+    ]]);
+});
