Upstreams: one that announces in an answer that it leaves gets no further call

A gateway followed only the engine's entry in the store, which may be late, or away with the store.

What counts: the header with no other value than 1, in an answer to the very call, signed or refusing it as not run; a 421 comes from another engine at the address and does not count. From then on the upstream is not chosen, also where it is preferred for a program's cache or has received the call before; calls that wait for a connection to it go elsewhere; idle connections close, the others after their answers. Only another incarnation ends it, so that an entry that expires for a moment does not.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -46,6 +46,8 @@
     /** The body has a content encoding, so its bytes are not the ones that the upstream wrote. */
     readonly encoded: boolean;
     readonly load: UpstreamLoad | undefined;
+    /** The upstream announces that it leaves. */
+    readonly leaving: boolean;
     /** The upstream closes the connection after this answer. */
     readonly closesConnection: boolean;
 }
--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -56,7 +56,7 @@
 ): UpstreamState | undefined {
     let best: UpstreamState | undefined;
     let lowestCost = Infinity;
-    const usable = [...upstreams].filter(({ entry }) => !entry.draining && !criteria.tried.has(entry.id));
+    const usable = [...upstreams].filter(state => !state.isLeaving() && !criteria.tried.has(state.entry.id));
     const assumed = assumeCachedTokens(usable, criteria.parts[0]);
     for (const upstream of usable) {
         const cached = estimateCachedTokens(upstream, criteria, assumed.get(upstream) ?? 0);
--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -16,6 +16,7 @@
     private inFlightAtLoad = 0;
     private consecutiveFailures = 0;
     private suspendedUntil = -Infinity;
+    private leaving = false;
 
     constructor(
         public entry: UpstreamEntry,
@@ -67,6 +68,20 @@
         this.suspendedUntil = now + suspension;
     }
 
+    /** Records that the upstream announced in an answer that it leaves. It does not come back in this incarnation. */
+    recordLeaving(): void {
+        this.leaving = true;
+    }
+
+    hasAnnouncedLeaving(): boolean {
+        return this.leaving;
+    }
+
+    /** Whether the upstream gets no new calls, by its entry or by its answers. */
+    isLeaving(): boolean {
+        return this.leaving || this.entry.draining;
+    }
+
     isSuspended(now: number): boolean {
         return now < this.suspendedUntil;
     }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -38,6 +38,8 @@
  */
 const answerTimeoutFactor = 4;
 const minAnswerTimeoutMs = 150;
+/** 421 Misdirected Request: another upstream than the addressed one has the address. */
+const misdirectedStatus = 421;
 /**
  * A stream that can be resumed at another upstream is considered stalled after this multiple of the route's maximum
  * interval between events, but not earlier than after `minEventTimeoutMs`.
@@ -49,6 +51,8 @@
 export interface AttemptPlan extends SendPlan {
     /** Connections that have carried the call in earlier attempts. */
     readonly usedConnections: UsedConnections;
+    /** Called when the upstream announces in its answer that it leaves. */
+    readonly onLeaving: () => void;
 }
 
 /** Starts an attempt to send a call to an upstream. */
@@ -87,6 +91,9 @@
 
     function receiveHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
         answer = { head, headers };
+        if (head.leaving && isOwnAnswer(head, call.head.id)) {
+            plan.onLeaving();
+        }
         if (head.load !== undefined) {
             state.recordLoad(head.load, now());
         }
@@ -241,6 +248,11 @@
     return { kind: "failure", failure: kind, reason, unreachable: false };
 }
 
+/** Whether the answer is that of the addressed upstream to this call: it is signed, or it refuses the call. */
+function isOwnAnswer({ callId, signed, notRun, status }: AnswerHead, call: string): boolean {
+    return callId === call && (signed || (notRun && status !== misdirectedStatus));
+}
+
 function isSuccess(status: number): boolean {
     return status >= 200 && status < 300;
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,8 @@
     recordStoreCall(call: StoreCallRecord): void;
     /** Records the end of one attempt at an upstream. */
     recordSend(service: string, outcome: string): void;
+    /** Records that an upstream announced in an answer that it leaves. */
+    recordLeaving(service: string): void;
     /** Records whether a previous turn was found in memory or had to be read from the store. */
     recordTurnLookup(where: "memory" | "store"): void;
     /** Records whether a turn's tokens were reserved by this gateway or by the program's home gateway. */
@@ -46,6 +48,8 @@
         labelNames: ["kind", "way", "outcome", "table"], registers });
     const sends = new Counter({ name: "tamarackgauge_sends_total", help: "Sends to upstreams that have ended",
         labelNames: ["service", "outcome"], registers });
+    const leaving = new Counter({ name: "tamarackgauge_upstreams_leaving_total",
+        help: "Upstreams that announced in an answer that they leave", labelNames: ["service"], registers });
     const turnLookups = new Counter({ name: "tamarackgauge_previous_turns_total",
         help: "Previous turns, by where they were found", labelNames: ["where"], registers });
     const tokenReservations = new Counter({ name: "tamarackgauge_token_reservations_total",
@@ -60,13 +64,14 @@
         },
         recordStoreCall: ({ kind, way, outcome, table }) => storeCalls.inc({ kind, way, outcome, table }),
         recordSend: (service, outcome) => sends.inc({ service, outcome }),
+        recordLeaving: service => leaving.inc({ service }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
         setActiveCalls: count => activeCalls.set(count),
         text: () => registry.metrics(),
         async summary() {
             const fields: Record<string, number> = {};
-            for (const counter of [calls, storeCalls, sends, turnLookups, tokenReservations]) {
+            for (const counter of [calls, storeCalls, sends, leaving, turnLookups, tokenReservations]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -117,7 +117,7 @@
     function pickReached(): Upstream | undefined {
         return [...reachedIds]
             .map(id => upstreams.find(id))
-            .find(upstream => upstream !== undefined && !upstream.state.entry.draining);
+            .find(upstream => upstream !== undefined && !upstream.state.isLeaving());
     }
 
     async function attempt(upstream: Upstream): Promise<AttemptEnd> {
@@ -140,7 +140,8 @@
     /** An error before anything was sent is a failed attempt, so that another upstream is tried. */
     async function startAttemptSafely(upstream: Upstream): Promise<AttemptEnd> {
         try {
-            current = startAttempt(upstream, { ...plan, usedConnections }, limits, now);
+            const onLeaving = () => retire(upstream);
+            current = startAttempt(upstream, { ...plan, usedConnections, onLeaving }, limits, now);
         }
         catch (error) {
             const reason = (error as Error).message;
@@ -149,6 +150,15 @@
         return current.end;
     }
 
+    function retire(upstream: Upstream): void {
+        const { id, service } = upstream.state.entry;
+        if (!upstream.state.hasAnnouncedLeaving()) {
+            upstreams.retire(upstream);
+            metrics.recordLeaving(service);
+            log.info("upstream.leaving", { upstream: id, service, answeredCall: head.id });
+        }
+    }
+
     function cancel(reason: CancelReason): void {
         cancelled = reason;
         sentAtCancel = current?.wasSent() === true;
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -54,6 +54,11 @@
 /** Client of one upstream. */
 export interface UpstreamClient extends AsyncDisposable {
     send(request: UpstreamRequest, observer: ResponseObserver): ActiveRequest;
+    /**
+     * Sends no further call: those that wait for a connection fail, idle connections are closed, and the others after
+     * their answers.
+     */
+    retire(): void;
 }
 
 /** Dependencies of a client. */
@@ -83,9 +88,16 @@
 /** A call that waits for a connection. */
 interface WaitingRequest {
     readonly request: UpstreamRequest;
+    readonly refuse: () => void;
     start(connection: Connection): void;
 }
 
+const leavingReason = "the upstream leaves";
+
+/** Stands for a call that never leaves this process. */
+const unsentRequest: ActiveRequest = { wasSent: () => false, cancel: () => undefined, pause: () => undefined,
+    resume: () => undefined };
+
 /** Creates a client for the upstream at an address. */
 export function createUpstreamClient(parts: UpstreamClientParts): UpstreamClient {
     const { host, port, maxConnections, maxHeadBytes } = parts;
@@ -93,6 +105,7 @@
     let connections: Connection[] = [];
     /** Ordered by priority, then by arrival. */
     let waiting: WaitingRequest[] = [];
+    let retired = false;
 
     function acquireConnection({ usedConnections }: UpstreamRequest): Connection | undefined {
         const idle = connections.filter(({ busy }) => !busy);
@@ -126,7 +139,7 @@
     /** A connection is not reused if it may still deliver an answer that belongs to none of the pending calls. */
     function releaseConnection(connection: Connection, isReusable: boolean): void {
         connection.busy = false;
-        if (!isReusable || connections.length > maxConnections()) {
+        if (retired || !isReusable || connections.length > maxConnections()) {
             closeConnection(connection);
         }
         startNextWaiting();
@@ -146,6 +159,10 @@
     }
 
     function send(request: UpstreamRequest, observer: ResponseObserver): ActiveRequest {
+        if (retired) {
+            queueMicrotask(() => observer.fail("unreachable", leavingReason));
+            return unsentRequest;
+        }
         const connection = acquireConnection(request);
         return connection === undefined
             ? enqueue(request, observer)
@@ -154,12 +171,14 @@
 
     function enqueue(request: UpstreamRequest, observer: ResponseObserver): ActiveRequest {
         let started: ActiveRequest | undefined;
-        const timer = setTimeout(() => {
+        const refuse = (reason: string) => {
             dequeue();
-            observer.fail("noRoom", "all connections to the upstream are in use");
-        }, connectionWaitMs);
+            observer.fail("noRoom", reason);
+        };
+        const timer = setTimeout(() => refuse("all connections to the upstream are in use"), connectionWaitMs);
         const entry: WaitingRequest = {
             request,
+            refuse: () => refuse(leavingReason),
             start(connection) {
                 clearTimeout(timer);
                 started = sendOverConnection(connection, request, observer);
@@ -221,6 +240,11 @@
                     started.abort(new Error("cancelled"));
                     return;
                 }
+                if (retired) {
+                    fail(new Error(leavingReason));
+                    started.abort(new Error(leavingReason));
+                    return;
+                }
                 sent = true;
             },
             onResponseStart(_, status, responseHeaders) {
@@ -262,8 +286,15 @@
         return { cancel, wasSent: () => sent, pause: () => controller?.pause(), resume: () => controller?.resume() };
     }
 
+    function retire(): void {
+        retired = true;
+        waiting.slice().forEach(({ refuse }) => refuse());
+        connections.filter(({ busy }) => !busy).forEach(closeConnection);
+    }
+
     return {
         send,
+        retire,
         async [Symbol.asyncDispose]() {
             await Promise.all(connections.map(({ client }) => client.destroy()));
         },
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -15,6 +15,8 @@
     replace(entries: readonly UpstreamEntry[]): void;
     choose(service: string, criteria: SelectionCriteria): Upstream | undefined;
     find(id: string): Upstream | undefined;
+    /** Records that an upstream announced in an answer that it leaves: it gets no further call. */
+    retire(upstream: Upstream): void;
     /** Returns the latency and load estimate that all upstreams of a service share. */
     estimate(service: string): ServiceEstimate;
     count(): number;
@@ -41,12 +43,17 @@
 const minConnections = 4;
 /** Connections to a removed upstream are closed after this delay, so that its last calls can complete. */
 const closeDelayMs = 10_000;
+/** Number of incarnations that are remembered as leaving, several times that of upstreams. */
+const maxLeavingIncarnations = 10_000;
 
 /** Creates an empty set of upstreams. */
 export function createUpstreams({ declaration, gateways, limits, now }: UpstreamsParts): Upstreams {
     const upstreamsById = new Map<string, Upstream>();
     const statesByService = new Map<string, Map<string, UpstreamState>>();
 
+    /** Incarnations that have announced that they leave. Their entries may be removed and come back. */
+    const leavingIncarnations = new Set<string>();
+
     const estimates = new Map<string, ServiceEstimate>();
 
     function estimate(service: string): ServiceEstimate {
@@ -76,9 +83,23 @@
         const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0, estimate(entry.service));
         const client = createUpstreamClient({ host: entry.address, port: entry.port,
             maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes });
-        upstreamsById.set(entry.id, { state, client });
+        const upstream = { state, client };
+        upstreamsById.set(entry.id, upstream);
         const states = statesByService.get(entry.service) ?? new Map<string, UpstreamState>();
         statesByService.set(entry.service, states.set(entry.id, state));
+        if (leavingIncarnations.has(incarnationOf(entry))) {
+            retire(upstream);
+        }
+    }
+
+    function retire({ state, client }: Upstream): void {
+        if (leavingIncarnations.size >= maxLeavingIncarnations) {
+            const [oldest] = leavingIncarnations;
+            leavingIncarnations.delete(oldest!);
+        }
+        leavingIncarnations.add(incarnationOf(state.entry));
+        state.recordLeaving();
+        client.retire();
     }
 
     /** Computed anew for each use, as the declaration and the number of gateways change while connections are open. */
@@ -105,6 +126,7 @@
     return {
         replace,
         choose,
+        retire,
         find: id => upstreamsById.get(id),
         estimate,
         count: () => upstreamsById.size,
@@ -129,6 +151,10 @@
 
 /** Whether two entries describe the same process. If not, the state that was recorded for the old one is discarded. */
 function isSameIncarnation(left: UpstreamEntry, right: UpstreamEntry): boolean {
-    return left.service === right.service && left.address === right.address && left.port === right.port &&
-        left.startedAt === right.startedAt;
+    return incarnationOf(left) === incarnationOf(right);
+}
+
+/** Identifies one start of an upstream. */
+function incarnationOf({ id, service, address, port, startedAt }: UpstreamEntry): string {
+    return [id, service, address, port, startedAt].join(" ");
 }
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -16,7 +16,7 @@
     const entry = { id, service: "tools", address: "127.0.0.1", port: 1, dataCentre: "a", slots: 12, draining: false,
         startedAt: 1 };
     return { state: new UpstreamState(entry, 0, new ServiceEstimate()),
-        client: { send, [Symbol.asyncDispose]: async () => undefined } };
+        client: { send, retire: () => undefined, [Symbol.asyncDispose]: async () => undefined } };
 }
 
 function receivedCall(): ReceivedCall {
@@ -32,7 +32,7 @@
     const sound = createUpstream("sound", (_, observer) => {
         queueMicrotask(() => {
             observer.head({ status: 200, callId: "1", notRun: false, signed: true, encoded: false, load: undefined,
-                closesConnection: false }, {});
+                leaving: false, closesConnection: false }, {});
             observer.end();
         });
         return { wasSent: () => true, cancel: () => undefined, pause: () => undefined, resume: () => undefined };
@@ -40,8 +40,8 @@
     const candidates = [broken, sound];
     const log = { info: () => undefined, warn: () => undefined };
     const { result } = startSends({
-        upstreams: { choose: () => candidates.shift(), find: () => undefined, replace: () => undefined,
-            estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
+        upstreams: { choose: () => candidates.shift(), find: () => undefined, retire: () => undefined,
+            replace: () => undefined, estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
             [Symbol.asyncDispose]: async () => undefined },
         declaration: () => declaration,
         limits: defaultLimits,
--- a/packages/gateway/test/upstreamClient.test.ts
+++ b/packages/gateway/test/upstreamClient.test.ts
@@ -118,3 +118,18 @@
     await waitUntil(() => other.end === "answered", "the other call is answered");
     assert.equal(upstream.connections(), 3);
 });
+
+test("calls that wait for a connection of a leaving upstream are not sent (guards against work on an upstream that goes away)", async () => {
+    await using upstream = await startUpstream();
+    const first = send(upstream, "first", 0);
+    const waiting = send(upstream, "waiting", 0);
+    await waitUntil(() => upstream.receivedIds.length === 1, "the first call arrives");
+    upstream.client.retire();
+    assert.equal(waiting.end, "noRoom");
+    const late = send(upstream, "late", 0);
+    await waitUntil(() => late.end !== undefined, "a later call fails");
+    assert.deepEqual([late.end, late.activeRequest.wasSent()], ["unreachable", false]);
+    upstream.answerOldest();
+    await waitUntil(() => first.end === "answered", "the call under way ends");
+    assert.deepEqual(upstream.receivedIds, ["first"]);
+});
--- a/packages/standin/src/gatewayUpstream.ts
+++ b/packages/standin/src/gatewayUpstream.ts
@@ -29,6 +29,8 @@
     readonly cancelled: readonly string[];
     /** Adds behaviours to the queue. Each call takes the next one, or `serve` when the queue is empty. */
     behave(...behaviours: readonly UpstreamBehaviour[]): void;
+    /** Announces in all further answers that the upstream leaves; `value` is that of the header. */
+    leave(value?: string): void;
     /** Number of calls that wait before their last event. */
     paused(): number;
     /** Lets the paused calls continue. */
@@ -52,6 +54,7 @@
     const behaviours: UpstreamBehaviour[] = [];
     const executed: ExecutedCall[] = [];
     const cancelled: string[] = [];
+    let leavingHeader: Readonly<Record<string, string>> = {};
     const pausedCalls: (() => void)[] = [];
     const server = createServer((request, response) => {
         const chunks: Buffer[] = [];
@@ -71,11 +74,11 @@
     async function answer(call: ExecutedCall, response: ServerResponse, behaviour: UpstreamBehaviour): Promise<void> {
         const target = call.headers["x-target-instance"];
         if (target !== undefined && target !== id) {
-            response.writeHead(421, { "x-instance-id": id }).end();
+            response.writeHead(421, { "x-request-id": call.id, "x-instance-id": id, ...leavingHeader }).end();
             return;
         }
         if (behaviour === "refuse") {
-            response.writeHead(503, { "x-not-executed": "1" }).end();
+            response.writeHead(503, { "x-request-id": call.id, "x-not-executed": "1", ...leavingHeader }).end();
             return;
         }
         executed.push(call);
@@ -90,6 +93,7 @@
             "x-request-id": behaviour === "foreign" ? "another" : call.id,
             ...behaviour === "unsigned" ? {} : { "x-response-signature": `signed.${id}` },
             "x-server-load": "1,0,8,100",
+            ...leavingHeader,
         };
         if (behaviour === "fail") {
             response.writeHead(500, headers).end("failed");
@@ -131,6 +135,7 @@
         address: "127.0.0.1",
         port,
         url: `http://127.0.0.1:${port}`,
+        leave: (value = "1") => void (leavingHeader = { "server-leaving": value }),
         paused: () => pausedCalls.length,
         resume: () => pausedCalls.splice(0).forEach(resumeCall => resumeCall()),
         behave: (...nextBehaviours) => void behaviours.push(...nextBehaviours),
