Turns: tokens are booked by the service that the turn was sent to

Callers received 7,640 tokens on a budget of 4,536 with 540 at most a turn, when operators moved a route while turns waited for a full engine.

Cause: a turn's events were counted with the most tokens an event of its route's services as of its arrival, whereas the turn goes by the route's current version. A service that had left the declaration counted as one token an event. The current version was found by the route's name alone, so a waiting call could follow the name to a route that does not take it.

Three new tests in turns.test.ts failed before the change.

Why it works: each attempt carries the figure of the service that it is sent to, as last declared, and the stream's relay adds it up event by event. The current version of a route must have the same host and prefix.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -51,6 +51,8 @@
 export interface AttemptPlan extends SendPlan {
     /** Connections that have carried the call in earlier attempts. */
     readonly usedConnections: UsedConnections;
+    /** Tokens in each event of the upstream's service when the call was sent. */
+    readonly tokensPerEvent: number;
     /** Called when the upstream announces in its answer that it leaves. */
     readonly onLeaving: () => void;
 }
@@ -103,7 +105,7 @@
         }
         if (sink !== undefined && isSuccess(head.status) && isGenuine(head)) {
             streaming = true;
-            sink.begin(head.status, headers);
+            sink.begin(head.status, headers, plan.tokensPerEvent);
             restartProgressTimer();
         }
     }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -126,8 +126,7 @@
         // If the call fails, the engine may have generated the maximum number of tokens.
         let usedTokens = head.maxTokens;
         try {
-            const events = await serve({ ...call, body: bodyWithHistory(history) }, history);
-            usedTokens = events * maxTokensPerEvent();
+            usedTokens = await serve({ ...call, body: bodyWithHistory(history) }, history);
         }
         finally {
             reservation.settle(usedTokens);
@@ -146,13 +145,7 @@
             : Buffer.concat([...history.flatMap(({ input, output }) => [input, output]), call.body ?? Buffer.alloc(0)]);
     }
 
-    /** The maximum over all services of the route, because any of them may have generated the events. */
-    function maxTokensPerEvent(): number {
-        const services = parts.declaration()?.services;
-        return Math.max(...route.shares.map(({ service }) => services?.get(service)?.model?.tokensPerEvent ?? 1));
-    }
-
-    /** Sends the call and forwards the answer; returns the number of events that the caller may have received. */
+    /** Sends the call and forwards the answer; returns the number of tokens that the caller may have received. */
     async function serve(callToSend: ReceivedCall, history: readonly Turn[] | undefined): Promise<number> {
         if (disconnected) {
             return 0;
@@ -185,7 +178,7 @@
                 preparedMs: Math.round(sentAt - call.arrivedAt), upstreamMs: Math.round(receivedAt - sentAt),
                 keptMs: Math.round(now() - receivedAt) });
         }
-        return relay?.relayedEvents() ?? 0;
+        return relay?.tokens() ?? 0;
     }
 
     /** Fields of each log line about the call. `after` and `turn` tell which tries concern the same turn. */
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -29,8 +29,8 @@
 
 /** Receiver of a streamed answer. */
 export interface StreamSink {
-    /** Called once for each upstream that starts to answer with a stream. */
-    begin(status: number, headers: IncomingHttpHeaders): void;
+    /** Called once for each upstream that starts to answer with a stream, with the tokens in each of its events. */
+    begin(status: number, headers: IncomingHttpHeaders, tokensPerEvent: number): void;
     /** Returns false if too many bytes are buffered for the caller; `drained` resolves when it may continue. */
     write(chunk: Buffer): boolean;
     drained(): Promise<void>;
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,5 +1,5 @@
-import { type AttemptFailure, type Declaration, hash, nextStep, pickService,
-    type SelectionCriteria } from "@tamarackgauge/core/gateway";
+import { type AttemptFailure, type Declaration, hash, nextStep, pickService, type SelectionCriteria,
+    type ServiceRoute } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -141,7 +141,8 @@
     async function startAttemptSafely(upstream: Upstream): Promise<AttemptEnd> {
         try {
             const onLeaving = () => retire(upstream);
-            current = startAttempt(upstream, { ...plan, usedConnections, onLeaving }, limits, now);
+            const tokensPerEvent = upstreams.tokensPerEvent(upstream.state.entry.service);
+            current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, onLeaving }, limits, now);
         }
         catch (error) {
             const reason = (error as Error).message;
@@ -168,13 +169,19 @@
     return { result: run(), cancel };
 }
 
-/** Selects the service of a call. All calls of a program go to the same service as long as the route is unchanged. */
+/**
+ * Selects the service of a call. All calls of a program go to the same service as long as the route is unchanged. While a
+ * call waits, its route may be changed, removed, or its name given to a route that does not take the call.
+ */
 export function serviceOf({ route, head }: Pick<ReceivedCall, "route" | "head">, declaration: Declaration | undefined) {
-    // The declaration of the route may have changed while the call waited.
-    const currentRoute = declaration?.routes.find(({ name }) => name === route.name) ?? route;
+    const currentRoute = declaration?.routes.find(each => isSameRoute(each, route)) ?? route;
     return pickService(currentRoute, hash(head.program ?? head.id) / 2 ** 32);
 }
 
+function isSameRoute(left: ServiceRoute, right: ServiceRoute): boolean {
+    return left.name === right.name && left.host === right.host && left.prefix === right.prefix;
+}
+
 /** Whether the upstream was reached and did not accept the call. */
 function wasRejected({ failure, unreachable }: FailedAttempt): boolean {
     return failure === "notRun" && !unreachable;
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -5,6 +5,8 @@
 
 /** Relay of a stream to the caller. */
 export interface StreamRelay extends StreamSink {
+    /** Tokens in all events that were received, by the services of the upstreams that sent them. */
+    tokens(): number;
     /** The data of all events, each followed by a line feed, if the relay keeps it. */
     output(): Buffer;
     /** Writes the event that is held back, and ends the answer. */
@@ -32,13 +34,16 @@
 /** Creates a relay. It writes complete events only, as an upstream may stop in the middle of an event. */
 export function createStreamRelay({ response, keepsOutput, resumable }: StreamRelayParts): StreamRelay {
     let eventCount = 0;
+    let tokens = 0;
+    let tokensPerEvent = 0;
     let lastEventId: string | undefined;
     const output: Buffer[] = [];
     let splitter = new EventSplitter();
     let heldEvent: Buffer | undefined;
 
-    function begin(status: number, headers: IncomingHttpHeaders): void {
+    function begin(status: number, headers: IncomingHttpHeaders, nextTokensPerEvent: number): void {
         splitter = new EventSplitter();
+        tokensPerEvent = nextTokensPerEvent;
         beginStream(response, status, headers);
     }
 
@@ -49,6 +54,7 @@
 
     function relay(event: StreamEvent): void {
         eventCount += 1;
+        tokens += tokensPerEvent;
         lastEventId = event.id;
         if (!keepsOutput) {
             response.write(event.raw);
@@ -89,6 +95,7 @@
         incompleteBytes: () => splitter.remainder().length,
         endsInsideEvent: () => splitter.remainder().some(byte => byte !== carriageReturn && byte !== lineFeedByte),
         finish,
+        tokens: () => tokens,
         output: () => Buffer.concat(output),
         resumeAfter: () => resumable ? lastEventId : undefined,
     };
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -15,6 +15,8 @@
     replace(entries: readonly UpstreamEntry[]): void;
     choose(service: string, criteria: SelectionCriteria): Upstream | undefined;
     find(id: string): Upstream | undefined;
+    /** Tokens in each event of a service's streams, also after the service has left the declaration. */
+    tokensPerEvent(service: string): number;
     /** Records that an upstream announced in an answer that it leaves: it gets no further call. */
     retire(upstream: Upstream): void;
     /** Returns the latency and load estimate that all upstreams of a service share. */
@@ -54,6 +56,9 @@
     /** Incarnations that have announced that they leave. Their entries may be removed and come back. */
     const leavingIncarnations = new Set<string>();
 
+    /** The figures last declared. */
+    const tokensPerEventByService = new Map<string, number>();
+
     const estimates = new Map<string, ServiceEstimate>();
 
     function estimate(service: string): ServiceEstimate {
@@ -62,6 +67,13 @@
         return found;
     }
 
+    function tokensPerEvent(service: string): number {
+        const figure = declaration()?.services.get(service)?.model?.tokensPerEvent ??
+            tokensPerEventByService.get(service) ?? 1;
+        tokensPerEventByService.set(service, figure);
+        return figure;
+    }
+
     function replace(entries: readonly UpstreamEntry[]): void {
         const listed = new Set(entries.map(({ id }) => id));
         [...upstreamsById.keys()].filter(id => !listed.has(id)).forEach(remove);
@@ -127,6 +139,7 @@
         replace,
         choose,
         retire,
+        tokensPerEvent,
         find: id => upstreamsById.get(id),
         estimate,
         count: () => upstreamsById.size,
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -41,8 +41,8 @@
     const log = { info: () => undefined, warn: () => undefined };
     const { result } = startSends({
         upstreams: { choose: () => candidates.shift(), find: () => undefined, retire: () => undefined,
-            replace: () => undefined, estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
-            [Symbol.asyncDispose]: async () => undefined },
+            tokensPerEvent: () => 1, replace: () => undefined, estimate: () => new ServiceEstimate(), count: () => 2,
+            summary: () => ({}), [Symbol.asyncDispose]: async () => undefined },
         declaration: () => declaration,
         limits: defaultLimits,
         dataCentre: "a",
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -3,7 +3,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { call, createFleet, declaration, turnCall, waitForDeclaration, waitUntil, waitUntilReady } from "./harness.ts";
+import { call, createFleet, declaration, type Fleet, type TestGateway, turnCall, waitForDeclaration, waitUntil,
+    waitUntilReady } from "./harness.ts";
 
 async function startGateways() {
     const fleet = await createFleet();
@@ -260,3 +261,74 @@
     assert.equal((await next("t3")).status, 402);
     assert.equal(setup.fleet.spareEngine.executed.length, 2);
 });
+
+/** Declares that turns go to a service, of which one has other tokens in each event. */
+function declareTurnsOn(fleet: Fleet, version: number, service: string): void {
+    fleet.declare({ version,
+        routes: declaration.routes.map(route => route.name === "turn" ? { ...route, backend: service } : route),
+        backends: [...declaration.backends, { name: "large", maxConnections: 160,
+            engine: { slots: 12, kvCapacityTokens: 100_000, eventTokens: 20 } }] });
+}
+
+/** Waits until an upstream has refused a call. */
+async function waitForRefusal({ logLines }: TestGateway): Promise<void> {
+    await waitUntil(() => logLines.some(({ event }) => event === "send.failed"), "an upstream refuses the call");
+}
+
+test("tokens are booked by the service that a turn was sent to (guards against a budget that is overspent when a route moves while a turn waits)", async () => {
+    await using fleet = await createFleet();
+    fleet.registerUpstream(fleet.spareEngine, { backend: "large" });
+    declareTurnsOn(fleet, 1, "models");
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    const turn = (id: string) => {
+        const wanted = turnCall(id, "p", undefined, 250);
+        return { ...wanted, headers: { ...wanted.headers, "x-token-usage": "100,100" } };
+    };
+    // The engine refuses the first turn until the operators have moved the route.
+    fleet.engine.behave(...Array.from({ length: 9 }, () => "refuse" as const));
+    const first = call(gateway, turn("t1"));
+    await waitForRefusal(gateway);
+    declareTurnsOn(fleet, 2, "large");
+    await waitForDeclaration(gateway, 2);
+    assert.equal((await first).status, 200);
+    assert.equal(fleet.spareEngine.executed.length, 1);
+    // Each turn generates 5 events of 20 tokens, so the budget holds two turns and no third one.
+    assert.equal((await call(gateway, turn("t2"))).status, 200);
+    assert.equal((await call(gateway, turn("t3"))).status, 402);
+});
+
+test("a turn whose service leaves the declaration while it runs is booked with its tokens (guards against a budget that is overspent)", async () => {
+    await using fleet = await createFleet();
+    fleet.registerUpstream(fleet.spareEngine, { backend: "large" });
+    declareTurnsOn(fleet, 1, "large");
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    fleet.spareEngine.behave("pause");
+    const running = call(gateway, turnCall("t1", "p", undefined, 150));
+    await waitUntil(() => fleet.spareEngine.paused() === 1, "the turn runs");
+    fleet.declare({ version: 2 });
+    await waitForDeclaration(gateway, 2);
+    fleet.spareEngine.resume();
+    assert.equal((await running).status, 200);
+    // 100 of the 150 tokens are spent, so that no turn of at most 60 is left.
+    assert.equal((await call(gateway, turnCall("t2", "p", undefined, 150))).status, 402);
+});
+
+test("a turn that waits does not follow its route's name to another path (guards against a call at a service that no version allows it)", async () => {
+    await using fleet = await createFleet();
+    fleet.registerUpstream(fleet.spareEngine, { backend: "large" });
+    declareTurnsOn(fleet, 1, "models");
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    fleet.engine.behave(...Array.from({ length: 4 }, () => "refuse" as const));
+    const waiting = call(gateway, turnCall("t1", "p"));
+    await waitForRefusal(gateway);
+    const routes = declaration.routes.map(route =>
+        route.name === "turn" ? { ...route, prefix: "/other/", backend: "large" } : route
+    );
+    fleet.declare({ version: 2, routes, backends: [...declaration.backends, { name: "large", maxConnections: 160 }] });
+    await waitForDeclaration(gateway, 2);
+    await waiting;
+    assert.deepEqual(fleet.spareEngine.executed, []);
+});
