Signals: a second SIGTERM does not cut the calls of a shutdown

A second SIGTERM ended the process at once, with its calls, as the listener was removed after the first one. The listener now stays. process.test.ts sends a second signal while a turn runs and expects the turn and the exit code of an orderly end.

--- a/packages/gateway/src/signals.ts
+++ b/packages/gateway/src/signals.ts
@@ -6,13 +6,16 @@
     setHangUpListener(listener: () => void): void;
 }
 
-/** Starts listening for signals. Without a listener, a signal that arrives during the start would end the process. */
+/**
+ * Starts listening for signals. Without a listener, a signal that arrives during the start, or a second SIGTERM during the
+ * shutdown, would end the process with its calls.
+ */
 export function listenForSignals(): Signals {
     let changed = false;
     let onHangUp: () => void = () => changed = true;
     process.on("SIGHUP", () => onHangUp());
     return {
-        terminated: new Promise(resolve => process.once("SIGTERM", () => resolve())),
+        terminated: new Promise(resolve => process.on("SIGTERM", () => resolve())),
         setHangUpListener(listener) {
             onHangUp = listener;
             if (changed) {
--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -45,6 +45,8 @@
     gateway.child.kill("SIGTERM");
     await waitUntil(async () => await fetchReadinessStatus(gateway.settings.readinessAddress.port) === 503,
         "the gateway is no longer ready");
+    // A second signal must not end the process at once.
+    gateway.child.kill("SIGTERM");
     const lateAnswer = await call(gateway, turnCall("t2", "q"));
     assert.ok((await running).whole);
     assert.ok(lateAnswer.whole);
