Shutdown and start: true reasons, and no listeners left behind

Calls that are ended because the process ends are told so, not that their time limit was reached. Each new try to listen left a listener of the one before. No other behaviour changes.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -43,6 +43,12 @@
     outOfTime: "no time was left",
 };
 
+/** What a caller is told whose call may have run. */
+const timeoutReasons = {
+    outOfTime: "the time limit was reached",
+    stopping: refusalReasons.stopping,
+} as const;
+
 /** Causes of a refusal that concern only this gateway or the way to it, so that another one may serve the call. */
 const causesToGoElsewhere: ReadonlySet<RefusalCause["kind"]> = new Set(["storeAway", "memoryFull", "stopping"]);
 
@@ -84,12 +90,12 @@
     const ended = new AbortController();
     let sends: Sends | undefined;
     let disconnected = false;
-    let timedOut = false;
+    let endCause: "outOfTime" | "stopping" | undefined;
     let phase: CallPhase = "preparing";
-    const timer = setTimeout(endInTime, call.deadlineAt - startedAt);
+    const timer = setTimeout(() => end("outOfTime"), call.deadlineAt - startedAt);
 
-    function endInTime(): void {
-        timedOut = true;
+    function end(cause: "outOfTime" | "stopping"): void {
+        endCause = cause;
         ended.abort();
         sends?.cancel("late");
     }
@@ -150,8 +156,8 @@
         if (disconnected) {
             return 0;
         }
-        if (timedOut) {
-            answerLocally(refusalAnswer({ kind: "outOfTime" }));
+        if (endCause !== undefined) {
+            answerLocally(refusalAnswer({ kind: endCause }));
             return 0;
         }
         if (call.deadlineAt > parts.latestEnd()) {
@@ -203,8 +209,8 @@
             case "cancelled":
                 if (!disconnected) {
                     answerLocally(result.sent
-                        ? { status: gatewayTimeout, reason: "the time limit was reached" }
-                        : refusalAnswer({ kind: "outOfTime" }));
+                        ? { status: gatewayTimeout, reason: timeoutReasons[endCause ?? "outOfTime"] }
+                        : refusalAnswer({ kind: endCause ?? "outOfTime" }));
                 }
                 return false;
             case "failed":
@@ -268,7 +274,7 @@
         sends?.cancel("left");
     }
 
-    return { route: route.name, done: run(), abandon, interrupt: endInTime };
+    return { route: route.name, done: run(), abandon, interrupt: () => end("stopping") };
 }
 
 /** Rejects with a `StoreError` if the store operation takes longer than `timeoutMs`. */
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -37,10 +37,13 @@
 /** Resolves with the error, or with undefined if the server listens. */
 function listenOnce(server: Server, { host, port }: SocketAddress): Promise<NodeJS.ErrnoException | undefined> {
     return new Promise(resolve => {
-        server.once("error", resolve);
-        server.listen({ host, port, backlog }, () => {
-            server.off("error", resolve);
-            resolve(undefined);
-        });
+        const finish = (error?: NodeJS.ErrnoException) => {
+            server.off("error", finish);
+            server.off("listening", finish);
+            resolve(error);
+        };
+        server.once("error", finish);
+        server.once("listening", finish);
+        server.listen({ host, port, backlog });
     });
 }
--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -90,7 +90,7 @@
 }
 
 /** What is told about an error that ends the process. */
-export function problemLines(error: unknown): readonly string[] {
+function problemLines(error: unknown): readonly string[] {
     return error instanceof SettingsError
         ? error.problems.map(problemText)
         : [error instanceof ListenError ? error.message : describeError(error)];
