Callers: the rest of a refused body is read before the refusal is sent

Callers whose body was refused for lack of room (503), size (413) or time (408) could get a reset in place of the refusal: the connection was closed behind the answer while the body was still arriving, and closing a connection with unread bytes resets it.

Why it works: the rest of the body is read and discarded, for up to a second, before the refusal is written; a caller that sends longer is closed as before.

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -45,6 +45,8 @@
 const maxDeclarationAgeMs = 4_500;
 /** A caller that has not read its whole answer this long after the end of the call is disconnected. */
 const answerReadTimeoutMs = 10_000;
+/** How long the rest of a refused body is read and discarded before the refusal is sent. */
+const maxDiscardMs = 1_000;
 /** How long a connection accepted before the shutdown may take to send its first request. */
 const firstRequestTimeoutMs = 1_000;
 
@@ -145,6 +147,7 @@
             account: byteAccount });
         const refusal = typeof body === "string" ? bodyRefusal(body) : undefined;
         if (refusal !== undefined) {
+            await discardBody(request);
             // The rest of the body must not be parsed as another request.
             response.setHeader("connection", "close");
             writeLocalAnswer(response, head.id, refusal);
@@ -243,6 +246,18 @@
     }
 }
 
+/**
+ * Waits until the caller has sent the rest of a refused body, for a limited time. If the connection were closed before, it
+ * would be reset, and the caller might never read the refusal.
+ */
+async function discardBody(request: IncomingMessage): Promise<void> {
+    if (request.complete || request.destroyed) {
+        return;
+    }
+    const ended = new Promise<void>(resolve => request.once("end", resolve).once("close", resolve));
+    await Promise.race([ended, sleep(maxDiscardMs, undefined, { ref: false })]);
+}
+
 interface BodyLimits {
     readonly maxBytes: number;
     readonly timeoutMs: number;
