--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -147,7 +147,10 @@
             account: byteAccount });
         const refusal = typeof body === "string" ? bodyRefusal(body) : undefined;
         if (refusal !== undefined) {
-            await discardBody(request);
+            // A body that came too slowly has used the time of its call.
+            if (body !== "tooSlow") {
+                await discardBody(request, Math.min(maxDiscardMs, endsAt - now()));
+            }
             // The rest of the body must not be parsed as another request.
             response.setHeader("connection", "close");
             writeLocalAnswer(response, head.id, refusal);
@@ -250,12 +253,12 @@
  * Waits until the caller has sent the rest of a refused body, for a limited time. If the connection were closed before, it
  * would be reset, and the caller might never read the refusal.
  */
-async function discardBody(request: IncomingMessage): Promise<void> {
+async function discardBody(request: IncomingMessage, maxMs: number): Promise<void> {
     if (request.complete || request.destroyed) {
         return;
     }
     const ended = new Promise<void>(resolve => request.once("end", resolve).once("close", resolve));
-    await Promise.race([ended, sleep(maxDiscardMs, undefined, { ref: false })]);
+    await Promise.race([ended, sleep(maxMs, undefined, { ref: false })]);
 }
 
 interface BodyLimits {
