Observability: failed sends tell the framing and the received part of an answer

The log of a failed send had only a reason, which does not tell an answer whose connection was reset from one that ended inside an event, nor how its body was framed. send.failed now has status, framing, bytes and complete events of what had come, and the counter tamarackgauge_broken_answers_total counts such answers by service and framing. No change of logic.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -22,6 +22,20 @@
     readonly unreachable: boolean;
     /** The upstream's answer if it reported a failure. */
     readonly answer?: UpstreamAnswer;
+    /** What had come of an answer that broke off or was rejected; undefined if no head had come. */
+    readonly received?: ReceivedPart;
+}
+
+/** How the end of an answer's body is marked: by its length, by chunks, or only by the end of its connection. */
+export type Framing = "length" | "chunks" | "none";
+
+/** The part of an answer that had come when its attempt failed. */
+export interface ReceivedPart {
+    readonly status: number;
+    readonly framing: Framing;
+    readonly bytes: number;
+    /** Complete events, if the answer is a stream. */
+    readonly events: number;
 }
 
 /** One attempt to send a call to an upstream. */
@@ -82,7 +96,14 @@
         finished = true;
         clearTimeout(progressTimer);
         state.inFlight -= 1;
-        resolveEnd(result);
+        resolveEnd(result.kind === "failure" ? { ...result, received: receivedPart() } : result);
+    }
+
+    function receivedPart(): ReceivedPart | undefined {
+        return answer === undefined
+            ? undefined
+            : { status: answer.head.status, framing: framingOf(answer.headers), bytes: receivedBytes,
+                events: (sink?.relayedEvents() ?? 0) - eventsBefore };
     }
 
     function abort(reason: string): void {
@@ -155,9 +176,7 @@
     }
 
     function maxAnswerBytes(): number {
-        const { headers } = answer!;
-        const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-        return isFramed ? limits.maxAnswerBytes : limits.maxUnframedBytes;
+        return framingOf(answer!.headers) === "none" ? limits.maxUnframedBytes : limits.maxAnswerBytes;
     }
 
     function completeAnswer(): AttemptEnd {
@@ -230,6 +249,13 @@
         : Math.max(minEventTimeoutMs, route.maxEventInterval * eventTimeoutFactor);
 }
 
+function framingOf(headers: IncomingHttpHeaders): Framing {
+    if (headers["transfer-encoding"] !== undefined) {
+        return "chunks";
+    }
+    return headers["content-length"] === undefined ? "none" : "length";
+}
+
 /** Determines the outcome of an attempt from a complete answer. */
 function evaluateAnswer(head: AnswerHead, answer: UpstreamAnswer): AttemptEnd {
     if (head.notRun) {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,8 @@
     recordStoreCall(call: StoreCallRecord): void;
     /** Records the end of one attempt at an upstream. */
     recordSend(service: string, outcome: string): void;
+    /** Records an answer that began and that was broken off or rejected, by the framing of its body. */
+    recordBrokenAnswer(service: string, framing: string): void;
     /** Records that an upstream announced in an answer that it leaves. */
     recordLeaving(service: string): void;
     /** Records whether a previous turn was found in memory or had to be read from the store. */
@@ -48,6 +50,9 @@
         labelNames: ["kind", "way", "outcome", "table"], registers });
     const sends = new Counter({ name: "tamarackgauge_sends_total", help: "Sends to upstreams that have ended",
         labelNames: ["service", "outcome"], registers });
+    const brokenAnswers = new Counter({ name: "tamarackgauge_broken_answers_total",
+        help: "Answers of upstreams that began and were broken off or rejected", labelNames: ["service", "framing"],
+        registers });
     const leaving = new Counter({ name: "tamarackgauge_upstreams_leaving_total",
         help: "Upstreams that announced in an answer that they leave", labelNames: ["service"], registers });
     const turnLookups = new Counter({ name: "tamarackgauge_previous_turns_total",
@@ -64,6 +69,7 @@
         },
         recordStoreCall: ({ kind, way, outcome, table }) => storeCalls.inc({ kind, way, outcome, table }),
         recordSend: (service, outcome) => sends.inc({ service, outcome }),
+        recordBrokenAnswer: (service, framing) => brokenAnswers.inc({ service, framing }),
         recordLeaving: service => leaving.inc({ service }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
@@ -71,7 +77,7 @@
         text: () => registry.metrics(),
         async summary() {
             const fields: Record<string, number> = {};
-            for (const counter of [calls, storeCalls, sends, leaving, turnLookups, tokenReservations]) {
+            for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -79,7 +79,7 @@
                 return { ...end, upstream: upstream.state.entry.id };
             }
             log.warn("send.failed", { call: head.id, program: head.program, upstream: upstream.state.entry.id,
-                failure: end.failure, reason: end.reason, sends,
+                failure: end.failure, reason: end.reason, sends, ...end.received,
                 calls: Math.round(upstream.state.estimatedCalls(now())) });
             lastFailure = end;
             worstFailure = end.failure === "notRun" ? worstFailure : end.failure;
@@ -128,6 +128,9 @@
         }
         current = undefined;
         metrics.recordSend(state.entry.service, end.kind === "failure" ? end.failure : "answered");
+        if (end.kind === "failure" && end.received !== undefined && end.failure !== "notRun") {
+            metrics.recordBrokenAnswer(state.entry.service, end.received.framing);
+        }
         if (end.kind !== "failure") {
             state.recordSuccess();
         }
