Attempts: a status that promises that a call has not run is passed on only where that is known

And a success that bears X-Not-Executed, which contradicts itself, was believed to have not run: the call was sent up to nine times.

Cause: the outcome was read off the status alone in attempt.ts, in three places. PROTOCOL.md: no response without X-Not-Executed states that the engine did not run the request, and these statuses are a promise to clients. Weighed against 'status returned unchanged': a 502 without the signature promises nothing and breaks no rule on signed failures; calls that may be repeated still get the status as it is, as the promise does them no harm, but for 402, which ends a program.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,4 +1,5 @@
-import { type AnswerHead, type AttemptFailure, tokensToPrefill } from "@tamarackgauge/core/gateway";
+import { type AnswerHead, type AnswerVerdict, type AttemptFailure, isOwnAnswer, isSuccess, judgeAnswer,
+    tokensToPrefill } from "@tamarackgauge/core/gateway";
 import { encodeRequest } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -52,8 +53,6 @@
  */
 const answerTimeoutFactor = 4;
 const minAnswerTimeoutMs = 150;
-/** 421 Misdirected Request: another upstream than the addressed one has the address. */
-const misdirectedStatus = 421;
 /**
  * A stream that can be resumed at another upstream is considered stalled after this multiple of the route's maximum
  * interval between events, but not earlier than after `minEventTimeoutMs`.
@@ -124,7 +123,7 @@
             timeToFirstByte = now() - sentAt;
             state.estimate.recordFirstByte({ timeToFirstByte, prefillTokens, load: head.load }, now());
         }
-        if (sink !== undefined && isSuccess(head.status) && isGenuine(head)) {
+        if (sink !== undefined && isSuccess(head.status) && judgeAnswer(head, call.route).kind === "passOn") {
             streaming = true;
             sink.begin(head.status, headers, plan.tokensPerEvent);
             restartProgressTimer();
@@ -192,7 +191,8 @@
             return { kind: "streamed" };
         }
         const { head, headers } = answer!;
-        return evaluateAnswer(head, { status: head.status, headers, body: Buffer.concat(chunks) });
+        return evaluateAnswer(judgeAnswer(head, call.route), { status: head.status, headers,
+            body: Buffer.concat(chunks) });
     }
 
     const sentAt = now();
@@ -257,34 +257,18 @@
 }
 
 /** Determines the outcome of an attempt from a complete answer. */
-function evaluateAnswer(head: AnswerHead, answer: UpstreamAnswer): AttemptEnd {
-    if (head.notRun) {
-        return failure("notRun", `the upstream refused with ${head.status}`);
+function evaluateAnswer(verdict: AnswerVerdict, answer: UpstreamAnswer): AttemptEnd {
+    switch (verdict.kind) {
+        case "passOn":
+            return { kind: "answer", answer };
+        case "failed":
+            return { ...failure("failed", verdict.reason), ...verdict.mayPassOn ? { answer } : {} };
+        case "notRun":
+        case "unknown":
+            return failure(verdict.kind, verdict.reason);
     }
-    if (!isGenuine(head) && isSuccess(head.status)) {
-        return failure("unknown", "the answer is not the upstream's own");
-    }
-    if (head.encoded) {
-        return failure("unknown", "the answer is encoded");
-    }
-    return head.status >= 500
-        ? { ...failure("failed", `the upstream answered ${head.status}`), answer }
-        : { kind: "answer", answer };
 }
 
 function failure(kind: AttemptFailure, reason: string): FailedAttempt {
     return { kind: "failure", failure: kind, reason, unreachable: false };
 }
-
-/** Whether the answer is that of the addressed upstream to this call: it is signed, or it refuses the call. */
-function isOwnAnswer({ callId, signed, notRun, status }: AnswerHead, call: string): boolean {
-    return callId === call && (signed || (notRun && status !== misdirectedStatus));
-}
-
-function isSuccess(status: number): boolean {
-    return status >= 200 && status < 300;
-}
-
-function isGenuine({ signed, encoded }: AnswerHead): boolean {
-    return signed && !encoded;
-}
