Callers of HTTP/1.0: a stream is written whole, with its length

A caller of HTTP/1.0 got a stream without length or chunks, whose end is the end of the connection.

Weighed: a reset in place of the orderly end would tell it, but not where the process itself is killed, since the kernel then closes in an orderly way; 505 refuses callers that were served. So the stream is buffered, counted as all buffered bytes are and up to the limit of a whole answer, and written with its length at its end; a broken one is a 502. Callers of HTTP/1.1 get events as they come, as before.

The writer of a stream is an interface with two classes (streamWriter.ts), taken out of the relay. httpOne.test.ts goes through framing x place x FIN or reset on both kinds of streams and failed before at its first cut stream.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
+import { createStreamWriter } from "./streamWriter.ts";
 import { sizeOf } from "./turnCache.ts";
 import { type PreparedTurn, prepareTurn, type TurnPreparationParts, type TurnRefusal } from "./turnPreparation.ts";
 import type { Turn } from "./turnRow.ts";
@@ -166,7 +167,8 @@
         }
         const keepsTurn = history !== undefined && route.retention !== undefined;
         const relay = route.streamed
-            ? createStreamRelay({ response, keepsOutput: keepsTurn, resumable: route.resumable })
+            ? createStreamRelay({ writer: createStreamWriter(response), keepsOutput: keepsTurn,
+                resumable: route.resumable })
             : undefined;
         const priority = route.streamed
             ? turnPriority(route.priority, countPrecedingTurns(head, history?.length ?? 0))
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -1,7 +1,7 @@
 import { EventSplitter, type StreamEvent } from "@tamarackgauge/core/gateway";
-import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { beginStream } from "./callerAnswer.ts";
+import type { IncomingHttpHeaders } from "node:http";
 import type { StreamSink } from "./sendPlan.ts";
+import type { StreamWriter } from "./streamWriter.ts";
 
 /** Relay of a stream to the caller. */
 export interface StreamRelay extends StreamSink {
@@ -15,7 +15,7 @@
 
 /** Dependencies and options of a relay. */
 export interface StreamRelayParts {
-    readonly response: ServerResponse;
+    readonly writer: StreamWriter;
     /**
      * Whether the data of the events is kept. The newest event is then held back until the next one arrives or `finish`
      * is called.
@@ -24,15 +24,12 @@
     readonly resumable: boolean;
 }
 
-/** Reading from the upstream pauses while more than this is buffered for the caller. */
-const maxBufferedBytes = 256 * 1_024;
-
 const carriageReturn = 0x0d;
 const lineFeedByte = 0x0a;
 const lineFeed = Buffer.of(lineFeedByte);
 
 /** Creates a relay. It writes complete events only, as an upstream may stop in the middle of an event. */
-export function createStreamRelay({ response, keepsOutput, resumable }: StreamRelayParts): StreamRelay {
+export function createStreamRelay({ writer, keepsOutput, resumable }: StreamRelayParts): StreamRelay {
     let eventCount = 0;
     let tokens = 0;
     let tokensPerEvent = 0;
@@ -44,12 +41,12 @@
     function begin(status: number, headers: IncomingHttpHeaders, nextTokensPerEvent: number): void {
         splitter = new EventSplitter();
         tokensPerEvent = nextTokensPerEvent;
-        beginStream(response, status, headers);
+        writer.begin(status, headers);
     }
 
     function data(chunk: Buffer): boolean {
         splitter.push(chunk).forEach(relay);
-        return response.writableLength <= maxBufferedBytes;
+        return !writer.isFull();
     }
 
     function relay(event: StreamEvent): void {
@@ -57,40 +54,31 @@
         tokens += tokensPerEvent;
         lastEventId = event.id;
         if (!keepsOutput) {
-            response.write(event.raw);
+            writer.write(event.raw);
             return;
         }
         output.push(event.data, lineFeed);
         if (heldEvent !== undefined) {
-            response.write(heldEvent);
+            writer.write(heldEvent);
         }
         heldEvent = event.raw;
     }
 
-    function drained(): Promise<void> {
-        return new Promise(resolve => {
-            const settle = () => {
-                response.off("drain", settle);
-                response.off("close", settle);
-                resolve();
-            };
-            response.on("drain", settle);
-            response.on("close", settle);
-        });
-    }
-
     function finish(): void {
         if (heldEvent !== undefined) {
-            response.write(heldEvent);
+            writer.write(heldEvent);
         }
         const remainder = splitter.remainder();
-        response.end(remainder.length === 0 ? undefined : remainder);
+        if (remainder.length > 0) {
+            writer.write(remainder);
+        }
+        writer.end();
     }
 
     return {
         begin,
         write: data,
-        drained,
+        drained: () => writer.drained(),
         relayedEvents: () => eventCount,
         incompleteBytes: () => splitter.remainder().length,
         endsInsideEvent: () => splitter.remainder().some(byte => byte !== carriageReturn && byte !== lineFeedByte),
