Limits: a stream is limited by the bytes that it holds, not by those that have passed

Cause: the limits of buffered answers were applied to all bytes that had come. Now an answer is limited by, and accounted for, what it holds: a buffered one all its bytes, a stream its unfinished event, what waits for its caller and, where the turn is kept, its output, up to the limit of a whole answer whatever its framing. One event, the call's time limit and the caller's reading bound the rest.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -77,6 +77,8 @@
     const chunks: Buffer[] = [];
     let answer: { readonly head: AnswerHead; readonly headers: IncomingHttpHeaders; } | undefined;
     let receivedBytes = 0;
+    /** Bytes of the answer that are reserved in the account of the call. */
+    let accountedBytes = 0;
     let timeToFirstByte = 0;
     const eventsBefore = sink?.relayedEvents() ?? 0;
     let streaming = false;
@@ -132,20 +134,32 @@
 
     function receiveData(chunk: Buffer): void {
         receivedBytes += chunk.length;
-        if (receivedBytes > maxAnswerBytes() || !call.byteAccount.reserve(chunk.length)) {
-            abort("the answer is too long");
-            return;
+        if (streaming) {
+            relay(chunk);
         }
-        if (!streaming) {
+        else {
             chunks.push(chunk);
-            return;
         }
-        relay(chunk);
-        if (sink!.incompleteBytes() > limits.maxEventBytes) {
+        const heldBytes = streaming ? sink!.heldBytes() : receivedBytes;
+        if (heldBytes > maxHeldBytes() || !accountFor(heldBytes)) {
+            abort("the answer is too long");
+        }
+        else if (streaming && sink!.incompleteBytes() > limits.maxEventBytes) {
             abort("an event is too long");
         }
     }
 
+    /** Reserves the bytes that the answer holds now; false if all calls together hold too many. */
+    function accountFor(heldBytes: number): boolean {
+        const change = heldBytes - accountedBytes;
+        accountedBytes = heldBytes;
+        if (change < 0) {
+            call.byteAccount.release(-change);
+            return true;
+        }
+        return call.byteAccount.reserve(change);
+    }
+
     /** Only complete events count as progress: an upstream that sends single bytes now and then has stalled too. */
     function relay(chunk: Buffer): void {
         const previousEvents = sink!.relayedEvents();
@@ -174,8 +188,9 @@
         }
     }
 
-    function maxAnswerBytes(): number {
-        return framingOf(answer!.headers) === "none" ? limits.maxUnframedBytes : limits.maxAnswerBytes;
+    /** A stream is limited by what it holds. It may end with its connection, as it is clear whether its last event is whole. */
+    function maxHeldBytes(): number {
+        return !streaming && framingOf(answer!.headers) === "none" ? limits.maxUnframedBytes : limits.maxAnswerBytes;
     }
 
     function completeAnswer(): AttemptEnd {
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -38,6 +38,8 @@
     relayedEvents(): number;
     /** Size in bytes of the event that is still incomplete. */
     incompleteBytes(): number;
+    /** Bytes of the answer in memory: those of the incomplete event, those kept as a turn, and those that wait for the caller. */
+    heldBytes(): number;
     /** Whether bytes of an event have come without its end; empty lines after an event belong to none. */
     endsInsideEvent(): boolean;
     /** Id of the last event that was relayed completely, if the stream can be resumed after it. */
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -35,6 +35,7 @@
     let tokensPerEvent = 0;
     let lastEventId: string | undefined;
     const output: Buffer[] = [];
+    let outputBytes = 0;
     let splitter = new EventSplitter();
     let heldEvent: Buffer | undefined;
 
@@ -58,6 +59,7 @@
             return;
         }
         output.push(event.data, lineFeed);
+        outputBytes += event.data.length + lineFeed.length;
         if (heldEvent !== undefined) {
             writer.write(heldEvent);
         }
@@ -81,6 +83,7 @@
         drained: () => writer.drained(),
         relayedEvents: () => eventCount,
         incompleteBytes: () => splitter.remainder().length,
+        heldBytes: () => splitter.remainder().length + outputBytes + writer.heldBytes(),
         endsInsideEvent: () => splitter.remainder().some(byte => byte !== carriageReturn && byte !== lineFeedByte),
         finish,
         tokens: () => tokens,
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -225,3 +225,40 @@
     await waitUntilReady(gateway);
     assert.equal((await call(gateway, { path: "/pay/x", id: "1", body: "x" })).status, 502);
 });
+
+test("a long stream that ends with its connection is relayed whole (guards against a limit for buffered answers that cuts a stream that is not buffered)", async () => {
+    await using fleet = await createFleet();
+    const eventCount = 4_000;
+    const data = "x".repeat(3_000);
+    using upstream = await startRawServer(socket =>
+        socket.once("data", request => {
+            socket.write(
+                `${signedHead(requestId(request))}content-type: text/event-stream\r\nconnection: close\r\n\r\n`,
+            );
+            for (let event = 1; event <= eventCount; event += 1) {
+                socket.write(`id: ${event}\ndata: ${data}\n\n`);
+            }
+            socket.end();
+        })
+    );
+    fleet.registerUpstream(fleet.engine, { address: upstream.address });
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    const { body, whole } = await call(gateway, { path: "/plan/x", id: "1", body: "x" });
+    assert.deepEqual([body.match(/^id: /gm)?.length, whole], [eventCount, true]);
+});
+
+test("a stream of events without end ends at the time limit of its call (guards against an engine that holds a call for ever)", async () => {
+    await using fleet = await createFleet();
+    using endless = await startEndlessUpstream(id => `${signedHead(id)}content-type: text/event-stream\r\n\r\n`,
+        Buffer.from("id: 1\ndata: x\n\n".repeat(1_000)));
+    fleet.registerUpstream(fleet.engine, { address: endless.address });
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    const startedAt = performance.now();
+    const { whole } = await call(gateway, { path: "/plan/x", id: "1", body: "x",
+        headers: { "x-deadline-ms": "1000" } });
+    assert.equal(whole, false);
+    assert.ok(performance.now() - startedAt < timeoutMs);
+    await waitUntil(() => endless.openConnections() === 0, "its connection is closed");
+});
