Streams: one that ends before its first event has been broken off

Where an engine sent the head of a stream and then ended it in an orderly way, its caller got an empty stream, framed as whole and kept as a turn. A stream that ran has at least one event, as a call runs from its first token; a resumed stream whose events have all come before is whole.

answerEnds.test.ts: three new tests, one for each framing, failed before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -197,6 +197,9 @@
         if (streaming && sink!.endsInsideEvent()) {
             return failure("unknown", "the stream ended inside an event");
         }
+        if (streaming && sink!.relayedEvents() === 0) {
+            return failure("unknown", "the stream ended before its first event");
+        }
         if (isSuccess(answer!.head.status)) {
             state.estimate.recordCompletedCall({ latency: now() - sentAt, timeToFirstByte,
                 events: (sink?.relayedEvents() ?? 0) - eventsBefore, slowness: answer!.head.load?.slowness ?? 1 },
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -145,6 +145,29 @@
     });
 }
 
+for (const framing of framings) {
+    const name = framing === "neither" ? "no framing" : framing;
+    test(`a stream with ${name} that ends before its first event is cut (guards against an empty answer taken for the whole)`, async () => {
+        await using setup = await startFleet((socket, id) => sendFramedAnswer(socket, id, framing, ""));
+        for (const path of ["/turn/x", "/plan/x"]) {
+            const text = await callRaw(setup.gateway, path, path.slice(1, 5));
+            assert.equal(isCompleteSuccess(text), false, text);
+        }
+        assert.deepEqual(setup.fleet.rowStore.keys("turns"), []);
+    });
+}
+
+test("an answer that ends inside its head is never handed out (guards against an empty answer taken for the whole)", async () => {
+    let length = 0;
+    await using setup = await startFleet((socket, id) => socket.end(headOf(id, "neither").slice(0, length)));
+    const headLength = headOf("0000", "neither").length;
+    for (length = 1; length < headLength; length += 1) {
+        const id = String(length).padStart(4, "0");
+        const text = await callRaw(setup.gateway, length % 2 === 0 ? "/pay/x" : "/turn/x", id);
+        assert.match(text, /^HTTP\/1\.1 502 /, `${length} bytes`);
+    }
+});
+
 test("a resumable stream that ends inside an event goes on after its last whole event (guards against a stream that is given up or has an event twice)", async () => {
     await using setup = await startFleet((socket, id) =>
         sendFramedAnswer(socket, id, "neither", sentBody["inside an event"])
