Start: all state is there before rows are watched and ports are opened

Change: what the rows say has a module of its own, catalog.ts; startGateway builds the state, then starts the watches, then opens the ports, readiness last, and nothing is awaited before all state is there. The parts end in reverse order (disposal.ts), also if the start fails, which left watches, timers and ports behind.

startup.test.ts: the two tests that hold the ports of peers and of readiness failed before (503 in place of 200); the test of a failed start did not end before, as its watches went on. 66 tests of the start, the end, calls and outages pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,14 +1,15 @@
-import { createStoreHealth, type Declaration, type GatewaySettings, type RowRange, type SocketAddress, type Store,
-    type StoreRow, type UpstreamEntry } from "@tamarackgauge/core/gateway";
-import { declarationRow, decodeDeclaration, decodeUpstream, readinessPath,
-    upstreamTable } from "@tamarackgauge/platform";
+import { createStoreHealth, type GatewaySettings, type RowRange, type SocketAddress,
+    type Store } from "@tamarackgauge/core/gateway";
+import { declarationRow, readinessPath, upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
+import { createCatalog } from "./catalog.ts";
 import { createCleaner } from "./cleaner.ts";
+import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
 import type { MemoryLimits } from "./limits.ts";
 import { listen } from "./listen.ts";
@@ -65,102 +66,86 @@
 
 /** Starts a gateway. Any gateway can serve any call, because all durable state is in the store. */
 export async function createGateway(parts: GatewayParts): Promise<Gateway> {
-    const { settings, limits, store: direct, log, now } = parts;
-    const callerServer = parts.callerServer ?? await openCallerServer(settings.callerAddress);
+    const callerServer = parts.callerServer ?? await openCallerServer(parts.settings.callerAddress);
+    const disposal = createDisposal();
+    try {
+        return await startGateway({ ...parts, callerServer }, disposal);
+    }
+    catch (error) {
+        await disposal[Symbol.asyncDispose]();
+        throw error;
+    }
+}
+
+/**
+ * Starts the parts: first the state, then the watches that change it, then the ports, readiness last. Nothing is awaited
+ * until all state is there, as rows and calls may come from then on. The parts end in reverse order.
+ */
+async function startGateway(parts: GatewayParts & { readonly callerServer: CallerServer; },
+    disposal: Disposal): Promise<Gateway> {
+    const { settings, limits, store: direct, callerServer, log, now } = parts;
+    let stopping = false;
     const health = createStoreHealth();
     const metrics = createMetrics();
-    const peerStore = createPeerStore({ peers: () => peerList?.addresses() ?? [], now });
-    const store = createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange });
+    const catalog = createCatalog({ log, onDeclaration: next => frontend.setDeclaration(next),
+        onUpstreams: entries => upstreams.replace(entries) });
+    const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
+    const store = disposal.own(createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange }));
     const peerList: PeerList | undefined = settings.peerAddress === undefined
         ? undefined
-        : createPeerList({ name: settings.name, address: settings.peerAddress, dataCentre: settings.dataCentre,
-            seeds: settings.knownPeers, store, log, now });
-    let declaration: Declaration | undefined;
-    let upstreamsKnown = false;
-    let resolveInitialized: () => void;
-    const initialized = new Promise<void>(resolve => {
-        resolveInitialized = resolve;
-    });
-    let stopping = false;
-    const upstreams = createUpstreams({ declaration: () => declaration,
-        gateways: () => peerList?.registered().length ?? 1, limits, now });
-    const contacts = createPeerContacts({ log, now });
+        : disposal.own(
+            createPeerList({ name: settings.name, address: settings.peerAddress, dataCentre: settings.dataCentre,
+                seeds: settings.knownPeers, store, log, now }),
+        );
+    const upstreams = disposal.own(
+        createUpstreams({ declaration: catalog.declaration, gateways: () => peerList?.registered().length ?? 1, limits,
+            now }),
+    );
+    const contacts = disposal.own(createPeerContacts({ log, now }));
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
         peers: () => peerList?.registered() ?? [], contacts, metrics, log });
-    const ownBudgets = createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
-        recallFrom: budgets.recallFrom, log, now });
-    const turns = createTurns({ store, maxRowBytes: settings.maxRowBytes, longestRetention, metrics, log, now });
-    const cleaner = createCleaner({ store, tables: [turnTable, budgetTable], log });
+    const ownBudgets = disposal.own(
+        createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
+            recallFrom: budgets.recallFrom, log, now }),
+    );
+    const turns = disposal.own(
+        createTurns({ store, maxRowBytes: settings.maxRowBytes, longestRetention, metrics, log, now }),
+    );
+    disposal.own(createCleaner({ store, tables: [turnTable, budgetTable], log }));
     const storeOutage: StoreOutage = { age: () => store.unavailableFor(), isIsolated: () => store.isIsolated(),
         ended: (maxMs, signal) => store.whenReachable(maxMs, signal) };
-    const pause = (maxMs: number) => store.pause(maxMs);
-    const frontend = createFrontend({ callerServer, limits, upstreams, declaration: () => declaration, budgets, turns,
-        storeOutage, initialized, log, metrics, now, dataCentre: settings.dataCentre,
-        declarationAge: () => declarationWatch.age() });
-    const declarationWatch = watchTable({ store, log, now, pause, ...declarationRow, onChange: applyDeclaration });
-    const upstreamWatch = watchTable({ store, log, now, pause, ...upstreamTable, onChange: applyUpstreamRows });
-    const peerServer = settings.peerAddress === undefined
-        ? undefined
-        : await createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log,
-            now });
     const readiness = createServer((request, response) => {
         const path = (request.url ?? "").split("?")[0];
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
-    await listen(readiness, settings.readinessAddress);
-    const metricsServer = settings.metricsAddress === undefined
-        ? undefined
-        : serveMetrics(settings.metricsAddress, metrics, log);
+    const frontend = disposal.own(
+        createFrontend({ callerServer, limits, upstreams, declaration: catalog.declaration, budgets, turns, storeOutage,
+            initialized: catalog.initialized, log, metrics, now, dataCentre: settings.dataCentre,
+            declarationAge: () => declarationWatch.age() }),
+    );
+    const pause = (maxMs: number) => store.pause(maxMs);
+    const declarationWatch = disposal.own(
+        watchTable({ store, log, now, pause, ...declarationRow, onChange: catalog.applyDeclaration }),
+    );
+    disposal.own(watchTable({ store, log, now, pause, ...upstreamTable, onChange: catalog.applyUpstreams }));
     const summaryTimer = setInterval(() => void logSummary(), summaryIntervalMs);
-    log.info("gateway.started", { dataCentre: settings.dataCentre });
-
-    function longestRetention(): number {
-        return Math.max(0, ...declaration?.routes.map(({ retention }) => retention ?? 0) ?? []);
-    }
-
-    function applyDeclaration(rows: ReadonlyMap<string, StoreRow>): void {
-        const row = rows.get(declarationRow.key);
-        if (row === undefined) {
-            return;
-        }
-        try {
-            const next = decodeDeclaration(row.value);
-            if (declaration !== undefined && next.version <= declaration.version) {
-                return;
-            }
-            declaration = next;
-            frontend.setDeclaration(next);
-            applyUpstreamRows(latestUpstreamRows);
-            log.info("declaration.taken", { version: next.version });
-        }
-        catch (error) {
-            log.warn("declaration.unreadable", { reason: (error as Error).message });
-        }
+    disposal.defer(() => clearInterval(summaryTimer));
+    if (settings.metricsAddress !== undefined) {
+        const metricsServer = serveMetrics(settings.metricsAddress, metrics, log);
+        disposal.defer(() => metricsServer.close());
     }
-
-    let latestUpstreamRows: ReadonlyMap<string, StoreRow> = new Map();
-    function applyUpstreamRows(rows: ReadonlyMap<string, StoreRow>): void {
-        latestUpstreamRows = rows;
-        // The number of connections to an upstream depends on its service, which the declaration defines.
-        if (declaration === undefined) {
-            return;
-        }
-        const entries = decodeUpstreams(rows);
-        upstreams.replace(entries);
-        if (entries.length > 0) {
-            upstreamsKnown = true;
-            resolveInitialized();
-        }
+    if (settings.peerAddress !== undefined) {
+        disposal.own(
+            await createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log,
+                now }),
+        );
     }
+    await listen(readiness, settings.readinessAddress);
+    disposal.defer(() => readiness.close());
+    log.info("gateway.started", { dataCentre: settings.dataCentre });
 
-    /** Ids of the rows that cannot be decoded, each of which is logged once. */
-    let unreadableUpstreams: ReadonlySet<string> = new Set();
-    function decodeUpstreams(rows: ReadonlyMap<string, StoreRow>): readonly UpstreamEntry[] {
-        const decoded = [...rows].map(([id, row]) => ({ id, entry: decodeUpstream(id, row.value) }));
-        const unreadable = decoded.filter(({ entry }) => entry === undefined).map(({ id }) => id);
-        unreadable.filter(id => !unreadableUpstreams.has(id)).forEach(id => log.warn("upstream.unreadable", { id }));
-        unreadableUpstreams = new Set(unreadable);
-        return decoded.flatMap(({ entry }) => entry ?? []);
+    function longestRetention(): number {
+        return Math.max(0, ...catalog.declaration()?.routes.map(({ retention }) => retention ?? 0) ?? []);
     }
 
     async function logSummary(): Promise<void> {
@@ -170,7 +155,7 @@
 
     /** While the store cannot be reached, the gateway is not ready, so that callers are sent to other gateways. */
     function isReady(): boolean {
-        return !stopping && declaration !== undefined && upstreamsKnown && store.unavailableFor() <= maxReadyOutageMs;
+        return !stopping && catalog.isInitialized() && store.unavailableFor() <= maxReadyOutageMs;
     }
 
     async function shutDown(): Promise<void> {
@@ -197,20 +182,7 @@
             peerList?.setSeeds(next.knownPeers);
             log.info("settings.reloaded", { seeds: next.knownPeers.length });
         },
-        async [Symbol.asyncDispose]() {
-            readiness.close();
-            metricsServer?.close();
-            clearInterval(summaryTimer);
-            store[Symbol.dispose]();
-            cleaner[Symbol.dispose]();
-            turns[Symbol.dispose]();
-            contacts[Symbol.dispose]();
-            ownBudgets[Symbol.dispose]();
-            peerList?.[Symbol.dispose]();
-            const parts = [frontend, declarationWatch, upstreamWatch, upstreams, peerStore,
-                ...peerServer === undefined ? [] : [peerServer]];
-            await Promise.all(parts.map(part => part[Symbol.asyncDispose]()));
-        },
+        [Symbol.asyncDispose]: () => disposal[Symbol.asyncDispose](),
     };
 }
 
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -4,10 +4,14 @@
 import { createServer } from "node:net";
 import { join } from "node:path";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { chooseAddresses, createSettingsFolder, type GatewayAddresses, settingsText,
     spawnProcess } from "./gatewayProcess.ts";
-import { call, createFleet, fetchReadinessStatus, type Fleet, turnCall, waitUntil } from "./harness.ts";
+import { call, createFleet, fetchReadinessStatus, type Fleet, freeAddress, turnCall, waitUntil,
+    waitUntilReady } from "./harness.ts";
 
+/** Time for which a step of a start is held open before and after the rows change. */
+const heldStartMs = 500;
 const names = ["callerAddress", "readinessAddress", "peerAddress", "metricsAddress"] as const;
 
 /** Occupies a port, as an outgoing connection or another process may do. */
@@ -84,6 +88,42 @@
     }
 });
 
+/** Events that tell that an error came up which no part expected, or that sound rows could not be applied. */
+const faultEvents = ["gateway.fault", "store.watch.broken", "declaration.unreadable", "peers.broken", "call.broken"];
+
+for (const name of ["peerAddress", "readinessAddress"] as const) {
+    test(`rows and calls that come while a start waits for the ${name} are handled (guards against state that is used before it is set)`, async () => {
+        await using fleet = await createFleet();
+        const [callerAddress, heldAddress] = await Promise.all([freeAddress(), freeAddress()]);
+        const occupied = await occupy(heldAddress);
+        const starting = fleet.startGateway({ callerAddress, [name]: heldAddress });
+        await sleep(heldStartMs);
+        fleet.registerUpstream(fleet.spareEngine);
+        fleet.registerUpstream(fleet.tool, { address: "127.0.0.1:99999" });
+        fleet.registerUpstream(fleet.tool, { sequence: 2 });
+        fleet.declare({ version: 2 });
+        await sleep(heldStartMs);
+        const early = await call({ settings: { callerAddress } }, { path: "/look/x", id: "early" });
+        await occupied[Symbol.asyncDispose]();
+        const gateway = await starting;
+        await waitUntilReady(gateway);
+        assert.equal(early.status, 200);
+        assert.deepEqual(gateway.logLines.filter(({ event }) => faultEvents.includes(event)), []);
+        assert.ok(gateway.logLines.some(({ event, fields }) => event === "declaration.taken" && fields.version === 2));
+    });
+}
+
+test("a start that fails leaves nothing behind (guards against ports that a gateway holds that does not exist)", async () => {
+    await using fleet = await createFleet();
+    const [callerAddress, peerAddress] = await Promise.all([freeAddress(), freeAddress()]);
+    const readinessAddress = { host: "127.0.0.1", port: 70_000 };
+    await assert.rejects(fleet.startGateway({ callerAddress, peerAddress, readinessAddress }), /port/);
+    for (const { port } of [callerAddress, peerAddress]) {
+        await using free = await occupy({ port });
+        assert.equal(free.port, port);
+    }
+});
+
 test("a gateway waits for a settings file that is missing or half written at the start (guards against a process that ends again and again)", async () => {
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
