Attempts: upstreams that are slow but sound are not given up in turn

Cause: each attempt, the last one too, lasted max(150 ms, 4 x target) = 240 ms, whatever the service needed and however much time was left. Change, pure in core (answerTimeout): the first attempt lasts at least 1.5 times what few recent calls of the service have exceeded, times the upstream's slowness; each further one lasts twice as long; and an attempt after which less than its own time would be left keeps all the time that is left. So the last attempt has half of the call's time or more, and a stalled upstream is still left after 240 ms.

--- a/packages/core/src/gateway/attempt.ts
+++ b/packages/core/src/gateway/attempt.ts
@@ -18,6 +18,37 @@
     return allowed && sends < maxSends ? "sendAgain" : "giveUp";
 }
 
+/** What the timeout of an attempt to get an answer follows from. Times are in milliseconds. */
+export interface AnswerTimeoutBasis {
+    readonly targetLatency: number;
+    /** Latency that few recent calls of the service have exceeded. */
+    readonly highLatency: number;
+    /** Processing time at the upstream now, relative to normal. */
+    readonly slowness: number;
+    /** Earlier attempts of the call that ended without an answer in time. */
+    readonly timeouts: number;
+    readonly timeLeft: number;
+}
+
+const minAnswerTimeoutMs = 150;
+/** An attempt lasts at least this multiple of the route's target latency. */
+const targetLatencyFactor = 4;
+/** An attempt lasts at least this multiple of the service's high latency. */
+const highLatencyFactor = 1.5;
+
+/**
+ * Time after which a repeatable call without an answer is sent to another upstream; undefined if the attempt keeps all
+ * the time that is left. Each attempt lasts twice as long as the one before, and the last one as long as there is time: a
+ * stalled upstream is left early, and one that is slow but sound is not given up for another one that is as slow.
+ */
+export function answerTimeout(basis: AnswerTimeoutBasis): number | undefined {
+    const { targetLatency, highLatency, slowness, timeouts, timeLeft } = basis;
+    const first = Math.max(minAnswerTimeoutMs, targetLatency * targetLatencyFactor,
+        highLatency * highLatencyFactor * slowness);
+    const timeout = first * 2 ** timeouts;
+    return timeLeft < timeout * 2 ? undefined : timeout;
+}
+
 /** Timeout of a call at its arrival, in ms: the smaller of the caller's deadline and the route's timeout. */
 export function effectiveTimeout(route: ServiceRoute, deadline: number | undefined): number {
     return Math.min(route.timeout, deadline ?? Infinity);
--- a/packages/core/src/gateway/serviceEstimate.ts
+++ b/packages/core/src/gateway/serviceEstimate.ts
@@ -1,5 +1,5 @@
 import type { UpstreamLoad } from "./call.ts";
-import { LowQuantile, RecentMean, RecentMedian } from "./statistics.ts";
+import { HighQuantile, LowQuantile, RecentMean, RecentMedian } from "./statistics.ts";
 
 /** Measurements of a call, taken when its answer begins. Times are in milliseconds. */
 export interface FirstByteSample {
@@ -48,6 +48,7 @@
  */
 export class ServiceEstimate {
     private readonly baselineCallLatency = new LowQuantile(defaultBaselineLatencyMs);
+    private readonly highCallLatency = new HighQuantile();
     private readonly baselineTimeToFirstByte = new LowQuantile(0);
     /** Baseline of the time between two events of a stream. */
     private readonly baselineEventInterval = new LowQuantile(0);
@@ -62,6 +63,11 @@
         return this.baselineCallLatency.value;
     }
 
+    /** Latency that few recent calls have exceeded; 0 before the first one. */
+    get highLatency(): number {
+        return this.highCallLatency.value ?? 0;
+    }
+
     /** Prefill rate of an upstream: prompt tokens per millisecond. */
     get prefillTokensPerMs(): number {
         const { weight, tokens, time, tokensSquared, product } = this.prefillSums;
@@ -118,6 +124,7 @@
 
     /** Records a call whose answer is complete. */
     recordCompletedCall({ latency, timeToFirstByte, events, slowness }: CompletedCall, now: number): void {
+        this.highCallLatency.add(latency);
         if (isSlowedDown({ slowness })) {
             return;
         }
--- a/packages/core/src/gateway/statistics.ts
+++ b/packages/core/src/gateway/statistics.ts
@@ -64,6 +64,29 @@
 const initialSampleCount = 48;
 const stepShare = 0.004;
 
+/** Rank of the high quantile, and relative step by which each sample moves it. */
+const highQuantileRank = 0.95;
+const highQuantileStepShare = 0.1;
+
+/** Tracks the 95th percentile of recent samples. It rises faster than it falls. */
+export class HighQuantile {
+    private quantile: number | undefined;
+
+    /** Undefined before the first sample. */
+    get value(): number | undefined {
+        return this.quantile;
+    }
+
+    add(value: number): void {
+        if (this.quantile === undefined) {
+            this.quantile = value;
+            return;
+        }
+        const step = this.quantile * highQuantileStepShare;
+        this.quantile += value > this.quantile ? step * highQuantileRank : -step * (1 - highQuantileRank);
+    }
+}
+
 /** Tracks the first quartile of all samples, as an estimate of the latency without load. */
 export class LowQuantile {
     private quantile: number;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,5 @@
-import { type AnswerHead, type AnswerVerdict, type AttemptFailure, isOwnAnswer, isSuccess, judgeAnswer,
-    tokensToPrefill } from "@tamarackgauge/core/gateway";
+import { type AnswerHead, answerTimeout, type AnswerVerdict, type AttemptFailure, isOwnAnswer, isSuccess, judgeAnswer,
+    tokensToPrefill, type UpstreamState } from "@tamarackgauge/core/gateway";
 import { encodeRequest } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -21,6 +21,8 @@
     readonly reason: string;
     /** Whether no connection could be established, or the call was not sent over one in time. */
     readonly unreachable: boolean;
+    /** Whether the answer, or the next event, did not come in time. */
+    readonly timedOut?: boolean;
     /** The upstream's answer if it reported a failure. */
     readonly answer?: UpstreamAnswer;
     /** What had come of an answer that broke off or was rejected; undefined if no head had come. */
@@ -48,11 +50,6 @@
     cancel(): void;
 }
 
-/**
- * A repeatable call without an answer is sent to another upstream after this multiple of the route's target latency.
- */
-const answerTimeoutFactor = 4;
-const minAnswerTimeoutMs = 150;
 /**
  * A stream that can be resumed at another upstream is considered stalled after this multiple of the route's maximum
  * interval between events, but not earlier than after `minEventTimeoutMs`.
@@ -66,6 +63,8 @@
     readonly usedConnections: UsedConnections;
     /** Tokens in each event of the upstream's service when the call was sent. */
     readonly tokensPerEvent: number;
+    /** Earlier attempts of the call that ended without an answer in time. */
+    readonly timeouts: number;
     /** Called when the upstream announces in its answer that it leaves. */
     readonly onLeaving: () => void;
 }
@@ -87,7 +86,7 @@
     const end = new Promise<AttemptEnd>(resolve => {
         resolveEnd = resolve;
     });
-    const progressTimeoutMs = progressTimeoutOf(plan);
+    const progressTimeoutMs = progressTimeoutOf(plan, state, now());
     let progressTimer: NodeJS.Timeout | undefined;
 
     function finish(result: AttemptEnd): void {
@@ -107,10 +106,10 @@
                 events: (sink?.relayedEvents() ?? 0) - eventsBefore };
     }
 
-    function abort(reason: string): void {
+    function abort(reason: string, timedOut = false): void {
         const wasSent = activeRequest.wasSent();
         activeRequest.cancel();
-        finish(wasSent ? failure("unknown", reason) : { ...failure("notRun", reason), unreachable: true });
+        finish({ ...failure(wasSent ? "unknown" : "notRun", reason), unreachable: !wasSent, timedOut });
     }
 
     function receiveHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
@@ -183,7 +182,7 @@
     function restartProgressTimer(): void {
         clearTimeout(progressTimer);
         if (progressTimeoutMs !== undefined && !finished) {
-            progressTimer = setTimeout(() => abort(streaming ? "no event in time" : "no answer in time"),
+            progressTimer = setTimeout(() => abort(streaming ? "no event in time" : "no answer in time", true),
                 progressTimeoutMs);
         }
     }
@@ -255,12 +254,15 @@
 }
 
 /** Timeout for an answer, or for the next complete event of a stream, if the call may be sent to another upstream. */
-function progressTimeoutOf({ call: { route } }: SendPlan): number | undefined {
+function progressTimeoutOf({ call: { route, deadlineAt }, timeouts }: AttemptPlan, state: UpstreamState, now: number):
+    | number
+    | undefined {
     if (route.execution !== "repeatable") {
         return undefined;
     }
     if (!route.streamed) {
-        return Math.max(minAnswerTimeoutMs, route.targetLatency * answerTimeoutFactor);
+        return answerTimeout({ targetLatency: route.targetLatency, highLatency: state.estimate.highLatency,
+            slowness: state.slowness(now), timeouts, timeLeft: deadlineAt - now });
     }
     return route.maxEventInterval === undefined
         ? undefined
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -60,6 +60,7 @@
     const usedConnections: UsedConnections = new WeakSet();
     // Once the outcome of an attempt is unknown, a later rejection must not report that the call has not run.
     let worstFailure: AttemptFailure = "notRun";
+    let timeouts = 0;
     let current: Attempt | undefined;
     let cancelled: CancelReason | undefined;
     let sentAtCancel = false;
@@ -81,6 +82,7 @@
             log.warn("send.failed", { call: head.id, program: head.program, upstream: upstream.state.entry.id,
                 failure: end.failure, reason: end.reason, sends, ...end.received,
                 calls: Math.round(upstream.state.estimatedCalls(now())) });
+            timeouts += end.timedOut === true ? 1 : 0;
             lastFailure = end;
             worstFailure = end.failure === "notRun" ? worstFailure : end.failure;
             tried.add(upstream.state.entry.id);
@@ -145,7 +147,8 @@
         try {
             const onLeaving = () => retire(upstream);
             const tokensPerEvent = upstreams.tokensPerEvent(upstream.state.entry.service);
-            current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, onLeaving }, limits, now);
+            current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, timeouts, onLeaving }, limits,
+                now);
         }
         catch (error) {
             const reason = (error as Error).message;
