--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -1,5 +1,6 @@
 import { createRandom } from "@tamarackgauge/core";
 import { setTimeout as sleep } from "node:timers/promises";
+import { buildDeployedProgram } from "../test/gatewayProcess.ts";
 import { call, type CallerAnswer, type TestCall, turnCall } from "../test/harness.ts";
 import { type SoakFleet, type SoakGateway, startSoakFleet } from "./soakFleet.ts";
 import { eventsPerTurn, findViolations, type SoakCall, type SoakOutcome, type SoakTurn,
@@ -12,6 +13,8 @@
     readonly durationMs: number;
     readonly gateways: number;
     readonly callers: number;
+    /** Starts the built gateway as it is deployed, on VMs with this memory; when omitted, the sources are run. */
+    readonly memoryMb?: number;
 }
 
 /** Result of a soak. */
@@ -20,6 +23,10 @@
     readonly calls: number;
     readonly completeAnswers: number;
     readonly violations: readonly Violation[];
+    /** Starts that took longer than a gateway should need. */
+    readonly slowStarts: readonly string[];
+    /** The most memory that a process had, in bytes. */
+    readonly maxResidentBytes: number;
     /** Log lines of the calls of the first violations. */
     readonly logLines: readonly string[];
 }
@@ -35,12 +42,16 @@
 /** Time after the last fault within which all gateways must serve calls again. */
 const recoveryTimeoutMs = 5_000;
 const explainedViolations = 3;
+const bytesPerMegabyte = 1_000_000;
 
 /** Runs programs against gateways while faults are injected, and checks what callers and upstreams observed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = createRandom(options.seed);
     const plan = planFaults(options.durationMs, options.gateways * 3, random);
-    await using fleet = await startSoakFleet(options.gateways);
+    const { memoryMb } = options;
+    await using deployed = memoryMb === undefined ? undefined : await buildDeployedProgram();
+    await using fleet = await startSoakFleet(options.gateways,
+        deployed === undefined ? {} : { program: deployed.program, memoryMb });
     const outcomes: SoakOutcome[] = [];
     const startedAt = performance.now();
     let isOver = false;
@@ -53,12 +64,14 @@
     isOver = true;
     await Promise.all(callers);
     const violations = [...findViolations(outcomes, fleet.executions()), ...fleet.unexpectedExits().map(exitViolation),
-        ...await findRecoveryViolations(fleet)];
+        ...await findRecoveryViolations(fleet), ...findMemoryViolations(fleet, memoryMb)];
     return {
         plan,
         calls: outcomes.length,
         completeAnswers: outcomes.filter(({ answer }) => answer?.status === 200 && answer.whole).length,
         violations,
+        slowStarts: fleet.slowStarts(),
+        maxResidentBytes: fleet.maxResidentBytes(),
         logLines: violations.slice(0, explainedViolations).flatMap(violation => fleet.linesOf(violation.call)),
     };
 
@@ -143,6 +156,13 @@
     );
 }
 
+function findMemoryViolations(fleet: SoakFleet, memoryMb = Infinity): readonly Violation[] {
+    const maxMegabytes = fleet.maxResidentBytes() / bytesPerMegabyte;
+    return maxMegabytes <= memoryMb
+        ? []
+        : [{ invariant: "a process stays within the memory of its VM", call: "", detail: `${maxMegabytes} MB` }];
+}
+
 function exitViolation(detail: string): Violation {
     return { invariant: "no process exits unexpectedly", call: "", detail };
 }
--- a/packages/gateway/bench/soakCommand.ts
+++ b/packages/gateway/bench/soakCommand.ts
@@ -1,4 +1,4 @@
-import { command, number, option, run } from "cmd-ts";
+import { command, number, option, optional, run } from "cmd-ts";
 import { runSoak } from "./soak.ts";
 
 const soakCommand = command({
@@ -10,15 +10,24 @@
         seconds: option({ type: number, long: "seconds", defaultValue: () => 30, description: "length of the run" }),
         gateways: option({ type: number, long: "gateways", defaultValue: () => 3, description: "gateway processes" }),
         callers: option({ type: number, long: "callers", defaultValue: () => 12, description: "concurrent programs" }),
+        memoryMb: option({ type: optional(number), long: "memory-mb",
+            description: "start the built gateway as it is deployed, on VMs with this memory" }),
     },
-    async handler({ seed, seconds, gateways, callers }) {
-        const { plan, calls, completeAnswers, violations, logLines } = await runSoak({ seed,
-            durationMs: seconds * 1_000, gateways, callers });
+    async handler({ seed, seconds, gateways, callers, memoryMb }) {
+        const { plan, calls, completeAnswers, violations, logLines, slowStarts, maxResidentBytes } = await runSoak({
+            seed,
+            durationMs: seconds * 1_000,
+            gateways,
+            callers,
+            ...memoryMb === undefined ? {} : { memoryMb },
+        });
         console.log(
             `seed ${seed}: ${plan.length} faults, ${calls} calls, ${completeAnswers} answered, ${violations.length} violations`,
         );
+        console.log(`most memory: ${Math.round(maxResidentBytes / 1e6)} MB; slow starts: ${slowStarts.length}`);
         plan.forEach(fault => console.log(`${fault.startMs} ${fault.kind} ${fault.target} ${fault.durationMs}`));
         violations.forEach(({ invariant, call, detail }) => console.log(`VIOLATED ${invariant}: ${call} ${detail}`));
+        slowStarts.forEach(start => console.log(`SLOW START: ${start}`));
         logLines.forEach(line => console.log(line));
         process.exitCode = violations.length === 0 ? 0 : 1;
     },
--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -1,6 +1,7 @@
 import type { GatewayUpstream, RowStoreFault, RowStoreListener, UpstreamBehaviour } from "@tamarackgauge/standin";
 import { setTimeout as sleep } from "node:timers/promises";
-import { chooseAddresses, type GatewayAddresses, type GatewayProcess, startProcessAt } from "../test/gatewayProcess.ts";
+import { chooseAddresses, type GatewayAddresses, type GatewayProcess, occupyPort, type ProcessOptions, residentBytes,
+    startProcessAt } from "../test/gatewayProcess.ts";
 import { createFleet, type Fleet } from "../test/harness.ts";
 import type { SoakExecution } from "./soakJudge.ts";
 import type { Fault, FaultKind } from "./soakPlan.ts";
@@ -20,6 +21,10 @@
     executions(): readonly SoakExecution[];
     /** Process exits that no fault caused. */
     unexpectedExits(): readonly string[];
+    /** Starts that took longer than a gateway should need, with what the process logged. */
+    slowStarts(): readonly string[];
+    /** The most memory that a process had, in bytes. */
+    maxResidentBytes(): number;
     /** Log lines of all gateways that contain the id of a call. */
     linesOf(call: string): readonly string[];
 }
@@ -45,14 +50,26 @@
 /** Number of calls that a fault of an upstream affects. */
 const affectedCalls = 4;
 
-/** Starts the fleet. */
-export async function startSoakFleet(count: number): Promise<SoakFleet> {
+const memorySamplingIntervalMs = 50;
+/** A start that takes longer is reported. */
+const maxStartMs = 3_000;
+const portsOfGateway = ["callerAddress", "readinessAddress", "peerAddress", "metricsAddress"] as const;
+
+/** Starts the fleet. `processOptions` apply to each gateway. */
+export async function startSoakFleet(count: number, processOptions: ProcessOptions = {}): Promise<SoakFleet> {
     const fleet = await createFleet();
     fleet.registerUpstream(fleet.spareEngine);
     const processes: GatewayProcess[] = [];
     const unexpectedExits: string[] = [];
-    const members = await Promise.all(Array.from({ length: count }, (_, index) => startMember(fleet, `g${index}`)));
+    const slowStarts: string[] = [];
+    let maxResidentBytes = 0;
+    const members = await Promise.all(
+        Array.from({ length: count }, (_, index) => startMember(fleet, { ...processOptions, name: `g${index}` })),
+    );
     members.forEach(watchForExit);
+    const memorySampling = setInterval(() => {
+        maxResidentBytes = Math.max(maxResidentBytes, ...members.map(({ process }) => residentBytes(process)));
+    }, memorySamplingIntervalMs);
 
     function watchForExit(member: GatewayMember): void {
         const { process } = member;
@@ -64,7 +81,8 @@
         });
     }
 
-    async function restart(member: GatewayMember, signal: "SIGTERM" | "SIGKILL"): Promise<void> {
+    async function restart(member: GatewayMember, signal: "SIGTERM" | "SIGKILL",
+        beforeStart = async () => undefined as unknown): Promise<void> {
         member.exitExpected = true;
         member.process.child.kill(signal);
         const code = await member.process.exited;
@@ -72,17 +90,33 @@
             unexpectedExits.push(`${member.name} ended with ${code} after SIGTERM`);
         }
         await member.process[Symbol.asyncDispose]();
-        member.process = await startProcessAt(member.storeEndpoint, member.settings, { name: member.name });
+        await beforeStart();
+        const startedAt = performance.now();
+        member.process = await startProcessAt(member.storeEndpoint, member.settings, { ...processOptions,
+            name: member.name });
+        recordStart(member, performance.now() - startedAt);
         watchForExit(member);
         member.exitExpected = false;
     }
 
-    async function kill(member: GatewayMember): Promise<void> {
+    function recordStart({ name, process }: GatewayMember, durationMs: number): void {
+        if (durationMs > maxStartMs) {
+            slowStarts.push(`${name} was ready after ${Math.round(durationMs)} ms\n${process.output()}`);
+        }
+    }
+
+    async function kill(member: GatewayMember, beforeStart?: () => Promise<unknown>): Promise<void> {
         member.undisturbedSince = Infinity;
-        await restart(member, "SIGKILL");
+        await restart(member, "SIGKILL", beforeStart);
         member.undisturbedSince = performance.now();
     }
 
+    /** Another process takes one of the gateway's ports while the gateway is down, and keeps it for some time. */
+    async function occupyWhileDown(member: GatewayMember, target: number, durationMs: number): Promise<void> {
+        const occupied = await occupyPort(member.settings[portsOfGateway[target % portsOfGateway.length]!]);
+        setTimeout(() => void occupied[Symbol.asyncDispose](), durationMs);
+    }
+
     async function pause(member: GatewayMember, durationMs: number): Promise<void> {
         member.undisturbedSince = Infinity;
         member.process.child.kill("SIGSTOP");
@@ -120,6 +154,9 @@
                 return runAfterLastChange(member, () => restart(member, "SIGTERM"));
             case "kill":
                 return runAfterLastChange(member, () => kill(member));
+            case "portInUse":
+                return runAfterLastChange(member,
+                    () => kill(member, () => occupyWhileDown(member, target, durationMs)));
             case "pause":
                 return runAfterLastChange(member, () => pause(member, durationMs));
             case "reload":
@@ -140,10 +177,13 @@
         injectFault,
         executions: () => [fleet.engine, fleet.spareEngine, fleet.tool].flatMap(({ executed }) => executed),
         unexpectedExits: () => unexpectedExits,
+        slowStarts: () => slowStarts,
+        maxResidentBytes: () => maxResidentBytes,
         linesOf: call =>
             processes.flatMap(process => process.output().split("\n")).filter(line => line.includes(`"${call}"`)),
         async [Symbol.asyncDispose]() {
             await Promise.all(members.map(member => member.lastChange));
+            clearInterval(memorySampling);
             members.forEach(member => member.exitExpected = true);
             await Promise.all(members.map(({ process }) => process[Symbol.asyncDispose]()));
             await fleet[Symbol.asyncDispose]();
@@ -151,12 +191,12 @@
     };
 }
 
-async function startMember(fleet: Fleet, name: string): Promise<GatewayMember> {
+async function startMember(fleet: Fleet, options: ProcessOptions & { readonly name: string; }): Promise<GatewayMember> {
     const storeEndpoint = await fleet.rowStore.open();
     const settings = await chooseAddresses();
-    const process = await startProcessAt(storeEndpoint, settings, { name });
-    return { name, storeEndpoint, settings, process, undisturbedSince: performance.now(), exitExpected: false,
-        lastChange: Promise.resolve() };
+    const process = await startProcessAt(storeEndpoint, settings, options);
+    return { name: options.name, storeEndpoint, settings, process, undisturbedSince: performance.now(),
+        exitExpected: false, lastChange: Promise.resolve() };
 }
 
 function pickUpstream(fleet: Fleet, target: number): GatewayUpstream {
--- a/packages/gateway/bench/soakPlan.ts
+++ b/packages/gateway/bench/soakPlan.ts
@@ -2,8 +2,8 @@
 
 /** Faults of a gateway's process, of its connection to the store, and of upstreams. */
 const faultKinds = ["stop", "kill", "pause", "reload", "storeReset", "storeSilent", "storeBusy", "storeSlow",
-    "storeLostReply", "storeLateWrite", "storeAway", "refuse", "fail", "lose", "break", "foreign", "unsigned",
-    "leave"] as const;
+    "storeLostReply", "storeLateWrite", "storeAway", "portInUse", "refuse", "fail", "lose", "break", "foreign",
+    "unsigned", "leave"] as const;
 
 /** A kind of fault. */
 export type FaultKind = (typeof faultKinds)[number];
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -2,7 +2,9 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn, spawnSync } from "node:child_process";
 import { once } from "node:events";
+import { readFileSync } from "node:fs";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fetchReadinessStatus, type Fleet, freeAddress, waitUntil } from "./harness.ts";
@@ -123,6 +125,33 @@
         [Symbol.asyncDispose]: () => rm(folder, { recursive: true }) };
 }
 
+const kibibyte = 1_024;
+
+/** Resident memory of a process in bytes; 0 if it has ended. */
+export function residentBytes({ child }: Pick<GatewayProcess, "child">): number {
+    try {
+        const status = readFileSync(`/proc/${child.pid}/status`, "latin1");
+        return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0) * kibibyte;
+    }
+    catch {
+        // The process has ended and been removed.
+        return 0;
+    }
+}
+
+/** A port that is in use. */
+export interface OccupiedPort extends AsyncDisposable {
+    readonly port: number;
+}
+
+/** Occupies a port, as an outgoing connection or another process may do. */
+export async function occupyPort({ port }: { readonly port: number; }): Promise<OccupiedPort> {
+    const server = createServer();
+    server.listen(port, "127.0.0.1");
+    await once(server, "listening");
+    return { port, [Symbol.asyncDispose]: () => new Promise<void>(resolve => server.close(() => resolve())) };
+}
+
 /** Starts a process and waits until it is ready. */
 export async function startProcess(fleet: Fleet, options?: ProcessOptions): Promise<GatewayProcess> {
     return startProcessAt(await fleet.rowStore.open(), await chooseAddresses(), options);
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -1,21 +1,14 @@
 import assert from "node:assert/strict";
-import { readFileSync } from "node:fs";
 import { test } from "node:test";
-import { buildDeployedProgram, startProcess } from "./gatewayProcess.ts";
+import { buildDeployedProgram, residentBytes, startProcess } from "./gatewayProcess.ts";
 import { call, createFleet, declaration, type Fleet, turnCall } from "./harness.ts";
 
-const kibibyte = 1_024;
 const bytesPerMegabyte = 1_000_000;
 const largeBody = "x".repeat(4_000_000);
 const turnsAtOnce = 12;
 const rounds = 3;
 const samplingIntervalMs = 20;
 
-/** Resident memory of a process in bytes; 0 if it is ending. */
-function residentBytes(pid: number): number {
-    return Number(/^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "latin1"))?.[1] ?? 0) * kibibyte;
-}
-
 function declareLargeBodies(fleet: Fleet): void {
     fleet.declare({ routes: declaration.routes.map(route => ({ ...route, timeoutMs: 20_000 })),
         limits: { ...declaration.limits, maxBodyBytes: 4_194_304 } });
@@ -31,7 +24,7 @@
         void gateway.exited.then(() => ended = true);
         let maxBytes = 0;
         const sampling = setInterval(
-            () => maxBytes = ended ? maxBytes : Math.max(maxBytes, residentBytes(gateway.child.pid!)),
+            () => maxBytes = Math.max(maxBytes, residentBytes(gateway)),
             samplingIntervalMs,
         );
         const statuses: number[] = [];
--- a/packages/gateway/test/soak.test.ts
+++ b/packages/gateway/test/soak.test.ts
@@ -69,6 +69,7 @@
         durationMs: 14_000,
         gateways: 2,
         callers: 6,
+        memoryMb: 220,
     });
     context.diagnostic(`${plan.length} faults, ${calls} calls, ${completeAnswers} answered`);
     assert.deepEqual(violations, [], logLines.join("\n"));
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -1,11 +1,9 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import { writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
 import { join } from "node:path";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { chooseAddresses, createSettingsFolder, type GatewayAddresses, settingsText,
+import { chooseAddresses, createSettingsFolder, type GatewayAddresses, occupyPort, settingsText,
     spawnProcess } from "./gatewayProcess.ts";
 import { call, createFleet, fetchReadinessStatus, type Fleet, freeAddress, turnCall, waitUntil,
     waitUntilReady } from "./harness.ts";
@@ -14,14 +12,6 @@
 const heldStartMs = 500;
 const names = ["callerAddress", "readinessAddress", "peerAddress", "metricsAddress"] as const;
 
-/** Occupies a port, as an outgoing connection or another process may do. */
-async function occupy({ port }: { readonly port: number; }) {
-    const server = createServer();
-    server.listen(port, "127.0.0.1");
-    await once(server, "listening");
-    return { port, [Symbol.asyncDispose]: () => new Promise<void>(resolve => server.close(() => resolve())) };
-}
-
 /** Starts a process without waiting until it is ready. */
 async function spawnGateway(fleet: Fleet, addresses: GatewayAddresses, writeSettings = true) {
     const settingsFile = join(await createSettingsFolder(), "settings.conf");
@@ -41,7 +31,7 @@
     test(`a gateway whose ${name} is in use at the start serves once it is free (guards against a process that stays unready or ends again and again)`, async () => {
         await using fleet = await createFleet();
         const addresses = await chooseAddresses();
-        const occupied = await occupy(addresses[name]);
+        const occupied = await occupyPort(addresses[name]);
         const { gateway } = await spawnGateway(fleet, addresses);
         await using process = gateway;
         // The sources take some time to load; the address must be in use when the process listens.
@@ -55,7 +45,7 @@
 test("a gateway serves although its metricsAddress stays in use (guards against a process that serves nobody for lack of metrics)", async () => {
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
-    await using occupied = await occupy(addresses.metricsAddress);
+    await using occupied = await occupyPort(addresses.metricsAddress);
     const { gateway } = await spawnGateway(fleet, addresses);
     await using process = gateway;
     await waitUntilServing(fleet, addresses);
@@ -67,7 +57,7 @@
     test(`a gateway whose ${name} stays in use ends and names it (guards against a process that neither serves nor ends)`, async () => {
         await using fleet = await createFleet();
         const addresses = await chooseAddresses();
-        await using occupied = await occupy(addresses[name]);
+        await using occupied = await occupyPort(addresses[name]);
         const { gateway } = await spawnGateway(fleet, addresses);
         await using process = gateway;
         assert.equal(await process.exited, 3);
@@ -79,7 +69,7 @@
     await using fleet = await createFleet();
     for (const name of ["callerAddress", "readinessAddress"] as const) {
         const addresses = await chooseAddresses();
-        await using occupied = await occupy(addresses[name]);
+        await using occupied = await occupyPort(addresses[name]);
         const { gateway } = await spawnGateway(fleet, addresses);
         await using process = gateway;
         await new Promise(resolve => setTimeout(resolve, 2_000));
@@ -95,7 +85,7 @@
     test(`rows and calls that come while a start waits for the ${name} are handled (guards against state that is used before it is set)`, async () => {
         await using fleet = await createFleet();
         const [callerAddress, heldAddress] = await Promise.all([freeAddress(), freeAddress()]);
-        const occupied = await occupy(heldAddress);
+        const occupied = await occupyPort(heldAddress);
         const starting = fleet.startGateway({ callerAddress, [name]: heldAddress });
         await sleep(heldStartMs);
         fleet.registerUpstream(fleet.spareEngine);
@@ -119,7 +109,7 @@
     const readinessAddress = { host: "127.0.0.1", port: 70_000 };
     await assert.rejects(fleet.startGateway({ callerAddress, peerAddress, readinessAddress }), /port/);
     for (const { port } of [callerAddress, peerAddress]) {
-        await using free = await occupy({ port });
+        await using free = await occupyPort({ port });
         assert.equal(free.port, port);
     }
 });
