--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -144,9 +144,9 @@
     readonly port: number;
 }
 
-/** Occupies a port, as an outgoing connection or another process may do. */
+/** Occupies a port, as an outgoing connection or another process may do. Connections to it are closed at once. */
 export async function occupyPort({ port }: { readonly port: number; }): Promise<OccupiedPort> {
-    const server = createServer();
+    const server = createServer(socket => socket.destroy());
     server.listen(port, "127.0.0.1");
     await once(server, "listening");
     return { port, [Symbol.asyncDispose]: () => new Promise<void>(resolve => server.close(() => resolve())) };
