Attempts: the first one leaves half of the call's time for another

Now the first attempt lasts at most half of the time, unless the service is seen to need more; what follows is as before. attempt.test.ts: a stalled upstream with limits of 300 and 400 ms; failed before at 300 ms.

--- a/packages/core/src/gateway/attempt.ts
+++ b/packages/core/src/gateway/attempt.ts
@@ -38,13 +38,18 @@
 
 /**
  * Time after which a repeatable call without an answer is sent to another upstream; undefined if the attempt keeps all
- * the time that is left. Each attempt lasts twice as long as the one before, and the last one as long as there is time: a
- * stalled upstream is left early, and one that is slow but sound is not given up for another one that is as slow.
+ * the time that is left. The first attempt leaves half of the time for a further one, unless the service is seen to need
+ * more. Each further attempt lasts twice as long, and the last one as long as there is time: a stalled upstream is left
+ * early, and one that is slow but sound is not given up for another one that is as slow.
  */
 export function answerTimeout(basis: AnswerTimeoutBasis): number | undefined {
     const { targetLatency, highLatency, slowness, timeouts, timeLeft } = basis;
-    const first = Math.max(minAnswerTimeoutMs, targetLatency * targetLatencyFactor,
-        highLatency * highLatencyFactor * slowness);
+    const neededTime = highLatency * highLatencyFactor * slowness;
+    const first = Math.max(minAnswerTimeoutMs, targetLatency * targetLatencyFactor, neededTime);
+    if (timeouts === 0) {
+        const timeout = Math.max(neededTime, Math.min(first, timeLeft / 2));
+        return timeLeft < timeout * 2 ? undefined : timeout;
+    }
     const timeout = first * 2 ** timeouts;
     return timeLeft < timeout * 2 ? undefined : timeout;
 }
--- a/packages/core/test/gateway/attempt.test.ts
+++ b/packages/core/test/gateway/attempt.test.ts
@@ -32,8 +32,9 @@
 });
 
 test("a stalled upstream is left early enough for the next one (guards against waiting for the stalled one)", () => {
-    for (const latency of [targetLatency, targetLatency * 4]) {
-        assert.ok(isServed(attempt => attempt === 0 ? Infinity : latency, 1_000), `${latency} ms`);
+    for (const timeout of [300, 400, 1_000]) {
+        const latency = Math.min(timeout / 2, targetLatency * 4);
+        assert.ok(isServed(attempt => attempt === 0 ? Infinity : latency, timeout), `${timeout} ms`);
     }
 });
 
