Attempts: an answer is judged once, and the time of an attempt is compared in one place

judgeAnswer ran at the head of an answer and again at its end; the verdict is kept with the head now. isOwnAnswer compared the id of the call again, which the client has checked before it hands out a head (mismatchReason). answerTimeout had its last line twice. No behaviour changes: 90 tests of these parts pass, leaving.test.ts among them, which has answers of other engines.

--- a/packages/core/src/gateway/answer.ts
+++ b/packages/core/src/gateway/answer.ts
@@ -53,9 +53,9 @@
         : { kind: "passOn" };
 }
 
-/** Whether the answer is that of the addressed upstream itself: it is signed, or it refuses the call. */
-export function isOwnAnswer({ callId, signed, notRun, misdirected }: AnswerHead, expectedId: string): boolean {
-    return callId === expectedId && (signed || (notRun && !misdirected));
+/** Whether an answer to a call is that of the addressed upstream itself: it is signed, or it refuses the call. */
+export function isOwnAnswer({ signed, notRun, misdirected }: AnswerHead): boolean {
+    return signed || (notRun && !misdirected);
 }
 
 /** Whether a status indicates success. */
--- a/packages/core/src/gateway/attempt.ts
+++ b/packages/core/src/gateway/attempt.ts
@@ -46,11 +46,9 @@
     const { targetLatency, highLatency, slowness, timeouts, timeLeft } = basis;
     const neededTime = highLatency * highLatencyFactor * slowness;
     const first = Math.max(minAnswerTimeoutMs, targetLatency * targetLatencyFactor, neededTime);
-    if (timeouts === 0) {
-        const timeout = Math.max(neededTime, Math.min(first, timeLeft / 2));
-        return timeLeft < timeout * 2 ? undefined : timeout;
-    }
-    const timeout = first * 2 ** timeouts;
+    const timeout = timeouts === 0
+        ? Math.max(neededTime, Math.min(first, timeLeft / 2))
+        : first * 2 ** timeouts;
     return timeLeft < timeout * 2 ? undefined : timeout;
 }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -74,7 +74,11 @@
     now: () => number): Attempt {
     const { call, sink } = plan;
     const chunks: Buffer[] = [];
-    let answer: { readonly head: AnswerHead; readonly headers: IncomingHttpHeaders; } | undefined;
+    let answer: {
+        readonly head: AnswerHead;
+        readonly headers: IncomingHttpHeaders;
+        readonly verdict: AnswerVerdict;
+    } | undefined;
     let receivedBytes = 0;
     /** Bytes of the answer that are reserved in the account of the call. */
     let accountedBytes = 0;
@@ -113,8 +117,9 @@
     }
 
     function receiveHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
-        answer = { head, headers };
-        if (head.leaving && isOwnAnswer(head, call.head.id)) {
+        const verdict = judgeAnswer(head, call.route);
+        answer = { head, headers, verdict };
+        if (head.leaving && isOwnAnswer(head)) {
             plan.onLeaving();
         }
         if (head.load !== undefined) {
@@ -124,7 +129,7 @@
             timeToFirstByte = now() - sentAt;
             state.estimate.recordFirstByte({ timeToFirstByte, prefillTokens, load: head.load }, now());
         }
-        if (sink !== undefined && isSuccess(head.status) && judgeAnswer(head, call.route).kind === "passOn") {
+        if (sink !== undefined && isSuccess(head.status) && verdict.kind === "passOn") {
             streaming = true;
             sink.begin(head.status, headers, plan.tokensPerEvent);
             restartProgressTimer();
@@ -207,9 +212,8 @@
         if (streaming) {
             return { kind: "streamed" };
         }
-        const { head, headers } = answer!;
-        return evaluateAnswer(judgeAnswer(head, call.route), { status: head.status, headers,
-            body: Buffer.concat(chunks) });
+        const { head, headers, verdict } = answer!;
+        return evaluateAnswer(verdict, { status: head.status, headers, body: Buffer.concat(chunks) });
     }
 
     const sentAt = now();
