--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -25,8 +25,8 @@
     readonly violations: readonly Violation[];
     /** Starts that took longer than a gateway should need. */
     readonly slowStarts: readonly string[];
-    /** The most memory that a process had, in bytes. */
-    readonly maxResidentBytes: number;
+    /** The most memory that a process had, in megabytes. */
+    readonly maxMegabytes: number;
     /** Log lines of the calls of the first violations. */
     readonly logLines: readonly string[];
 }
@@ -42,7 +42,6 @@
 /** Time after the last fault within which all gateways must serve calls again. */
 const recoveryTimeoutMs = 5_000;
 const explainedViolations = 3;
-const bytesPerMegabyte = 1_000_000;
 
 /** Runs programs against gateways while faults are injected, and checks what callers and upstreams observed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
@@ -71,7 +70,7 @@
         completeAnswers: outcomes.filter(({ answer }) => answer?.status === 200 && answer.whole).length,
         violations,
         slowStarts: fleet.slowStarts(),
-        maxResidentBytes: fleet.maxResidentBytes(),
+        maxMegabytes: fleet.maxMegabytes(),
         logLines: violations.slice(0, explainedViolations).flatMap(violation => fleet.linesOf(violation.call)),
     };
 
@@ -157,7 +156,7 @@
 }
 
 function findMemoryViolations(fleet: SoakFleet, memoryMb = Infinity): readonly Violation[] {
-    const maxMegabytes = fleet.maxResidentBytes() / bytesPerMegabyte;
+    const maxMegabytes = fleet.maxMegabytes();
     return maxMegabytes <= memoryMb
         ? []
         : [{ invariant: "a process stays within the memory of its VM", call: "", detail: `${maxMegabytes} MB` }];
--- a/packages/gateway/bench/soakCommand.ts
+++ b/packages/gateway/bench/soakCommand.ts
@@ -14,7 +14,7 @@
             description: "start the built gateway as it is deployed, on VMs with this memory" }),
     },
     async handler({ seed, seconds, gateways, callers, memoryMb }) {
-        const { plan, calls, completeAnswers, violations, logLines, slowStarts, maxResidentBytes } = await runSoak({
+        const { plan, calls, completeAnswers, violations, logLines, slowStarts, maxMegabytes } = await runSoak({
             seed,
             durationMs: seconds * 1_000,
             gateways,
@@ -24,7 +24,7 @@
         console.log(
             `seed ${seed}: ${plan.length} faults, ${calls} calls, ${completeAnswers} answered, ${violations.length} violations`,
         );
-        console.log(`most memory: ${Math.round(maxResidentBytes / 1e6)} MB; slow starts: ${slowStarts.length}`);
+        console.log(`most memory: ${Math.round(maxMegabytes)} MB; slow starts: ${slowStarts.length}`);
         plan.forEach(fault => console.log(`${fault.startMs} ${fault.kind} ${fault.target} ${fault.durationMs}`));
         violations.forEach(({ invariant, call, detail }) => console.log(`VIOLATED ${invariant}: ${call} ${detail}`));
         slowStarts.forEach(start => console.log(`SLOW START: ${start}`));
--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -1,7 +1,7 @@
 import type { GatewayUpstream, RowStoreFault, RowStoreListener, UpstreamBehaviour } from "@tamarackgauge/standin";
 import { setTimeout as sleep } from "node:timers/promises";
-import { chooseAddresses, type GatewayAddresses, type GatewayProcess, occupyPort, type ProcessOptions, residentBytes,
-    startProcessAt } from "../test/gatewayProcess.ts";
+import { chooseAddresses, type GatewayAddresses, type GatewayProcess, occupyPort, type ProcessOptions,
+    residentMegabytes, startProcessAt } from "../test/gatewayProcess.ts";
 import { createFleet, type Fleet } from "../test/harness.ts";
 import type { SoakExecution } from "./soakJudge.ts";
 import type { Fault, FaultKind } from "./soakPlan.ts";
@@ -23,8 +23,8 @@
     unexpectedExits(): readonly string[];
     /** Starts that took longer than a gateway should need, with what the process logged. */
     slowStarts(): readonly string[];
-    /** The most memory that a process had, in bytes. */
-    maxResidentBytes(): number;
+    /** The most memory that a process had, in megabytes. */
+    maxMegabytes(): number;
     /** Log lines of all gateways that contain the id of a call. */
     linesOf(call: string): readonly string[];
 }
@@ -62,13 +62,13 @@
     const processes: GatewayProcess[] = [];
     const unexpectedExits: string[] = [];
     const slowStarts: string[] = [];
-    let maxResidentBytes = 0;
+    let maxMegabytes = 0;
     const members = await Promise.all(
         Array.from({ length: count }, (_, index) => startMember(fleet, { ...processOptions, name: `g${index}` })),
     );
     members.forEach(watchForExit);
     const memorySampling = setInterval(() => {
-        maxResidentBytes = Math.max(maxResidentBytes, ...members.map(({ process }) => residentBytes(process)));
+        maxMegabytes = Math.max(maxMegabytes, ...members.map(({ process }) => residentMegabytes(process)));
     }, memorySamplingIntervalMs);
 
     function watchForExit(member: GatewayMember): void {
@@ -178,7 +178,7 @@
         executions: () => [fleet.engine, fleet.spareEngine, fleet.tool].flatMap(({ executed }) => executed),
         unexpectedExits: () => unexpectedExits,
         slowStarts: () => slowStarts,
-        maxResidentBytes: () => maxResidentBytes,
+        maxMegabytes: () => maxMegabytes,
         linesOf: call =>
             processes.flatMap(process => process.output().split("\n")).filter(line => line.includes(`"${call}"`)),
         async [Symbol.asyncDispose]() {
--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -1,10 +1,8 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { collectText, createFleet, type Fleet, requestIdOf, startRawServer, type TestGateway,
-    waitUntilReady } from "./harness.ts";
+import { callRaw, startRawFleet } from "./harness.ts";
 import { body, endOf, events, frame, type Framing, framings, headOf, type Place, sentBody } from "./streamAnswers.ts";
 
 /** Where the connection ends. */
@@ -34,17 +32,6 @@
     socket.resetAndDestroy();
 }
 
-/** Makes a call over a raw connection; returns all bytes that the caller receives until the gateway closes it. */
-async function callRaw(gateway: TestGateway, path: string, id: string): Promise<string> {
-    const socket = connect(gateway.settings.callerAddress.port, "127.0.0.1");
-    const text = collectText(socket);
-    socket.on("error", () => undefined);
-    socket.write(`POST ${path} HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: ${id}\r\nx-program-id: ${id}\r\n` +
-        "x-token-budget: 1000\r\nx-token-usage: 100,60\r\ncontent-length: 1\r\nconnection: close\r\n\r\nx");
-    await once(socket, "close");
-    return text();
-}
-
 /** Whether the bytes are an answer with status 200 that is complete according to its framing. */
 function isCompleteSuccess(text: string): boolean {
     const [head, content] = [text.slice(0, text.indexOf("\r\n\r\n")), text.slice(text.indexOf("\r\n\r\n") + 4)];
@@ -53,37 +40,17 @@
         (length === undefined ? content.endsWith("0\r\n\r\n") : content.length === Number(length));
 }
 
-async function startFleet(onRequest: (socket: Socket, id: string) => void) {
-    const fleet: Fleet = await createFleet();
-    const upstream = await startRawServer(socket =>
-        socket.on("data", request => {
-            const id = requestIdOf(request);
-            if (id !== undefined) {
-                onRequest(socket, id);
-            }
-        })
-    );
-    fleet.registerUpstream(fleet.engine, { address: upstream.address });
-    fleet.registerUpstream(fleet.tool, { address: upstream.address });
-    const gateway = await fleet.startGateway();
-    await waitUntilReady(gateway);
-    return { fleet, gateway, async [Symbol.asyncDispose]() {
-        upstream[Symbol.dispose]();
-        await fleet[Symbol.asyncDispose]();
-    } };
-}
-
 for (const framing of framings) {
     test(`an answer with ${framing === "neither" ? "no framing" : framing} that is reset is never handed out as complete (guards against a part taken for the whole)`, async () => {
         const answers = new Map<string, BrokenAnswer>();
-        await using setup = await startFleet((socket, id) => void sendBrokenAnswer(socket, id, answers.get(id)!));
+        await using setup = await startRawFleet((socket, id) => void sendBrokenAnswer(socket, id, answers.get(id)!));
         const incompletePlaces = places.filter(place => framing !== "length" || place !== "after the last event");
         const variants = incompletePlaces.flatMap(place => [true, false].map(atOnce => ({ framing, place, atOnce })));
         for (const [index, answer] of variants.entries()) {
             for (const path of ["/turn/x", "/plan/x", "/look/x", "/pay/x"]) {
                 const id = `${path.slice(1, 5)}-${index}`;
                 answers.set(id, answer);
-                const text = await callRaw(setup.gateway, path, id);
+                const { text } = await callRaw(setup.gateway, path, id);
                 assert.equal(isCompleteSuccess(text), false, `${path} ${JSON.stringify(answer)}: ${text}`);
             }
         }
@@ -102,20 +69,22 @@
     const name = framing === "neither" ? "no framing" : framing;
     test(`a stream with ${name} that ends inside an event is cut (guards against a part taken for the whole)`, async () => {
         const contents = new Map<string, string>();
-        await using setup = await startFleet((socket, id) => sendFramedAnswer(socket, id, framing, contents.get(id)!));
+        await using setup = await startRawFleet((socket, id) =>
+            sendFramedAnswer(socket, id, framing, contents.get(id)!)
+        );
         const parts = [events[0].slice(0, 5), events[0].slice(0, -1), sentBody["inside an event"], body.slice(0, -2),
             `${body}id: 4`];
         for (const [index, part] of parts.entries()) {
             for (const path of ["/turn/x", "/plan/x"]) {
                 const id = `${path.slice(1, 5)}-${index}`;
                 contents.set(id, part);
-                const text = await callRaw(setup.gateway, path, id);
+                const { text } = await callRaw(setup.gateway, path, id);
                 assert.equal(isCompleteSuccess(text), false, `${path} ${JSON.stringify(part)}: ${text}`);
             }
         }
         assert.deepEqual(setup.fleet.rowStore.keys("turns"), []);
         contents.set("whole", body);
-        assert.equal(isCompleteSuccess(await callRaw(setup.gateway, "/turn/x", "whole")), true);
+        assert.equal(isCompleteSuccess((await callRaw(setup.gateway, "/turn/x", "whole")).text), true);
         assert.deepEqual(setup.fleet.rowStore.keys("turns"), ["whole"]);
     });
 }
@@ -123,9 +92,9 @@
 for (const framing of framings) {
     const name = framing === "neither" ? "no framing" : framing;
     test(`a stream with ${name} that ends before its first event is cut (guards against an empty answer taken for the whole)`, async () => {
-        await using setup = await startFleet((socket, id) => sendFramedAnswer(socket, id, framing, ""));
+        await using setup = await startRawFleet((socket, id) => sendFramedAnswer(socket, id, framing, ""));
         for (const path of ["/turn/x", "/plan/x"]) {
-            const text = await callRaw(setup.gateway, path, path.slice(1, 5));
+            const { text } = await callRaw(setup.gateway, path, path.slice(1, 5));
             assert.equal(isCompleteSuccess(text), false, text);
         }
         assert.deepEqual(setup.fleet.rowStore.keys("turns"), []);
@@ -134,24 +103,24 @@
 
 test("an answer that ends inside its head is never handed out (guards against an empty answer taken for the whole)", async () => {
     let length = 0;
-    await using setup = await startFleet((socket, id) => socket.end(headOf(id, "neither").slice(0, length)));
+    await using setup = await startRawFleet((socket, id) => socket.end(headOf(id, "neither").slice(0, length)));
     const headLength = headOf("0000", "neither").length;
     for (length = 1; length < headLength; length += 1) {
         const id = String(length).padStart(4, "0");
-        const text = await callRaw(setup.gateway, length % 2 === 0 ? "/pay/x" : "/turn/x", id);
+        const { text } = await callRaw(setup.gateway, length % 2 === 0 ? "/pay/x" : "/turn/x", id);
         assert.match(text, /^HTTP\/1\.1 502 /, `${length} bytes`);
     }
 });
 
 test("a resumable stream that ends inside an event goes on after its last whole event (guards against a stream that is given up or has an event twice)", async () => {
-    await using setup = await startFleet((socket, id) =>
+    await using setup = await startRawFleet((socket, id) =>
         sendFramedAnswer(socket, id, "neither", sentBody["inside an event"])
     );
     setup.fleet.registerUpstream(setup.fleet.spareEngine);
     for (let index = 0; setup.fleet.spareEngine.executed.every(({ headers }) => headers["last-event-id"] === undefined);
         index += 1) {
         assert.ok(index < 50, "the stream is resumed");
-        const text = await callRaw(setup.gateway, "/plan/x", `plan-${index}`);
+        const { text } = await callRaw(setup.gateway, "/plan/x", `plan-${index}`);
         assert.equal(isCompleteSuccess(text), true, text);
         assert.deepEqual([...text.matchAll(/^id: (\d)$/gm)].map(([, id]) => id), ["1", "2", "3", "4", "5"]);
     }
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -126,12 +126,13 @@
 }
 
 const kibibyte = 1_024;
+const bytesPerMegabyte = 1_000_000;
 
-/** Resident memory of a process in bytes; 0 if it has ended. */
-export function residentBytes({ child }: Pick<GatewayProcess, "child">): number {
+/** Resident memory of a process in megabytes, the unit of a VM's size; 0 if it has ended. */
+export function residentMegabytes({ child }: Pick<GatewayProcess, "child">): number {
     try {
         const status = readFileSync(`/proc/${child.pid}/status`, "latin1");
-        return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0) * kibibyte;
+        return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? 0) * kibibyte / bytesPerMegabyte;
     }
     catch {
         // The process has ended and been removed.
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -2,8 +2,9 @@
 import { createStore } from "@tamarackgauge/platform";
 import { createGatewayUpstream, createRowStore, type GatewayUpstream, type RowStore, type RowStoreFault,
     type RowStoreListener } from "@tamarackgauge/standin";
+import { once } from "node:events";
 import { type Agent, type ClientRequest, type IncomingHttpHeaders, request } from "node:http";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createGateway, type Gateway } from "../src/index.ts";
 import { defaultLimits } from "../src/limits.ts";
@@ -253,6 +254,55 @@
     };
 }
 
+/** A gateway whose upstreams run each call and answer with the bytes of a test. */
+export interface RawFleet extends AsyncDisposable {
+    readonly fleet: Fleet;
+    readonly gateway: TestGateway;
+    /** How often each call was run. */
+    readonly runs: ReadonlyMap<string, number>;
+}
+
+/** Starts a gateway with one raw server as the engine and the tool. `answer` writes the answer to a call. */
+export async function startRawFleet(answer: (socket: Socket, id: string, runs: number) => void): Promise<RawFleet> {
+    const fleet = await createFleet();
+    const runs = new Map<string, number>();
+    const upstream = await startRawServer(socket =>
+        socket.on("data", request => {
+            const id = requestIdOf(request);
+            if (id !== undefined) {
+                runs.set(id, (runs.get(id) ?? 0) + 1);
+                answer(socket, id, runs.get(id)!);
+            }
+        })
+    );
+    fleet.registerUpstream(fleet.engine, { address: upstream.address });
+    fleet.registerUpstream(fleet.tool, { address: upstream.address });
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    return { fleet, gateway, runs, async [Symbol.asyncDispose]() {
+        upstream[Symbol.dispose]();
+        await fleet[Symbol.asyncDispose]();
+    } };
+}
+
+/** What a caller receives over a raw connection until the gateway closes it. */
+export interface RawAnswer {
+    readonly text: string;
+    readonly wasReset: boolean;
+}
+
+/** Makes a call with a body over a raw connection that closes after the answer. */
+export async function callRaw(gateway: CallTarget, path: string, id: string, version = "1.1"): Promise<RawAnswer> {
+    const socket = connect(gateway.settings.callerAddress.port, "127.0.0.1");
+    const text = collectText(socket);
+    let wasReset = false;
+    socket.on("error", () => wasReset = true);
+    socket.write(`POST ${path} HTTP/${version}\r\nhost: fleet.test\r\nx-request-id: ${id}\r\nx-program-id: ${id}\r\n` +
+        "x-token-budget: 1000\r\nx-token-usage: 100,60\r\ncontent-length: 1\r\nconnection: close\r\n\r\nx");
+    await once(socket, "close");
+    return { text: text(), wasReset };
+}
+
 /** Collects the data received on a connection; the returned function returns the text received so far. */
 export function collectText(socket: Socket): () => string {
     let text = "";
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { buildDeployedProgram, residentBytes, startProcess } from "./gatewayProcess.ts";
+import { buildDeployedProgram, residentMegabytes, startProcess } from "./gatewayProcess.ts";
 import { call, createFleet, declaration, type Fleet, turnCall } from "./harness.ts";
 
-const bytesPerMegabyte = 1_000_000;
 const largeBody = "x".repeat(4_000_000);
 const turnsAtOnce = 12;
 const rounds = 3;
@@ -22,9 +21,9 @@
         await using gateway = await startProcess(fleet, { ...deployed, memoryMb });
         let ended = false;
         void gateway.exited.then(() => ended = true);
-        let maxBytes = 0;
+        let maxMegabytes = 0;
         const sampling = setInterval(
-            () => maxBytes = Math.max(maxBytes, residentBytes(gateway)),
+            () => maxMegabytes = Math.max(maxMegabytes, residentMegabytes(gateway)),
             samplingIntervalMs,
         );
         const statuses: number[] = [];
@@ -41,7 +40,6 @@
         assert.equal(ended, false);
         assert.deepEqual(statuses.filter(status => status !== 200 && status !== 503), []);
         assert.ok(statuses.filter(status => status === 200).length >= rounds, String(statuses));
-        const maxMegabytes = maxBytes / bytesPerMegabyte;
         assert.ok(maxMegabytes < memoryMb, `${maxMegabytes} MB`);
         assert.equal((await call(gateway, { path: "/look/x", id: "small" })).status, 200);
     });
--- a/packages/gateway/test/promises.test.ts
+++ b/packages/gateway/test/promises.test.ts
@@ -1,33 +1,6 @@
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
 import { test } from "node:test";
-import { call, createFleet, requestIdOf, startRawServer, turnCall, waitUntilReady } from "./harness.ts";
-
-/** Writes the answer to a call that the upstream has run. `runs` counts how often it has run that call. */
-type Answerer = (socket: Socket, id: string, runs: number) => void;
-
-/** A gateway whose upstreams run each call and answer with the bytes of a test. */
-async function startFleet(answer: Answerer) {
-    const fleet = await createFleet();
-    const runs = new Map<string, number>();
-    const upstream = await startRawServer(socket =>
-        socket.on("data", request => {
-            const id = requestIdOf(request);
-            if (id !== undefined) {
-                runs.set(id, (runs.get(id) ?? 0) + 1);
-                answer(socket, id, runs.get(id)!);
-            }
-        })
-    );
-    fleet.registerUpstream(fleet.engine, { address: upstream.address });
-    fleet.registerUpstream(fleet.tool, { address: upstream.address });
-    const gateway = await fleet.startGateway();
-    await waitUntilReady(gateway);
-    return { gateway, runs, async [Symbol.asyncDispose]() {
-        upstream[Symbol.dispose]();
-        await fleet[Symbol.asyncDispose]();
-    } };
-}
+import { call, startRawFleet, turnCall } from "./harness.ts";
 
 const refusalHead =
     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n";
@@ -38,7 +11,7 @@
 const promisingStatuses = [402, 408, 429, 503];
 
 test("a refusal that names no call does not answer the call that waits (guards against a charge made twice, or refused although it ran)", async () => {
-    await using setup = await startFleet((socket, id, runs) =>
+    await using setup = await startRawFleet((socket, id, runs) =>
         socket.write(runs === 1 ? refusalHead + successTo(id) : successTo(id))
     );
     for (const path of ["/pay/x", "/turn/x"]) {
@@ -51,7 +24,7 @@
 
 test("a refusal of which any part precedes an answer refuses no call that ran (guards against two heads that are read as one)", async () => {
     let cut = 0;
-    await using setup = await startFleet((socket, id, runs) =>
+    await using setup = await startRawFleet((socket, id, runs) =>
         socket.write((runs === 1 ? refusalHead.slice(0, cut) : "") + successTo(id))
     );
     for (cut = 1; cut < refusalHead.length; cut += 1) {
@@ -64,7 +37,7 @@
 test("a status that promises that a call has not run is not passed on for one that ran (guards against a caller that sends a charge again)", async () => {
     let status = 0;
     let signature = "";
-    await using setup = await startFleet((socket, id) =>
+    await using setup = await startRawFleet((socket, id) =>
         socket.write(
             `HTTP/1.1 ${status} Failed\r\nX-Request-Id: ${id}\r\n${signature}Content-Length: 2\r\n\r\nno`,
         )
@@ -85,7 +58,7 @@
 });
 
 test("a success that says that the call has not run is not followed by a second run (guards against a charge made twice)", async () => {
-    await using setup = await startFleet((socket, id) =>
+    await using setup = await startRawFleet((socket, id) =>
         socket.write(successTo(id).replace("Content-Length", "X-Not-Executed: 1\r\nContent-Length"))
     );
     for (const path of ["/pay/x", "/turn/x"]) {
@@ -96,7 +69,7 @@
 });
 
 test("an answer that names two calls answers none (guards against an answer of another call)", async () => {
-    await using setup = await startFleet((socket, id) =>
+    await using setup = await startRawFleet((socket, id) =>
         socket.write(successTo(id).replace("X-Response", "X-Request-Id: another\r\nX-Response"))
     );
     assert.equal((await call(setup.gateway, { path: "/pay/x", id: "1", body: "x" })).status, 502);
