--- /dev/null
+++ b/packages/gateway/src/processLog.ts
@@ -0,0 +1,45 @@
+import { hostname } from "node:os";
+import type { Log, LogFields } from "./log.ts";
+
+/** The log of a process from its first moment on. Until the program's own log is set, lines are written directly. */
+export interface ProcessLog extends Log {
+    /** Passes all further lines to the program's log; undefined to write directly again. */
+    setTarget(target: Log | undefined): void;
+    /** Sets the VM's name, which lines have that are written directly; until then they have the host's name. */
+    setName(name: string): void;
+}
+
+/** Standard output; its errors are ignored, as they mean that nobody reads the log. */
+export function openOutput(): NodeJS.WriteStream {
+    return process.stdout.off("error", ignoreError).on("error", ignoreError);
+}
+
+function ignoreError(): void {}
+
+/** Levels as in the program's log. */
+const infoLevel = 30;
+const warnLevel = 40;
+
+/** Creates the log. Lines have the form of the program's log. */
+export function createProcessLog(): ProcessLog {
+    let target: Log | undefined;
+    let vm = hostname();
+
+    function writeLine(level: number, event: string, fields: LogFields): void {
+        const line = { level, time: Date.now(), vm, event, ...fields };
+        openOutput().write(`${JSON.stringify(line)}\n`);
+    }
+
+    return {
+        info: (event, fields) =>
+            target === undefined ? writeLine(infoLevel, event, fields) : target.info(event, fields),
+        warn: (event, fields) =>
+            target === undefined ? writeLine(warnLevel, event, fields) : target.warn(event, fields),
+        setTarget(next) {
+            target = next;
+        },
+        setName(name) {
+            vm = name;
+        },
+    };
+}
