Start: settings that are not there yet are waited for without end

What callers saw: none; a process whose settings came more than 3.2 s after its start ended by itself with code 3 (missing) or 2 (lacking a field, a value that was corrected later), also when they were whole a moment after.

Cause: a state that passes was taken for a final one. The platform writes the file at every start and whenever settings change, so nothing that a file lacks is final.

A file that cannot be read, or in which a required field has no value, is read again ten times a second until the process is asked to stop, and the reason is logged at once, when it changes, and every 5 s. A file that has every value, one of which cannot be right, ends the process with 2 once 150 reads in a row have shown the same (15 s, as reads and not as time, so that a frozen process does not count). A file cut within a field lacks those after it, so it is waited for. Addresses with a port of 0 or over 65,535, or that are no IPv4 address, are invalid settings now; they ended the process with 3 and a stack of Node.js.

Tests: in startup.test.ts the one on missing settings waits for 5.5 s and goes through empty, cut and wrong files by the logged reasons; it fails before (ends). One more on SIGTERM meanwhile. bundle.test.ts expected code 2 for a file that lacks a field, which is the state that passes; it asserts now that a file with two wrong values ends with 2, not before 15 s, with both problems on standard error and in the log.

--- a/packages/gateway/src/start.ts
+++ b/packages/gateway/src/start.ts
@@ -1,8 +1,7 @@
 import type { GatewaySettings } from "@tamarackgauge/core/gateway";
-import { loadSettings } from "@tamarackgauge/platform/settings";
-import { setTimeout as sleep } from "node:timers/promises";
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { describeError, type Ending, endingOf, stoppedEarlyEnding } from "./ending.ts";
+import { waitForSettings } from "./initialSettings.ts";
 import type { ProcessLog } from "./processLog.ts";
 import type { Signals } from "./signals.ts";
 
@@ -23,10 +22,6 @@
 /** Runs the program after the early start. */
 export type Program = (start: EarlyStart) => Promise<Ending>;
 
-/** Maximum time for which settings that are missing or invalid at the start are read again. */
-const maxSettingsWaitMs = 3_000;
-const settingsRetryIntervalMs = 100;
-
 /**
  * Runs a process: waits for its settings, listens for callers, and only then loads the program. Returns the exit code
  * after the cause of the end has been logged.
@@ -54,22 +49,7 @@
 }
 
 async function startEarly(context: ProcessContext): Promise<EarlyStart> {
-    const settings = await loadInitialSettings(context);
+    const settings = await waitForSettings(context);
     context.log.setName(settings.name);
     return { ...context, settings, callerServer: await openCallerServer(settings.callerAddress) };
 }
-
-/** Loads the settings at the start. The platform may still be writing the file, so it is read again for a while. */
-async function loadInitialSettings({ environment }: ProcessContext): Promise<GatewaySettings> {
-    for (const startedAt = performance.now();;) {
-        try {
-            return loadSettings(environment);
-        }
-        catch (error) {
-            if (performance.now() - startedAt > maxSettingsWaitMs) {
-                throw error;
-            }
-        }
-        await sleep(settingsRetryIntervalMs);
-    }
-}
--- a/packages/gateway/test/bundle.test.ts
+++ b/packages/gateway/test/bundle.test.ts
@@ -17,12 +17,19 @@
     assert.equal(await gateway.exited, 0);
 });
 
-test("the bundle names invalid settings (guards against an error that is lost before the program is loaded)", async () => {
+test("the bundle names all invalid settings once they have stayed the same (guards against an error that is lost before the program is loaded)", async () => {
     await using bundle = await buildDeployedProgram();
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
     const file = join(await createSettingsFolder(), "settings.conf");
-    await writeFile(file, settingsText(await fleet.rowStore.open(), addresses).replace("bounds.graceS=8", ""));
+    const text = settingsText(await fleet.rowStore.open(), addresses);
+    await writeFile(file,
+        text.replace("graceS=8", "graceS=soon").replace(/bind.front=.*/, "bind.front=127.0.0.1:70000"));
+    const startedAt = performance.now();
     await using gateway = spawnProcess(file, addresses, bundle.program);
     assert.equal(await gateway.exited, 2);
+    assert.ok(performance.now() - startedAt >= 15_000);
+    assert.match(gateway.errors(), /^bind.front=127.0.0.1:70000; allowed: .*\nbounds.graceS=soon; allowed: .*\n$/);
+    assert.match(gateway.output(), /"event":"gateway.waiting","awaited":"settings","reason":"bind.front=127/);
+    assert.match(gateway.output(), /"event":"gateway.ended","exitCode":2,"cause":"bind.front=.*bounds.graceS=soon; /);
 });
--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -59,13 +59,6 @@
     stopped.child.kill("SIGTERM");
     assert.equal(await stopped.exited, 0);
     assert.match(stopped.output(), /"vm":"g","event":"gateway.ended","exitCode":0,"cause":"asked to stop"/);
-    const addresses = await chooseAddresses();
-    const file = join(await createSettingsFolder(), "settings.conf");
-    const text = settingsText(await fleet.rowStore.open(), addresses);
-    await writeFile(file, text.replace("bounds.graceS=8", "bounds.graceS=soon"));
-    await using invalid = spawnProcess(file, addresses);
-    assert.equal(await invalid.exited, 2);
-    assert.match(invalid.output(), /"event":"gateway.ended","exitCode":2,"cause":"bounds.graceS=soon; allowed: /);
 });
 
 test("a graceful shutdown under load answers every accepted call (guards against accepted calls that are interrupted without an answer)", async () => {
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -114,19 +114,37 @@
     }
 });
 
-test("a gateway waits for a settings file that is missing or half written at the start (guards against a process that ends again and again)", async () => {
+test("a gateway waits for settings that are missing, empty, cut or wrong until they are whole, and names the reason (guards against a process that ends again and again)", async () => {
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
     const { gateway, settingsFile, text } = await spawnGateway(fleet, addresses, false);
     await using process = gateway;
-    await new Promise(resolve => setTimeout(resolve, 1_500));
+    const waitForReason = (reason: string) => {
+        const line = new RegExp(`"event":"gateway.waiting","awaited":"settings","reason":"[^"]*${reason}`);
+        return waitUntil(() => line.test(process.output()), reason);
+    };
+    await waitForReason("ENOENT: no such file");
+    // No try may be the last one: this is longer than any wait of the past.
+    await sleep(5_500);
+    await writeFile(settingsFile, "");
+    await waitForReason("nodeName is missing");
     await writeFile(settingsFile, text.slice(0, text.length / 2));
-    await new Promise(resolve => setTimeout(resolve, 500));
-    assert.equal(process.child.exitCode, null);
+    await waitForReason("provider.rowBytes is missing");
+    await writeFile(settingsFile, text.replace("bounds.graceS=8", "bounds.graceS=soon"));
+    await waitForReason("bounds.graceS=soon");
     await writeFile(settingsFile, text);
     await waitUntilServing(fleet, addresses);
 });
 
+test("a gateway that waits for its settings ends when it is asked to stop (guards against a process that the platform has to kill)", async () => {
+    await using fleet = await createFleet();
+    const { gateway } = await spawnGateway(fleet, await chooseAddresses(), false);
+    await using process = gateway;
+    await waitUntil(() => process.output().includes("gateway.waiting"), "it waits");
+    process.child.kill("SIGTERM");
+    assert.equal(await process.exited, 0);
+});
+
 test("a gateway whose log has no reader keeps serving (guards against a process that a closed pipe ends)", async () => {
     await using fleet = await createFleet();
     const addresses = await chooseAddresses();
