Start: a port in use and an address not there yet are waited for without end

What callers saw: a VM whose callers', readiness or peers' port was held by another socket for more than 15 s had no process: it ended by itself with 3 after 15.1 to 15.6 s (trials on the built gateway: each port in use for 20 s; 15.1 s with an address that is never there), was started again and ended again.

Cause: a state that passes was taken for a final one. An outgoing connection, the process before or an address not configured yet says nothing about the settings.

Listening on an address in use or not there is tried ten times a second until the process is asked to stop. `gateway.waiting` names the address and the error at once and every 5 s; readiness is not answered 200 meanwhile. Every other error of listening ends the process with 3 and names the address, as before. The metrics' port is tried without end too, until the gateway is disposed of.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
     type Store } from "@tamarackgauge/core/gateway";
 import { declarationRow, readinessPath, upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
@@ -66,7 +66,7 @@
 
 /** Starts a gateway. Any gateway can serve any call, because all durable state is in the store. */
 export async function createGateway(parts: GatewayParts): Promise<Gateway> {
-    const callerServer = parts.callerServer ?? await openCallerServer(parts.settings.callerAddress);
+    const callerServer = parts.callerServer ?? await openCallerServer(parts.settings.callerAddress, parts.log);
     const disposal = createDisposal();
     try {
         return await startGateway({ ...parts, callerServer }, disposal);
@@ -131,8 +131,7 @@
     const summaryTimer = setInterval(() => void logSummary(), summaryIntervalMs);
     disposal.defer(() => clearInterval(summaryTimer));
     if (settings.metricsAddress !== undefined) {
-        const metricsServer = serveMetrics(settings.metricsAddress, metrics, log);
-        disposal.defer(() => metricsServer.close());
+        disposal.own(serveMetrics(settings.metricsAddress, metrics, log));
     }
     if (settings.peerAddress !== undefined) {
         disposal.own(
@@ -140,7 +139,7 @@
                 now }),
         );
     }
-    await listen(readiness, settings.readinessAddress);
+    await listen(readiness, settings.readinessAddress, log);
     disposal.defer(() => readiness.close());
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
@@ -187,12 +186,17 @@
 }
 
 /** Serves the metrics. Calls are served without them too, so an address that is in use is only logged. */
-function serveMetrics(address: SocketAddress, metrics: Metrics, log: Log): Server {
+function serveMetrics(address: SocketAddress, metrics: Metrics, log: Log): Disposable {
     const server = createServer((_, response) => {
         void metrics.text().then(text =>
             response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text)
         );
     });
-    listen(server, address).catch((error: Error) => log.warn("metrics.unavailable", { reason: error.message }));
-    return server;
+    const stopped = new AbortController();
+    listen(server, address, log, stopped.signal)
+        .catch((error: Error) => log.warn("metrics.unavailable", { reason: error.message }));
+    return { [Symbol.dispose]() {
+        stopped.abort();
+        server.close();
+    } };
 }
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -1,8 +1,10 @@
 import type { SocketAddress } from "@tamarackgauge/core/gateway";
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Log } from "./log.ts";
+import { createWaitReport } from "./waitReport.ts";
 
-/** A server could not listen on its address for `maxListenWaitMs`. */
+/** A server may not listen on its address. */
 export class ListenError extends Error {
     constructor({ host, port }: SocketAddress, reason: string) {
         super(`cannot listen on ${host}:${port}: ${reason}`);
@@ -11,26 +13,31 @@
 
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1_024;
+const retryIntervalMs = 100;
 /**
- * Maximum time for which listening is tried again. An outgoing connection or the process before may still hold the port,
- * and the address of the VM may not be configured yet.
+ * An outgoing connection or the process before may still hold the port, and the address of the VM may not be configured
+ * yet.
  */
-const maxListenWaitMs = 15_000;
-const listenRetryIntervalMs = 100;
 const transientCodes: ReadonlySet<string | undefined> = new Set(["EADDRINUSE", "EADDRNOTAVAIL"]);
 
-/** Resolves when the server listens on the address. Rejects with a `ListenError` if that fails for too long. */
-export async function listen(server: Server, address: SocketAddress): Promise<void> {
-    const startedAt = performance.now();
-    for (;;) {
+/**
+ * Resolves when the server listens on the address, for which it waits as long as that is in use or not there, or until it
+ * is aborted. Rejects with a `ListenError` if it may not listen there.
+ */
+export async function listen(server: Server, address: SocketAddress, log: Log, signal?: AbortSignal): Promise<void> {
+    const report = createWaitReport(log, `${address.host}:${address.port}`);
+    const isAborted = () => signal?.aborted === true;
+    while (!isAborted()) {
         const error = await listenOnce(server, address);
         if (error === undefined) {
-            return;
+            // It may have been aborted meanwhile, and then has been closed before it listened.
+            return void (isAborted() && server.close());
         }
-        if (!transientCodes.has(error.code) || performance.now() - startedAt > maxListenWaitMs) {
+        if (!transientCodes.has(error.code)) {
             throw new ListenError(address, error.message);
         }
-        await sleep(listenRetryIntervalMs);
+        report(error.message);
+        await sleep(retryIntervalMs);
     }
 }
 
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -28,7 +28,7 @@
 export async function createPeerServer(parts: PeerServerParts): Promise<AsyncDisposable> {
     const { address, log } = parts;
     const httpServer = createServer((_, response) => response.writeHead(upgradeRequiredStatus).end());
-    await listen(httpServer, address);
+    await listen(httpServer, address, log);
     const server = new WebSocketServer({ server: httpServer, maxPayload: maxMessageBytes, perMessageDeflate: false });
     let relayedCalls = 0;
     server.on("connection", socket => {
--- a/packages/gateway/src/start.ts
+++ b/packages/gateway/src/start.ts
@@ -51,5 +51,5 @@
 async function startEarly(context: ProcessContext): Promise<EarlyStart> {
     const settings = await waitForSettings(context);
     context.log.setName(settings.name);
-    return { ...context, settings, callerServer: await openCallerServer(settings.callerAddress) };
+    return { ...context, settings, callerServer: await openCallerServer(settings.callerAddress, context.log) };
 }
