Start: a gateway serves although its port for peers is in use

Weighed: links from peers carry store calls of gateways that the store turns away, and loans of tokens from the home of a program. Both have a way without this gateway (docs/platform.md, "Home" and "When a part fails"); rows keep budgets correct whoever is the home. Serving callers has no other way at this VM. So the port is taken as that of metrics is: tried beside the start without end, an error that does not pass is only logged (`peers.unavailable`). The gateway stays on the list of gateways meanwhile; the others do without it as without one that has died.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,8 +135,7 @@
     }
     if (settings.peerAddress !== undefined) {
         disposal.own(
-            await createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log,
-                now }),
+            createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log, now }),
         );
     }
     await listen(readiness, settings.readinessAddress, log);
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -24,12 +24,20 @@
 const maxMessageBytes = 4 * 1024 * 1024;
 const upgradeRequiredStatus = 426;
 
-/** Makes store calls for gateways that cannot reach the store, and lends tokens of programs. */
-export async function createPeerServer(parts: PeerServerParts): Promise<AsyncDisposable> {
+/**
+ * Makes store calls for gateways that cannot reach the store, and lends tokens of programs. Calls are served without it,
+ * so the start does not wait until it listens.
+ */
+export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
     const httpServer = createServer((_, response) => response.writeHead(upgradeRequiredStatus).end());
-    await listen(httpServer, address, log);
-    const server = new WebSocketServer({ server: httpServer, maxPayload: maxMessageBytes, perMessageDeflate: false });
+    const server = new WebSocketServer({ noServer: true, maxPayload: maxMessageBytes, perMessageDeflate: false });
+    httpServer.on("upgrade",
+        (request, socket, head) =>
+            server.handleUpgrade(request, socket, head, link => server.emit("connection", link, request)));
+    const stopped = new AbortController();
+    listen(httpServer, address, log, stopped.signal)
+        .catch((error: Error) => log.warn("peers.unavailable", { reason: error.message }));
     let relayedCalls = 0;
     server.on("connection", socket => {
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
@@ -95,6 +103,7 @@
 
     return {
         async [Symbol.asyncDispose]() {
+            stopped.abort();
             server.clients.forEach(client => client.terminate());
             await new Promise(resolve => server.close(resolve));
             httpServer.closeAllConnections();
