Signals: SIGINT and SIGQUIT stop a process in good order, SIGUSR1 and SIGUSR2 change nothing

SIGUSR1 opened the port of Node's inspector, over which whoever connects runs code in the process.

Cause: only SIGHUP and SIGTERM had listeners; every other signal did what the system or Node.js presets. SIGINT and SIGQUIT ask to stop and do as SIGTERM does now; SIGUSR1 and SIGUSR2 are logged. A further signal changes nothing, whichever it is.

Tests: two in process.test.ts; both fail before (the process ends by the signal).

--- a/packages/gateway/src/run.ts
+++ b/packages/gateway/src/run.ts
@@ -13,8 +13,8 @@
 
 /** Runs a gateway with the platform's settings until it is asked to stop; returns the exit code. */
 export async function runGateway(environment: NodeJS.ProcessEnv): Promise<number> {
-    const context = { environment, log: createProcessLog(), signals: listenForSignals() };
-    return runProcess(context, () => Promise.resolve(runProgram));
+    const log = createProcessLog();
+    return runProcess({ environment, log, signals: listenForSignals(log) }, () => Promise.resolve(runProgram));
 }
 
 /** Runs a gateway after the early start of its process. */
--- a/packages/gateway/test/process.test.ts
+++ b/packages/gateway/test/process.test.ts
@@ -53,6 +53,34 @@
     assert.equal(await gateway.exited, 0);
 });
 
+test("SIGINT and SIGQUIT stop a process as SIGTERM does, and further signals change nothing (guards against calls cut by a signal)", async () => {
+    await using fleet = await createFleet();
+    for (const [index, signal] of (["SIGINT", "SIGQUIT"] as const).entries()) {
+        await using gateway = await startProcess(fleet, { name: signal });
+        const running = call(gateway, turnCall(`t${index}`, `p${index}`));
+        await waitUntil(() => fleet.engine.executed.length === index + 1, "the turn runs");
+        gateway.child.kill(signal);
+        await waitUntil(() => gateway.output().includes("gateway.stopping"), "it stops");
+        for (const further of ["SIGTERM", "SIGINT", "SIGQUIT", "SIGHUP", "SIGUSR1", "SIGUSR2"] as const) {
+            gateway.child.kill(further);
+        }
+        assert.ok((await running).whole);
+        assert.equal(await gateway.exited, 0);
+        assert.match(gateway.output(), /"event":"gateway.ended","exitCode":0,"cause":"asked to stop"/);
+    }
+});
+
+test("SIGUSR1 and SIGUSR2 are logged and change nothing (guards against a process that ends, or opens its inspector, on a signal)", async () => {
+    await using fleet = await createFleet();
+    await using gateway = await startProcess(fleet);
+    for (const signal of ["SIGUSR1", "SIGUSR2"] as const) {
+        gateway.child.kill(signal);
+        await waitUntil(() => gateway.output().includes(`"event":"signal.ignored","signal":"${signal}"`), signal);
+    }
+    assert.equal((await call(gateway, turnCall("t1", "p"))).status, 200);
+    assert.doesNotMatch(gateway.errors(), /Debugger listening/);
+});
+
 test("a process that ends logs its exit code and the cause (guards against an end that no log explains)", async () => {
     await using fleet = await createFleet();
     await using stopped = await startProcess(fleet);
