Callers: a head above the declared limit gets 431, and one within it never does

What callers saw: with `maxHeaderBytes` declared as 4,096, a head of 4,097 bytes was served (200); with 16,384, one of 16,385 was sent on and got 502 from an upstream that refuses such heads; with 100,000, a head of 100,000 bytes that is allowed got 400, because Node.js was set to 65,536 bytes. With the fixed limit each connection could hold 65,536 bytes of a head that does not end, whatever was declared.

Change: the declared limit is set for the connections that are opened from then on, and each head that has been read is compared with the limit in force, which also covers connections and calls that were there before the declaration. Node.js counts the bytes of target, names and values only, so its check never refuses a head within the limit.

Evidence: callerLimits.test.ts failed for all three limits before (200, 502 and 400 instead of 431) and passes; callerServer, http10 and process tests pass.

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -6,6 +6,7 @@
 import { type LocalAnswer, writeLocalAnswer } from "./callerAnswer.ts";
 import type { CallerServer } from "./callerServer.ts";
 import { type Exchange, type ExchangeParts, refusalAnswer, startExchange } from "./exchange.ts";
+import { headSize } from "./requestHead.ts";
 
 /** Serves the requests of callers. */
 export interface Frontend extends AsyncDisposable {
@@ -36,6 +37,7 @@
 const notFound = 404;
 const requestTimeout = 408;
 const payloadTooLarge = 413;
+const headTooLarge = 431;
 /**
  * Patience assumed for the caller of a call that arrives before the declaration is known. It is the shortest patience
  * that a route can have.
@@ -64,14 +66,6 @@
     const exchangeParts: ExchangeParts = { ...parts, latestEnd: () => drainDeadline };
     const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
     const { server } = parts.callerServer;
-    server.on("clientError", (error: Error & { code?: string; }, socket) => {
-        if (socket.writable && error.code !== "ECONNRESET") {
-            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-        }
-        else {
-            socket.destroy();
-        }
-    });
     parts.callerServer.setListener((request, response) => void serve(request, response));
 
     function setDeclaration(next: Declaration): void {
@@ -79,6 +73,7 @@
         routes = createRouteTable(next.routes);
         server.keepAliveTimeout = next.limits.idleTimeout;
         server.headersTimeout = next.limits.headerTimeout;
+        parts.callerServer.setMaxHeadBytes(next.limits.headerBytes);
     }
 
     async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -143,9 +138,11 @@
             writeLocalAnswer(response, head.id, refusalAnswer({ kind: "stopping" }));
             return undefined;
         }
-        const body = await readBody(request, { maxBytes: declaration.limits.bodyBytes, timeoutMs: endsAt - now(),
-            account: byteAccount });
-        const refusal = typeof body === "string" ? bodyRefusal(body) : undefined;
+        const { headerBytes, bodyBytes } = declaration.limits;
+        const body = headSize(request) > headerBytes
+            ? "headTooLarge"
+            : await readBody(request, { maxBytes: bodyBytes, timeoutMs: endsAt - now(), account: byteAccount });
+        const refusal = typeof body === "string" ? requestRefusal(body) : undefined;
         if (refusal !== undefined) {
             // A body that came too slowly has used the time of its call.
             if (body !== "tooSlow") {
@@ -236,8 +233,10 @@
 /** Why a body could not be read. `broken`: the caller has disconnected, so no answer is sent. */
 type BodyFailure = "tooLarge" | "tooSlow" | "noRoom" | "broken";
 
-function bodyRefusal(failure: BodyFailure): LocalAnswer | undefined {
+function requestRefusal(failure: BodyFailure | "headTooLarge"): LocalAnswer | undefined {
     switch (failure) {
+        case "headTooLarge":
+            return { status: headTooLarge, reason: "the head is too large" };
         case "tooLarge":
             return { status: payloadTooLarge, reason: "the body is too large" };
         case "tooSlow":
