Soak: every end of a process by itself is a violation with its log, and the process is started anew

The rig saw an end only once a process had become ready, told its code without its log, and did not start it again; an end during a start ended the soak after 20 s with "timed out". Each process is watched from its spawn now; an end that no fault caused is a violation with all that the process wrote, and the process is started anew after 0.5 s, as on the platform. `--descriptors` (a limit of the process, by ulimit) and `--grace-s` set what the VMs of a site have besides `--memory-mb`. Outputs are complete, as a process counts as ended when its streams have.

--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -15,6 +15,10 @@
     readonly callers: number;
     /** Starts the built gateway as it is deployed, on VMs with this memory; when omitted, the sources are run. */
     readonly memoryMb?: number;
+    /** Maximum number of open descriptors of a gateway. */
+    readonly maxDescriptors?: number;
+    /** Seconds from SIGTERM until the platform kills a gateway. */
+    readonly graceS?: number;
 }
 
 /** Result of a soak. */
@@ -47,10 +51,10 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = createRandom(options.seed);
     const plan = planFaults(options.durationMs, options.gateways * 3, random);
-    const { memoryMb } = options;
+    const { memoryMb, maxDescriptors, graceS } = options;
     await using deployed = memoryMb === undefined ? undefined : await buildDeployedProgram();
-    await using fleet = await startSoakFleet(options.gateways,
-        deployed === undefined ? {} : { program: deployed.program, memoryMb });
+    await using fleet = await startSoakFleet(options.gateways, { maxDescriptors, graceS,
+        ...deployed === undefined ? {} : { program: deployed.program, memoryMb } });
     const outcomes: SoakOutcome[] = [];
     const startedAt = performance.now();
     let isOver = false;
--- a/packages/gateway/bench/soakCommand.ts
+++ b/packages/gateway/bench/soakCommand.ts
@@ -12,14 +12,18 @@
         callers: option({ type: number, long: "callers", defaultValue: () => 12, description: "concurrent programs" }),
         memoryMb: option({ type: optional(number), long: "memory-mb",
             description: "start the built gateway as it is deployed, on VMs with this memory" }),
+        maxDescriptors: option({ type: optional(number), long: "descriptors",
+            description: "maximum number of open descriptors of a gateway" }),
+        graceS: option({ type: optional(number), long: "grace-s",
+            description: "seconds from SIGTERM until the platform kills a gateway" }),
     },
-    async handler({ seed, seconds, gateways, callers, memoryMb }) {
+    async handler({ seed, seconds, gateways, callers, ...machine }) {
         const { plan, calls, completeAnswers, violations, logLines, slowStarts, maxMegabytes } = await runSoak({
             seed,
             durationMs: seconds * 1_000,
             gateways,
             callers,
-            ...memoryMb === undefined ? {} : { memoryMb },
+            ...machine,
         });
         console.log(
             `seed ${seed}: ${plan.length} faults, ${calls} calls, ${completeAnswers} answered, ${violations.length} violations`,
--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -1,7 +1,7 @@
 import type { GatewayUpstream, RowStoreFault, RowStoreListener, UpstreamBehaviour } from "@tamarackgauge/standin";
 import { setTimeout as sleep } from "node:timers/promises";
 import { chooseAddresses, type GatewayAddresses, type GatewayProcess, occupyPort, type ProcessOptions,
-    residentMegabytes, startProcessAt } from "../test/gatewayProcess.ts";
+    residentMegabytes, spawnProcessAt, waitUntilProcessReady } from "../test/gatewayProcess.ts";
 import { createFleet, type Fleet } from "../test/harness.ts";
 import type { SoakExecution } from "./soakJudge.ts";
 import type { Fault, FaultKind } from "./soakPlan.ts";
@@ -11,6 +11,8 @@
     readonly settings: GatewayAddresses;
     /** Monotonic time in ms at which its process last recovered from a kill or a pause; `Infinity` meanwhile. */
     undisturbedSince: number;
+    /** Its current process. */
+    readonly process: GatewayProcess;
 }
 
 /** Gateway processes and stand-ins for everything else, with fault injection. */
@@ -19,7 +21,7 @@
     /** Injects a fault and resolves when it is over. */
     injectFault(fault: Fault): Promise<void>;
     executions(): readonly SoakExecution[];
-    /** Process exits that no fault caused. */
+    /** Ends of processes that no fault caused, each with what the process wrote. */
     unexpectedExits(): readonly string[];
     /** Starts that took longer than a gateway should need, with what the process logged. */
     slowStarts(): readonly string[];
@@ -51,6 +53,8 @@
 const affectedCalls = 4;
 
 const memorySamplingIntervalMs = 50;
+/** Time after which the platform starts a process anew that has ended by itself. */
+const restartDelayMs = 500;
 /** A start that takes longer is reported. */
 const maxStartMs = 3_000;
 const portsOfGateway = ["callerAddress", "readinessAddress", "peerAddress", "metricsAddress"] as const;
@@ -64,21 +68,44 @@
     const slowStarts: string[] = [];
     let maxMegabytes = 0;
     const members = await Promise.all(
-        Array.from({ length: count }, (_, index) => startMember(fleet, { ...processOptions, name: `g${index}` })),
+        Array.from({ length: count }, (_, index) => createMember(fleet, { ...processOptions, name: `g${index}` })),
     );
-    members.forEach(watchForExit);
+    await Promise.all(members.map(becomeReady));
     const memorySampling = setInterval(() => {
         maxMegabytes = Math.max(maxMegabytes, ...members.map(({ process }) => residentMegabytes(process)));
     }, memorySamplingIntervalMs);
 
-    function watchForExit(member: GatewayMember): void {
+    /** Waits until the current process of the member is ready or ends; if no fault ends it, now or later, it is replaced. */
+    async function becomeReady(member: GatewayMember): Promise<void> {
         const { process } = member;
+        const startedAt = performance.now();
         processes.push(process);
-        void process.exited.then(code => {
+        const ended = process.exited.then(code => {
             if (!member.exitExpected && member.process === process) {
-                unexpectedExits.push(`${member.name} ended with ${code}`);
+                void replaceEnded(member, code);
             }
         });
+        await Promise.race([waitUntilProcessReady(process), ended]);
+        recordStart(member, performance.now() - startedAt);
+    }
+
+    /** Starts a process that ended by itself anew after a short delay, as the platform does. */
+    async function replaceEnded(member: GatewayMember, code: number | string): Promise<void> {
+        unexpectedExits.push(describeExit(member, code));
+        member.undisturbedSince = Infinity;
+        await runAfterLastChange(member, async () => {
+            await sleep(restartDelayMs);
+            await start(member);
+            member.undisturbedSince = performance.now();
+        });
+    }
+
+    async function start(member: GatewayMember): Promise<void> {
+        await member.process[Symbol.asyncDispose]();
+        member.process = await spawnProcessAt(member.storeEndpoint, member.settings, { ...processOptions,
+            name: member.name });
+        member.exitExpected = false;
+        await becomeReady(member);
     }
 
     async function restart(member: GatewayMember, signal: "SIGTERM" | "SIGKILL",
@@ -87,16 +114,10 @@
         member.process.child.kill(signal);
         const code = await member.process.exited;
         if (signal === "SIGTERM" && code !== 0) {
-            unexpectedExits.push(`${member.name} ended with ${code} after SIGTERM`);
+            unexpectedExits.push(`after SIGTERM, ${describeExit(member, code)}`);
         }
-        await member.process[Symbol.asyncDispose]();
         await beforeStart();
-        const startedAt = performance.now();
-        member.process = await startProcessAt(member.storeEndpoint, member.settings, { ...processOptions,
-            name: member.name });
-        recordStart(member, performance.now() - startedAt);
-        watchForExit(member);
-        member.exitExpected = false;
+        await start(member);
     }
 
     function recordStart({ name, process }: GatewayMember, durationMs: number): void {
@@ -191,14 +212,19 @@
     };
 }
 
-async function startMember(fleet: Fleet, options: ProcessOptions & { readonly name: string; }): Promise<GatewayMember> {
+async function createMember(fleet: Fleet,
+    options: ProcessOptions & { readonly name: string; }): Promise<GatewayMember> {
     const storeEndpoint = await fleet.rowStore.open();
     const settings = await chooseAddresses();
-    const process = await startProcessAt(storeEndpoint, settings, options);
+    const process = await spawnProcessAt(storeEndpoint, settings, options);
     return { name: options.name, storeEndpoint, settings, process, undisturbedSince: performance.now(),
         exitExpected: false, lastChange: Promise.resolve() };
 }
 
+function describeExit({ name, process }: GatewayMember, code: number | string): string {
+    return `${name} ended with ${code}\n${process.output()}${process.errors()}`;
+}
+
 function pickUpstream(fleet: Fleet, target: number): GatewayUpstream {
     return [fleet.engine, fleet.spareEngine, fleet.tool][target % 3]!;
 }
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -43,13 +43,17 @@
 export interface ProcessOptions {
     readonly name?: string;
     readonly memoryMb?: number;
+    /** Maximum number of open descriptors; when omitted, that of the test. */
+    readonly maxDescriptors?: number;
+    /** Seconds from SIGTERM until the platform kills the process. */
+    readonly graceS?: number;
     /** Arguments of Node.js; when omitted, the sources are run. */
     readonly program?: readonly string[];
 }
 
 /** Settings file of a gateway that uses the given store endpoint. */
 export function settingsText(storeEndpoint: RowStoreListener, addresses: GatewayAddresses,
-    { name = "g", memoryMb = 220 }: ProcessOptions = {}): string {
+    { name = "g", memoryMb = 220, graceS = 8 }: ProcessOptions = {}): string {
     return [
         `nodeName=${name}`,
         `limits.memoryMb=${memoryMb}`,
@@ -61,7 +65,7 @@
         `portRange=1,${addresses.metricsAddress.port}`,
         `provider.address=${storeEndpoint.address}:${storeEndpoint.port}`,
         "provider.rowBytes=65536",
-        "bounds.graceS=8",
+        `bounds.graceS=${graceS}`,
         "bounds.drainMs=2000",
         "bounds.passMs=120",
     ].join("\n");
@@ -80,8 +84,12 @@
  * arguments of Node.js.
  */
 export function spawnProcess(settingsFile: string, settings: GatewayAddresses,
-    program: readonly string[] = sourceProgram): GatewayProcess {
-    const child = spawn(process.execPath, program, { cwd: repositoryRoot, stdio: ["ignore", "pipe", "pipe"],
+    program: readonly string[] = sourceProgram, maxDescriptors?: number): GatewayProcess {
+    const command = [process.execPath, ...program];
+    const [file, ...args] = maxDescriptors === undefined
+        ? command
+        : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec "$0" "$@"`, ...command];
+    const child = spawn(file!, args, { cwd: repositoryRoot, stdio: ["ignore", "pipe", "pipe"],
         env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: settingsFile } });
     let output = "";
     child.stdout.on("data", (chunk: Buffer) => {
@@ -91,7 +99,8 @@
     child.stderr.on("data", (chunk: Buffer) => {
         errors += chunk.toString();
     });
-    const exited = once(child, "exit").then(([code, signal]) => (code ?? signal) as number | string);
+    // Not "exit", after which output may still come.
+    const exited = once(child, "close").then(([code, signal]) => (code ?? signal) as number | string);
     return {
         child,
         settings,
@@ -155,16 +164,21 @@
 
 /** Starts a process and waits until it is ready. */
 export async function startProcess(fleet: Fleet, options?: ProcessOptions): Promise<GatewayProcess> {
-    return startProcessAt(await fleet.rowStore.open(), await chooseAddresses(), options);
+    const gateway = await spawnProcessAt(await fleet.rowStore.open(), await chooseAddresses(), options);
+    await waitUntilProcessReady(gateway);
+    return gateway;
 }
 
-/** Starts a process at given addresses and waits until it is ready. */
-export async function startProcessAt(storeEndpoint: RowStoreListener, addresses: GatewayAddresses,
+/** Starts a process at given addresses. */
+export async function spawnProcessAt(storeEndpoint: RowStoreListener, addresses: GatewayAddresses,
     options: ProcessOptions = {}): Promise<GatewayProcess> {
     const settingsFile = join(await createSettingsFolder(), "settings.conf");
     await writeFile(settingsFile, settingsText(storeEndpoint, addresses, options));
-    const gateway = spawnProcess(settingsFile, addresses, options.program);
-    await waitUntil(async () => await fetchReadinessStatus(addresses.readinessAddress.port) === 200,
+    return spawnProcess(settingsFile, addresses, options.program, options.maxDescriptors);
+}
+
+/** Waits until a process is ready. */
+export async function waitUntilProcessReady({ settings }: Pick<GatewayProcess, "settings">): Promise<void> {
+    await waitUntil(async () => await fetchReadinessStatus(settings.readinessAddress.port) === 200,
         "the process is ready");
-    return gateway;
 }
--- a/packages/gateway/test/soak.test.ts
+++ b/packages/gateway/test/soak.test.ts
@@ -2,8 +2,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { runSoak } from "../bench/soak.ts";
+import { startSoakFleet } from "../bench/soakFleet.ts";
 import { findViolations, type SoakCall, type SoakOutcome } from "../bench/soakJudge.ts";
 import { planFaults } from "../bench/soakPlan.ts";
+import { waitUntilProcessReady } from "./gatewayProcess.ts";
+import { waitUntil } from "./harness.ts";
 
 const toolCall: SoakCall = { id: "c1", turn: undefined, expected: /^ok$/ };
 const turnCall: SoakCall = { id: "t2", turn: { program: "p", budget: 40, previousTurns: ["t1"] }, expected: /^ok$/ };
@@ -63,6 +66,18 @@
     assert.ok(plan(7).every(({ startMs, durationMs }) => startMs + durationMs <= 26_000));
 });
 
+test("a process that ends by itself is reported with its log and started anew (guards against an end that no judge sees)", async () => {
+    await using fleet = await startSoakFleet(1);
+    const [gateway] = fleet.gateways;
+    const killed = gateway!.process;
+    await waitUntil(() => killed.output().includes("gateway.started"), "its log is written");
+    killed.child.kill("SIGKILL");
+    await waitUntil(() => gateway!.process !== killed, "it is started anew");
+    await waitUntilProcessReady(gateway!);
+    assert.equal(fleet.unexpectedExits().length, 1);
+    assert.match(fleet.unexpectedExits()[0]!, /^g0 ended with SIGKILL\n.*"event":"gateway.started"/s);
+});
+
 test("the invariants hold while faults overlap (guards against lost or wrong answers during failures)", async context => {
     const { plan, calls, completeAnswers, violations, logLines } = await runSoak({
         seed: 3,
