Start: while the callers' address is not there, the settings are read anew

With the wait for an address being endless, a process with settings from before its VM got another address would wait for the old one until it is stopped; before, it ended after 15 s and was started with the new file. Settings once read were taken for final while nothing of them was in use yet. The callers' address, which is the first to be opened, is now asked for at each try, and the file is read for it; a file that cannot be read meanwhile changes nothing and is logged. Once the callers' port is open, the settings stay as they are, but for what SIGHUP takes.

Test: startup.test.ts, "... takes the one of new settings"; without re-reading it waits for 203.0.113.9 and times out.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -27,7 +27,7 @@
  * Starts listening for callers. This module loads quickly, so that a process that starts accepts connections before the
  * rest of the program is loaded; callers that find no listener use up their attempts.
  */
-export async function openCallerServer(address: SocketAddress, log: Log): Promise<CallerServer> {
+export async function openCallerServer(address: () => SocketAddress, log: Log): Promise<CallerServer> {
     const waiting: [IncomingMessage, ServerResponse][] = [];
     let listener: RequestListener = (request, response) => waiting.push([request, response]);
     // Node.js reads this property of the server for each new connection.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,7 +66,7 @@
 
 /** Starts a gateway. Any gateway can serve any call, because all durable state is in the store. */
 export async function createGateway(parts: GatewayParts): Promise<Gateway> {
-    const callerServer = parts.callerServer ?? await openCallerServer(parts.settings.callerAddress, parts.log);
+    const callerServer = parts.callerServer ?? await openCallerServer(() => parts.settings.callerAddress, parts.log);
     const disposal = createDisposal();
     try {
         return await startGateway({ ...parts, callerServer }, disposal);
@@ -138,7 +138,7 @@
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log, now }),
         );
     }
-    await listen(readiness, settings.readinessAddress, log);
+    await listen(readiness, () => settings.readinessAddress, log);
     disposal.defer(() => readiness.close());
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
@@ -192,7 +192,7 @@
         );
     });
     const stopped = new AbortController();
-    listen(server, address, log, stopped.signal)
+    listen(server, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("metrics.unavailable", { reason: error.message }));
     return { [Symbol.dispose]() {
         stopped.abort();
--- a/packages/gateway/src/initialSettings.ts
+++ b/packages/gateway/src/initialSettings.ts
@@ -4,6 +4,7 @@
 import type { ProcessContext } from "./start.ts";
 import { createWaitReport } from "./waitReport.ts";
 
+const awaited = "settings";
 const retryIntervalMs = 100;
 /** Settings that are invalid in the same way so often in a row, for 15 s, are taken as final. A freeze does not count. */
 const maxInvalidReads = 150;
@@ -13,7 +14,7 @@
  * takes. Throws the `SettingsError` of a file that has all fields and stays invalid.
  */
 export async function waitForSettings({ environment, log }: ProcessContext): Promise<GatewaySettings> {
-    const report = createWaitReport(log, "settings");
+    const report = createWaitReport(log);
     let lastMessage: string | undefined;
     let invalidReads = 0;
     for (;;) {
@@ -22,7 +23,7 @@
         }
         catch (error) {
             const { message } = error as Error;
-            report(message);
+            report(awaited, message);
             const isFinal = error instanceof SettingsError && !error.isIncomplete;
             invalidReads = isFinal && message === lastMessage ? invalidReads + 1 : 0;
             lastMessage = message;
@@ -33,3 +34,18 @@
         await sleep(retryIntervalMs);
     }
 }
+
+/** Returns a function that reads the settings anew; the last ones stay in force while the file cannot be read. */
+export function followSettings({ environment, log }: ProcessContext, settings: GatewaySettings): () => GatewaySettings {
+    const report = createWaitReport(log);
+    let latest = settings;
+    return () => {
+        try {
+            latest = loadSettings(environment);
+        }
+        catch (error) {
+            report(awaited, (error as Error).message);
+        }
+        return latest;
+    };
+}
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -21,22 +21,24 @@
 const transientCodes: ReadonlySet<string | undefined> = new Set(["EADDRINUSE", "EADDRNOTAVAIL"]);
 
 /**
- * Resolves when the server listens on the address, for which it waits as long as that is in use or not there, or until it
+ * Resolves when the server listens on the address, which is asked for at each try. It waits for the address as long as that is in use or not there, or until it
  * is aborted. Rejects with a `ListenError` if it may not listen there.
  */
-export async function listen(server: Server, address: SocketAddress, log: Log, signal?: AbortSignal): Promise<void> {
-    const report = createWaitReport(log, `${address.host}:${address.port}`);
+export async function listen(server: Server, address: () => SocketAddress, log: Log,
+    signal?: AbortSignal): Promise<void> {
+    const report = createWaitReport(log);
     const isAborted = () => signal?.aborted === true;
     while (!isAborted()) {
-        const error = await listenOnce(server, address);
+        const current = address();
+        const error = await listenOnce(server, current);
         if (error === undefined) {
             // It may have been aborted meanwhile, and then has been closed before it listened.
             return void (isAborted() && server.close());
         }
         if (!transientCodes.has(error.code)) {
-            throw new ListenError(address, error.message);
+            throw new ListenError(current, error.message);
         }
-        report(error.message);
+        report(`${current.host}:${current.port}`, error.message);
         await sleep(retryIntervalMs);
     }
 }
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -36,7 +36,7 @@
         (request, socket, head) =>
             server.handleUpgrade(request, socket, head, link => server.emit("connection", link, request)));
     const stopped = new AbortController();
-    listen(httpServer, address, log, stopped.signal)
+    listen(httpServer, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("peers.unavailable", { reason: error.message }));
     let relayedCalls = 0;
     server.on("connection", socket => {
--- a/packages/gateway/src/start.ts
+++ b/packages/gateway/src/start.ts
@@ -1,7 +1,7 @@
 import type { GatewaySettings } from "@tamarackgauge/core/gateway";
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { describeError, type Ending, endingOf, stoppedEarlyEnding } from "./ending.ts";
-import { waitForSettings } from "./initialSettings.ts";
+import { followSettings, waitForSettings } from "./initialSettings.ts";
 import type { ProcessLog } from "./processLog.ts";
 import type { Signals } from "./signals.ts";
 
@@ -49,7 +49,14 @@
 }
 
 async function startEarly(context: ProcessContext): Promise<EarlyStart> {
-    const settings = await waitForSettings(context);
-    context.log.setName(settings.name);
-    return { ...context, settings, callerServer: await openCallerServer(settings.callerAddress, context.log) };
+    const { log } = context;
+    let settings = await waitForSettings(context);
+    log.setName(settings.name);
+    const readLatest = followSettings(context, settings);
+    // The settings may be replaced while their address is not there.
+    const callerServer = await openCallerServer(() => {
+        settings = readLatest();
+        return settings.callerAddress;
+    }, log);
+    return { ...context, settings, callerServer };
 }
--- a/packages/gateway/test/callerServer.test.ts
+++ b/packages/gateway/test/callerServer.test.ts
@@ -7,7 +7,7 @@
 
 test("requests that arrive before they can be handled are answered later (guards against callers refused while a process loads)", async () => {
     const address = await freeAddress();
-    const callerServer = await openCallerServer(address, createProcessLog());
+    const callerServer = await openCallerServer(() => address, createProcessLog());
     const { server } = callerServer;
     const statuses = Array.from({ length: 3 }, () =>
         new Promise(resolve => {
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -88,7 +88,7 @@
         return server;
     };
     const ending = await endingOf(async () => {
-        await listen(server, { host: "127.0.0.1", port: 81 }, createProcessLog());
+        await listen(server, () => ({ host: "127.0.0.1", port: 81 }), createProcessLog());
         return stoppedEnding;
     });
     assert.deepEqual(ending, { exitCode: 3,
@@ -166,6 +166,18 @@
     await waitUntilServing(fleet, addresses);
 });
 
+test("a gateway that waits for an address that is not there takes the one of new settings (guards against a process that waits for an address that its VM has lost)", async () => {
+    await using fleet = await createFleet();
+    const addresses = await chooseAddresses();
+    const { gateway, settingsFile, text } = await spawnGateway(fleet, addresses, false);
+    await using process = gateway;
+    await writeFile(settingsFile, text.replace("bind.front=127.0.0.1", "bind.front=203.0.113.9"));
+    await waitUntil(() => /"gateway.waiting","awaited":"203.0.113.9:.*EADDRNOTAVAIL/.test(process.output()),
+        "it waits");
+    await writeFile(settingsFile, text);
+    await waitUntilServing(fleet, addresses);
+});
+
 test("a gateway that waits for its settings ends when it is asked to stop (guards against a process that the platform has to kill)", async () => {
     await using fleet = await createFleet();
     const { gateway } = await spawnGateway(fleet, await chooseAddresses(), false);
