Callers: connections, heads and calls are held within a budget that follows from the memory of the VM

What callers saw: the process ended by itself, and all its calls broke off.

Cause: only bodies and answers were counted. A head that has not ended, a head that has been read, the state of a call and the connection itself were in no budget, so their number was bounded by descriptors and time limits only.

Change: a fifth of the memory (16 to 48 MiB) is for what callers hold beside bodies, from the first connection on. A connection costs 8 KiB, a call 20 KiB and twice its head, each header 64 bytes, a byte of an unfinished head 4 (many short headers take more than their text). Node.js reports no bytes of unfinished heads, so the bytes read on each connection are compared with those of its requests each 200 ms, each 64 connections, and each 20 ms while heads take half of their quarter. Beyond that quarter the oldest ones get 408, beyond the whole the connections that were idle for longest are closed, never one with a call under way, and calls above 85 of 100 get 503 with Retry-After at once. What comes on a connection that has been refused is not run. An error of the parser no longer writes its answer into that of the call before it.

Unit tests show room for 800, 1,000 and 1,200 calls at once with heads of 2 KB on 178, 220 and 350 MB.

--- /dev/null
+++ b/packages/core/src/gateway/callerMemory.ts
@@ -0,0 +1,140 @@
+const kibibyte = 1_024;
+const mebibyte = 1_024 * kibibyte;
+
+/** Memory of an open connection without a call, in bytes. */
+const connectionBytes = 8 * kibibyte;
+/** Memory of a call under way beside its head and body, in bytes. */
+const callBytes = 20 * kibibyte;
+/** Memory of one header of a call beside its text, in bytes. */
+const headerBytes = 64;
+/** A call's head is held as it came and as it is sent on. */
+const headCopies = 2;
+/** Memory that each byte of an unfinished head may take: many short headers take more than their text. */
+const unfinishedHeadFactor = 4;
+
+/** Share of a process's memory for what its callers hold beside bodies. */
+const memoryShare = 0.2;
+const minCallerBytes = 16 * mebibyte;
+/** The heap, in which heads and calls lie, has room for no more. */
+const maxCallerBytes = 48 * mebibyte;
+
+/** Share for heads that have not ended. */
+const unfinishedHeadShare = 0.25;
+/** Calls are refused above this share, so that further connections can still be told so. */
+const callShare = 0.85;
+/** Connections are closed until no more than this part of what is allowed is in use. */
+const closingTarget = 0.95;
+/** A connection that was opened or used this short a time ago is not closed to make room for a call. */
+const minIdleMs = 250;
+
+/** The bytes that callers of a process may hold in connections, heads and calls. */
+export function callerBytesWithin(memoryBytes = Infinity): number {
+    return Math.round(Math.min(maxCallerBytes, Math.max(minCallerBytes, memoryBytes * memoryShare)));
+}
+
+/** Estimated memory of a call whose head has `bytes` bytes and `headers` headers, in bytes. */
+export function callCost(bytes: number, headers: number): number {
+    return callBytes + headCopies * bytes + headers * headerBytes;
+}
+
+/** What one connection holds. Times are in milliseconds on the monotonic clock. */
+export interface ConnectionUse {
+    /** Bytes that have come of a head that has not ended. */
+    readonly headBytes: number;
+    /** When the unfinished head began, or the connection became idle. */
+    readonly waitingSince: number;
+    /** Calls of the connection that have been read and have no complete answer yet. */
+    readonly calls: number;
+}
+
+/** Why a connection is closed. */
+export type ClosingCause = "headMemory" | "idleMemory";
+
+/** A connection to be closed. */
+export interface Closing<Connection> {
+    readonly connection: Connection;
+    readonly cause: ClosingCause;
+}
+
+/** Memory that the callers of a process hold, in bytes. */
+export interface CallerMemoryUse {
+    readonly connections: number;
+    readonly heads: number;
+    readonly calls: number;
+}
+
+/** Memory of connections, of the bytes that have come of unfinished heads, and of calls as reserved. */
+export function callerMemoryUse(connections: number, headBytes: number, callCosts: number): CallerMemoryUse {
+    return { connections: connections * connectionBytes, heads: headBytes * unfinishedHeadFactor, calls: callCosts };
+}
+
+function useOf(connections: readonly ConnectionUse[], callCosts: number): CallerMemoryUse {
+    return callerMemoryUse(connections.length, connections.reduce((sum, { headBytes }) => sum + headBytes, 0),
+        callCosts);
+}
+
+function totalOf({ connections, heads, calls }: CallerMemoryUse): number {
+    return connections + heads + calls;
+}
+
+/** Whether a call of the given cost may be taken. */
+export function hasRoomForCall(use: CallerMemoryUse, cost: number, maxBytes: number): boolean {
+    return totalOf(use) + cost <= maxBytes * callShare;
+}
+
+/** Whether unfinished heads take so much of their share that they must be looked at often. */
+export function areHeadsNearLimit({ heads }: CallerMemoryUse, maxBytes: number): boolean {
+    return heads > maxBytes * unfinishedHeadShare / 2;
+}
+
+/**
+ * Chooses the connections to be closed, none of which has a call under way: unfinished
+ * heads and idle connections beyond their room, those that have waited for longest first.
+ */
+export function chooseClosings<Connection extends ConnectionUse>(connections: readonly Connection[], callCosts: number,
+    maxBytes: number): readonly Closing<Connection>[] {
+    const waiting = connections.filter(connection => connection.calls === 0);
+    const use = useOf(connections, callCosts);
+    const maxHeads = maxBytes * unfinishedHeadShare;
+    const heads = use.heads <= maxHeads
+        ? []
+        : oldestWorth(waiting.filter(({ headBytes }) => headBytes > 0),
+            ({ headBytes }) => headBytes * unfinishedHeadFactor, use.heads - maxHeads * closingTarget);
+    const idle = totalOf(use) <= maxBytes
+        ? []
+        : chooseIdle(waiting, totalOf(use) - maxBytes * closingTarget);
+    return [
+        ...heads.map(connection => ({ connection, cause: "headMemory" as const })),
+        ...idle.map(connection => ({ connection, cause: "idleMemory" as const })),
+    ];
+}
+
+/** Chooses idle connections to be closed to make room for a call. */
+export function chooseClosingsForCall<Connection extends ConnectionUse>(connections: readonly Connection[],
+    callCosts: number, cost: number, maxBytes: number, now: number): readonly Closing<Connection>[] {
+    const excess = totalOf(useOf(connections, callCosts)) + cost - maxBytes * callShare * closingTarget;
+    const closable = connections.filter(connection =>
+        connection.calls === 0 && now - connection.waitingSince > minIdleMs
+    );
+    return chooseIdle(closable, excess).map(connection => ({ connection, cause: "idleMemory" as const }));
+}
+
+function chooseIdle<Connection extends ConnectionUse>(connections: readonly Connection[],
+    bytes: number): readonly Connection[] {
+    return oldestWorth(connections.filter(({ headBytes }) => headBytes === 0), () => connectionBytes, bytes);
+}
+
+/** The connections that have waited for longest, as many as hold the given bytes. */
+function oldestWorth<Connection extends ConnectionUse>(connections: readonly Connection[],
+    cost: (connection: Connection) => number, bytes: number): readonly Connection[] {
+    const chosen: Connection[] = [];
+    let remaining = bytes;
+    for (const connection of connections.toSorted((left, right) => left.waitingSince - right.waitingSince)) {
+        if (remaining <= 0) {
+            break;
+        }
+        chosen.push(connection);
+        remaining -= cost(connection);
+    }
+    return chosen;
+}
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -5,6 +5,7 @@
 export * from "./byteBudget.ts";
 export * from "./byteSemaphore.ts";
 export * from "./call.ts";
+export * from "./callerMemory.ts";
 export * from "./choice.ts";
 export * from "./event.ts";
 export * from "./ledger.ts";
--- /dev/null
+++ b/packages/core/test/gateway/callerMemory.test.ts
@@ -0,0 +1,58 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { callCost, callerBytesWithin, callerMemoryUse, chooseClosings, chooseClosingsForCall, type ConnectionUse,
+    hasRoomForCall } from "../../src/gateway/index.ts";
+
+interface NamedConnection extends ConnectionUse {
+    readonly name: string;
+}
+
+const megabyte = 1_000_000;
+const now = 10_000;
+
+function connection(name: string, changes: Partial<ConnectionUse>): NamedConnection {
+    return { name, headBytes: 0, waitingSince: now, calls: 0, ...changes };
+}
+
+/** Several connections alike. */
+function connections(count: number, changes: Partial<ConnectionUse>): NamedConnection[] {
+    return Array.from({ length: count }, (_, index) => connection(`other ${index}`, changes));
+}
+
+function closingsOf(open: readonly NamedConnection[], callCosts: number, maxBytes: number) {
+    return chooseClosings(open, callCosts, maxBytes).map(
+        closing => [closing.connection.name, closing.cause],
+    );
+}
+
+test("unfinished heads beyond their share are closed, oldest first, and none with a call under way (guards against heads in no budget)", () => {
+    const open = [
+        connection("new", { headBytes: 50_000, waitingSince: now - 10 }),
+        connection("old", { headBytes: 60_000, waitingSince: now - 30 }),
+        connection("busy", { headBytes: 60_000, waitingSince: now - 40, calls: 1 }),
+    ];
+    assert.deepEqual(closingsOf(open, 0, 16 * 170_000), []);
+    assert.deepEqual(closingsOf(open, 0, 16 * 160_000), [["old", "headMemory"]]);
+});
+
+test("idle connections beyond the limit are closed, longest idle first (guards against connections in no budget)", () => {
+    const open = [connection("new", { waitingSince: now - 1 }), connection("old", { waitingSince: now - 9_000 }),
+        ...connections(200, { calls: 1 })];
+    const use = callerMemoryUse(open.length, 0, 0).connections;
+    assert.deepEqual(closingsOf(open, 0, use), []);
+    assert.deepEqual(closingsOf(open, 0, use - 1), [["old", "idleMemory"], ["new", "idleMemory"]]);
+});
+
+test("a connection just opened is not closed to make room for a call (guards against callers that displace one another)", () => {
+    const open = [connection("new", { waitingSince: now - 10 }), connection("old", { waitingSince: now - 1_000 })];
+    const closings = chooseClosingsForCall(open, 0, megabyte, megabyte, now);
+    assert.deepEqual(closings.map(closing => closing.connection.name), ["old"]);
+});
+
+for (const [memoryMb, calls] of [[178, 800], [220, 1_000], [350, 1_200]] as const) {
+    test(`a VM of ${memoryMb} MB takes ${calls} calls at once with heads of 2 KB, each on its own connection (guards against sound calls that are refused)`, () => {
+        const cost = callCost(2_048, 30);
+        const use = callerMemoryUse(calls, 0, (calls - 1) * cost);
+        assert.equal(hasRoomForCall(use, cost, callerBytesWithin(memoryMb * megabyte)), true);
+    });
+}
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,45 +1,70 @@
-import type { SocketAddress } from "@tamarackgauge/core/gateway";
-import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
-    STATUS_CODES } from "node:http";
-import type { Duplex } from "node:stream";
+import { callerBytesWithin, type SocketAddress } from "@tamarackgauge/core/gateway";
+import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+import { type CallerConnections, trackConnections } from "./callerConnections.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
 
+/** Takes a request; without room for its call it is to be refused at once. */
+export type CallListener = (request: IncomingMessage, response: ServerResponse, hasRoom: boolean) => void;
+
 /** The listening server for callers. Requests that arrive before they can be handled wait. */
 export interface CallerServer {
     readonly server: Server;
+    readonly connections: CallerConnections;
     /** Passes all requests to the listener, those that wait first. */
-    setListener(listener: RequestListener): void;
+    setListener(listener: CallListener): void;
     /** Sets the maximum size of a request head, in bytes, for the connections that are opened from now on. */
     setMaxHeadBytes(bytes: number): void;
 }
 
 /** Maximum size of a request head until the declared one is known: a smaller one might refuse heads that are allowed. */
 const defaultMaxHeadBytes = 65_536;
+/** When a caller that was refused before the program is loaded should try again, in seconds. */
+const retryAfter = "0.3";
 const badRequest = 400;
 const requestTimeout = 408;
 const headTooLarge = 431;
+const serviceUnavailable = 503;
 /** Statuses for requests that Node.js does not accept, by the code of its error. */
 const errorStatuses: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: headTooLarge,
     ERR_HTTP_REQUEST_TIMEOUT: requestTimeout };
 
 /**
  * Starts listening for callers. This module loads quickly, so that a process that starts accepts connections before the
- * rest of the program is loaded; callers that find no listener use up their attempts.
+ * rest of the program is loaded; callers that find no listener use up their attempts. What callers hold in memory is
+ * bounded from the first connection on; `memoryBytes` is the size of the VM.
  */
-export async function openCallerServer(address: () => SocketAddress, log: Log): Promise<CallerServer> {
+export async function openCallerServer(address: () => SocketAddress, log: Log,
+    memoryBytes?: number): Promise<CallerServer> {
     const waiting: [IncomingMessage, ServerResponse][] = [];
-    let listener: RequestListener = (request, response) => waiting.push([request, response]);
-    // Node.js reads this property of the server for each new connection.
+    let listener: CallListener = (request, response, hasRoom) =>
+        hasRoom ? waiting.push([request, response]) : refuseCall(response);
+    // Node.js reads `maxHeaderSize` of the server for each new connection.
     const server: Server & { maxHeaderSize?: number; } = createServer({ maxHeaderSize: defaultMaxHeadBytes,
-        noDelay: true }, (request, response) => listener(request, response));
-    server.on("clientError", refuseUnreadable);
+        noDelay: true }, (request, response) => {
+        const admission = connections.admit(request, response);
+        if (admission !== "ended") {
+            listener(request, response, admission === "admitted");
+        }
+    });
+    const connections = trackConnections(server, callerBytesWithin(memoryBytes), rawAnswer);
+    server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
+        if (code === "ECONNRESET") {
+            socket.destroy();
+        }
+        else {
+            connections.refuse(socket as Socket, errorStatuses[code] ?? badRequest);
+        }
+    });
+    server.on("close", () => connections.close());
     await listen(server, address, log);
     return {
         server,
+        connections,
         setListener(next) {
             listener = next;
-            waiting.splice(0).forEach(([request, response]) => next(request, response));
+            waiting.splice(0).forEach(([request, response]) => next(request, response, true));
         },
         setMaxHeadBytes(bytes) {
             server.maxHeaderSize = bytes;
@@ -47,12 +72,12 @@
     };
 }
 
-function refuseUnreadable({ code = "" }: NodeJS.ErrnoException, socket: Duplex): void {
-    if (socket.writable && code !== "ECONNRESET") {
-        const status = errorStatuses[code] ?? badRequest;
-        socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    }
-    else {
-        socket.destroy();
-    }
+function refuseCall(response: ServerResponse): void {
+    response.writeHead(serviceUnavailable, { "retry-after": retryAfter, "connection": "close", "content-length": 0 })
+        .end();
+}
+
+/** An answer without a body that ends its connection. */
+function rawAnswer(status: number): string {
+    return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -65,8 +65,8 @@
     const exchanges = new Set<Exchange>();
     const exchangeParts: ExchangeParts = { ...parts, latestEnd: () => drainDeadline };
     const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
-    const { server } = parts.callerServer;
-    parts.callerServer.setListener((request, response) => void serve(request, response));
+    const { server, connections } = parts.callerServer;
+    parts.callerServer.setListener((request, response, hasRoom) => void serve(request, response, hasRoom));
 
     function setDeclaration(next: Declaration): void {
         declaration = next;
@@ -76,7 +76,7 @@
         parts.callerServer.setMaxHeadBytes(next.limits.headerBytes);
     }
 
-    async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    async function serve(request: IncomingMessage, response: ServerResponse, hasRoom: boolean): Promise<void> {
         const arrivedAt = now();
         active += 1;
         if (closing) {
@@ -94,7 +94,9 @@
             }
         });
         try {
-            exchange = await startCall(request, response, arrivedAt, byteAccount);
+            exchange = hasRoom
+                ? await startCall(request, response, arrivedAt, byteAccount)
+                : refuseCall(request, response);
             if (exchange !== undefined) {
                 exchanges.add(exchange);
                 await exchange.done;
@@ -142,6 +144,9 @@
         const body = headSize(request) > headerBytes
             ? "headTooLarge"
             : await readBody(request, { maxBytes: bodyBytes, timeoutMs: endsAt - now(), account: byteAccount });
+        if (typeof body !== "string") {
+            connections.recordBody(request, body.length);
+        }
         const refusal = typeof body === "string" ? requestRefusal(body) : undefined;
         if (refusal !== undefined) {
             // A body that came too slowly has used the time of its call.
@@ -171,6 +176,12 @@
         }, response);
     }
 
+    /** A body that has not come is not waited for, as that would take the room that is missing. */
+    function refuseCall(request: IncomingMessage, response: ServerResponse): undefined {
+        writeLocalAnswer(response, decodeRequest(request.headers)?.id, refusalAnswer({ kind: "memoryFull" }));
+        return undefined;
+    }
+
     /** In a gateway that has started while the store is away, calls wait as turns wait for the store. */
     async function waitUntilInitialized(head: CallHead | undefined): Promise<void> {
         const time = maxWait({ timeLeft: head?.deadline ?? Infinity, patience: undeclaredPatienceMs });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,7 +66,9 @@
 
 /** Starts a gateway. Any gateway can serve any call, because all durable state is in the store. */
 export async function createGateway(parts: GatewayParts): Promise<Gateway> {
-    const callerServer = parts.callerServer ?? await openCallerServer(() => parts.settings.callerAddress, parts.log);
+    const { settings, log } = parts;
+    const callerServer = parts.callerServer ??
+        await openCallerServer(() => settings.callerAddress, log, settings.memoryBytes);
     const disposal = createDisposal();
     try {
         return await startGateway({ ...parts, callerServer }, disposal);
--- a/packages/gateway/src/start.ts
+++ b/packages/gateway/src/start.ts
@@ -57,6 +57,6 @@
     const callerServer = await openCallerServer(() => {
         settings = readLatest();
         return settings.callerAddress;
-    }, log);
+    }, log, settings.memoryBytes);
     return { ...context, settings, callerServer };
 }
--- a/packages/gateway/test/callerLimits.test.ts
+++ b/packages/gateway/test/callerLimits.test.ts
@@ -30,3 +30,15 @@
         assert.notEqual(await statusOf(gateway, headOfSize(maxHeaderBytes, "allowed")), "431");
     });
 }
+
+test("bytes that are no request get 400 after the answer of the request before them (guards against an answer within another)", async () => {
+    await using fleet = await createFleet();
+    fleet.tool.behave("silent");
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    const socket = connect(gateway.settings.callerAddress.port, "127.0.0.1");
+    const text = collectText(socket);
+    socket.write("GET /pay/x HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: c1\r\nx-deadline-ms: 500\r\n\r\n\0\0\0");
+    await once(socket, "close");
+    assert.match(text(), /^HTTP\/1.1 504 .*HTTP\/1.1 400 /s);
+});
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -182,3 +182,13 @@
     await waitUntil(async () => await fetchReadinessStatus(settings.readinessAddress.port) === 200,
         "the process is ready");
 }
+
+/** Starts a process that cannot become ready, and waits until it reports so. */
+export async function startProcessUnready(storeEndpoint: RowStoreListener,
+    options: ProcessOptions): Promise<GatewayProcess> {
+    const addresses = await chooseAddresses();
+    const gateway = await spawnProcessAt(storeEndpoint, addresses, options);
+    await waitUntil(async () => await fetchReadinessStatus(addresses.readinessAddress.port) === 503,
+        "the process has started");
+    return gateway;
+}
