Callers: the time limit of heads is enforced at its time

What callers saw: a head that did not end was held for up to 33 s where 3 s are declared. A connection that was opened and not used yet counted as a head for Node.js: it was refused with 408 up to half a minute after the same 3 s, though connections may be idle for 15 s.

Cause: Node.js looks at its own time limits only each 30 s, and starts its clock for heads when a connection is opened.

Change: its limits are off, and the check of connections that is there for their memory closes those beyond a limit: heads by the time since their first byte, with 408 (the call has not run), and connections never used by the limit of idle ones, without an answer. Until limits are declared they are 10 s and 60 s.

Evidence: before, with a limit of 0.4 s, three tests failed: no 408 came within 20 s on a new connection, and none after a request with a length or chunks on the same connection. They pass now in 0.6 s each, and so do those for connections that are kept.

--- a/packages/core/src/gateway/callerMemory.ts
+++ b/packages/core/src/gateway/callerMemory.ts
@@ -48,7 +48,13 @@
 }
 
 /** Why a connection is closed. */
-export type ClosingCause = "headMemory" | "idleMemory";
+export type ClosingCause = "headTimeout" | "headMemory" | "idleTimeout" | "idleMemory";
+
+/** Time limits of connections, in milliseconds. */
+export interface ConnectionTimeouts {
+    readonly head: number;
+    readonly idle: number;
+}
 
 /** A connection to be closed. */
 export interface Closing<Connection> {
@@ -88,12 +94,17 @@
 }
 
 /**
- * Chooses the connections to be closed, none of which has a call under way: unfinished
+ * Chooses the connections to be closed, none of which has a call under way: those beyond a time limit, then unfinished
  * heads and idle connections beyond their room, those that have waited for longest first.
  */
 export function chooseClosings<Connection extends ConnectionUse>(connections: readonly Connection[], callCosts: number,
-    maxBytes: number): readonly Closing<Connection>[] {
+    maxBytes: number, timeouts: ConnectionTimeouts, now: number): readonly Closing<Connection>[] {
     const waiting = connections.filter(connection => connection.calls === 0);
+    const expired = waiting.flatMap(connection => {
+        const isIdle = connection.headBytes === 0;
+        const isExpired = now - connection.waitingSince > (isIdle ? timeouts.idle : timeouts.head);
+        return isExpired ? [{ connection, cause: isIdle ? "idleTimeout" as const : "headTimeout" as const }] : [];
+    });
     const use = useOf(connections, callCosts);
     const maxHeads = maxBytes * unfinishedHeadShare;
     const heads = use.heads <= maxHeads
@@ -104,6 +115,7 @@
         ? []
         : chooseIdle(waiting, totalOf(use) - maxBytes * closingTarget);
     return [
+        ...expired,
         ...heads.map(connection => ({ connection, cause: "headMemory" as const })),
         ...idle.map(connection => ({ connection, cause: "idleMemory" as const })),
     ];
--- a/packages/core/test/gateway/callerMemory.test.ts
+++ b/packages/core/test/gateway/callerMemory.test.ts
@@ -9,6 +9,7 @@
 
 const megabyte = 1_000_000;
 const now = 10_000;
+const timeouts = { head: 3_000, idle: 15_000 };
 
 function connection(name: string, changes: Partial<ConnectionUse>): NamedConnection {
     return { name, headBytes: 0, waitingSince: now, calls: 0, ...changes };
@@ -20,7 +21,7 @@
 }
 
 function closingsOf(open: readonly NamedConnection[], callCosts: number, maxBytes: number) {
-    return chooseClosings(open, callCosts, maxBytes).map(
+    return chooseClosings(open, callCosts, maxBytes, timeouts, now).map(
         closing => [closing.connection.name, closing.cause],
     );
 }
@@ -49,6 +50,16 @@
     assert.deepEqual(closings.map(closing => closing.connection.name), ["old"]);
 });
 
+test("connections and heads are closed at their time limits, not before (guards against limits that are looked at too rarely)", () => {
+    const open = [
+        connection("late head", { headBytes: 1, waitingSince: now - 3_001 }),
+        connection("head", { headBytes: 1, waitingSince: now - 3_000 }),
+        connection("unused", { waitingSince: now - 15_001 }),
+        connection("idle", { waitingSince: now - 15_000 }),
+    ];
+    assert.deepEqual(closingsOf(open, 0, 16 * megabyte), [["late head", "headTimeout"], ["unused", "idleTimeout"]]);
+});
+
 for (const [memoryMb, calls] of [[178, 800], [220, 1_000], [350, 1_200]] as const) {
     test(`a VM of ${memoryMb} MB takes ${calls} calls at once with heads of 2 KB, each on its own connection (guards against sound calls that are refused)`, () => {
         const cost = callCost(2_048, 30);
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -1,5 +1,6 @@
 import { areHeadsNearLimit, callCost, type CallerMemoryUse, callerMemoryUse, chooseClosings, chooseClosingsForCall,
-    type Closing, type ClosingCause, type ConnectionUse, hasRoomForCall } from "@tamarackgauge/core/gateway";
+    type Closing, type ClosingCause, type ConnectionTimeouts, type ConnectionUse,
+    hasRoomForCall } from "@tamarackgauge/core/gateway";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { headSize } from "./requestHead.ts";
@@ -12,6 +13,7 @@
     recordBody(request: IncomingMessage, bytes: number): void;
     /** Ends a connection on which nothing more can be read, after the answers that it still waits for. */
     refuse(socket: Socket, status: number): void;
+    setTimeouts(timeouts: ConnectionTimeouts): void;
     report(): CallerMemoryReport;
     close(): void;
 }
@@ -58,10 +60,11 @@
 const maxUncountedBytes = 1_024;
 
 /** Starts counting what the connections of a server hold, which may be `maxBytes` in all. */
-export function trackConnections(server: Server, maxBytes: number,
-    answer: (status: number) => string): CallerConnections {
+export function trackConnections(server: Server, maxBytes: number, answer: (status: number) => string,
+    initialTimeouts: ConnectionTimeouts): CallerConnections {
     const connections = new Map<Socket, Connection>();
     const closed = new Map<ClosingCause, number>();
+    let timeouts = initialTimeouts;
     let callCosts = 0;
     let headBytes = 0;
     let openedSinceCheck = 0;
@@ -91,7 +94,7 @@
 
     function check(): void {
         openedSinceCheck = 0;
-        close(chooseClosings(update(), callCosts, maxBytes));
+        close(chooseClosings(update(), callCosts, maxBytes, timeouts, now()));
         clearTimeout(timer);
         timer = scheduleCheck(areHeadsNearLimit(use(), maxBytes) ? shortCheckIntervalMs : checkIntervalMs);
     }
@@ -125,7 +128,10 @@
             if (!connection.isEnding) {
                 closed.set(cause, (closed.get(cause) ?? 0) + 1);
             }
-            if (cause === "headMemory") {
+            if (cause === "headTimeout") {
+                end(connection, requestTimeout, lingerMs);
+            }
+            else if (cause === "headMemory") {
                 end(connection, requestTimeout, 0);
             }
             else {
@@ -222,6 +228,9 @@
                 end(connection, status, lingerMs);
             }
         },
+        setTimeouts(next) {
+            timeouts = next;
+        },
         report() {
             const result = { use: use(), closed: new Map(closed) };
             closed.clear();
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,4 +1,4 @@
-import { callerBytesWithin, type SocketAddress } from "@tamarackgauge/core/gateway";
+import { callerBytesWithin, type ConnectionTimeouts, type SocketAddress } from "@tamarackgauge/core/gateway";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import { type CallerConnections, trackConnections } from "./callerConnections.ts";
@@ -20,15 +20,15 @@
 
 /** Maximum size of a request head until the declared one is known: a smaller one might refuse heads that are allowed. */
 const defaultMaxHeadBytes = 65_536;
+/** Time limits until the declared ones are known. */
+const defaultTimeouts: ConnectionTimeouts = { head: 10_000, idle: 60_000 };
 /** When a caller that was refused before the program is loaded should try again, in seconds. */
 const retryAfter = "0.3";
 const badRequest = 400;
-const requestTimeout = 408;
 const headTooLarge = 431;
 const serviceUnavailable = 503;
 /** Statuses for requests that Node.js does not accept, by the code of its error. */
-const errorStatuses: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: headTooLarge,
-    ERR_HTTP_REQUEST_TIMEOUT: requestTimeout };
+const errorStatuses: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: headTooLarge };
 
 /**
  * Starts listening for callers. This module loads quickly, so that a process that starts accepts connections before the
@@ -40,15 +40,16 @@
     const waiting: [IncomingMessage, ServerResponse][] = [];
     let listener: CallListener = (request, response, hasRoom) =>
         hasRoom ? waiting.push([request, response]) : refuseCall(response);
-    // Node.js reads `maxHeaderSize` of the server for each new connection.
+    // Node.js checks its own time limits of heads only every 30 s, and counts an unused connection as a head. It reads
+    // `maxHeaderSize` of the server for each new connection.
     const server: Server & { maxHeaderSize?: number; } = createServer({ maxHeaderSize: defaultMaxHeadBytes,
-        noDelay: true }, (request, response) => {
+        headersTimeout: 0, requestTimeout: 0, noDelay: true }, (request, response) => {
         const admission = connections.admit(request, response);
         if (admission !== "ended") {
             listener(request, response, admission === "admitted");
         }
     });
-    const connections = trackConnections(server, callerBytesWithin(memoryBytes), rawAnswer);
+    const connections = trackConnections(server, callerBytesWithin(memoryBytes), rawAnswer, defaultTimeouts);
     server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
         if (code === "ECONNRESET") {
             socket.destroy();
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -72,7 +72,7 @@
         declaration = next;
         routes = createRouteTable(next.routes);
         server.keepAliveTimeout = next.limits.idleTimeout;
-        server.headersTimeout = next.limits.headerTimeout;
+        connections.setTimeouts({ head: next.limits.headerTimeout, idle: next.limits.idleTimeout });
         parts.callerServer.setMaxHeadBytes(next.limits.headerBytes);
     }
 
--- a/packages/gateway/test/callerLimits.test.ts
+++ b/packages/gateway/test/callerLimits.test.ts
@@ -2,7 +2,8 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
-import { collectText, createFleet, declaration, type TestGateway, waitUntilReady } from "./harness.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import { collectText, createFleet, declaration, type TestGateway, waitUntil, waitUntilReady } from "./harness.ts";
 
 /** A head of exactly `bytes` bytes. */
 function headOfSize(bytes: number, id: string): string {
@@ -31,6 +32,73 @@
     });
 }
 
+const headerTimeoutMs = 400;
+const unfinishedHead = "GET /look/x HTTP/1.1\r\nhost: fleet.test\r\n";
+
+/** A fleet with a short time limit for heads, and a gateway that has applied it. */
+async function startWithHeaderTimeout() {
+    const fleet = await createFleet();
+    fleet.declare({ limits: { ...declaration.limits, headerTimeoutMs } });
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    return { fleet, gateway, [Symbol.asyncDispose]: () => fleet[Symbol.asyncDispose]() };
+}
+
+test("a head that does not end gets 408 at its time limit, and what comes of it later is not run (guards against heads that are held for half a minute)", async () => {
+    await using parts = await startWithHeaderTimeout();
+    const { fleet, gateway } = parts;
+    const socket = connect(gateway.settings.callerAddress.port, "127.0.0.1");
+    const text = collectText(socket);
+    const closed = once(socket, "close");
+    const startedAt = performance.now();
+    socket.write(unfinishedHead);
+    await waitUntil(() => text() !== "", "the head is refused");
+    const elapsed = performance.now() - startedAt;
+    socket.write("x-request-id: late\r\n\r\n");
+    await closed;
+    assert.match(text(), /^HTTP\/1.1 408 .*connection: close/is);
+    assert.ok(elapsed >= headerTimeoutMs && elapsed < 5 * headerTimeoutMs, `${elapsed} ms`);
+    assert.equal(fleet.tool.executed.length, 0);
+});
+
+test("a connection that has sent nothing is kept beyond the time limit of heads (guards against refusals on connections that callers hold ready)", async () => {
+    await using parts = await startWithHeaderTimeout();
+    const socket = connect(parts.gateway.settings.callerAddress.port, "127.0.0.1");
+    const text = collectText(socket);
+    await sleep(3 * headerTimeoutMs);
+    socket.write(`${unfinishedHead}x-request-id: c1\r\nconnection: close\r\n\r\n`);
+    await once(socket, "close");
+    assert.match(text(), /^HTTP\/1.1 200 /);
+});
+
+for (const [framing, request] of Object.entries({
+    "a length": "POST /look/x HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: c1\r\ncontent-length: 3000\r\n\r\n" +
+        "b".repeat(3_000),
+    "chunks": "POST /look/x HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: c1\r\ntransfer-encoding: chunked\r\n\r\n" +
+        `bb8\r\n${"b".repeat(3_000)}\r\n0\r\n\r\n`,
+})) {
+    test(`a head that does not end after a request with ${framing} gets 408 after the answer of that request (guards against bytes that are counted nowhere)`, async () => {
+        await using parts = await startWithHeaderTimeout();
+        const socket = connect(parts.gateway.settings.callerAddress.port, "127.0.0.1");
+        const text = collectText(socket);
+        socket.write(`${request}${unfinishedHead}x-pad: ${"y".repeat(2_000)}\r\n`);
+        await once(socket, "close");
+        assert.match(text(), /^HTTP\/1.1 200 .*HTTP\/1.1 408 /s);
+    });
+
+    test(`a connection is kept after a request with ${framing} beyond the time limit of heads (guards against bodies that are taken for heads)`, async () => {
+        await using parts = await startWithHeaderTimeout();
+        const socket = connect(parts.gateway.settings.callerAddress.port, "127.0.0.1");
+        const text = collectText(socket);
+        const closed = once(socket, "close");
+        socket.write(request);
+        await sleep(3 * headerTimeoutMs);
+        socket.write(`${unfinishedHead}x-request-id: c2\r\nconnection: close\r\n\r\n`);
+        await closed;
+        assert.match(text(), /^HTTP\/1.1 200 .*HTTP\/1.1 200 /s);
+    });
+}
+
 test("bytes that are no request get 400 after the answer of the request before them (guards against an answer within another)", async () => {
     await using fleet = await createFleet();
     fleet.tool.behave("silent");
