Observability: what callers hold in memory, and what was closed or refused for it

Neither the log nor the metrics told whether a process was near its memory, or why a connection had been closed. Added: a gauge of the estimated bytes held by connections, unfinished heads and calls, counters of the connections closed by cause and of the calls refused for lack of memory, and the line `connections.closed`, at most once a second.

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -49,6 +49,8 @@
 const answerReadTimeoutMs = 10_000;
 /** How long the rest of a refused body is read and discarded before the refusal is sent. */
 const maxDiscardMs = 1_000;
+/** How often what callers hold in memory is measured, and closed connections are logged. */
+const memoryReportIntervalMs = 1_000;
 /** How long a connection accepted before the shutdown may take to send its first request. */
 const firstRequestTimeoutMs = 1_000;
 
@@ -66,8 +68,20 @@
     const exchangeParts: ExchangeParts = { ...parts, latestEnd: () => drainDeadline };
     const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
     const { server, connections } = parts.callerServer;
+    const reportTimer = setInterval(reportMemory, memoryReportIntervalMs);
+    reportTimer.unref();
     parts.callerServer.setListener((request, response, hasRoom) => void serve(request, response, hasRoom));
 
+    function reportMemory(): void {
+        const { use, closed } = connections.report();
+        metrics.setCallerMemory(use);
+        closed.forEach((count, cause) => metrics.recordClosings(cause, count));
+        if (closed.size > 0) {
+            log.warn("connections.closed", { ...Object.fromEntries(closed), connectionBytes: use.connections,
+                headBytes: use.heads, callBytes: use.calls });
+        }
+    }
+
     function setDeclaration(next: Declaration): void {
         declaration = next;
         routes = createRouteTable(next.routes);
@@ -147,6 +161,9 @@
         if (typeof body !== "string") {
             connections.recordBody(request, body.length);
         }
+        if (body === "noRoom") {
+            metrics.recordMemoryRefusal("body");
+        }
         const refusal = typeof body === "string" ? requestRefusal(body) : undefined;
         if (refusal !== undefined) {
             // A body that came too slowly has used the time of its call.
@@ -178,6 +195,7 @@
 
     /** A body that has not come is not waited for, as that would take the room that is missing. */
     function refuseCall(request: IncomingMessage, response: ServerResponse): undefined {
+        metrics.recordMemoryRefusal("call");
         writeLocalAnswer(response, decodeRequest(request.headers)?.id, refusalAnswer({ kind: "memoryFull" }));
         return undefined;
     }
@@ -224,6 +242,7 @@
         },
         activeCalls: () => active,
         async [Symbol.asyncDispose]() {
+            clearInterval(reportTimer);
             server.close();
             server.closeAllConnections();
         },
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,3 +1,4 @@
+import type { CallerMemoryUse, ClosingCause } from "@tamarackgauge/core/gateway";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** How a store call was made: by this gateway, or by a peer on its behalf. */
@@ -30,6 +31,12 @@
     /** Records whether a turn's tokens were reserved by this gateway or by the program's home gateway. */
     recordTokenReservation(where: "own" | "home"): void;
     setActiveCalls(calls: number): void;
+    /** Sets the memory that callers hold in connections, unfinished heads and calls. */
+    setCallerMemory(use: CallerMemoryUse): void;
+    /** Records connections that were closed before their callers did so. */
+    recordClosings(cause: ClosingCause, count: number): void;
+    /** Records a call that was refused because there was no room for it or for its body. */
+    recordMemoryRefusal(part: "call" | "body"): void;
     text(): Promise<string>;
     /** Values of all counters as log fields. */
     summary(): Promise<Readonly<Record<string, number>>>;
@@ -61,6 +68,13 @@
         help: "Reservations of tokens, by the gateway that made them", labelNames: ["where"], registers });
     const activeCalls = new Gauge({ name: "tamarackgauge_active_calls", help: "Calls of callers under way",
         registers });
+    const callerBytes = new Gauge({ name: "tamarackgauge_caller_bytes",
+        help: "Estimated memory that callers hold beside bodies", labelNames: ["part"], registers });
+    const closings = new Counter({ name: "tamarackgauge_connections_closed_total",
+        help: "Connections of callers that the gateway closed without a call under way", labelNames: ["cause"],
+        registers });
+    const memoryRefusals = new Counter({ name: "tamarackgauge_memory_refusals_total",
+        help: "Calls refused for lack of memory", labelNames: ["part"], registers });
 
     return {
         recordCall(route, status, ms) {
@@ -74,10 +88,15 @@
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
         setActiveCalls: count => activeCalls.set(count),
+        setCallerMemory: use =>
+            Object.entries(use).forEach(([part, bytes]) => callerBytes.set({ part }, bytes as number)),
+        recordClosings: (cause, count) => closings.inc({ cause }, count),
+        recordMemoryRefusal: part => memoryRefusals.inc({ part }),
         text: () => registry.metrics(),
         async summary() {
             const fields: Record<string, number> = {};
-            for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations]) {
+            for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
+                closings, memoryRefusals]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/test/memory.test.ts
+++ b/packages/gateway/test/memory.test.ts
@@ -63,6 +63,10 @@
     return `GET ${path} HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: ${id}\r\n${padding.join("")}`;
 }
 
+async function metricsText({ settings }: GatewayProcess): Promise<string> {
+    return (await fetch(`http://127.0.0.1:${settings.metricsAddress.port}/metrics`)).text();
+}
+
 interface RawCaller {
     readonly socket: Socket;
     /** Status of the first answer; empty if there is none. */
@@ -100,8 +104,12 @@
     assert.equal((await call(gateway, { path: "/look/x", id: "small" })).status, 200);
     await waitUntil(() => callers.filter(({ socket }) => !socket.destroyed).length <= headsWithinShare,
         "heads beyond their share have been refused");
+    await waitUntil(async () => /connections_closed_total{cause="headMemory"} \d{4}/.test(await metricsText(gateway)),
+        "the closed connections are counted");
+    assert.match(await metricsText(gateway), /caller_bytes{part="heads"} \d+/);
     callers.forEach(({ socket }) => socket.destroy());
     assertStatuses(callers, ["408"]);
+    assert.match(gateway.output(), /"event":"connections.closed","headMemory":\d+/);
     assert.ok(memory.maxMegabytes() < 220, `${memory.maxMegabytes()} MB`);
 });
 
@@ -119,6 +127,7 @@
         "all calls have been refused");
     callers.forEach(({ socket }) => socket.destroy());
     assert.equal(ended, false, gateway.errors());
+    assert.match(await metricsText(gateway), /memory_refusals_total{part="call"} \d+/);
     assertStatuses(callers, ["408", "503"]);
     assert.ok(memory.maxMegabytes() < 220, `${memory.maxMegabytes()} MB`);
 });
