Callers: unfinished heads beyond their share displace neither calls nor idle connections

What callers saw: while many unfinished heads had come since the last check, or were just being closed, their estimate of up to four times their bytes exceeded the whole budget, so sound calls got 503 and idle connections were closed for heads that were about to go anyway.

Cause: the room for a call and for idle connections was computed with all unfinished heads, not with the quarter that they may keep.

Change: heads count up to their quarter there. Evidence: the unit test failed before (a call was refused and an idle connection closed for one large head) and passes.

--- a/packages/core/src/gateway/callerMemory.ts
+++ b/packages/core/src/gateway/callerMemory.ts
@@ -79,13 +79,14 @@
         callCosts);
 }
 
-function totalOf({ connections, heads, calls }: CallerMemoryUse): number {
-    return connections + heads + calls;
+/** Unfinished heads above their share are about to be closed and displace nothing else. */
+function totalOf({ connections, heads, calls }: CallerMemoryUse, maxBytes: number): number {
+    return connections + Math.min(heads, maxBytes * unfinishedHeadShare) + calls;
 }
 
 /** Whether a call of the given cost may be taken. */
 export function hasRoomForCall(use: CallerMemoryUse, cost: number, maxBytes: number): boolean {
-    return totalOf(use) + cost <= maxBytes * callShare;
+    return totalOf(use, maxBytes) + cost <= maxBytes * callShare;
 }
 
 /** Whether unfinished heads take so much of their share that they must be looked at often. */
@@ -111,9 +112,9 @@
         ? []
         : oldestWorth(waiting.filter(({ headBytes }) => headBytes > 0),
             ({ headBytes }) => headBytes * unfinishedHeadFactor, use.heads - maxHeads * closingTarget);
-    const idle = totalOf(use) <= maxBytes
+    const idle = totalOf(use, maxBytes) <= maxBytes
         ? []
-        : chooseIdle(waiting, totalOf(use) - maxBytes * closingTarget);
+        : chooseIdle(waiting, totalOf(use, maxBytes) - maxBytes * closingTarget);
     return [
         ...expired,
         ...heads.map(connection => ({ connection, cause: "headMemory" as const })),
@@ -124,7 +125,7 @@
 /** Chooses idle connections to be closed to make room for a call. */
 export function chooseClosingsForCall<Connection extends ConnectionUse>(connections: readonly Connection[],
     callCosts: number, cost: number, maxBytes: number, now: number): readonly Closing<Connection>[] {
-    const excess = totalOf(useOf(connections, callCosts)) + cost - maxBytes * callShare * closingTarget;
+    const excess = totalOf(useOf(connections, callCosts), maxBytes) + cost - maxBytes * callShare * closingTarget;
     const closable = connections.filter(connection =>
         connection.calls === 0 && now - connection.waitingSince > minIdleMs
     );
--- a/packages/core/test/gateway/callerMemory.test.ts
+++ b/packages/core/test/gateway/callerMemory.test.ts
@@ -44,6 +44,13 @@
     assert.deepEqual(closingsOf(open, 0, use - 1), [["old", "idleMemory"], ["new", "idleMemory"]]);
 });
 
+test("unfinished heads beyond their share displace neither calls nor idle connections (guards against sound calls refused for the heads of others)", () => {
+    const open = [connection("idle", { waitingSince: now - 5_000 }),
+        connection("head", { headBytes: 10 * megabyte, waitingSince: now - 10 })];
+    assert.deepEqual(closingsOf(open, 0, 16 * megabyte), [["head", "headMemory"]]);
+    assert.equal(hasRoomForCall(callerMemoryUse(2, 10 * megabyte, 0), megabyte, 16 * megabyte), true);
+});
+
 test("a connection just opened is not closed to make room for a call (guards against callers that displace one another)", () => {
     const open = [connection("new", { waitingSince: now - 10 }), connection("old", { waitingSince: now - 1_000 })];
     const closings = chooseClosingsForCall(open, 0, megabyte, megabyte, now);
