Answers: an upstream's rate limit is decoded and recorded

An upstream in need names in its answers the requests a second that it takes from all gateways together. The header was read nowhere, so that no gateway knew of the limit and no log showed it.

Each answer of the upstream itself now states one of three things: a limit (0 included), no limit, or a header that cannot be read: two values, a sign, an exponent, another base, no digits, or more than a million a second, which no upstream takes. Such a header neither limits the upstream nor ends a limit, as one faulty answer would otherwise free an upstream in need.

An answer without the header ends the limit only if its call was sent after the limit was last named, or if it comes more than 100 ms later: answers on different connections overtake each other. What an upstream names is recorded, counted (tamarackgauge_rate_limit_changes_total, tamarackgauge_limited_upstreams, the summary line) and logged once for each change (upstream.limited). No call is routed differently yet.

--- a/packages/core/src/gateway/call.ts
+++ b/packages/core/src/gateway/call.ts
@@ -34,6 +34,14 @@
     readonly slowness: number;
 }
 
+/** What an answer states about the requests a second that its upstream takes from all gateways together. */
+export type RateLimitStatement =
+    | { readonly kind: "limited"; readonly requestsPerSecond: number; }
+    /** The answer names no limit: there is none, or it has ended. */
+    | { readonly kind: "unlimited"; }
+    /** The answer names a limit that cannot be read. It states neither a limit nor the end of one. */
+    | { readonly kind: "unreadable"; };
+
 /** Status and decoded headers of an upstream's answer. */
 export interface AnswerHead {
     readonly status: number;
@@ -52,6 +60,7 @@
     readonly load: UpstreamLoad | undefined;
     /** The upstream announces that it leaves. */
     readonly leaving: boolean;
+    readonly rateLimit: RateLimitStatement;
     /** The upstream closes the connection after this answer. */
     readonly closesConnection: boolean;
 }
--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -11,6 +11,7 @@
 export * from "./ledger.ts";
 export * from "./outage.ts";
 export * from "./prefixCache.ts";
+export * from "./rateLimit.ts";
 export * from "./retryDelay.ts";
 export * from "./route.ts";
 export * from "./serviceEstimate.ts";
--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -1,5 +1,6 @@
 import type { UpstreamEntry, UpstreamLoad } from "./call.ts";
 import { PrefixCache } from "./prefixCache.ts";
+import { RateLimit } from "./rateLimit.ts";
 import { ServiceEstimate } from "./serviceEstimate.ts";
 
 /** Time for which a failed upstream is suspended; it doubles with each consecutive failure. */
@@ -11,6 +12,7 @@
     /** Calls of this process that are in flight. */
     inFlight = 0;
     readonly cache: PrefixCache;
+    readonly rateLimit = new RateLimit();
     private load: UpstreamLoad | undefined;
     private loadAt = -Infinity;
     private inFlightAtLoad = 0;
--- a/packages/core/test/gateway/answer.test.ts
+++ b/packages/core/test/gateway/answer.test.ts
@@ -4,7 +4,8 @@
     mismatchReason } from "../../src/gateway/index.ts";
 
 const signedHead: AnswerHead = { status: 200, callId: "1", notRun: false, misdirected: false, spoiled: false,
-    signed: true, encoded: false, load: undefined, leaving: false, closesConnection: false };
+    signed: true, encoded: false, load: undefined, leaving: false, rateLimit: { kind: "unlimited" },
+    closesConnection: false };
 
 type Row = readonly [name: string, head: Partial<AnswerHead>, execution: Execution, streamed: boolean,
     verdict: AnswerVerdict["kind"], mayPassOn?: boolean];
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,5 @@
 import { type AnswerHead, answerTimeout, type AnswerVerdict, type AttemptFailure, isOwnAnswer, isSuccess, judgeAnswer,
-    tokensToPrefill, type UpstreamState } from "@tamarackgauge/core/gateway";
+    type RateLimitStatement, tokensToPrefill, type UpstreamState } from "@tamarackgauge/core/gateway";
 import { encodeRequest } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -67,6 +67,8 @@
     readonly timeouts: number;
     /** Called when the upstream announces in its answer that it leaves. */
     readonly onLeaving: () => void;
+    /** Called with what the upstream states about its rate limit, and the time at which the call was sent. */
+    readonly onRateLimit: (statement: RateLimitStatement, sentAt: number) => void;
 }
 
 /** Starts an attempt to send a call to an upstream. */
@@ -119,8 +121,8 @@
     function receiveHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
         const verdict = judgeAnswer(head, call.route);
         answer = { head, headers, verdict };
-        if (head.leaving && isOwnAnswer(head)) {
-            plan.onLeaving();
+        if (isOwnAnswer(head)) {
+            receiveAnnouncements(head);
         }
         if (head.load !== undefined) {
             state.recordLoad(head.load, now());
@@ -136,6 +138,13 @@
         }
     }
 
+    function receiveAnnouncements({ leaving, rateLimit }: AnswerHead): void {
+        plan.onRateLimit(rateLimit, sentAt);
+        if (leaving) {
+            plan.onLeaving();
+        }
+    }
+
     function receiveData(chunk: Buffer): void {
         receivedBytes += chunk.length;
         if (streaming) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -88,7 +88,7 @@
     const { settings, limits, store: direct, callerServer, log, now } = parts;
     let stopping = false;
     const health = createStoreHealth();
-    const metrics = createMetrics();
+    const metrics = createMetrics({ limitedUpstreams: () => upstreams.limited() });
     const catalog = createCatalog({ log, onDeclaration: next => frontend.setDeclaration(next),
         onUpstreams: entries => upstreams.replace(entries) });
     const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,4 @@
-import type { CallerMemoryUse, ClosingCause } from "@tamarackgauge/core/gateway";
+import type { CallerMemoryUse, ClosingCause, RateLimitChange } from "@tamarackgauge/core/gateway";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** How a store call was made: by this gateway, or by a peer on its behalf. */
@@ -26,6 +26,8 @@
     recordBrokenAnswer(service: string, framing: string): void;
     /** Records that an upstream announced in an answer that it leaves. */
     recordLeaving(service: string): void;
+    /** Records that an upstream named, changed or ended its rate limit. */
+    recordRateLimitChange(service: string, change: RateLimitChange["kind"]): void;
     /** Records whether a previous turn was found in memory or had to be read from the store. */
     recordTurnLookup(where: "memory" | "store"): void;
     /** Records whether a turn's tokens were reserved by this gateway or by the program's home gateway. */
@@ -44,8 +46,14 @@
 
 const latencyBucketsMs = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000];
 
+/** What is read whenever the metrics are. */
+export interface MetricsSources {
+    /** Number of upstreams that name a rate limit, for each service. */
+    readonly limitedUpstreams: () => ReadonlyMap<string, number>;
+}
+
 /** Creates the metrics of a gateway. */
-export function createMetrics(): Metrics {
+export function createMetrics({ limitedUpstreams }: MetricsSources): Metrics {
     const registry = new Registry();
     const registers = [registry];
     const calls = new Counter({ name: "tamarackgauge_calls_total", help: "Calls of callers that have ended",
@@ -62,6 +70,8 @@
         registers });
     const leaving = new Counter({ name: "tamarackgauge_upstreams_leaving_total",
         help: "Upstreams that announced in an answer that they leave", labelNames: ["service"], registers });
+    const rateLimitChanges = new Counter({ name: "tamarackgauge_rate_limit_changes_total",
+        help: "Rate limits that upstreams named, changed or ended", labelNames: ["service", "change"], registers });
     const turnLookups = new Counter({ name: "tamarackgauge_previous_turns_total",
         help: "Previous turns, by where they were found", labelNames: ["where"], registers });
     const tokenReservations = new Counter({ name: "tamarackgauge_token_reservations_total",
@@ -75,6 +85,11 @@
         registers });
     const memoryRefusals = new Counter({ name: "tamarackgauge_memory_refusals_total",
         help: "Calls refused for lack of memory", labelNames: ["part"], registers });
+    new Gauge({ name: "tamarackgauge_limited_upstreams", help: "Upstreams that name a rate limit",
+        labelNames: ["service"], registers, collect() {
+        this.reset();
+        limitedUpstreams().forEach((count, service) => this.set({ service }, count));
+    } });
 
     return {
         recordCall(route, status, ms) {
@@ -85,6 +100,7 @@
         recordSend: (service, outcome) => sends.inc({ service, outcome }),
         recordBrokenAnswer: (service, framing) => brokenAnswers.inc({ service, framing }),
         recordLeaving: service => leaving.inc({ service }),
+        recordRateLimitChange: (service, change) => rateLimitChanges.inc({ service, change }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
         setActiveCalls: count => activeCalls.set(count),
@@ -96,7 +112,7 @@
         async summary() {
             const fields: Record<string, number> = {};
             for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
-                closings, memoryRefusals]) {
+                closings, memoryRefusals, rateLimitChanges]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,5 +1,5 @@
-import { type AttemptFailure, type Declaration, hash, nextStep, pickService, type SelectionCriteria,
-    type ServiceRoute } from "@tamarackgauge/core/gateway";
+import { type AttemptFailure, type Declaration, hash, nextStep, pickService, type RateLimitStatement,
+    type SelectionCriteria, type ServiceRoute } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -146,9 +146,11 @@
     async function startAttemptSafely(upstream: Upstream): Promise<AttemptEnd> {
         try {
             const onLeaving = () => retire(upstream);
+            const onRateLimit = (statement: RateLimitStatement, sentAt: number) =>
+                recordRateLimit(upstream, statement, sentAt);
             const tokensPerEvent = upstreams.tokensPerEvent(upstream.state.entry.service);
-            current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, timeouts, onLeaving }, limits,
-                now);
+            current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, timeouts, onLeaving,
+                onRateLimit }, limits, now);
         }
         catch (error) {
             const reason = (error as Error).message;
@@ -166,6 +168,15 @@
         }
     }
 
+    function recordRateLimit({ state }: Upstream, statement: RateLimitStatement, sentAt: number): void {
+        const { id, service } = state.entry;
+        const change = state.rateLimit.record(statement, { sentAt, receivedAt: now() });
+        if (change !== undefined) {
+            metrics.recordRateLimitChange(service, change.kind);
+            log.info("upstream.limited", { upstream: id, service, ...change, answeredCall: head.id });
+        }
+    }
+
     function cancel(reason: CancelReason): void {
         cancelled = reason;
         sentAtCancel = current?.wasSent() === true;
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -22,6 +22,8 @@
     /** Returns the latency and load estimate that all upstreams of a service share. */
     estimate(service: string): ServiceEstimate;
     count(): number;
+    /** Number of upstreams that name a rate limit, for each service that has some. */
+    limited(): ReadonlyMap<string, number>;
     /** The estimates of all services, as fields of a log line. */
     summary(): Readonly<Record<string, number>>;
 }
@@ -135,6 +137,24 @@
         return state === undefined ? undefined : upstreamsById.get(state.entry.id);
     }
 
+    /** The rate limits that the upstreams of a service name, in requests a second. */
+    function rateLimitsOf(states: ReadonlyMap<string, UpstreamState>): readonly number[] {
+        return [...states.values()].flatMap(({ rateLimit }) => rateLimit.requestsPerSecond() ?? []);
+    }
+
+    function limited(): ReadonlyMap<string, number> {
+        const counts = [...statesByService].map(([service, states]) => [service, rateLimitsOf(states).length] as const);
+        return new Map(counts.filter(([, count]) => count > 0));
+    }
+
+    function summary(): Readonly<Record<string, number>> {
+        const figures = [...estimates].map(([service, serviceEstimate]) => ({
+            ...summaryOf(service, serviceEstimate, now()),
+            ...summaryOfLimits(service, rateLimitsOf(statesByService.get(service) ?? new Map())),
+        }));
+        return Object.assign({}, ...figures) as Record<string, number>;
+    }
+
     return {
         replace,
         choose,
@@ -143,10 +163,8 @@
         find: id => upstreamsById.get(id),
         estimate,
         count: () => upstreamsById.size,
-        summary: () =>
-            Object.assign({}, ...[...estimates].map(([name, serviceEstimate]) =>
-                summaryOf(name, serviceEstimate, now())
-            )) as Record<string, number>,
+        limited,
+        summary,
         async [Symbol.asyncDispose]() {
             await Promise.all([...upstreamsById.values()].map(({ client }) => client[Symbol.asyncDispose]()));
         },
@@ -162,6 +180,14 @@
     };
 }
 
+/** How many upstreams of a service name a rate limit, and the sum of their limits in requests a second. */
+function summaryOfLimits(service: string, limits: readonly number[]): Record<string, number> {
+    return limits.length === 0 ? {} : {
+        [`service.${service}.limited`]: limits.length,
+        [`service.${service}.limitPerSecond`]: limits.reduce((sum, limit) => sum + limit, 0),
+    };
+}
+
 /** Whether two entries describe the same process. If not, the state that was recorded for the old one is discarded. */
 function isSameIncarnation(left: UpstreamEntry, right: UpstreamEntry): boolean {
     return incarnationOf(left) === incarnationOf(right);
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -32,7 +32,8 @@
     const sound = createUpstream("sound", (_, observer) => {
         queueMicrotask(() => {
             observer.head({ status: 200, callId: "1", notRun: false, misdirected: false, spoiled: false, signed: true,
-                encoded: false, load: undefined, leaving: false, closesConnection: false }, {});
+                encoded: false, load: undefined, leaving: false, rateLimit: { kind: "unlimited" },
+                closesConnection: false }, {});
             observer.end();
         });
         return { wasSent: () => true, cancel: () => undefined, pause: () => undefined, resume: () => undefined };
@@ -41,12 +42,13 @@
     const log = { info: () => undefined, warn: () => undefined };
     const { result } = startSends({
         upstreams: { choose: () => candidates.shift(), find: () => undefined, retire: () => undefined,
-            tokensPerEvent: () => 1, replace: () => undefined, estimate: () => new ServiceEstimate(), count: () => 2,
-            summary: () => ({}), [Symbol.asyncDispose]: async () => undefined },
+            limited: () => new Map(), tokensPerEvent: () => 1, replace: () => undefined,
+            estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
+            [Symbol.asyncDispose]: async () => undefined },
         declaration: () => declaration,
         limits: defaultLimits,
         dataCentre: "a",
-        metrics: createMetrics(),
+        metrics: createMetrics({ limitedUpstreams: () => new Map() }),
         log,
         now: () => performance.now(),
     }, { call: receivedCall(), priority: undefined, preferred: undefined, sink: undefined });
