--- a/packages/standin/src/gatewayUpstream.ts
+++ b/packages/standin/src/gatewayUpstream.ts
@@ -20,17 +20,38 @@
     readonly body: string;
 }
 
+/** A request that reached an upstream, whether it was run or refused. */
+export interface Arrival {
+    readonly id: string;
+    /** When its head was read, in monotonic milliseconds. */
+    readonly at: number;
+}
+
+/** The rate limit that an upstream names from a time on, until the next one. */
+export interface NamedLimit {
+    /** When the first answer was sent that names it, in monotonic milliseconds. */
+    readonly at: number;
+    /** Requests a second from all gateways together; undefined if there is no limit any more. */
+    readonly requestsPerSecond: number | undefined;
+}
+
 /** An upstream of the users' platform: a model engine that streams events, or a plain service. */
 export interface GatewayUpstream extends Standin {
     readonly id: string;
     /** Calls whose execution began, in order of arrival. */
     readonly executed: readonly ExecutedCall[];
+    /** All requests, in order of arrival. */
+    readonly arrivals: readonly Arrival[];
+    /** The rate limits that its answers named, in order of time. */
+    readonly namedLimits: readonly NamedLimit[];
     /** Calls whose connection closed before their answer had ended. */
     readonly cancelled: readonly string[];
     /** Adds behaviours to the queue. Each call takes the next one, or `serve` when the queue is empty. */
     behave(...behaviours: readonly UpstreamBehaviour[]): void;
     /** Announces in all further answers that the upstream leaves; `value` is that of the header. */
     leave(value?: string): void;
+    /** Names a rate limit in all further answers, or none. A text is sent as it is and is not recorded as a limit. */
+    limit(requestsPerSecond: number | string | undefined): void;
     /** Number of calls that wait before their last event. */
     paused(): number;
     /** Lets the paused calls continue. */
@@ -53,10 +74,14 @@
 ): Promise<GatewayUpstream> {
     const behaviours: UpstreamBehaviour[] = [];
     const executed: ExecutedCall[] = [];
+    const arrivals: Arrival[] = [];
+    const namedLimits: NamedLimit[] = [];
     const cancelled: string[] = [];
     let leavingHeader: Readonly<Record<string, string>> = {};
+    let limit: number | string | undefined;
     const pausedCalls: (() => void)[] = [];
     const server = createServer((request, response) => {
+        arrivals.push({ id: String(request.headers["x-request-id"]), at: performance.now() });
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
         request.on("end", () => {
@@ -71,14 +96,27 @@
         });
     });
 
+    /** The headers about the upstream itself, which stand in all its answers. */
+    function announcements(): Readonly<Record<string, string>> {
+        return { ...leavingHeader, ...limit === undefined ? {} : { "server-limit": String(limit) } };
+    }
+
+    /** Records the limit that an answer names. */
+    function recordLimit(): void {
+        if (typeof limit !== "string" && limit !== namedLimits.at(-1)?.requestsPerSecond) {
+            namedLimits.push({ at: performance.now(), requestsPerSecond: limit });
+        }
+    }
+
     async function answer(call: ExecutedCall, response: ServerResponse, behaviour: UpstreamBehaviour): Promise<void> {
         const target = call.headers["x-target-instance"];
         if (target !== undefined && target !== id) {
-            response.writeHead(421, { "x-request-id": call.id, "x-instance-id": id, ...leavingHeader }).end();
+            response.writeHead(421, { "x-request-id": call.id, "x-instance-id": id, ...announcements() }).end();
             return;
         }
         if (behaviour === "refuse") {
-            response.writeHead(503, { "x-request-id": call.id, "x-not-executed": "1", ...leavingHeader }).end();
+            recordLimit();
+            response.writeHead(503, { "x-request-id": call.id, "x-not-executed": "1", ...announcements() }).end();
             return;
         }
         executed.push(call);
@@ -93,8 +131,11 @@
             "x-request-id": behaviour === "foreign" ? "another" : call.id,
             ...behaviour === "unsigned" ? {} : { "x-response-signature": `signed.${id}` },
             "x-server-load": "1,0,8,100",
-            ...leavingHeader,
+            ...announcements(),
         };
+        if (behaviour !== "foreign" && behaviour !== "unsigned") {
+            recordLimit();
+        }
         if (behaviour === "fail") {
             response.writeHead(500, headers).end("failed");
         }
@@ -131,11 +172,14 @@
     return {
         id,
         executed,
+        arrivals,
+        namedLimits,
         cancelled,
         address: "127.0.0.1",
         port,
         url: `http://127.0.0.1:${port}`,
         leave: (value = "1") => void (leavingHeader = { "server-leaving": value }),
+        limit: requestsPerSecond => void (limit = requestsPerSecond),
         paused: () => pausedCalls.length,
         resume: () => pausedCalls.splice(0).forEach(resumeCall => resumeCall()),
         behave: (...nextBehaviours) => void behaviours.push(...nextBehaviours),
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -8,7 +8,8 @@
 export { createForwarder } from "./forwarder.ts";
 export type { Direction, Forwarder, ForwarderCounts, ForwarderOptions, Silence } from "./forwarder.ts";
 export { createGatewayUpstream } from "./gatewayUpstream.ts";
-export type { ExecutedCall, GatewayUpstream, GatewayUpstreamOptions, UpstreamBehaviour } from "./gatewayUpstream.ts";
+export type { Arrival, ExecutedCall, GatewayUpstream, GatewayUpstreamOptions, NamedLimit,
+    UpstreamBehaviour } from "./gatewayUpstream.ts";
 export type { Standin } from "./listener.ts";
 export { createPlatform } from "./platform.ts";
 export type { Platform, PlatformCounts, PlatformOptions } from "./platform.ts";
