Rate limits: a limited upstream gets a request only with a permit

What upstreams saw: an engine that takes 3 requests a second from all gateways together got 26 in 4 s where 23 are tolerated, and small limits were overrun threefold (34 of 11 at 1 a second).

Cause: nothing read the limit, and no gateway knew what the others send. A share for each gateway does not scale: at 1.5 a second the first requests of 11 shares reach what is tolerated.

Change: by rendezvous hash the gateways agree on one of them that issues the permits of an upstream over the peers' links, evenly spaced. Every request needs one: first sends, further attempts, resumed streams. A second issuer is asked only if the first cannot be reached; an issuer that others might not agree on grants two fifths.

--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -12,6 +12,15 @@
     readonly tried: ReadonlySet<string>;
     /** Id of the upstream that is expected to have the program's previous turn in its cache. */
     readonly preferred: string | undefined;
+    /** How long the call can wait for a permit if the upstream has a rate limit, in ms. */
+    readonly maxPermitDelay: number;
+}
+
+/** The upstream selected for a call. */
+export interface UpstreamChoice {
+    readonly upstream: UpstreamState;
+    /** How long the call is to wait for a permit at most, in ms: an upstream without a limit may be the better choice. */
+    readonly maxPermitDelay: number;
 }
 
 /** Weights of the cost estimate: added latency in ms, or, for the `…Share` fields, relative to the baseline latency. */
@@ -53,21 +62,42 @@
     costs: SelectionCosts,
     now: number,
     random: Random,
-): UpstreamState | undefined {
+): UpstreamChoice | undefined {
     let best: UpstreamState | undefined;
     let lowestCost = Infinity;
-    const usable = [...upstreams].filter(state => !state.isLeaving() && !criteria.tried.has(state.entry.id));
+    let lowestUnlimitedCost = Infinity;
+    const usable = [...upstreams].filter(state => isUsable(state, criteria, now));
     const assumed = assumeCachedTokens(usable, criteria.parts[0]);
     for (const upstream of usable) {
         const cached = estimateCachedTokens(upstream, criteria, assumed.get(upstream) ?? 0);
         const suspensionCost = upstream.isSuspended(now) ? suspensionPenaltyMs : 0;
-        const cost = estimateCost(upstream, criteria, cached, costs, now) + random() * costs.jitter + suspensionCost;
+        const cost = estimateCost(upstream, criteria, cached, costs, now) + random() * costs.jitter + suspensionCost +
+            permitCost(upstream, now);
         if (cost < lowestCost) {
             lowestCost = cost;
             best = upstream;
         }
+        if (!upstream.rateLimit.isInForce()) {
+            lowestUnlimitedCost = Math.min(lowestUnlimitedCost, cost);
+        }
     }
-    return best;
+    return best === undefined ?
+        undefined :
+        { upstream: best,
+            maxPermitDelay: Math.min(criteria.maxPermitDelay,
+                lowestUnlimitedCost - lowestCost + best.permitDelay(now)) };
+}
+
+function isUsable(upstream: UpstreamState, { tried, maxPermitDelay }: SelectionCriteria, now: number): boolean {
+    return !upstream.isLeaving() && !tried.has(upstream.entry.id) && upstream.permitDelay(now) <= maxPermitDelay;
+}
+
+/** Time to ask another gateway for a permit. */
+const permitRequestMs = 3;
+
+/** Cost of an upstream with a rate limit: the time until its next permit is expected. */
+function permitCost(upstream: UpstreamState, now: number): number {
+    return upstream.rateLimit.isInForce() ? permitRequestMs + upstream.permitDelay(now) : 0;
 }
 
 /** Cost that ranks a suspended upstream below all others; it is still selected if no other is available. */
--- a/packages/core/src/gateway/rateLimit.ts
+++ b/packages/core/src/gateway/rateLimit.ts
@@ -30,6 +30,10 @@
         return this.current;
     }
 
+    isInForce(): boolean {
+        return this.current !== undefined;
+    }
+
     /** When the limit in force was first named; changes of its value don't count. Undefined if there is none. */
     since(): number | undefined {
         return this.current === undefined ? undefined : this.startedAt;
--- a/packages/core/src/gateway/retryDelay.ts
+++ b/packages/core/src/gateway/retryDelay.ts
@@ -11,6 +11,8 @@
     | { readonly kind: "enginesFull"; readonly expectedWait: number; }
     /** The upstreams refused the call, or no connection to them was free. */
     | { readonly kind: "upstreamsFull"; }
+    /** The upstreams take no more requests a second; by the end of `expectedWait` one of them may take another one. */
+    | { readonly kind: "rateLimited"; readonly expectedWait: number; }
     /** The gateway holds as many bodies as its memory allows. */
     | { readonly kind: "memoryFull"; }
     /** The process is about to end; another gateway can serve the call. */
@@ -25,6 +27,9 @@
 const storeAwayDelayMs = 100;
 const upstreamsFullDelayMs = 100;
 const memoryFullDelayMs = 300;
+/** Bounds of the delay after a refusal because the rate limits of the upstreams are reached. */
+const minRateLimitedDelayMs = 100;
+const maxRateLimitedDelayMs = 2_000;
 
 /**
  * Milliseconds after which the caller of a refused call should try again; undefined if it should not. Callers try a few times only, so the delay is
@@ -43,6 +48,8 @@
             return Math.min(maxOverloadDelayMs, Math.max(minOverloadDelayMs, cause.expectedWait));
         case "upstreamsFull":
             return upstreamsFullDelayMs;
+        case "rateLimited":
+            return Math.min(maxRateLimitedDelayMs, Math.max(minRateLimitedDelayMs, cause.expectedWait));
         case "memoryFull":
             return memoryFullDelayMs;
         case "stopping":
--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -19,6 +19,7 @@
     private consecutiveFailures = 0;
     private suspendedUntil = -Infinity;
     private leaving = false;
+    private permitExpectedAt = -Infinity;
 
     constructor(
         public entry: UpstreamEntry,
@@ -75,6 +76,16 @@
         this.leaving = true;
     }
 
+    /** Records that the next permit for a request is free after `delay` ms. */
+    recordPermit(delay: number, now: number): void {
+        this.permitExpectedAt = now + delay;
+    }
+
+    /** Time until a permit for a request is expected to be free, in ms; 0 without a rate limit. */
+    permitDelay(now: number): number {
+        return this.rateLimit.isInForce() ? Math.max(0, this.permitExpectedAt - now) : 0;
+    }
+
     hasAnnouncedLeaving(): boolean {
         return this.leaving;
     }
--- a/packages/core/test/gateway/burst.ts
+++ b/packages/core/test/gateway/burst.ts
@@ -120,8 +120,8 @@
                 return;
             }
         }
-        const state = chooseUpstream(gateway.states, { parts: [], promptTokens: 0, dataCentre: "a", tried: new Set(),
-            preferred: undefined }, modelCosts, now, random)!;
+        const { upstream: state } = chooseUpstream(gateway.states, { parts: [], promptTokens: 0, dataCentre: "a",
+            tried: new Set(), preferred: undefined, maxPermitDelay: 0 }, modelCosts, now, random)!;
         const engine = engines[Number(state.entry.id)]!;
         state.inFlight += 1;
         const sentAt = now;
--- a/packages/core/test/gateway/choice.test.ts
+++ b/packages/core/test/gateway/choice.test.ts
@@ -8,10 +8,10 @@
         startedAt: 1 }, 1e5);
 
 const defaultCriteria: SelectionCriteria = { parts: [{ id: "p", tokens: 12_000 }], promptTokens: 13_000,
-    dataCentre: "here", tried: new Set(), preferred: undefined };
+    dataCentre: "here", tried: new Set(), preferred: undefined, maxPermitDelay: 0 };
 
 const choose = (states: readonly UpstreamState[], criteria = defaultCriteria, now = 0) =>
-    chooseUpstream(states, criteria, modelCosts, now, () => 0)?.entry.id;
+    chooseUpstream(states, criteria, modelCosts, now, () => 0)?.upstream.entry.id;
 
 test("an engine with the prompt in its cache is chosen until its load is too high (guards against repeated prefill of shared parts)", () => {
     const cached = upstream("cached");
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -39,6 +39,7 @@
     storeAway: "the store does not answer",
     enginesFull: "the engines are full",
     upstreamsFull: "no upstream takes calls",
+    rateLimited: "the upstreams' rate limits are reached",
     memoryFull: "too many bodies are held",
     stopping: "the gateway is stopping",
     outOfTime: "no time was left",
@@ -173,7 +174,7 @@
         const priority = route.streamed
             ? turnPriority(route.priority, countPrecedingTurns(head, history?.length ?? 0))
             : undefined;
-        sends = startSends(parts, { call: callToSend, priority, sink: relay,
+        sends = startSends(parts, { call: callToSend, priority, sink: relay, precedingTurns: history?.length ?? 0,
             preferred: history?.[history.length - 1]?.upstream });
         phase = "sent";
         const sentAt = now();
@@ -249,13 +250,13 @@
         }
     }
 
-    function answerFailure({ failure, reason, answer }: SendResult & { kind: "failed"; }): void {
+    function answerFailure({ failure, reason, answer, cause }: SendResult & { kind: "failed"; }): void {
         if (answer !== undefined && !response.headersSent) {
             writeUpstreamAnswer(response, answer);
             return;
         }
         answerLocally(failure === "notRun"
-            ? refusalAnswer({ kind: "upstreamsFull" }, reason)
+            ? refusalAnswer(cause, cause.kind === "upstreamsFull" ? reason : undefined)
             : { status: badGateway, reason });
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { createStoreHealth, type GatewaySettings, type RowRange, type SocketAddress,
+import { createStoreHealth, type GatewaySettings, MembershipHistory, type RowRange, type SocketAddress,
     type Store } from "@tamarackgauge/core/gateway";
 import { declarationRow, readinessPath, upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
@@ -19,6 +19,8 @@
 import { createPeerList, type PeerList, peerTable } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
+import { createPermits } from "./permits.ts";
+import { createRateLimits } from "./rateLimits.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
 import type { StoreOutage } from "./turnPreparation.ts";
@@ -56,6 +58,8 @@
 /** The gateway stays ready during store outages up to this long. */
 const maxReadyOutageMs = 700;
 const summaryIntervalMs = 10_000;
+/** Time after which every gateway has read the list of gateways anew; longer than the interval between two reads. */
+const membershipSettlingMs = 20_000;
 
 /** Number of parts that probes read. These parts contain no rows, so that answers are small. */
 const probePartCount = 512;
@@ -93,17 +97,21 @@
         onUpstreams: entries => upstreams.replace(entries) });
     const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
     const store = disposal.own(createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange }));
+    const memberships = new MembershipHistory(settings.name, membershipSettlingMs);
     const peerList: PeerList | undefined = settings.peerAddress === undefined
         ? undefined
         : disposal.own(
             createPeerList({ name: settings.name, address: settings.peerAddress, dataCentre: settings.dataCentre,
-                seeds: settings.knownPeers, store, log, now }),
+                seeds: settings.knownPeers, store, onRead: names => memberships.record(names, now()), log, now }),
         );
     const upstreams = disposal.own(
         createUpstreams({ declaration: catalog.declaration, gateways: () => peerList?.registered().length ?? 1, limits,
             now }),
     );
     const contacts = disposal.own(createPeerContacts({ log, now }));
+    const permits = createPermits({ name: settings.name, peers: () => peerList?.registered() ?? [], contacts,
+        shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
+    const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
         peers: () => peerList?.registered() ?? [], contacts, metrics, log });
     const ownBudgets = disposal.own(
@@ -121,8 +129,8 @@
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
     const frontend = disposal.own(
-        createFrontend({ callerServer, limits, upstreams, declaration: catalog.declaration, budgets, turns, storeOutage,
-            initialized: catalog.initialized, log, metrics, now, dataCentre: settings.dataCentre,
+        createFrontend({ callerServer, limits, upstreams, rateLimits, declaration: catalog.declaration, budgets, turns,
+            storeOutage, initialized: catalog.initialized, log, metrics, now, dataCentre: settings.dataCentre,
             declarationAge: () => declarationWatch.age() }),
     );
     const pause = (maxMs: number) => store.pause(maxMs);
@@ -137,7 +145,8 @@
     }
     if (settings.peerAddress !== undefined) {
         disposal.own(
-            createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets, log, now }),
+            createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
+                permitIssuer: permits, log, now }),
         );
     }
     await listen(readiness, () => settings.readinessAddress, log);
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,4 @@
-import type { CallerMemoryUse, ClosingCause, RateLimitChange } from "@tamarackgauge/core/gateway";
+import type { CallerMemoryUse, ClosingCause, PermitDecision, RateLimitChange } from "@tamarackgauge/core/gateway";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** How a store call was made: by this gateway, or by a peer on its behalf. */
@@ -28,6 +28,8 @@
     recordLeaving(service: string): void;
     /** Records that an upstream named, changed or ended its rate limit. */
     recordRateLimitChange(service: string, change: RateLimitChange["kind"]): void;
+    /** Records the outcome of a request for a permit to send to an upstream with a rate limit. */
+    recordPermit(outcome: PermitDecision["kind"] | "unavailable"): void;
     /** Records whether a previous turn was found in memory or had to be read from the store. */
     recordTurnLookup(where: "memory" | "store"): void;
     /** Records whether a turn's tokens were reserved by this gateway or by the program's home gateway. */
@@ -72,6 +74,8 @@
         help: "Upstreams that announced in an answer that they leave", labelNames: ["service"], registers });
     const rateLimitChanges = new Counter({ name: "tamarackgauge_rate_limit_changes_total",
         help: "Rate limits that upstreams named, changed or ended", labelNames: ["service", "change"], registers });
+    const permits = new Counter({ name: "tamarackgauge_permits_total",
+        help: "Requests for permits to send to upstreams with a rate limit", labelNames: ["outcome"], registers });
     const turnLookups = new Counter({ name: "tamarackgauge_previous_turns_total",
         help: "Previous turns, by where they were found", labelNames: ["where"], registers });
     const tokenReservations = new Counter({ name: "tamarackgauge_token_reservations_total",
@@ -101,6 +105,7 @@
         recordBrokenAnswer: (service, framing) => brokenAnswers.inc({ service, framing }),
         recordLeaving: service => leaving.inc({ service }),
         recordRateLimitChange: (service, change) => rateLimitChanges.inc({ service, change }),
+        recordPermit: outcome => permits.inc({ outcome }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
         setActiveCalls: count => activeCalls.set(count),
@@ -112,7 +117,7 @@
         async summary() {
             const fields: Record<string, number> = {};
             for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
-                closings, memoryRefusals, rateLimitChanges]) {
+                closings, memoryRefusals, rateLimitChanges, permits]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -41,6 +41,8 @@
     readonly dataCentre: string;
     readonly seeds: readonly SocketAddress[];
     readonly store: Store;
+    /** Called with the names of the registered gateways each time that they have been read. */
+    readonly onRead?: (names: readonly string[]) => void;
     readonly log: Log;
     readonly now: () => number;
     readonly times?: PeerListTimes;
@@ -83,6 +85,7 @@
             // Evaluated once: a row that expires between two checks would be removed and still be listed.
             const expired = new Set(rows.filter(isExpired));
             knownPeers = rows.flatMap(row => expired.has(row) ? [] : decodePeer(row) ?? []);
+            parts.onRead?.(knownPeers.map(peer => peer.name));
             await removeRows([...expired]);
             schedule(isFirst ? times.secondRefreshDelay : times.refreshInterval);
         }
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -35,7 +35,28 @@
     z.object({ kind: z.literal("recall"), holder: z.string(), program: z.string() }),
 ] as const;
 
-const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas]);
+/** Milliseconds since an upstream stated a rate limit, or its end, in an answer. */
+const statedAgo = z.number().nonnegative();
+const requestsPerSecond = z.number().nonnegative();
+
+/** Requests to the gateway that issues the permits for an upstream's rate limit. Times are in milliseconds. */
+const permitCallSchemas = [
+    /** Asks for a permit to send one request; the answer is a `PermitAnswer`. */
+    z.object({ kind: z.literal("permit"), upstream: z.string(), requestsPerSecond, statedAgo,
+        maxDelay: z.number().nonnegative() }),
+    /** Reports what an upstream has stated; no `requestsPerSecond` means that its limit has ended. */
+    z.object({ kind: z.literal("rateLimit"), upstream: z.string(), requestsPerSecond: requestsPerSecond.optional(),
+        statedAgo }),
+] as const;
+
+const permitDecision = z.object({ kind: z.enum(["granted", "denied"]), delay: z.number().nonnegative() });
+const permitAnswer = z.object({
+    decision: permitDecision,
+    /** A statement of the upstream that is later than that of the request. */
+    later: z.object({ requestsPerSecond: requestsPerSecond.optional(), statedAgo }).optional(),
+});
+
+const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas, ...permitCallSchemas]);
 const peerRequestSchema = z.object({ id: nonNegativeInteger, call: peerCallSchema });
 const storeFailures = ["refused", "away", "unknown"] as const satisfies readonly StoreFailure[];
 const peerAnswerSchema = z.union([
@@ -54,6 +75,8 @@
     borrow: z.enum(["lent", "exhausted", "unavailable"]),
     return: z.literal(true),
     recall: z.enum(["settled", "gone", "pending"]),
+    permit: permitAnswer,
+    rateLimit: z.literal(true),
 } as const satisfies Record<PeerCall["kind"], z.ZodType>;
 
 /** Any request between gateways. */
@@ -65,6 +88,12 @@
 /** A request that concerns the token budget of a program. */
 export type TokenCall = z.infer<(typeof tokenCallSchemas)[number]>;
 
+/** A request that concerns the rate limit of an upstream. */
+export type PermitCall = z.infer<(typeof permitCallSchemas)[number]>;
+
+/** The answer to a request for a permit. */
+export type PermitAnswer = z.infer<typeof permitAnswer>;
+
 /** A call with the id that its answer repeats. */
 export type PeerRequest = z.infer<typeof peerRequestSchema>;
 
@@ -94,6 +123,11 @@
     return tokenCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
 }
 
+/** Whether a call concerns the rate limit of an upstream. */
+export function isPermitCall(call: PeerCall): call is PermitCall {
+    return permitCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
+}
+
 function decode<Schema extends z.ZodType>(schema: Schema, data: Buffer): z.infer<Schema> | undefined {
     try {
         return schema.safeParse(unpack(data)).data;
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -6,7 +6,9 @@
 import type { TokenLender } from "./budgets.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
-import { decodePeerRequest, isTokenCall, type PeerAnswer, type RelayedCall, type TokenCall } from "./peerMessage.ts";
+import { decodePeerRequest, isPermitCall, isTokenCall, type PeerAnswer, type PeerCall, type PermitCall,
+    type RelayedCall, type TokenCall } from "./peerMessage.ts";
+import type { PermitIssuer } from "./permits.ts";
 
 /** Parts of a peer server. */
 export interface PeerServerParts {
@@ -15,6 +17,7 @@
     readonly store: Store;
     readonly health: StoreHealth;
     readonly lender: TokenLender;
+    readonly permitIssuer: PermitIssuer;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -25,8 +28,8 @@
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, and lends tokens of programs. Calls are served without it,
- * so the start does not wait until it listens.
+ * Makes store calls for gateways that cannot reach the store, lends tokens of programs and issues permits. Calls are
+ * served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
@@ -57,7 +60,7 @@
             return;
         }
         const { id, call } = request;
-        const answer = isTokenCall(call) ? { id, result: await handleTokenCall(call) } : await relayToStore(id, call);
+        const answer = await answerTo(id, call);
         if (socket.readyState === socket.OPEN) {
             socket.send(pack(answer));
         }
@@ -67,6 +70,23 @@
         }
     }
 
+    async function answerTo(id: number, call: PeerCall): Promise<PeerAnswer> {
+        if (isTokenCall(call)) {
+            return { id, result: await handleTokenCall(call) };
+        }
+        return isPermitCall(call) ? { id, result: handlePermitCall(call) } : relayToStore(id, call);
+    }
+
+    function handlePermitCall(call: PermitCall): unknown {
+        switch (call.kind) {
+            case "permit":
+                return parts.permitIssuer.issue(call);
+            case "rateLimit":
+                parts.permitIssuer.learn(call);
+                return true;
+        }
+    }
+
     async function handleTokenCall(call: TokenCall): Promise<unknown> {
         switch (call.kind) {
             case "borrow":
--- /dev/null
+++ b/packages/gateway/src/rateLimits.ts
@@ -0,0 +1,104 @@
+import { incarnationOf, type RateLimitStatement, type UpstreamState } from "@tamarackgauge/core/gateway";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Log } from "./log.ts";
+import type { Metrics } from "./metrics.ts";
+import type { Permits, StatedRateLimit } from "./permits.ts";
+
+/** What an upstream states about its rate limit in the answer to a call. */
+export interface RateLimitObservation {
+    readonly statement: RateLimitStatement;
+    /** When the call was sent, in monotonic milliseconds. */
+    readonly sentAt: number;
+    readonly call: string;
+}
+
+/** Keeps the sends of this gateway within the rate limits of upstreams. */
+export interface RateLimits {
+    /** Resolves with true when a request may be sent, and with false if it may not within `maxDelay` ms or the signal is aborted. */
+    acquire(upstream: UpstreamState, maxDelay: number, signal: AbortSignal): Promise<boolean>;
+    observe(upstream: UpstreamState, observation: RateLimitObservation): void;
+}
+
+/** Dependencies of the rate limits. */
+export interface RateLimitsParts {
+    readonly permits: Permits;
+    readonly metrics: Metrics;
+    readonly log: Log;
+    readonly now: () => number;
+}
+
+/** A permit that is used later than this after its time could meet those of others, so another one is needed. */
+const maxPermitLatenessMs = 150;
+
+/** Creates the rate limits of a gateway. */
+export function createRateLimits({ permits, metrics, log, now }: RateLimitsParts): RateLimits {
+    async function acquire(state: UpstreamState, maxDelay: number, signal: AbortSignal): Promise<boolean> {
+        const requestsPerSecond = state.rateLimit.requestsPerSecond();
+        if (requestsPerSecond === undefined) {
+            return true;
+        }
+        const stated = { requestsPerSecond, statedAt: state.rateLimit.namedAt()! };
+        const request = permits.request({ upstream: incarnationOf(state.entry), stated, maxDelay });
+        const outcome = await Promise.race([request, whenAborted(signal)]);
+        if (outcome === undefined) {
+            return false;
+        }
+        const { decision, later } = outcome;
+        if (later !== undefined) {
+            learn(state, later);
+        }
+        state.recordPermit(decision.delay, now());
+        return decision.kind === "granted" && waitForPermit(state, decision.delay, signal);
+    }
+
+    /** Returns whether the permit may be used after its delay. */
+    async function waitForPermit(state: UpstreamState, delay: number, signal: AbortSignal): Promise<boolean> {
+        const usableUntil = now() + delay + maxPermitLatenessMs;
+        if (delay > 0) {
+            await Promise.race([sleep(delay), whenAborted(signal)]);
+        }
+        return !signal.aborted && !state.isLeaving() && now() <= usableUntil;
+    }
+
+    function learn(state: UpstreamState, { requestsPerSecond, statedAt }: StatedRateLimit): void {
+        const statement: RateLimitStatement = requestsPerSecond === undefined
+            ? { kind: "unlimited" }
+            : { kind: "limited", requestsPerSecond };
+        record(state, { statement, sentAt: statedAt, receivedAt: statedAt, from: "issuer" });
+    }
+
+    function observe(state: UpstreamState, { statement, sentAt, call }: RateLimitObservation): void {
+        const receivedAt = now();
+        if (record(state, { statement, sentAt, receivedAt, from: call })) {
+            const upstream = incarnationOf(state.entry);
+            permits.prepare(upstream);
+            permits.report(upstream, { requestsPerSecond: state.rateLimit.requestsPerSecond(), statedAt: receivedAt });
+        }
+    }
+
+    /** Returns whether the limit has changed enough to be reported. */
+    function record(state: UpstreamState, { statement, sentAt, receivedAt, from }: {
+        readonly statement: RateLimitStatement;
+        readonly sentAt: number;
+        readonly receivedAt: number;
+        /** The call whose answer stated it, or `issuer`. */
+        readonly from: string;
+    }): boolean {
+        const change = state.rateLimit.record(statement, { sentAt, receivedAt });
+        if (change === undefined) {
+            return false;
+        }
+        const { id, service } = state.entry;
+        metrics.recordRateLimitChange(service, change.kind);
+        log.info("upstream.limited", { upstream: id, service, ...change, from });
+        return true;
+    }
+
+    return { acquire, observe };
+}
+
+async function whenAborted(signal: AbortSignal): Promise<undefined> {
+    if (!signal.aborted) {
+        await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+    }
+}
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -6,6 +6,8 @@
 export interface SendPlan {
     readonly call: ReceivedCall;
     readonly priority: number | undefined;
+    /** Turns of the program that came before, as far as known. */
+    readonly precedingTurns: number;
     /** Id of the engine that is expected to have the previous turn in its cache, if known. */
     readonly preferred: string | undefined;
     /** Receiver of the answer if it is a stream. */
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,26 +1,30 @@
-import { type AttemptFailure, type Declaration, hash, nextStep, pickService, type RateLimitStatement,
-    type SelectionCriteria, type ServiceRoute } from "@tamarackgauge/core/gateway";
+import { type AttemptFailure, countPrecedingTurns, type Declaration, hash, maxPermitDelay, nextStep, pickService,
+    type RateLimitStatement, type RefusalCause, type SelectionCriteria,
+    type ServiceRoute } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
 import type { MemoryLimits } from "./limits.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
+import type { RateLimits } from "./rateLimits.ts";
 import type { ReceivedCall, SendPlan } from "./sendPlan.ts";
 import type { UsedConnections } from "./upstreamClient.ts";
-import type { Upstream, Upstreams } from "./upstreams.ts";
+import type { ChosenUpstream, Upstream, Upstreams } from "./upstreams.ts";
 
 /** Result of sending a call, after its last attempt. */
 export type SendResult =
     | { readonly kind: "answer"; readonly answer: UpstreamAnswer; readonly upstream: string; }
     | { readonly kind: "streamed"; readonly upstream: string; }
     | { readonly kind: "failed"; readonly failure: AttemptFailure; readonly reason: string;
-        readonly answer?: UpstreamAnswer; }
+        readonly answer?: UpstreamAnswer; /** Why no upstream takes the call, if it has not run. */
+        readonly cause: RefusalCause; }
     | { readonly kind: "cancelled"; readonly sent: boolean; };
 
 /** Dependencies of the sends. */
 export interface SendParts {
     readonly upstreams: Upstreams;
+    readonly rateLimits: RateLimits;
     readonly declaration: () => Declaration | undefined;
     readonly limits: MemoryLimits;
     readonly dataCentre: string;
@@ -49,9 +53,11 @@
 const maxSendsIfFull = 9;
 /** Delay before the next attempt after an upstream rejected the call, multiplied by the number of attempts so far. */
 const fullRetryDelayMs = 15;
+/** Maximum number of permits that are asked for before an attempt. */
+const maxPermitRequests = 4;
 
 /** Starts sending a call. */
-export function startSends({ upstreams, declaration, limits, dataCentre, metrics, log, now }: SendParts,
+export function startSends({ upstreams, rateLimits, declaration, limits, dataCentre, metrics, log, now }: SendParts,
     plan: SendPlan): Sends {
     const { call } = plan;
     const { route, head } = call;
@@ -63,12 +69,13 @@
     let timeouts = 0;
     let current: Attempt | undefined;
     let cancelled: CancelReason | undefined;
+    const cancellation = new AbortController();
     let sentAtCancel = false;
 
     async function run(): Promise<SendResult> {
         let lastFailure: FailedAttempt | undefined;
         for (let sends = 1; cancelled === undefined; sends += 1) {
-            const upstream = pick();
+            const upstream = await pickPermitted();
             if (upstream === undefined) {
                 break;
             }
@@ -99,27 +106,54 @@
             return { kind: "cancelled", sent: sentAtCancel || worstFailure !== "notRun" };
         }
         return { kind: "failed", failure: worstFailure, reason: lastFailure?.reason ?? "no upstream takes calls",
-            ...lastFailure?.answer === undefined ? {} : { answer: lastFailure.answer } };
+            cause: refusalCause(), ...lastFailure?.answer === undefined ? {} : { answer: lastFailure.answer } };
     }
 
-    function pick(): Upstream | undefined {
+    /** Picks an upstream to which the call may be sent now. Those that take no request in time are left out. */
+    async function pickPermitted(): Promise<Upstream | undefined> {
+        for (let requests = 0; cancelled === undefined && requests < maxPermitRequests; requests += 1) {
+            const choice = pick();
+            if (choice === undefined) {
+                return undefined;
+            }
+            const { upstream } = choice;
+            if (await rateLimits.acquire(upstream.state, choice.maxPermitDelay, cancellation.signal)) {
+                return upstream;
+            }
+        }
+        return undefined;
+    }
+
+    function refusalCause(): RefusalCause {
+        const expectedWait = upstreams.permitDelay(serviceOf(call, declaration()));
+        return expectedWait === undefined ? { kind: "upstreamsFull" } : { kind: "rateLimited", expectedWait };
+    }
+
+    /** How long the call can wait for a permit now. */
+    function permitDelayLimit(service: string): number {
+        return maxPermitDelay({ route, precedingTurns: countPrecedingTurns(head, plan.precedingTurns),
+            highLatency: upstreams.estimate(service).highLatency, timeLeft: call.deadlineAt - now() });
+    }
+
+    function pick(): ChosenUpstream | undefined {
         const service = serviceOf(call, declaration());
         const exhausted = reachedIds.size >= route.maxUpstreams;
         const criteria: SelectionCriteria = { parts: head.parts, promptTokens: head.promptTokens, dataCentre,
-            tried: exhausted ? new Set() : tried, preferred: plan.preferred };
+            tried: exhausted ? new Set() : tried, preferred: plan.preferred,
+            maxPermitDelay: permitDelayLimit(service) };
         if (!exhausted) {
-            return upstreams.choose(service, criteria) ?? pickReached();
+            return upstreams.choose(service, criteria) ?? pickReached(criteria.maxPermitDelay);
         }
-        return pickReached();
+        return pickReached(criteria.maxPermitDelay);
     }
 
     /**
      * Selects an upstream that already received the call; it does not count towards the route's `maxUpstreams` again.
      */
-    function pickReached(): Upstream | undefined {
-        return [...reachedIds]
-            .map(id => upstreams.find(id))
-            .find(upstream => upstream !== undefined && !upstream.state.isLeaving());
+    function pickReached(permitDelayLimitMs: number): ChosenUpstream | undefined {
+        const upstream = [...reachedIds].flatMap(id => upstreams.find(id) ?? [])
+            .find(({ state }) => !state.isLeaving() && state.permitDelay(now()) <= permitDelayLimitMs);
+        return upstream === undefined ? undefined : { upstream, maxPermitDelay: permitDelayLimitMs };
     }
 
     async function attempt(upstream: Upstream): Promise<AttemptEnd> {
@@ -147,7 +181,7 @@
         try {
             const onLeaving = () => retire(upstream);
             const onRateLimit = (statement: RateLimitStatement, sentAt: number) =>
-                recordRateLimit(upstream, statement, sentAt);
+                rateLimits.observe(upstream.state, { statement, sentAt, call: head.id });
             const tokensPerEvent = upstreams.tokensPerEvent(upstream.state.entry.service);
             current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, timeouts, onLeaving,
                 onRateLimit }, limits, now);
@@ -168,18 +202,10 @@
         }
     }
 
-    function recordRateLimit({ state }: Upstream, statement: RateLimitStatement, sentAt: number): void {
-        const { id, service } = state.entry;
-        const change = state.rateLimit.record(statement, { sentAt, receivedAt: now() });
-        if (change !== undefined) {
-            metrics.recordRateLimitChange(service, change.kind);
-            log.info("upstream.limited", { upstream: id, service, ...change, answeredCall: head.id });
-        }
-    }
-
     function cancel(reason: CancelReason): void {
         cancelled = reason;
         sentAtCancel = current?.wasSent() === true;
+        cancellation.abort();
         current?.cancel();
     }
 
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -1,5 +1,5 @@
-import { chooseUpstream, type Declaration, modelCosts, plainServiceCosts, type SelectionCriteria, ServiceEstimate,
-    type UpstreamEntry, UpstreamState } from "@tamarackgauge/core/gateway";
+import { chooseUpstream, type Declaration, incarnationOf, modelCosts, plainServiceCosts, type SelectionCriteria,
+    ServiceEstimate, type UpstreamEntry, UpstreamState } from "@tamarackgauge/core/gateway";
 import type { MemoryLimits } from "./limits.ts";
 import { createUpstreamClient, type UpstreamClient } from "./upstreamClient.ts";
 
@@ -9,11 +9,20 @@
     readonly client: UpstreamClient;
 }
 
+/** An upstream that was chosen for a call. */
+export interface ChosenUpstream {
+    readonly upstream: Upstream;
+    /** How long the call is to wait for a permit at most, in ms, if the upstream has a rate limit. */
+    readonly maxPermitDelay: number;
+}
+
 /** The upstreams that calls can be sent to. */
 export interface Upstreams extends AsyncDisposable {
     /** Replaces the list of registered upstreams. */
     replace(entries: readonly UpstreamEntry[]): void;
-    choose(service: string, criteria: SelectionCriteria): Upstream | undefined;
+    choose(service: string, criteria: SelectionCriteria): ChosenUpstream | undefined;
+    /** Time until a limited upstream of the service is expected to take a request, in ms; undefined if none is limited. */
+    permitDelay(service: string): number | undefined;
     find(id: string): Upstream | undefined;
     /** Tokens in each event of a service's streams, also after the service has left the declaration. */
     tokensPerEvent(service: string): number;
@@ -131,10 +140,20 @@
         }
     }
 
-    function choose(service: string, criteria: SelectionCriteria): Upstream | undefined {
+    function choose(service: string, criteria: SelectionCriteria): ChosenUpstream | undefined {
         const costs = declaration()?.services.get(service)?.model === undefined ? plainServiceCosts : modelCosts;
-        const state = chooseUpstream(statesByService.get(service)?.values() ?? [], criteria, costs, now(), Math.random);
-        return state === undefined ? undefined : upstreamsById.get(state.entry.id);
+        const states = statesByService.get(service)?.values() ?? [];
+        const choice = chooseUpstream(states, criteria, costs, now(), Math.random);
+        const upstream = choice === undefined ? undefined : upstreamsById.get(choice.upstream.entry.id);
+        return upstream === undefined ? undefined : { upstream, maxPermitDelay: choice!.maxPermitDelay };
+    }
+
+    function permitDelay(service: string): number | undefined {
+        const limitedStates = [...statesByService.get(service)?.values() ?? []]
+            .filter(state => state.rateLimit.isInForce() && !state.isLeaving());
+        return limitedStates.length === 0
+            ? undefined
+            : Math.min(...limitedStates.map(state => state.permitDelay(now())));
     }
 
     /** The rate limits that the upstreams of a service name, in requests a second. */
@@ -158,6 +177,7 @@
     return {
         replace,
         choose,
+        permitDelay,
         retire,
         tokensPerEvent,
         find: id => upstreamsById.get(id),
@@ -192,8 +212,3 @@
 function isSameIncarnation(left: UpstreamEntry, right: UpstreamEntry): boolean {
     return incarnationOf(left) === incarnationOf(right);
 }
-
-/** Identifies one start of an upstream. */
-function incarnationOf({ id, service, address, port, startedAt }: UpstreamEntry): string {
-    return [id, service, address, port, startedAt].join(" ");
-}
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -38,20 +38,21 @@
         });
         return { wasSent: () => true, cancel: () => undefined, pause: () => undefined, resume: () => undefined };
     });
-    const candidates = [broken, sound];
+    const candidates = [broken, sound].map(upstream => ({ upstream, maxPermitDelay: 0 }));
     const log = { info: () => undefined, warn: () => undefined };
     const { result } = startSends({
-        upstreams: { choose: () => candidates.shift(), find: () => undefined, retire: () => undefined,
-            limited: () => new Map(), tokensPerEvent: () => 1, replace: () => undefined,
+        upstreams: { choose: () => candidates.shift(), permitDelay: () => undefined, find: () => undefined,
+            retire: () => undefined, limited: () => new Map(), tokensPerEvent: () => 1, replace: () => undefined,
             estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
             [Symbol.asyncDispose]: async () => undefined },
+        rateLimits: { acquire: async () => true, observe: () => undefined },
         declaration: () => declaration,
         limits: defaultLimits,
         dataCentre: "a",
         metrics: createMetrics({ limitedUpstreams: () => new Map() }),
         log,
         now: () => performance.now(),
-    }, { call: receivedCall(), priority: undefined, preferred: undefined, sink: undefined });
+    }, { call: receivedCall(), priority: undefined, precedingTurns: 0, preferred: undefined, sink: undefined });
     const end = await result;
     assert.equal(end.kind === "answer" && end.upstream, "sound");
     assert.equal(broken.state.inFlight, 0);
