Estimates: the load of limited upstreams does not hide that of the others

Reports of limited upstreams are left out of the service's estimate, and their own load is not assumed to approach that of the service.

--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -30,17 +30,23 @@
         this.cache = new PrefixCache(cacheTokens);
     }
 
-    /** Records the load that the upstream reported with an answer. */
+    /**
+     * Records the load that the upstream reported with an answer. That of an upstream with a rate limit tells nothing of how full
+     * the others are, to which further calls go.
+     */
     recordLoad(load: UpstreamLoad, now: number): void {
         this.load = load;
         this.loadAt = now;
         this.inFlightAtLoad = this.inFlight;
-        this.estimate.recordLoad(load, now);
+        if (!this.rateLimit.isInForce()) {
+            this.estimate.recordLoad(load, now);
+        }
     }
 
     /**
      * Estimated number of calls at the upstream: the calls of this process in flight, plus those of other gateways. The
-     * latter come from the last report; as it ages, they approach the current average of the service.
+     * latter come from the last report; as it ages, they approach the current average of the service, which does not
+     * count upstreams with a rate limit.
      */
     estimatedCalls(now: number): number {
         const expectedOthers = Math.max(0, (this.estimate.occupancy(now) ?? 0) * this.entry.slots - this.inFlight);
@@ -48,6 +54,9 @@
             return this.inFlight + expectedOthers;
         }
         const reportedOthers = Math.max(0, this.load.running + this.load.waiting - this.inFlightAtLoad);
+        if (this.rateLimit.isInForce()) {
+            return this.inFlight + reportedOthers;
+        }
         return this.inFlight + expectedOthers +
             (reportedOthers - expectedOthers) * 0.5 ** ((now - this.loadAt) / loadHalfLifeMs);
     }
