--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,8 @@
     readonly callerServer?: CallerServer;
     readonly log: Log;
     readonly now: () => number;
+    /** Time after which every gateway has read the list of gateways anew, in ms. */
+    readonly membershipSettling?: number;
 }
 
 /** Time until the load balancer sends no new connections: it polls readiness once a second and needs two failures. */
@@ -58,8 +60,8 @@
 /** The gateway stays ready during store outages up to this long. */
 const maxReadyOutageMs = 700;
 const summaryIntervalMs = 10_000;
-/** Time after which every gateway has read the list of gateways anew; longer than the interval between two reads. */
-const membershipSettlingMs = 20_000;
+/** Longer than the interval between two reads of the list of gateways. */
+const defaultMembershipSettlingMs = 20_000;
 
 /** Number of parts that probes read. These parts contain no rows, so that answers are small. */
 const probePartCount = 512;
@@ -97,7 +99,7 @@
         onUpstreams: entries => upstreams.replace(entries) });
     const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
     const store = disposal.own(createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange }));
-    const memberships = new MembershipHistory(settings.name, membershipSettlingMs);
+    const memberships = new MembershipHistory(settings.name, parts.membershipSettling ?? defaultMembershipSettlingMs);
     const peerList: PeerList | undefined = settings.peerAddress === undefined
         ? undefined
         : disposal.own(
