Estimates: the latency of limited upstreams does not hide that of the others

Answers of limited upstreams count only for the latency that few calls exceed, from which time limits of attempts follow.

--- a/packages/core/src/gateway/serviceEstimate.ts
+++ b/packages/core/src/gateway/serviceEstimate.ts
@@ -122,9 +122,14 @@
         };
     }
 
+    /** Records how long a call took, but not what that tells of the load. */
+    recordLatency(latency: number): void {
+        this.highCallLatency.add(latency);
+    }
+
     /** Records a call whose answer is complete. */
     recordCompletedCall({ latency, timeToFirstByte, events, slowness }: CompletedCall, now: number): void {
-        this.highCallLatency.add(latency);
+        this.recordLatency(latency);
         if (isSlowedDown({ slowness })) {
             return;
         }
--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -1,7 +1,7 @@
 import type { UpstreamEntry, UpstreamLoad } from "./call.ts";
 import { PrefixCache } from "./prefixCache.ts";
 import { RateLimit } from "./rateLimit.ts";
-import { ServiceEstimate } from "./serviceEstimate.ts";
+import { type CompletedCall, type FirstByteSample, ServiceEstimate } from "./serviceEstimate.ts";
 
 /** Time for which a failed upstream is suspended; it doubles with each consecutive failure. */
 const initialSuspensionMs = 250;
@@ -43,6 +43,23 @@
         }
     }
 
+    /** Records the start of an answer; see `recordLoad` for upstreams with a rate limit. */
+    recordFirstByte(sample: FirstByteSample, now: number): void {
+        if (!this.rateLimit.isInForce()) {
+            this.estimate.recordFirstByte(sample, now);
+        }
+    }
+
+    /** Records a call whose answer is complete; see `recordLoad` for upstreams with a rate limit. */
+    recordCompletedCall(call: CompletedCall, now: number): void {
+        if (this.rateLimit.isInForce()) {
+            this.estimate.recordLatency(call.latency);
+        }
+        else {
+            this.estimate.recordCompletedCall(call, now);
+        }
+    }
+
     /**
      * Estimated number of calls at the upstream: the calls of this process in flight, plus those of other gateways. The
      * latter come from the last report; as it ages, they approach the current average of the service, which does not
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -129,7 +129,7 @@
         }
         if (isSuccess(head.status)) {
             timeToFirstByte = now() - sentAt;
-            state.estimate.recordFirstByte({ timeToFirstByte, prefillTokens, load: head.load }, now());
+            state.recordFirstByte({ timeToFirstByte, prefillTokens, load: head.load }, now());
         }
         if (sink !== undefined && isSuccess(head.status) && verdict.kind === "passOn") {
             streaming = true;
@@ -214,7 +214,7 @@
             return failure("unknown", "the stream ended before its first event");
         }
         if (isSuccess(answer!.head.status)) {
-            state.estimate.recordCompletedCall({ latency: now() - sentAt, timeToFirstByte,
+            state.recordCompletedCall({ latency: now() - sentAt, timeToFirstByte,
                 events: (sink?.relayedEvents() ?? 0) - eventsBefore, slowness: answer!.head.load?.slowness ?? 1 },
                 now());
         }
