Gateway: the times of the list of gateways are one part

The time after which an issuer may grant the whole limit was a part of its own, beside the times at which the list of gateways is read, from which it follows. Tests of several gateways could not shorten one without the other, so the tests of rate limits could not reach an issuer of the whole limit within 20 s. All of them are now `PeerListTimes`, which a test may pass to a gateway; those of a running gateway are as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,7 @@
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
 import { createPeerContacts } from "./peerContacts.ts";
-import { createPeerList, type PeerList, peerTable } from "./peerList.ts";
+import { createPeerList, defaultPeerListTimes, type PeerList, type PeerListTimes, peerTable } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
 import { createPermits } from "./permits.ts";
@@ -47,8 +47,7 @@
     readonly callerServer?: CallerServer;
     readonly log: Log;
     readonly now: () => number;
-    /** Time after which every gateway has read the list of gateways anew, in ms. */
-    readonly membershipSettling?: number;
+    readonly peerListTimes?: PeerListTimes;
 }
 
 /** Time until the load balancer sends no new connections: it polls readiness once a second and needs two failures. */
@@ -60,8 +59,6 @@
 /** The gateway stays ready during store outages up to this long. */
 const maxReadyOutageMs = 700;
 const summaryIntervalMs = 10_000;
-/** Longer than the interval between two reads of the list of gateways. */
-const defaultMembershipSettlingMs = 20_000;
 
 /** Number of parts that probes read. These parts contain no rows, so that answers are small. */
 const probePartCount = 512;
@@ -99,12 +96,14 @@
         onUpstreams: entries => upstreams.replace(entries) });
     const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
     const store = disposal.own(createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange }));
-    const memberships = new MembershipHistory(settings.name, parts.membershipSettling ?? defaultMembershipSettlingMs);
+    const peerListTimes = parts.peerListTimes ?? defaultPeerListTimes;
+    const memberships = new MembershipHistory(settings.name, peerListTimes.settling);
     const peerList: PeerList | undefined = settings.peerAddress === undefined
         ? undefined
         : disposal.own(
             createPeerList({ name: settings.name, address: settings.peerAddress, dataCentre: settings.dataCentre,
-                seeds: settings.knownPeers, store, onRead: names => memberships.record(names, now()), log, now }),
+                seeds: settings.knownPeers, store, onRead: names => memberships.record(names, now()), log, now,
+                times: peerListTimes }),
         );
     const upstreams = disposal.own(
         createUpstreams({ declaration: catalog.declaration, gateways: () => peerList?.registered().length ?? 1, limits,
--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -32,6 +32,8 @@
     readonly renewalInterval: number;
     /** A gateway whose row has not been rewritten for this long is considered gone. */
     readonly expiry: number;
+    /** Time after which every gateway that reaches the store has read the list anew. */
+    readonly settling: number;
 }
 
 /** Parts of a peer list. */
@@ -51,9 +53,9 @@
 /** The table in which gateways register themselves, keyed by their name. */
 export const peerTable = { table: "gateways", part: "" } as const;
 
-/** The second refresh follows soon after the first, because gateways that start together register in between. */
-const defaultTimes: PeerListTimes = { retryDelay: 1_000, secondRefreshDelay: 4_000, refreshInterval: 15_000,
-    renewalInterval: 40_000, expiry: 150_000 };
+/** Times of a gateway. The second refresh follows soon after the first, because gateways that start together register in between. */
+export const defaultPeerListTimes: PeerListTimes = { retryDelay: 1_000, secondRefreshDelay: 4_000,
+    refreshInterval: 15_000, renewalInterval: 40_000, expiry: 150_000, settling: 20_000 };
 const callTimeoutMs = 1_000;
 /** Jitter as a share of the delay; it spreads the refreshes of gateways that started together. */
 const refreshJitter = 0.25;
@@ -68,7 +70,7 @@
 
 /** Registers this gateway in the store, reads the registrations of the others and removes expired ones. */
 export function createPeerList(parts: PeerListParts): PeerList {
-    const { name, address, dataCentre, seeds, store, log, now, times = defaultTimes } = parts;
+    const { name, address, dataCentre, seeds, store, log, now, times = defaultPeerListTimes } = parts;
     let currentSeeds = seeds;
     let knownPeers: readonly Peer[] = [];
     let observed = new Map<string, ObservedVersion>();
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -9,6 +9,7 @@
 import { createGateway, type Gateway } from "../src/index.ts";
 import { defaultLimits } from "../src/limits.ts";
 import type { Log, LogFields } from "../src/log.ts";
+import { defaultPeerListTimes, type PeerListTimes } from "../src/peerList.ts";
 
 /** A gateway under test, with its own store endpoint, for which faults can be injected. */
 export interface TestGateway extends AsyncDisposable {
@@ -46,7 +47,8 @@
     registerUpstream(engine: GatewayUpstream, changes?: object): void;
     declare(changes?: object): void;
     /** Starts a gateway; `storeFault` applies to its store endpoint from the start. */
-    startGateway(changes?: Partial<GatewaySettings>, storeFault?: RowStoreFault): Promise<TestGateway>;
+    startGateway(changes?: Partial<GatewaySettings>, storeFault?: RowStoreFault,
+        peerListTimes?: PeerListTimes): Promise<TestGateway>;
 }
 
 const routeDefaults = { hostname: "fleet.test", timeoutMs: 2_500, targetLatencyMs: 250, priority: 0, maxAttempts: 2 };
@@ -83,11 +85,11 @@
             ...changes });
     }
 
-    async function startGateway(changes: Partial<GatewaySettings> = {},
-        storeFault?: RowStoreFault): Promise<TestGateway> {
+    async function startGateway(changes: Partial<GatewaySettings> = {}, storeFault?: RowStoreFault,
+        peerListTimes = defaultPeerListTimes): Promise<TestGateway> {
         const storeEndpoint = await rowStore.open();
         storeEndpoint.setFault(storeFault);
-        const gateway = await openGateway(storeEndpoint, changes);
+        const gateway = await openGateway(storeEndpoint, changes, peerListTimes);
         gateways.push(gateway);
         return gateway;
     }
@@ -111,7 +113,8 @@
     return fleet;
 }
 
-async function openGateway(storeEndpoint: RowStoreListener, changes: Partial<GatewaySettings>): Promise<TestGateway> {
+async function openGateway(storeEndpoint: RowStoreListener, changes: Partial<GatewaySettings>,
+    peerListTimes: PeerListTimes): Promise<TestGateway> {
     const [callers, ready, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
     const settings: GatewaySettings = { name: "g", dataCentre: "a", callerAddress: callers, readinessAddress: ready,
         peerAddress: peers, knownPeers: [], metricsAddress: undefined,
@@ -121,7 +124,8 @@
     const record = (event: string, fields: LogFields) => void logLines.push({ event, fields });
     const log: Log = { info: record, warn: record };
     const store = createStore(settings.storeAddress);
-    const gateway = await createGateway({ settings, limits: defaultLimits, store, log, now: () => performance.now() });
+    const gateway = await createGateway({ settings, limits: defaultLimits, store, log, peerListTimes,
+        now: () => performance.now() });
     return {
         gateway,
         settings,
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -4,9 +4,13 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { findLimitExcesses } from "../bench/rateLimitJudge.ts";
+import { defaultPeerListTimes, type PeerListTimes } from "../src/peerList.ts";
 import { call, createFleet, type Fleet, freeAddress, type TestCall, type TestGateway, turnCall,
     waitUntilReady } from "./harness.ts";
 
+/** Shorter than those of a running gateway, so that the gateways agree before the load begins. */
+const peerListTimes: PeerListTimes = { ...defaultPeerListTimes, secondRefreshDelay: 300, refreshInterval: 300,
+    settling: 600 };
 const gatewayNames = ["g1", "g2", "g3"] as const;
 
 /** Gateways that know each other from the start, two engines and two tools. */
@@ -50,9 +54,11 @@
     for (const index of gatewayNames.keys()) {
         gateways.push(await startLinked(index));
     }
+    await sleep(peerListTimes.settling);
 
     async function startLinked(index: number): Promise<TestGateway> {
-        const gateway = await fleet.startGateway({ name: gatewayNames[index]!, peerAddress: peerAddresses[index]! });
+        const settings = { name: gatewayNames[index]!, peerAddress: peerAddresses[index]! };
+        const gateway = await fleet.startGateway(settings, undefined, peerListTimes);
         await waitUntilReady(gateway);
         // A gateway registers its own address as it starts.
         await registerLink(index);
--- a/packages/gateway/test/peerList.test.ts
+++ b/packages/gateway/test/peerList.test.ts
@@ -6,7 +6,8 @@
 import { createPeerList } from "../src/peerList.ts";
 import { waitUntil } from "./harness.ts";
 
-const times = { retryDelay: 20, secondRefreshDelay: 20, refreshInterval: 40, renewalInterval: 60, expiry: 400 };
+const times = { retryDelay: 20, secondRefreshDelay: 20, refreshInterval: 40, renewalInterval: 60, expiry: 400,
+    settling: 60 };
 
 async function startStore() {
     const rows = createRowStore();
