Rate limits: an issuer is asked again after a second

That gateway had been told that the next permit was up to 5 s off, and asked no issuer until then, so it learned neither from an answer nor from the issuer that there was no limit any more.

--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -20,6 +20,7 @@
     private suspendedUntil = -Infinity;
     private leaving = false;
     private permitExpectedAt = -Infinity;
+    private permitRecordedAt = -Infinity;
 
     constructor(
         public entry: UpstreamEntry,
@@ -105,11 +106,16 @@
     /** Records that the next permit for a request is free after `delay` ms. */
     recordPermit(delay: number, now: number): void {
         this.permitExpectedAt = now + delay;
+        this.permitRecordedAt = now;
     }
 
-    /** Time until a permit for a request is expected to be free, in ms; 0 without a rate limit. */
+    /**
+     * Time until a permit for a request is expected to be free, in ms; 0 without a rate limit, and if the issuer is to be
+     * asked again.
+     */
     permitDelay(now: number): number {
-        return this.rateLimit.isInForce() ? Math.max(0, this.permitExpectedAt - now) : 0;
+        const isKnown = this.rateLimit.isInForce() && now < this.permitRecordedAt + permitKnownMs;
+        return isKnown ? Math.max(0, this.permitExpectedAt - now) : 0;
     }
 
     hasAnnouncedLeaving(): boolean {
@@ -129,3 +135,5 @@
 /** Half-lives of a load report: of the calls of other gateways, and of the slowness of the upstream's VM. */
 const loadHalfLifeMs = 1_500;
 const slownessHalfLifeMs = 300;
+/** An issuer is asked again after this time, as it may have learned meanwhile that the limit was raised or has ended. */
+const permitKnownMs = 1_000;
--- a/packages/core/test/gateway/choice.test.ts
+++ b/packages/core/test/gateway/choice.test.ts
@@ -80,3 +80,12 @@
     pool[0]!.inFlight = 20;
     assert.notEqual(choose(pool, { ...defaultCriteria, parts, promptTokens: 14_900, preferred: "a" }), "a");
 });
+
+test("an upstream whose next permit is far off is asked for again after a second (guards against a gateway that never learns that a limit has ended)", () => {
+    const limited = upstream("a");
+    limited.rateLimit.record({ kind: "limited", requestsPerSecond: 0 }, { sentAt: 0, receivedAt: 0 });
+    limited.recordPermit(5_000, 0);
+    const chooseAt = (now: number) => choose([limited], { ...defaultCriteria, maxPermitDelay: 100 }, now);
+    assert.equal(chooseAt(999), undefined);
+    assert.equal(chooseAt(1_000), "a");
+});
