Admission: where upstreams are limited it is decided at the send, and programs are remembered

- Admission looked at the engines without a limit only, before the upstream was chosen, although a limited one had a permit free.
Now a first turn is checked when an upstream without a limit is chosen for it.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -16,6 +16,7 @@
 export * from "./permitWait.ts";
 export * from "./prefixCache.ts";
 export * from "./rateLimit.ts";
+export * from "./recentPrograms.ts";
 export * from "./retryDelay.ts";
 export * from "./route.ts";
 export * from "./serviceEstimate.ts";
--- /dev/null
+++ b/packages/gateway/src/admission.ts
@@ -0,0 +1,39 @@
+import { countPrecedingTurns, decideAdmission, type RefusalCause } from "@tamarackgauge/core/gateway";
+import type { ReceivedCall } from "./sendPlan.ts";
+import { type SendParts, serviceOf } from "./sends.ts";
+
+/** Number of turns of the call's program that came before, as far as this gateway knows. */
+export function precedingTurns({ recentPrograms, now }: SendParts, { head }: ReceivedCall, historyTurns = 0): number {
+    const answered = head.program === undefined ? 0 : recentPrograms.turns(head.program, now());
+    return countPrecedingTurns(head, Math.max(historyTurns, answered));
+}
+
+/**
+ * Whether the turn is admitted when its upstream is chosen: where upstreams have rate limits, one that grants a permit takes it,
+ * however full the others are.
+ */
+export function isDecidedAtSend({ upstreams, declaration }: SendParts, call: ReceivedCall): boolean {
+    return upstreams.permitDelay(serviceOf(call, declaration())) !== undefined;
+}
+
+/**
+ * Returns why a new program is refused if the engines are overloaded. Only first turns are checked: running programs
+ * free capacity when they finish.
+ */
+export function overloadRefusal(parts: SendParts, call: ReceivedCall): RefusalCause | undefined {
+    if (precedingTurns(parts, call) > 0) {
+        return undefined;
+    }
+    const { route } = call;
+    const now = parts.now();
+    const declaration = parts.declaration();
+    const service = serviceOf(call, declaration);
+    const estimate = parts.upstreams.estimate(service);
+    // The smallest target of all routes of the service, so that their programs are refused at the same load.
+    const targetLatencies =
+        declaration?.routes.filter(each => each.streamed && each.shares.some(share => share.service === service))
+            .map(each => each.targetLatency) ?? [];
+    return decideAdmission({ occupancy: estimate.occupancy(now), excessLatency: estimate.excessLatency(now),
+        baselineLatency: estimate.baselineLatency, targetLatency: Math.min(route.targetLatency, ...targetLatencies),
+        priority: route.priority }, Math.random);
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,7 +1,7 @@
-import { countPrecedingTurns, type RefusalCause, retryDelay, StoreError,
-    turnPriority } from "@tamarackgauge/core/gateway";
+import { type RefusalCause, retryDelay, StoreError, turnPriority } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { overloadRefusal, precedingTurns } from "./admission.ts";
 import { type LocalAnswer, writeLocalAnswer, writeUpstreamAnswer } from "./callerAnswer.ts";
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendResult, type Sends, startSends } from "./sends.ts";
@@ -171,10 +171,10 @@
             ? createStreamRelay({ writer: createStreamWriter(response), keepsOutput: keepsTurn,
                 resumable: route.resumable })
             : undefined;
-        const priority = route.streamed
-            ? turnPriority(route.priority, countPrecedingTurns(head, history?.length ?? 0))
-            : undefined;
-        sends = startSends(parts, { call: callToSend, priority, sink: relay, precedingTurns: history?.length ?? 0,
+        const turnsBefore = precedingTurns(parts, call, history?.length);
+        const priority = route.streamed ? turnPriority(route.priority, turnsBefore) : undefined;
+        sends = startSends(parts, { call: callToSend, priority, sink: relay, precedingTurns: turnsBefore,
+            overload: () => history === undefined ? undefined : overloadRefusal(parts, call),
             preferred: history?.[history.length - 1]?.upstream });
         phase = "sent";
         const sentAt = now();
@@ -187,6 +187,9 @@
                 preparedMs: Math.round(sentAt - call.arrivedAt), upstreamMs: Math.round(receivedAt - sentAt),
                 keptMs: Math.round(now() - receivedAt) });
         }
+        if (delivered && route.streamed && head.program !== undefined) {
+            parts.recentPrograms.record(head.program, now());
+        }
         return relay?.tokens() ?? 0;
     }
 
@@ -194,7 +197,7 @@
     function callFields() {
         const elapsed = now() - call.arrivedAt;
         return { call: head.id, program: head.program, route: route.name, after: head.previousTurn,
-            turn: route.streamed ? countPrecedingTurns(head, 0) : undefined, ms: Math.round(elapsed),
+            turn: route.streamed ? precedingTurns(parts, call) : undefined, ms: Math.round(elapsed),
             timeLeft: Math.round(call.deadlineAt - now()),
             programLeft: head.programDeadline === undefined ? undefined : Math.round(head.programDeadline - elapsed) };
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,4 @@
-import { createStoreHealth, type GatewaySettings, MembershipHistory, type RowRange, type SocketAddress,
+import { createStoreHealth, type GatewaySettings, MembershipHistory, RecentPrograms, type RowRange, type SocketAddress,
     type Store } from "@tamarackgauge/core/gateway";
 import { declarationRow, readinessPath, upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
@@ -130,9 +130,9 @@
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
     const frontend = disposal.own(
-        createFrontend({ callerServer, limits, upstreams, rateLimits, declaration: catalog.declaration, budgets, turns,
-            storeOutage, initialized: catalog.initialized, log, metrics, now, dataCentre: settings.dataCentre,
-            declarationAge: () => declarationWatch.age() }),
+        createFrontend({ callerServer, limits, upstreams, rateLimits, recentPrograms: new RecentPrograms(),
+            declaration: catalog.declaration, budgets, turns, storeOutage, initialized: catalog.initialized, log,
+            metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age() }),
     );
     const pause = (maxMs: number) => store.pause(maxMs);
     const declarationWatch = disposal.own(
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -1,4 +1,4 @@
-import type { ByteAccount, CallHead, ServiceRoute } from "@tamarackgauge/core/gateway";
+import type { ByteAccount, CallHead, RefusalCause, ServiceRoute } from "@tamarackgauge/core/gateway";
 import type { RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 
@@ -8,6 +8,8 @@
     readonly priority: number | undefined;
     /** Turns of the program that came before, as far as known. */
     readonly precedingTurns: number;
+    /** Why the call is refused if no upstream with a rate limit takes it, as the others are overloaded. */
+    readonly overload: () => RefusalCause | undefined;
     /** Id of the engine that is expected to have the previous turn in its cache, if known. */
     readonly preferred: string | undefined;
     /** Receiver of the answer if it is a stream. */
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,5 +1,5 @@
-import { type AttemptFailure, countPrecedingTurns, type Declaration, hash, maxPermitDelay, nextStep, pickService,
-    type RateLimitStatement, type RefusalCause, type SelectionCriteria,
+import { type AttemptFailure, type Declaration, hash, maxPermitDelay, nextStep, pickService, type RateLimitStatement,
+    type RecentPrograms, type RefusalCause, type SelectionCriteria,
     type ServiceRoute } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
@@ -25,6 +25,7 @@
 export interface SendParts {
     readonly upstreams: Upstreams;
     readonly rateLimits: RateLimits;
+    readonly recentPrograms: RecentPrograms;
     readonly declaration: () => Declaration | undefined;
     readonly limits: MemoryLimits;
     readonly dataCentre: string;
@@ -67,6 +68,7 @@
     // Once the outcome of an attempt is unknown, a later rejection must not report that the call has not run.
     let worstFailure: AttemptFailure = "notRun";
     let timeouts = 0;
+    let overload: RefusalCause | undefined;
     let current: Attempt | undefined;
     let cancelled: CancelReason | undefined;
     const cancellation = new AbortController();
@@ -117,6 +119,9 @@
                 return undefined;
             }
             const { upstream } = choice;
+            if (isRefusedForOverload(upstream)) {
+                return undefined;
+            }
             if (await rateLimits.acquire(upstream.state, choice.maxPermitDelay, cancellation.signal)) {
                 return upstream;
             }
@@ -124,14 +129,25 @@
         return undefined;
     }
 
+    /** An upstream without a limit takes a new program only if it is not overloaded. */
+    function isRefusedForOverload({ state }: Upstream): boolean {
+        const isAdmitted = reachedIds.size > 0 || state.rateLimit.isInForce() ||
+            upstreams.permitDelay(state.entry.service) === undefined;
+        overload = isAdmitted ? undefined : plan.overload();
+        return overload !== undefined;
+    }
+
     function refusalCause(): RefusalCause {
+        if (overload !== undefined) {
+            return overload;
+        }
         const expectedWait = upstreams.permitDelay(serviceOf(call, declaration()));
         return expectedWait === undefined ? { kind: "upstreamsFull" } : { kind: "rateLimited", expectedWait };
     }
 
     /** How long the call can wait for a permit now. */
     function permitDelayLimit(service: string): number {
-        return maxPermitDelay({ route, precedingTurns: countPrecedingTurns(head, plan.precedingTurns),
+        return maxPermitDelay({ route, precedingTurns: plan.precedingTurns,
             highLatency: upstreams.estimate(service).highLatency, timeLeft: call.deadlineAt - now() });
     }
 
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -1,9 +1,9 @@
-import { decideAdmission, isFirstTurn, maxWait, outageEndsWithin,
-    type RefusalCause } from "@tamarackgauge/core/gateway";
+import { maxWait, outageEndsWithin, type RefusalCause } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
+import { isDecidedAtSend, overloadRefusal } from "./admission.ts";
 import type { BudgetedTurn, Budgets, ReservationResult, TokenReservation } from "./budgets.ts";
 import type { ReceivedCall } from "./sendPlan.ts";
-import { type SendParts, serviceOf } from "./sends.ts";
+import type { SendParts } from "./sends.ts";
 import type { Turn } from "./turnRow.ts";
 import type { History, Turns } from "./turns.ts";
 
@@ -96,7 +96,7 @@
 /** Prepares the turn with what the store answers now; `unavailable` if it does not answer. */
 async function tryToPrepare(parts: TurnPreparationParts,
     call: ReceivedCall): Promise<PreparedTurn | TurnRefusal | "unavailable"> {
-    const overload = isFirstTurn(call.head) ? checkAdmission(parts, call) : undefined;
+    const overload = isDecidedAtSend(parts, call) ? undefined : overloadRefusal(parts, call);
     if (overload !== undefined) {
         return { kind: "refused", cause: overload };
     }
@@ -125,25 +125,6 @@
     return reservation === "exhausted" ? { kind: "budgetSpent" } : { kind: "prepared", reservation, history };
 }
 
-/**
- * Returns why a new program is refused if the engines are overloaded. Only first turns are checked: running programs
- * free capacity when they finish.
- */
-function checkAdmission(parts: TurnPreparationParts, call: ReceivedCall): RefusalCause | undefined {
-    const { route } = call;
-    const now = parts.now();
-    const declaration = parts.declaration();
-    const service = serviceOf(call, declaration);
-    const estimate = parts.upstreams.estimate(service);
-    // The smallest target of all routes of the service, so that their programs are refused at the same load.
-    const targetLatencies =
-        declaration?.routes.filter(each => each.streamed && each.shares.some(share => share.service === service))
-            .map(each => each.targetLatency) ?? [];
-    return decideAdmission({ occupancy: estimate.occupancy(now), excessLatency: estimate.excessLatency(now),
-        baselineLatency: estimate.baselineLatency, targetLatency: Math.min(route.targetLatency, ...targetLatencies),
-        priority: route.priority }, Math.random);
-}
-
 async function findHistory({ turns }: TurnPreparationParts,
     { head, route, byteAccount }: ReceivedCall): Promise<History> {
     return route.retention === undefined || head.previousTurn === undefined
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -1,4 +1,4 @@
-import { createByteBudget, ServiceEstimate, UpstreamState } from "@tamarackgauge/core/gateway";
+import { createByteBudget, RecentPrograms, ServiceEstimate, UpstreamState } from "@tamarackgauge/core/gateway";
 import { decodeDeclaration, decodeRequest } from "@tamarackgauge/platform";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -46,13 +46,15 @@
             estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
             [Symbol.asyncDispose]: async () => undefined },
         rateLimits: { acquire: async () => true, observe: () => undefined },
+        recentPrograms: new RecentPrograms(),
         declaration: () => declaration,
         limits: defaultLimits,
         dataCentre: "a",
         metrics: createMetrics({ limitedUpstreams: () => new Map() }),
         log,
         now: () => performance.now(),
-    }, { call: receivedCall(), priority: undefined, precedingTurns: 0, preferred: undefined, sink: undefined });
+    }, { call: receivedCall(), priority: undefined, precedingTurns: 0, overload: () => undefined, preferred: undefined,
+        sink: undefined });
     const end = await result;
     assert.equal(end.kind === "answer" && end.upstream, "sound");
     assert.equal(broken.state.inFlight, 0);
