Soak: upstreams name rate limits

The judge counts all requests that reach it, but those of gateways that were killed, stopped or paused in the last 3 s, as the rule excuses them.

--- a/packages/gateway/bench/soak.ts
+++ b/packages/gateway/bench/soak.ts
@@ -1,11 +1,12 @@
 import { createRandom } from "@tamarackgauge/core";
+import type { Arrival } from "@tamarackgauge/standin";
 import { setTimeout as sleep } from "node:timers/promises";
 import { buildDeployedProgram } from "../test/gatewayProcess.ts";
 import { call, type CallerAnswer, type TestCall, turnCall } from "../test/harness.ts";
 import { type SoakFleet, type SoakGateway, startSoakFleet } from "./soakFleet.ts";
-import { eventsPerTurn, findViolations, type SoakCall, type SoakOutcome, type SoakTurn,
+import { eventsPerTurn, findLimitViolations, findViolations, type SoakCall, type SoakOutcome, type SoakTurn,
     type Violation } from "./soakJudge.ts";
-import { type Fault, planFaults } from "./soakPlan.ts";
+import { type Fault, planFaults, planLimits, type PlannedLimit } from "./soakPlan.ts";
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -24,6 +25,7 @@
 /** Result of a soak. */
 export interface SoakResult {
     readonly plan: readonly Fault[];
+    readonly limits: readonly PlannedLimit[];
     readonly calls: number;
     readonly completeAnswers: number;
     readonly violations: readonly Violation[];
@@ -46,30 +48,38 @@
 /** Time after the last fault within which all gateways must serve calls again. */
 const recoveryTimeoutMs = 5_000;
 const explainedViolations = 3;
+/** Two engines and a tool. */
+const upstreamCount = 3;
+/** Time for which an interruption excuses the requests of its gateway from rate limits. */
+const excusedMs = 3_000;
 
 /** Runs programs against gateways while faults are injected, and checks what callers and upstreams observed. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const random = createRandom(options.seed);
     const plan = planFaults(options.durationMs, options.gateways * 3, random);
+    const limits = planLimits(options.durationMs, upstreamCount, random);
     const { memoryMb, maxDescriptors, graceS } = options;
     await using deployed = memoryMb === undefined ? undefined : await buildDeployedProgram();
     await using fleet = await startSoakFleet(options.gateways, { maxDescriptors, graceS,
         ...deployed === undefined ? {} : { program: deployed.program, memoryMb } });
     const outcomes: SoakOutcome[] = [];
+    const gatewayOfCall = new Map<string, SoakGateway>();
     const startedAt = performance.now();
     let isOver = false;
     const callers = Array.from({ length: options.callers }, (_, index) => runCaller(index));
-    await Promise.all(plan.map(async fault => {
-        await sleep(fault.startMs);
-        await fleet.injectFault(fault);
-    }));
+    await Promise.all([
+        ...plan.map(fault => sleep(fault.startMs).then(() => fleet.injectFault(fault))),
+        ...limits.map(limit => sleep(limit.startMs).then(() => fleet.limit(limit))),
+    ]);
     await sleep(Math.max(0, startedAt + options.durationMs - performance.now()));
     isOver = true;
     await Promise.all(callers);
-    const violations = [...findViolations(outcomes, fleet.executions()), ...fleet.unexpectedExits().map(exitViolation),
+    const violations = [...findViolations(outcomes, fleet.executions()),
+        ...findLimitViolations(fleet.upstreams(), isExcused), ...fleet.unexpectedExits().map(exitViolation),
         ...await findRecoveryViolations(fleet), ...findMemoryViolations(fleet, memoryMb)];
     return {
         plan,
+        limits,
         calls: outcomes.length,
         completeAnswers: outcomes.filter(({ answer }) => answer?.status === 200 && answer.whole).length,
         violations,
@@ -118,6 +128,7 @@
 
     async function makeCall(outgoing: TestCall, { turn: soakTurn, expected }: Pick<SoakCall, "turn" | "expected">) {
         const gateway = pickGateway();
+        gatewayOfCall.set(outgoing.id, gateway);
         const sentAt = performance.now();
         const answer = await tryCall(gateway, outgoing);
         outcomes.push({ call: { id: outgoing.id, turn: soakTurn, expected }, answer,
@@ -125,6 +136,12 @@
         return answer;
     }
 
+    /** Whether a request comes from a gateway that was interrupted shortly before, and so may not know of a limit. */
+    function isExcused({ id, at }: Arrival): boolean {
+        const interruptions = gatewayOfCall.get(id)?.interruptions ?? [];
+        return interruptions.some(({ from, to }) => at >= from && at < to + excusedMs);
+    }
+
     /** Includes gateways that are shutting down, because they must answer every call that they accept. */
     function pickGateway(): SoakGateway {
         return fleet.gateways[Math.floor(Math.random() * fleet.gateways.length)]!;
--- a/packages/gateway/bench/soakCommand.ts
+++ b/packages/gateway/bench/soakCommand.ts
@@ -18,7 +18,7 @@
             description: "seconds from SIGTERM until the platform kills a gateway" }),
     },
     async handler({ seed, seconds, gateways, callers, ...machine }) {
-        const { plan, calls, completeAnswers, violations, logLines, slowStarts, maxMegabytes } = await runSoak({
+        const { plan, limits, calls, completeAnswers, violations, logLines, slowStarts, maxMegabytes } = await runSoak({
             seed,
             durationMs: seconds * 1_000,
             gateways,
@@ -30,6 +30,9 @@
         );
         console.log(`most memory: ${Math.round(maxMegabytes)} MB; slow starts: ${slowStarts.length}`);
         plan.forEach(fault => console.log(`${fault.startMs} ${fault.kind} ${fault.target} ${fault.durationMs}`));
+        limits.forEach(({ startMs, target, durationMs, requestsPerSecond }) =>
+            console.log(`${startMs} limit ${target} ${durationMs} to ${requestsPerSecond} a second`)
+        );
         violations.forEach(({ invariant, call, detail }) => console.log(`VIOLATED ${invariant}: ${call} ${detail}`));
         slowStarts.forEach(start => console.log(`SLOW START: ${start}`));
         logLines.forEach(line => console.log(line));
--- a/packages/gateway/bench/soakFleet.ts
+++ b/packages/gateway/bench/soakFleet.ts
@@ -3,8 +3,8 @@
 import { chooseAddresses, type GatewayAddresses, type GatewayProcess, occupyPort, type ProcessOptions,
     residentMegabytes, spawnProcessAt, waitUntilProcessReady } from "../test/gatewayProcess.ts";
 import { createFleet, type Fleet } from "../test/harness.ts";
-import type { SoakExecution } from "./soakJudge.ts";
-import type { Fault, FaultKind } from "./soakPlan.ts";
+import type { LimitedUpstream, SoakExecution } from "./soakJudge.ts";
+import type { Fault, FaultKind, PlannedLimit } from "./soakPlan.ts";
 
 /** A gateway of a soak. It keeps its addresses when its process is restarted. */
 export interface SoakGateway {
@@ -13,6 +13,14 @@
     undisturbedSince: number;
     /** Its current process. */
     readonly process: GatewayProcess;
+    /** Times at which its process was not running or had just begun to run. */
+    readonly interruptions: readonly Interruption[];
+}
+
+/** A time at which a gateway was killed, stopped or paused, in monotonic ms; `to` is infinite while it lasts. */
+export interface Interruption {
+    readonly from: number;
+    to: number;
 }
 
 /** Gateway processes and stand-ins for everything else, with fault injection. */
@@ -20,7 +28,10 @@
     readonly gateways: readonly SoakGateway[];
     /** Injects a fault and resolves when it is over. */
     injectFault(fault: Fault): Promise<void>;
+    /** Lets an upstream name a rate limit and resolves when it has ended. */
+    limit(limit: PlannedLimit): Promise<void>;
     executions(): readonly SoakExecution[];
+    upstreams(): readonly LimitedUpstream[];
     /** Ends of processes that no fault caused, each with what the process wrote. */
     unexpectedExits(): readonly string[];
     /** Starts that took longer than a gateway should need, with what the process logged. */
@@ -39,6 +50,7 @@
     exitExpected: boolean;
     /** The latest kill, restart, pause or reload of the process; each waits for the previous one. */
     lastChange: Promise<void>;
+    readonly interruptions: Interruption[];
 }
 
 const storeFaults: Partial<Record<FaultKind, RowStoreFault>> = {
@@ -151,6 +163,15 @@
         return member.lastChange;
     }
 
+    function interrupt(member: GatewayMember, action: () => Promise<void>): Promise<void> {
+        return runAfterLastChange(member, async () => {
+            const interruption = { from: performance.now(), to: Infinity };
+            member.interruptions.push(interruption);
+            await action();
+            interruption.to = performance.now();
+        });
+    }
+
     async function disturbStore(storeEndpoints: readonly RowStoreListener[], storeFault: RowStoreFault,
         durationMs: number): Promise<void> {
         storeEndpoints.forEach(storeEndpoint => storeEndpoint.setFault(storeFault));
@@ -172,14 +193,13 @@
         }
         switch (kind) {
             case "stop":
-                return runAfterLastChange(member, () => restart(member, "SIGTERM"));
+                return interrupt(member, () => restart(member, "SIGTERM"));
             case "kill":
-                return runAfterLastChange(member, () => kill(member));
+                return interrupt(member, () => kill(member));
             case "portInUse":
-                return runAfterLastChange(member,
-                    () => kill(member, () => occupyWhileDown(member, target, durationMs)));
+                return interrupt(member, () => kill(member, () => occupyWhileDown(member, target, durationMs)));
             case "pause":
-                return runAfterLastChange(member, () => pause(member, durationMs));
+                return interrupt(member, () => pause(member, durationMs));
             case "reload":
                 return runAfterLastChange(member, async () => void member.process.child.kill("SIGHUP"));
             case "storeAway":
@@ -196,6 +216,12 @@
     return {
         gateways: members,
         injectFault,
+        async limit({ target, durationMs, requestsPerSecond }) {
+            pickUpstream(fleet, target).limit(requestsPerSecond);
+            await sleep(durationMs);
+            pickUpstream(fleet, target).limit(undefined);
+        },
+        upstreams: () => [fleet.engine, fleet.spareEngine, fleet.tool],
         executions: () => [fleet.engine, fleet.spareEngine, fleet.tool].flatMap(({ executed }) => executed),
         unexpectedExits: () => unexpectedExits,
         slowStarts: () => slowStarts,
@@ -218,7 +244,7 @@
     const settings = await chooseAddresses();
     const process = await spawnProcessAt(storeEndpoint, settings, options);
     return { name: options.name, storeEndpoint, settings, process, undisturbedSince: performance.now(),
-        exitExpected: false, lastChange: Promise.resolve() };
+        exitExpected: false, lastChange: Promise.resolve(), interruptions: [] };
 }
 
 function describeExit({ name, process }: GatewayMember, code: number | string): string {
--- a/packages/gateway/bench/soakJudge.ts
+++ b/packages/gateway/bench/soakJudge.ts
@@ -1,4 +1,6 @@
+import type { Arrival, NamedLimit } from "@tamarackgauge/standin";
 import { type CallerAnswer, turnInput } from "../test/harness.ts";
+import { findLimitExcesses } from "./rateLimitJudge.ts";
 
 /** A call made by a caller. */
 export interface SoakCall {
@@ -34,6 +36,13 @@
     readonly body: string;
 }
 
+/** What reached an upstream, and the rate limits that it named. */
+export interface LimitedUpstream {
+    readonly id: string;
+    readonly arrivals: readonly Arrival[];
+    readonly namedLimits: readonly NamedLimit[];
+}
+
 /** A violated invariant. */
 export interface Violation {
     readonly invariant: string;
@@ -59,6 +68,19 @@
         ...findBudgetViolations(outcomes)];
 }
 
+/** Finds upstreams that got more requests than their rate limits allow; excused requests are not counted. */
+export function findLimitViolations(upstreams: readonly LimitedUpstream[],
+    isExcused: (arrival: Arrival) => boolean): readonly Violation[] {
+    return upstreams.flatMap(({ id, arrivals, namedLimits }) => {
+        const times = arrivals.filter(arrival => !isExcused(arrival)).map(({ at }) => at);
+        return findLimitExcesses(times, namedLimits).map(({ from, requests, allowed }) => ({
+            invariant: "an upstream gets no more requests than its rate limit allows",
+            call: id,
+            detail: `${requests} in 4 s where ${allowed} are allowed, from ${Math.round(from)} ms on`,
+        }));
+    });
+}
+
 /** Tokens per event, and the maximum number of tokens of a turn. */
 const tokensPerEvent = 10;
 const maxTurnTokens = 60;
--- a/packages/gateway/test/soak.test.ts
+++ b/packages/gateway/test/soak.test.ts
@@ -3,8 +3,8 @@
 import { test } from "node:test";
 import { runSoak } from "../bench/soak.ts";
 import { startSoakFleet } from "../bench/soakFleet.ts";
-import { findViolations, type SoakCall, type SoakOutcome } from "../bench/soakJudge.ts";
-import { planFaults } from "../bench/soakPlan.ts";
+import { findLimitViolations, findViolations, type SoakCall, type SoakOutcome } from "../bench/soakJudge.ts";
+import { planFaults, planLimits } from "../bench/soakPlan.ts";
 import { waitUntilProcessReady } from "./gatewayProcess.ts";
 import { waitUntil } from "./harness.ts";
 
@@ -78,6 +78,25 @@
     assert.match(fleet.unexpectedExits()[0]!, /^g0 ended with SIGKILL\n.*"event":"gateway.started"/s);
 });
 
+test("an upstream that gets more than its limit allows is reported, requests of interrupted gateways aside (guards against a soak that no limit can fail)", () => {
+    const arrivals = Array.from({ length: 20 }, (_, index) => ({ id: `c${index}`, at: 5_000 + index }));
+    const upstream = { id: "u", arrivals, namedLimits: [{ at: 0, requestsPerSecond: 1 }] };
+    assert.deepEqual(findLimitViolations([upstream], () => false).map(({ call }) => call), ["u"]);
+    assert.deepEqual(findLimitViolations([upstream], ({ at }) => at >= 5_011), []);
+});
+
+test("the limits of an upstream do not overlap and end before the soak (guards against a limit that hides another)", () => {
+    for (let seed = 0; seed < 200; seed += 1) {
+        const limits = planLimits(40_000, 3, createRandom(seed));
+        limits.forEach(({ target, startMs, durationMs }, index) => {
+            const next = limits[index + 1];
+            assert.ok(durationMs >= 5_000 && startMs + durationMs <= 36_000);
+            assert.ok(next === undefined || next.target !== target || startMs + durationMs <= next.startMs);
+        });
+    }
+    assert.deepEqual(planLimits(40_000, 3, createRandom(7)), planLimits(40_000, 3, createRandom(7)));
+});
+
 test("the invariants hold while faults overlap (guards against lost or wrong answers during failures)", async context => {
     const { plan, calls, completeAnswers, violations, logLines } = await runSoak({
         seed: 3,
