explain: names the rate limits that refused a call or held it

A call that was refused because the upstreams' rate limits were reached had a reason in its log line, but neither the cause as a field nor the limits: those are logged when they are named, which may be long before the lines that explain prints, and a call that waited for a permit showed only a long upstreamMs. call.refused now has the cause's kind, call.answered the time for which the call waited for permits (permitMs), and explain ends with the limits in force at the call's gateways at that moment, whenever they were logged.

--- a/packages/gateway/src/commands.ts
+++ b/packages/gateway/src/commands.ts
@@ -2,7 +2,7 @@
 import { parseSettings, problemText, SettingsError } from "@tamarackgauge/platform";
 import { array, command, multioption, positional, string } from "cmd-ts";
 import { readFileSync } from "node:fs";
-import { explainCall } from "./explain.ts";
+import { explainCall, explainRateLimits } from "./explain.ts";
 import { parseLogLines, renderLogLine } from "./logLine.ts";
 import { runGateway } from "./run.ts";
 
@@ -58,5 +58,6 @@
         return exitCodes.failed;
     }
     callLines.forEach(line => terminal.out(renderLogLine(line)));
+    explainRateLimits(lines, call).forEach(text => terminal.out(text));
     return exitCodes.done;
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -56,9 +56,8 @@
 
 /** The answer to a call that has not run and will not run. */
 export function refusalAnswer(cause: RefusalCause, reason = refusalReasons[cause.kind]): LocalAnswer {
-    const { kind, ...details } = cause;
     return { status: serviceUnavailable, reason, retryAfter: retryDelay(cause, Math.random),
-        closeConnection: causesToGoElsewhere.has(kind), details };
+        closeConnection: causesToGoElsewhere.has(cause.kind), details: { ...cause } };
 }
 
 function turnRefusalAnswer(refusal: TurnRefusal): LocalAnswer {
@@ -185,7 +184,7 @@
         if (delivered && "upstream" in result) {
             log.info("call.answered", { ...callFields(), upstream: result.upstream,
                 preparedMs: Math.round(sentAt - call.arrivedAt), upstreamMs: Math.round(receivedAt - sentAt),
-                keptMs: Math.round(now() - receivedAt) });
+                permitMs: Math.round(sends.permitWait()), keptMs: Math.round(now() - receivedAt) });
         }
         if (delivered && route.streamed && head.program !== undefined) {
             parts.recentPrograms.record(head.program, now());
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -39,6 +39,8 @@
     readonly result: Promise<SendResult>;
     /** Aborts the current attempt, so that the upstream stops working on the call; the result is `cancelled`. */
     cancel(reason: CancelReason): void;
+    /** How long the call has waited for permits to send to upstreams with a rate limit, in ms. */
+    permitWait(): number;
 }
 
 /** `left`: the caller disconnected. `late`: the call timed out, which may be the upstream's fault. */
@@ -73,6 +75,7 @@
     let cancelled: CancelReason | undefined;
     const cancellation = new AbortController();
     let sentAtCancel = false;
+    let permitWait = 0;
 
     async function run(): Promise<SendResult> {
         let lastFailure: FailedAttempt | undefined;
@@ -122,13 +125,20 @@
             if (isRefusedForOverload(upstream)) {
                 return undefined;
             }
-            if (await rateLimits.acquire(upstream.state, choice.maxPermitDelay, cancellation.signal)) {
+            if (await acquirePermit(choice)) {
                 return upstream;
             }
         }
         return undefined;
     }
 
+    async function acquirePermit({ upstream, maxPermitDelay: maxDelay }: ChosenUpstream): Promise<boolean> {
+        const askedAt = now();
+        const isPermitted = await rateLimits.acquire(upstream.state, maxDelay, cancellation.signal);
+        permitWait += now() - askedAt;
+        return isPermitted;
+    }
+
     /** An upstream without a limit takes a new program only if it is not overloaded. */
     function isRefusedForOverload({ state }: Upstream): boolean {
         const isAdmitted = reachedIds.size > 0 || state.rateLimit.isInForce() ||
@@ -225,7 +235,7 @@
         current?.cancel();
     }
 
-    return { result: run(), cancel };
+    return { result: run(), cancel, permitWait: () => permitWait };
 }
 
 /**
--- a/packages/gateway/test/namedLimits.test.ts
+++ b/packages/gateway/test/namedLimits.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { explainRateLimits } from "../src/explain.ts";
 import { call, createFleet, freeAddress, type TestGateway, turnCall, waitUntilReady } from "./harness.ts";
 
 async function startFleet() {
@@ -94,3 +95,19 @@
     await callTool(gateway);
     assert.deepEqual(changesOf(gateway, "i-tool"), [["named", undefined, 3]]);
 });
+
+test("a call that a limit refuses is told when to come back, and its log line names the limit (guards against refusals that nobody can explain)", async () => {
+    await using parts = await startFleet();
+    const { fleet, gateway } = parts;
+    fleet.tool.limit(0.2);
+    await callTool(gateway);
+    const answers = await Promise.all(
+        ["r1", "r2", "r3", "r4"].map(id => call(gateway, { path: "/pay/x", id, body: "x" })),
+    );
+    const refused = answers.findIndex(({ status }) => status === 503);
+    assert.ok(Number(answers[refused]?.headers["retry-after"]) > 0);
+    const lines = gateway.logLines.map((line, time) => ({ ...line, time, vm: "g" }));
+    const [reason, limit] = explainRateLimits(lines, `r${refused + 1}`);
+    assert.match(reason!, /rate limits were reached/);
+    assert.match(limit!, /^i-tool of tools takes 0.2 requests a second/);
+});
