Rate limits: a permit may be used until the next one is due

A call that had waited for its permit was refused after up to 1.8 s when its process continued more than 150 ms after the permit's time: it needed another permit, which was not free in the time it had left. Seen in 1 of 2 runs of rateLimit.test.ts beside a load of 20 to 27 (6 calls in 3 tests); in the other one a trace showed 3 permits that were 223 to 233 ms late.

One request that is late by less than the interval of its upstream's permits adds at most one request to any time, which two issuers together have room for: 1.4 x 4 x limit + 3 + 2 is less than 1.5 x 4 x limit + 5. So the time is that interval, at least the 150 ms from before and at most a second.

--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -27,8 +27,12 @@
     readonly now: () => number;
 }
 
-/** A permit that is used later than this after its time could meet those of others, so another one is needed. */
-const maxPermitLatenessMs = 150;
+/**
+ * A permit may be used this long after its time, or until the next one is due: then at most one request more than permits
+ * falls into any time. Later, another one is needed.
+ */
+const minUsableMs = 150;
+const maxUsableMs = 1_000;
 
 /** Creates the rate limits of a gateway. */
 export function createRateLimits({ permits, metrics, log, now }: RateLimitsParts): RateLimits {
@@ -48,12 +52,16 @@
             learn(state, later);
         }
         state.recordPermit(decision.delay, now());
-        return decision.kind === "granted" && waitForPermit(state, decision.delay, signal);
+        return decision.kind === "granted" &&
+            waitForPermit(state, { delay: decision.delay, usableMs: usableTime(requestsPerSecond) }, signal);
     }
 
     /** Returns whether the permit may be used after its delay. */
-    async function waitForPermit(state: UpstreamState, delay: number, signal: AbortSignal): Promise<boolean> {
-        const usableUntil = now() + delay + maxPermitLatenessMs;
+    async function waitForPermit(state: UpstreamState, { delay, usableMs }: {
+        readonly delay: number;
+        readonly usableMs: number;
+    }, signal: AbortSignal): Promise<boolean> {
+        const usableUntil = now() + delay + usableMs;
         if (delay > 0) {
             await Promise.race([sleep(delay), whenAborted(signal)]);
         }
@@ -97,6 +105,11 @@
     return { acquire, observe };
 }
 
+/** How long after its time a permit may be used, in ms. */
+function usableTime(requestsPerSecond: number): number {
+    return Math.min(maxUsableMs, Math.max(minUsableMs, 1_000 / requestsPerSecond));
+}
+
 async function whenAborted(signal: AbortSignal): Promise<undefined> {
     if (!signal.aborted) {
         await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
