Gateway: a refusal tells how long its call waited for permits

A tool call was refused for the upstreams' rate limits after 1,145 ms, in 1 of 4 runs of rateLimit.test.ts beside a load of 25 (17 tests each). Its log line did not show whether the store, the upstream or a permit had held it. call.refused now has permitMs too, and the tests print the log lines of a call that they report. It was for a permit all the time; which part of that wait went wrong is not traced yet: a permit that was used too late, or an issuer that had become silent.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -265,7 +265,8 @@
     function answerLocally(answer: LocalAnswer): void {
         log.warn("call.refused", { ...callFields(), status: answer.status, reason: answer.reason,
             begun: response.headersSent, retryAfter: roundIfKnown(answer.retryAfter),
-            outageMs: Math.round(parts.storeOutage.age()), ...answer.details });
+            outageMs: Math.round(parts.storeOutage.age()), permitMs: roundIfKnown(sends?.permitWait()),
+            ...answer.details });
         phase = "answered";
         writeLocalAnswer(response, head.id, answer);
     }
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -28,6 +28,7 @@
 
 /** What a caller got. */
 export interface CallerOutcome {
+    readonly id: string;
     readonly path: string;
     readonly gateway: TestGateway;
     /** 0 if the connection ended without an answer. */
@@ -128,8 +129,9 @@
     const sentAt = performance.now();
     const answer = await call(gateway, outgoing).catch(() => undefined);
     const retryAfter = answer?.headers["retry-after"];
-    return { path: outgoing.path, gateway, status: answer?.status ?? 0, sentAt, durationMs: performance.now() - sentAt,
-        retryAfter: retryAfter === undefined ? undefined : Number(retryAfter), body: answer?.body ?? "" };
+    return { id: outgoing.id, path: outgoing.path, gateway, status: answer?.status ?? 0, sentAt,
+        durationMs: performance.now() - sentAt, retryAfter: retryAfter === undefined ? undefined : Number(retryAfter),
+        body: answer?.body ?? "" };
 }
 
 /** Asserts that no upstream got more requests than its limits allow. */
@@ -171,7 +173,8 @@
     assert.deepEqual(outcomes.filter(({ status }) => status !== 200).map(describe), []);
 }
 
-function describe({ path, gateway, status, durationMs, retryAfter, body }: CallerOutcome): string {
+function describe({ id, path, gateway, status, durationMs, retryAfter, body }: CallerOutcome): string {
+    const lines = gateway.logLines.filter(({ fields }) => fields.call === id);
     return `${path} at ${gateway.settings.name}: ${status} after ${Math.round(durationMs)} ms, to come back after ` +
-        `${retryAfter} s: ${body}`;
+        `${retryAfter} s: ${body} ${JSON.stringify(lines)}`;
 }
