Turns: one that cannot be prepared is refused at its time limit

Cause: the preparation awaited the reservation and the reads of a turn, and looked at the time only afterwards. The limits of the single calls add up: 1.5 s at the program's home, 2.4 s for a grant of its own, and both again after a first failure.

The preparation races with the end of the call's time. Nothing was sent by then, so 503 is true. A reservation that is made later is settled with no tokens used, as the tests show with a budget of one turn.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -60,7 +60,8 @@
         closeConnection: causesToGoElsewhere.has(cause.kind), details: { ...cause } };
 }
 
-function turnRefusalAnswer(refusal: TurnRefusal): LocalAnswer {
+/** The answer to a turn that may not run; `unprepared` is the cause for one whose preparation has not ended. */
+function turnRefusalAnswer(refusal: TurnRefusal, unprepared: RefusalCause): LocalAnswer {
     switch (refusal.kind) {
         case "refused":
             return refusalAnswer(refusal.cause);
@@ -69,7 +70,7 @@
         case "budgetSpent":
             return { status: paymentRequired, reason: "the program's token budget is spent" };
         case "left":
-            return refusalAnswer({ kind: "outOfTime" });
+            return refusalAnswer(unprepared);
     }
 }
 
@@ -120,10 +121,17 @@
             await servePrepared(preparation);
         }
         else if (!disconnected) {
-            answerLocally(turnRefusalAnswer(preparation));
+            answerLocally(turnRefusalAnswer(preparation, unpreparedCause()));
         }
     }
 
+    /** A turn that is not prepared within its time has waited for the store, so that it may be tried again. */
+    function unpreparedCause(): RefusalCause {
+        return endCause === "stopping"
+            ? { kind: "stopping" }
+            : { kind: "storeAway", isolated: parts.storeOutage.isIsolated() };
+    }
+
     async function servePrepared({ reservation, history }: PreparedTurn): Promise<void> {
         if (!reserveBodyWithHistory(history)) {
             reservation.settle(0);
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -14,7 +14,7 @@
     readonly history: readonly Turn[];
 }
 
-/** Why a turn may not run. `left`: its caller has left or its time has ended while it waited. */
+/** Why a turn may not run. `left`: its caller has left or its time has ended before it was prepared. */
 export type TurnRefusal =
     | { readonly kind: "refused"; readonly cause: RefusalCause; }
     | { readonly kind: "noSuchTurn"; }
@@ -46,15 +46,19 @@
 
 /**
  * Reserves a turn's tokens and finds the turns before it. While the store does not answer, the turn waits for it, because
- * its caller tries only a few times. The signal is aborted when the caller leaves or the call's time has ended.
+ * its caller tries only a few times. The signal is aborted when the caller leaves or the call's time has ended; the turn
+ * then waits no longer.
  */
 export async function prepareTurn(parts: TurnPreparationParts, call: ReceivedCall,
     signal: AbortSignal): Promise<PreparedTurn | TurnRefusal> {
     const { storeOutage, now } = parts;
     const waitsUntil = call.arrivedAt +
         maxWait({ timeLeft: call.deadlineAt - call.arrivedAt, patience: call.route.callerPatience });
-    for (;;) {
-        const result = cannotFinishDuringOutage(parts, call) ? "unavailable" : await tryToPrepare(parts, call);
+    const left = leftWhenAborted(signal);
+    while (!signal.aborted) {
+        const result = cannotFinishDuringOutage(parts, call)
+            ? "unavailable"
+            : await firstOf(tryToPrepare(parts, call), left, parts, call);
         if (result !== "unavailable") {
             return result;
         }
@@ -64,9 +68,31 @@
             return { kind: "refused", cause: { kind: "storeAway", isolated } };
         }
         await waitForStore(storeOutage, waitLeft, signal);
-        if (signal.aborted) {
-            return { kind: "left" };
-        }
+    }
+    return { kind: "left" };
+}
+
+type PreparationResult = PreparedTurn | TurnRefusal | "unavailable";
+
+/** Resolves when the signal is aborted. */
+function leftWhenAborted(signal: AbortSignal): Promise<TurnRefusal> {
+    return new Promise(resolve => signal.addEventListener("abort", () => resolve({ kind: "left" }), { once: true }));
+}
+
+/** Returns the result of a preparation, or `left` if that comes first; what is then reserved later is given back. */
+async function firstOf(preparation: Promise<PreparationResult>, left: Promise<TurnRefusal>,
+    { log }: TurnPreparationParts, { head }: ReceivedCall): Promise<PreparationResult> {
+    const first = await Promise.race([preparation, left]);
+    if (typeof first !== "string" && first.kind === "left") {
+        preparation.then(giveBack, (error: Error) =>
+            log.warn("turn.notPrepared", { call: head.id, program: head.program, reason: error.message }));
+    }
+    return first;
+}
+
+function giveBack(result: PreparationResult): void {
+    if (typeof result !== "string" && result.kind === "prepared") {
+        result.reservation.settle(0);
     }
 }
 
@@ -94,8 +120,7 @@
 }
 
 /** Prepares the turn with what the store answers now; `unavailable` if it does not answer. */
-async function tryToPrepare(parts: TurnPreparationParts,
-    call: ReceivedCall): Promise<PreparedTurn | TurnRefusal | "unavailable"> {
+async function tryToPrepare(parts: TurnPreparationParts, call: ReceivedCall): Promise<PreparationResult> {
     const overload = isDecidedAtSend(parts, call) ? undefined : overloadRefusal(parts, call);
     if (overload !== undefined) {
         return { kind: "refused", cause: overload };
--- a/packages/gateway/test/sharedBudgets.test.ts
+++ b/packages/gateway/test/sharedBudgets.test.ts
@@ -6,7 +6,8 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { WebSocketServer } from "ws";
-import { call, createFleet, type TestCall, type TestGateway, turnCall, waitUntil, waitUntilReady } from "./harness.ts";
+import { call, createFleet, declaration, type TestCall, type TestGateway, turnCall, waitUntil,
+    waitUntilReady } from "./harness.ts";
 
 const home = "one";
 let serial = 0;
@@ -94,6 +95,32 @@
     assert.equal((await call(setup.two, turnWithoutRetention("t5", program, 160))).status, 402);
 });
 
+test("a turn is refused at its time limit while neither its home nor its own gateway gets an answer of the store (guards against turns that are held for the sum of both waits)", async () => {
+    await using setup = await startGateways();
+    const program = createProgramId();
+    [setup.one, setup.two].forEach(({ storeEndpoint }) => storeEndpoint.setFault({ mode: "silent", call: "change" }));
+    const startedAt = performance.now();
+    assert.equal((await call(setup.two, turnWithoutRetention("t0", program))).status, 503);
+    const elapsed = performance.now() - startedAt;
+    const { timeoutMs } = declaration.routes[0]!;
+    assert.ok(elapsed < timeoutMs + 400, `the answer came after ${Math.round(elapsed)} ms`);
+});
+
+test("tokens that a home lends after the time limit of a turn are returned to it (guards against loans that leak)", async () => {
+    await using setup = await startGateways();
+    const [program, budget] = [createProgramId(), 60];
+    const turn = turnWithoutRetention("t0", program, budget);
+    setup.one.storeEndpoint.setFault({ mode: "slow", ms: 1_200, call: "change" });
+    const { status } = await call(setup.two, { ...turn, headers: { ...turn.headers, "x-deadline-ms": "1000" } });
+    assert.equal(status, 503);
+    setup.one.storeEndpoint.setFault(undefined);
+    await waitUntil(
+        async () =>
+            (await call(setup.two, turnWithoutRetention(`t${performance.now()}`, program, budget))).status === 200,
+        "the tokens are available",
+    );
+});
+
 test("a turn waits for a home that waits for a slow store (guards against a second grant, whose write would queue behind the first)", async () => {
     await using setup = await startGateways();
     setup.one.storeEndpoint.setFault({ mode: "slow", ms: 400, call: "change" });
