Budgets: a loan counts what its turn generated, also beyond its most

The last event of a turn is counted whole, so a turn may generate more than its most. One whose tokens came from its home was counted with its most, so that a program could go on after its budget was spent (seen by the review, by reading).

Cause: the settlement of a loan only returned what was left. Evidence: a test with turns of at most 45 tokens that generate 50 failed before (row: 180 of 200 tokens). The gateway that the turn reached now counts the difference in its own account and writes it at once, with the retries of its other writes. A message to the home would be lost with a broken link and may not be repeated.

The same test, with turns that end together, showed a second cause: tokens that are counted while a grant is being given back stayed unwritten until the program's next turn at this gateway (timed out). A give-back that succeeds now looks again.

--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -55,6 +55,8 @@
 
 /** Token budgets of programs, each in one row of the store. The store is called only if the own grant is too small. */
 export interface OwnBudgets extends Budgets, TokenLender, Disposable {
+    /** Counts tokens as generated that were not reserved here, and writes them to the program's row. */
+    book(program: string, tokens: number): void;
     /** Returns the tokens of all grants that no running turn needs. */
     flush(): Promise<void>;
 }
@@ -162,6 +164,13 @@
         scheduleReturn(account, idleGrantTimeoutOf(account));
     }
 
+    /** Not left to the next turn, as the program's next turn may reach another gateway. */
+    function book(program: string, tokens: number): void {
+        const account = accountOf(program);
+        endTurn(account.tokens, 0, tokens);
+        void returnGrant(account);
+    }
+
     async function recall(requestedHolder: string, program: string): Promise<RecallOutcome> {
         if (requestedHolder !== holder) {
             return "gone";
@@ -349,6 +358,8 @@
         try {
             await renewOwnGrant(account, account.tokens.reserved, 0, Infinity);
             account.returnFailureLogged = false;
+            // Tokens may have been counted or given back since the write began.
+            scheduleReturn(account, retryDelayMs);
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
@@ -397,7 +408,7 @@
         accounts.forEach(({ returnTimer }) => clearTimeout(returnTimer));
     }
 
-    return { reserve, lend, acceptReturn, recall, stopLending: () => void (lendingEnabled = false), flush,
+    return { reserve, lend, book, acceptReturn, recall, stopLending: () => void (lendingEnabled = false), flush,
         [Symbol.dispose]: dispose };
 }
 
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -1,5 +1,5 @@
 import { type GatewaySettings, rankByRendezvous } from "@tamarackgauge/core/gateway";
-import type { BudgetedTurn, Budgets, LoanOutcome, RecallOutcome, ReservationResult,
+import type { BudgetedTurn, Budgets, LoanOutcome, OwnBudgets, RecallOutcome, ReservationResult,
     TokenReservation } from "./budgets.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -15,7 +15,7 @@
 
 /** Dependencies of shared budgets. */
 export interface SharedBudgetsParts {
-    readonly ownBudgets: () => Budgets;
+    readonly ownBudgets: () => Pick<OwnBudgets, "reserve" | "book">;
     readonly settings: Pick<GatewaySettings, "name" | "dataCentre">;
     readonly peers: () => readonly Peer[];
     readonly contacts: PeerContacts;
@@ -84,6 +84,9 @@
                 if (used < most) {
                     returnTokens(home, program, most - used);
                 }
+                else if (used > most) {
+                    ownBudgets().book(program, used - most);
+                }
             },
         };
     }
--- a/packages/gateway/test/sharedBudgets.test.ts
+++ b/packages/gateway/test/sharedBudgets.test.ts
@@ -1,12 +1,12 @@
-import { rankByRendezvous } from "@tamarackgauge/core/gateway";
+import { hash, rankByRendezvous } from "@tamarackgauge/core/gateway";
 import { createStore } from "@tamarackgauge/platform";
-import { pack } from "msgpackr";
+import { pack, unpack } from "msgpackr";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { WebSocketServer } from "ws";
-import { call, createFleet, declaration, type TestCall, type TestGateway, turnCall, waitUntil,
+import { call, createFleet, declaration, type Fleet, type TestCall, type TestGateway, turnCall, waitUntil,
     waitUntilReady } from "./harness.ts";
 
 const home = "one";
@@ -121,6 +121,30 @@
     );
 });
 
+/** Tokens that a program's row counts as generated, and those in grants. */
+function countsOf({ rowStore }: Fleet, program: string) {
+    const [spent, grants] = unpack(rowStore.get("budgets", String(hash(program) % 512), program)!) as [number,
+        [string, number, number][]];
+    return { spent, granted: grants.reduce((sum, [, , tokens]) => sum + tokens, 0) };
+}
+
+test("a turn that generates more than its most with tokens of its home is counted in full (guards against a budget that is overspent by each last event)", async () => {
+    await using setup = await startGateways();
+    const program = createProgramId();
+    // Each turn generates 5 events of 10 tokens.
+    const turn = (id: string) => {
+        const wanted = turnWithoutRetention(id, program, 225);
+        return { ...wanted, headers: { ...wanted.headers, "x-token-usage": "100,45" } };
+    };
+    // The turns end while the tokens of an earlier one are being written.
+    setup.two.storeEndpoint.setFault({ mode: "slow", ms: 100, call: "change" });
+    const answers = await Promise.all(["t1", "t2", "t3", "t4"].map(id => call(setup.two, turn(id))));
+    assert.deepEqual(answers.map(({ status }) => status), [200, 200, 200, 200]);
+    await waitUntil(() => countsOf(setup.fleet, program).granted === 0, "all grants are given back");
+    await waitUntil(() => countsOf(setup.fleet, program).spent === 200, "all tokens are counted");
+    assert.equal((await call(setup.two, turn("t5"))).status, 402);
+});
+
 test("a turn waits for a home that waits for a slow store (guards against a second grant, whose write would queue behind the first)", async () => {
     await using setup = await startGateways();
     setup.one.storeEndpoint.setFault({ mode: "slow", ms: 400, call: "change" });
