Budgets: a holder that has long been missing in the list of gateways has ended

A program whose remaining tokens were granted to a gateway that had ended long ago was told 503, to come back, each time, where 402 is true: the tokens of such a grant count as spent for ever.

Cause: only a gateway that is listed and cannot be reached counted as ended after 10 s; one that is not listed was never asked, so that it never failed. Evidence: the new test failed before ("pending" an hour later). A holder, which is one process, counts as ended when it has been missing for 40 s; a new gateway is read within 2 refreshes of the list, 15 s apart. The grant itself is not touched.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -114,7 +114,7 @@
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
     const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
-        peers: () => peerList?.registered() ?? [], contacts, metrics, log });
+        peers: () => peerList?.registered() ?? [], contacts, metrics, log, now });
     const ownBudgets = disposal.own(
         createBudgets({ store, holder: `${settings.name}/${randomBytes(4).toString("hex")}`,
             recallFrom: budgets.recallFrom, log, now }),
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -21,6 +21,7 @@
     readonly contacts: PeerContacts;
     readonly metrics: Metrics;
     readonly log: Log;
+    readonly now: () => number;
 }
 
 /** A home that shows no sign of life within `silence` is bypassed; one that waits for the store has until `timeout`. */
@@ -30,6 +31,8 @@
 const recallLimits: RequestTimeouts = { timeout: 1_000 };
 /** A peer that has been failing for this long is presumed to have ended, not just to be frozen or cut off. */
 const presumedGoneAfterMs = 10_000;
+/** The same for a gateway that is not in the list; a new one is in it after two refreshes at most. */
+const unlistedGoneAfterMs = 40_000;
 
 /**
  * Creates budgets in which one gateway of the data centre, the home, holds the grant of a program, and the other
@@ -38,8 +41,11 @@
  * reserves tokens itself has its own grant in the program's row.
  */
 export function createSharedBudgets(
-    { ownBudgets, settings, peers, contacts, metrics, log }: SharedBudgetsParts,
+    { ownBudgets, settings, peers, contacts, metrics, log, now }: SharedBudgetsParts,
 ): SharedBudgets {
+    /** When a holder was first found missing in the list of gateways. */
+    const unlistedSince = new Map<string, number>();
+
     function homeOf(program: string): Peer | undefined {
         const localPeers = peers().filter(peer =>
             peer.dataCentre === settings.dataCentre &&
@@ -104,7 +110,11 @@
             return "gone";
         }
         const peer = peers().find(known => known.name === name);
-        if (peer === undefined || contacts.isBackingOff(name)) {
+        if (peer === undefined) {
+            return unlistedOutcome(holder, name);
+        }
+        unlistedSince.delete(holder);
+        if (contacts.isBackingOff(name)) {
             return presumedOutcome(name);
         }
         try {
@@ -116,6 +126,13 @@
         }
     }
 
+    /** A gateway leaves the list as it ends, or after a long silence. */
+    function unlistedOutcome(holder: string, name: string): RecallOutcome {
+        const since = unlistedSince.get(holder) ?? now();
+        unlistedSince.set(holder, since);
+        return now() - since > unlistedGoneAfterMs ? "gone" : presumedOutcome(name);
+    }
+
     function presumedOutcome(name: string): RecallOutcome {
         return contacts.failingFor(name) > presumedGoneAfterMs ? "gone" : "pending";
     }
--- a/packages/gateway/test/sharedBudgets.test.ts
+++ b/packages/gateway/test/sharedBudgets.test.ts
@@ -6,6 +6,10 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { WebSocketServer } from "ws";
+import type { Log } from "../src/log.ts";
+import { createMetrics } from "../src/metrics.ts";
+import { createPeerContacts } from "../src/peerContacts.ts";
+import { createSharedBudgets } from "../src/sharedBudgets.ts";
 import { call, createFleet, declaration, type Fleet, type TestCall, type TestGateway, turnCall, waitUntil,
     waitUntilReady } from "./harness.ts";
 
@@ -219,6 +223,22 @@
     );
 });
 
+test("a holder that has been missing in the list of gateways for long counts as ended (guards against a program that is told to come back for ever)", async () => {
+    let time = 0;
+    const log: Log = { info: () => undefined, warn: () => undefined };
+    const now = () => time;
+    using contacts = createPeerContacts({ log, now });
+    const { recallFrom } = createSharedBudgets({ contacts, log, now, metrics: createMetrics(), peers: () => [],
+        settings: { name: "one", dataCentre: "a" }, ownBudgets: () => assert.fail("no tokens are reserved") });
+    assert.equal(await recallFrom("two/1", "p"), "pending");
+    // A gateway that has just started is in the list within less than this time.
+    time = 30_000;
+    assert.equal(await recallFrom("two/1", "p"), "pending");
+    time = 3_600_000;
+    assert.equal(await recallFrom("two/1", "p"), "gone");
+    assert.equal(await recallFrom("two/2", "p"), "pending");
+});
+
 test("a turn is refused with a retry delay while another gateway may still return tokens (guards against a false 402)", async () => {
     await using fleet = await createFleet();
     const one = await fleet.startGateway({ name: "one" });
