Streams: one that goes on beyond its call's most tokens is cut

An engine that streamed without end for a call that had declared at most 60 tokens was relayed until the call's time limit, 2.5 s here, and its program's budget was overspent by all of it; the caller got all events.

Cause: nothing compared the events with the maximum that X-Token-Usage declares, which is reserved from the budget. Evidence: two tests of endless.test.ts failed before (not ended before the time limit). One that holds before and after shows that a stream whose last event has no token is whole.

The relay counts the tokens of the upstream that sends now, so that a resumed stream has the whole maximum again. The event in which the maximum is passed is relayed; the next one ends the call: 502 if the answer has not begun, otherwise a break; no further attempt; the engine counts as failing; what it generated is booked.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -92,6 +92,7 @@
     const ended = new AbortController();
     let sends: Sends | undefined;
     let disconnected = false;
+    let endless = false;
     let endCause: "outOfTime" | "stopping" | undefined;
     let phase: CallPhase = "preparing";
     const timer = setTimeout(() => end("outOfTime"), call.deadlineAt - startedAt);
@@ -176,7 +177,7 @@
         const keepsTurn = history !== undefined && route.retention !== undefined;
         const relay = route.streamed
             ? createStreamRelay({ writer: createStreamWriter(response), keepsOutput: keepsTurn,
-                resumable: route.resumable })
+                resumable: route.resumable, maxTokens: head.maxTokens, onExcess: endEndlessStream })
             : undefined;
         const turnsBefore = precedingTurns(parts, call, history?.length);
         const priority = route.streamed ? turnPriority(route.priority, turnsBefore) : undefined;
@@ -200,6 +201,12 @@
         return relay?.tokens() ?? 0;
     }
 
+    /** The engine does not keep to the maximum that the caller declared, so that its stream may never end. */
+    function endEndlessStream(): void {
+        endless = true;
+        sends?.cancel("late");
+    }
+
     /** Fields of each log line about the call. `after` and `turn` tell which tries concern the same turn. */
     function callFields() {
         const elapsed = now() - call.arrivedAt;
@@ -221,9 +228,7 @@
                 return true;
             case "cancelled":
                 if (!disconnected) {
-                    answerLocally(result.sent
-                        ? { status: gatewayTimeout, reason: timeoutReasons[endCause ?? "outOfTime"] }
-                        : refusalAnswer({ kind: endCause ?? "outOfTime" }));
+                    answerLocally(cancelledAnswer(result.sent));
                 }
                 return false;
             case "failed":
@@ -232,6 +237,15 @@
         }
     }
 
+    function cancelledAnswer(sent: boolean): LocalAnswer {
+        if (endless) {
+            return { status: badGateway, reason: "the engine generated more tokens than the call declared" };
+        }
+        return sent
+            ? { status: gatewayTimeout, reason: timeoutReasons[endCause ?? "outOfTime"] }
+            : refusalAnswer({ kind: endCause ?? "outOfTime" });
+    }
+
     async function finishStream(relay: StreamRelay, history: readonly Turn[] | undefined,
         upstream: string): Promise<boolean> {
         if (history === undefined) {
--- a/packages/gateway/src/streams.ts
+++ b/packages/gateway/src/streams.ts
@@ -22,6 +22,10 @@
      */
     readonly keepsOutput: boolean;
     readonly resumable: boolean;
+    /** Maximum number of tokens that an upstream generates for the call; 0 if the caller did not declare it. */
+    readonly maxTokens: number;
+    /** Called when an upstream has generated more than `maxTokens` and goes on; nothing further is relayed. */
+    readonly onExcess: () => void;
 }
 
 const carriageReturn = 0x0d;
@@ -29,10 +33,15 @@
 const lineFeed = Buffer.of(lineFeedByte);
 
 /** Creates a relay. It writes complete events only, as an upstream may stop in the middle of an event. */
-export function createStreamRelay({ writer, keepsOutput, resumable }: StreamRelayParts): StreamRelay {
+export function createStreamRelay(
+    { writer, keepsOutput, resumable, maxTokens, onExcess }: StreamRelayParts,
+): StreamRelay {
     let eventCount = 0;
     let tokens = 0;
     let tokensPerEvent = 0;
+    /** Tokens of the upstream that sends now. */
+    let attemptTokens = 0;
+    let exceeded = false;
     let lastEventId: string | undefined;
     const output: Buffer[] = [];
     let outputBytes = 0;
@@ -42,17 +51,30 @@
     function begin(status: number, headers: IncomingHttpHeaders, nextTokensPerEvent: number): void {
         splitter = new EventSplitter();
         tokensPerEvent = nextTokensPerEvent;
+        attemptTokens = 0;
         writer.begin(status, headers);
     }
 
     function data(chunk: Buffer): boolean {
-        splitter.push(chunk).forEach(relay);
+        for (const event of splitter.push(chunk)) {
+            if (!exceeded) {
+                relay(event);
+            }
+        }
         return !writer.isFull();
     }
 
     function relay(event: StreamEvent): void {
-        eventCount += 1;
+        const generatedBefore = attemptTokens;
         tokens += tokensPerEvent;
+        attemptTokens += tokensPerEvent;
+        // The event in which the maximum is reached may go beyond it, and one without a token may end the stream.
+        if (maxTokens > 0 && generatedBefore > maxTokens) {
+            exceeded = true;
+            onExcess();
+            return;
+        }
+        eventCount += 1;
         lastEventId = event.id;
         if (!keepsOutput) {
             writer.write(event.raw);
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -262,3 +262,62 @@
     assert.ok(performance.now() - startedAt < timeoutMs);
     await waitUntil(() => endless.openConnections() === 0, "its connection is closed");
 });
+
+/** Sends events without end, in the same write or one after the other. */
+async function sendEndlessEvents(socket: Socket, eventsPerWrite: number): Promise<void> {
+    const [request] = await once(socket, "data") as [Buffer];
+    socket.write(`${signedHead(requestId(request))}content-type: text/event-stream\r\n\r\n`);
+    for (let event = 1; !socket.destroyed; event += eventsPerWrite) {
+        const ids = Array.from({ length: eventsPerWrite }, (_, index) => event + index);
+        socket.write(ids.map(id => `id: ${id}\ndata: event ${id}\n\n`).join(""));
+        await sleep(5);
+    }
+}
+
+for (const eventsPerWrite of [1, 50]) {
+    test(`a stream without end, ${eventsPerWrite} events in a write, ends soon after the tokens that its call declared (guards against an engine that spends more than a budget)`, async () => {
+        await using fleet = await createFleet();
+        let connections = 0;
+        using endless = await startRawServer(socket => {
+            connections += 1;
+            void sendEndlessEvents(socket, eventsPerWrite);
+        });
+        fleet.registerUpstream(fleet.engine, { address: endless.address });
+        const gateway = await fleet.startGateway();
+        await waitUntilReady(gateway);
+        for (const path of ["/turn/x", "/plan/x"]) {
+            const connectionsBefore = connections;
+            const startedAt = performance.now();
+            const { status, whole, body } = await call(gateway, { ...turnCall(path, path, undefined, 140), path });
+            // At most 60 tokens, 10 in each event; the event after them may be one without a token.
+            assert.deepEqual({ status, whole }, { status: 200, whole: false });
+            assert.ok(body.match(/event \d+/g)!.length <= 7, body);
+            assert.ok(performance.now() - startedAt < timeoutMs, "it ends before its time limit");
+            assert.equal(connections, connectionsBefore + 1);
+            await waitUntil(() => endless.openConnections() === 0, "its connection is closed");
+        }
+        assert.deepEqual(fleet.rowStore.keys("turns"), []);
+        const lines = gateway.logLines.filter(({ event }) => event === "call.refused").map(({ fields }) => fields);
+        assert.deepEqual(lines.map(({ status, begun }) => ({ status, begun })), [{ status: 502, begun: true }, {
+            status: 502,
+            begun: true,
+        }]);
+        // 80 of 140 tokens are booked, so that the rest holds one more turn, but not 20 tokens more.
+        fleet.registerUpstream(fleet.engine);
+        await waitUntil(async () => (await call(gateway, turnCall(`t${performance.now()}`, "q"))).status === 200,
+            "the engine is sound again");
+        assert.equal((await call(gateway, turnCall("t1", "/turn/x", undefined, 139))).status, 402);
+        assert.equal((await call(gateway, turnCall("t2", "/turn/x", undefined, 140))).status, 200);
+    });
+}
+
+test("a stream that reaches its declared tokens and ends with an event without a token is whole (guards against cutting sound streams)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    const turn = turnCall("t1", "p");
+    // The engine sends five events, of which four hold the tokens.
+    const { whole, body } = await call(gateway, { ...turn, headers: { ...turn.headers, "x-token-usage": "100,40" } });
+    assert.equal(whole, true);
+    assert.match(body, /event 5/);
+});
