Upstream client: a 304 with a length is an answer

Callers of a conditional request got 502 where the engine had answered 304 with a Content-Length, which describes the body that it leaves out. Cause: the HTTP client misses as many bytes. Evidence: the test of 304 in wire.test.ts failed before (502).

The other tests of that file passed at once: HEAD and 204, a call behind a broken one on the caller's connection, a caller that closes its half (it has left, by GONE; the call ends at its engine), Expect: 100-continue, trailers of answers and requests, 102 and 103 before the head.

--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -1,7 +1,7 @@
 import { type AnswerHead, mismatchReason } from "@tamarackgauge/core/gateway";
 import { decodeAnswer } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
-import { Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher, errors } from "undici";
 import { createUpstreamSocket, UpstreamFullError, type UpstreamSocket } from "./upstreamConnector.ts";
 
 /** A call in the form in which it is sent to an upstream. */
@@ -92,6 +92,8 @@
     start(connection: Connection): void;
 }
 
+/** An answer with this status has no body, though it may have the length of the one that it stands for. */
+const notModified = 304;
 const leavingReason = "the upstream leaves";
 
 /** Stands for a call that never leaves this process. */
@@ -209,6 +211,7 @@
         let sent = false;
         let ended = false;
         let isMatched = false;
+        let hasNoBody = false;
 
         function fail(error: Error): void {
             if (!ended) {
@@ -260,6 +263,7 @@
                     return;
                 }
                 isMatched = true;
+                hasNoBody = status === notModified;
                 observer.head(head, responseHeaders);
             },
             onResponseData(_, chunk) {
@@ -274,6 +278,11 @@
             },
             onResponseError(_, error) {
                 releaseConnection(connection, false);
+                // The HTTP client misses the bytes that the length of such an answer only describes.
+                if (hasNoBody && error instanceof errors.ResponseContentLengthMismatchError) {
+                    endOrFail(false);
+                    return;
+                }
                 fail(error);
             },
         };
