--- a/packages/gateway/test/wire.test.ts
+++ b/packages/gateway/test/wire.test.ts
@@ -140,6 +140,7 @@
 });
 
 const interimAnswers = {
+    "100 Continue": () => "HTTP/1.1 100 Continue\r\n\r\n",
     "102 Processing, twice": () => "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
     "103 Early Hints with the id of the call": (id: string) => `HTTP/1.1 103 Early Hints\r\n${ownHeaders(id)}\r\n`,
     "103 Early Hints with another id": () => `HTTP/1.1 103 Early Hints\r\n${ownHeaders("other")}\r\n`,
