gateway/test: answers that end in an orderly way, for every framing, place and kind of route

A plain answer without framing that ends with FIN is whole wherever its body ends; one with a length or chunks only with its end.

--- a/packages/gateway/test/answerEnds.test.ts
+++ b/packages/gateway/test/answerEnds.test.ts
@@ -125,3 +125,45 @@
         assert.deepEqual([...text.matchAll(/^id: (\d)$/gm)].map(([, id]) => id), ["1", "2", "3", "4", "5"]);
     }
 });
+
+/** Sends an answer up to a place and ends the connection in an orderly way. */
+async function sendUpTo(socket: Socket, id: string, framing: Framing, place: Place | "in the head"): Promise<void> {
+    const head = headOf(id, framing);
+    socket.write(place === "in the head" ? head.slice(0, -10) : head);
+    await sleep(writeIntervalMs);
+    if (place !== "in the head") {
+        const last = place === "after the last event" ? endOf(framing) : "";
+        socket.write(frame(sentBody[place], framing) + last);
+    }
+    socket.end();
+}
+
+/** Whether an answer that ends in an orderly way at a place is whole: one without framing may end anywhere in its body. */
+function endsWhole(framing: Framing, place: Place | "in the head", streamed: boolean): boolean {
+    if (place === "in the head" || framing !== "neither") {
+        return place === "after the last event";
+    }
+    return !streamed || place === "between events" || place === "after the last event";
+}
+
+for (const framing of framings) {
+    const name = framing === "neither" ? "no framing" : framing;
+    test(`an answer with ${name} that ends in an orderly way is handed out as complete only if it is whole (guards against a part taken for the whole)`, async () => {
+        let place: Place | "in the head";
+        await using setup = await startRawFleet((socket, id) => void sendUpTo(socket, id, framing, place));
+        for (place of places) {
+            for (const path of ["/turn/x", "/plan/x", "/look/x", "/pay/x"]) {
+                const streamed = path === "/turn/x" || path === "/plan/x";
+                const { text } = await callRaw(setup.gateway, path, `${path}${place}`);
+                assert.equal(isCompleteSuccess(text), endsWhole(framing, place, streamed), `${path} ${place}: ${text}`);
+                if (isCompleteSuccess(text) && !streamed && place !== "in the head") {
+                    assert.ok(text.endsWith(`\r\n\r\n${sentBody[place]}`), text);
+                }
+            }
+        }
+        const keptPlaces = places.filter(each => endsWhole(framing, each, true));
+        assert.deepEqual(setup.fleet.rowStore.keys("turns").toSorted(), keptPlaces.map(each =>
+            `/turn/x${each}`
+        ).toSorted());
+    });
+}
