Cleaner: turns that fill more than a page or a call are removed too

The rows of a large turn whose gateway had ended stayed in the store for ever; it refuses writes once it is full.

Cause: each page was judged alone, without its last entry, and the next page began after it, so that an entry on the border of two pages was complete on neither (and logged as unreadable); and an entry was removed in one call of at most 50 rows or not at all.

An entry is now followed over pages, of which the first tells its age, and removed from its end in calls that also depend on its first row, so that it can be judged again if the removal stops.

Four calls at most remove rows in one run, where there was one.

--- a/packages/gateway/src/cleaner.ts
+++ b/packages/gateway/src/cleaner.ts
@@ -1,4 +1,4 @@
-import { type RowPage, type RowRange, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
+import { type RowRange, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
 
 /** A table whose expired rows are removed. */
@@ -31,11 +31,27 @@
 /** With 12 gateways, each of the 768 parts is cleaned about every two hours. */
 const defaultIntervalMs = 120_000;
 const callTimeoutMs = 1_500;
-/** The store accepts 100 conditions and removals in one call. */
-const maxRowsPerChange = 50;
-/** Maximum number of pages of a part that are read in one run. */
+/** The store accepts 100 conditions and removals in one call; one condition may be that of an entry's first row. */
+const maxRowsPerChange = 49;
+/** Maximum number of calls of one run that remove rows; further rows are left for later runs. */
+const maxChangesPerRun = 4;
+/** Maximum number of pages of a part that are read in one run, besides those of an expired entry that has begun. */
 const maxPagesPerRun = 8;
 
+type RowVersion = Pick<StoreRow, "key" | "version">;
+
+/** Rows that belong together, of which the first one is needed to read the others. */
+interface Entry {
+    readonly rows: readonly RowVersion[];
+    readonly expired: boolean;
+}
+
+/** Rows that one call removes, under the condition that they have not changed, nor the first row of their entry. */
+interface Batch {
+    readonly rows: readonly RowVersion[];
+    readonly conditions: readonly RowVersion[];
+}
+
 /**
  * Starts to remove the rows that no gateway removed because their writers have ended, one part of a table at a time.
  */
@@ -47,16 +63,10 @@
         const target = tables[Math.floor(Math.random() * tables.length)]!;
         const location = { table: target.table, part: String(Math.floor(Math.random() * target.partCount)) };
         try {
-            const expiredRows = await findExpiredRows(target, location);
-            if (expiredRows.length === 0) {
-                return;
+            const batches = batchesOf(await findExpiredEntries(target, location));
+            if (batches.length > 0) {
+                log.info("rows.cleaned", { ...location, rows: await removeRows(location, batches) });
             }
-            // A row that was written in the meantime is in use; its condition then prevents the whole removal.
-            const { applied } = await store.change({
-                conditions: expiredRows.map(({ key, version }) => ({ ...location, key, version })),
-                removals: expiredRows.map(({ key }) => ({ ...location, key })),
-            }, { timeout: callTimeoutMs });
-            log.info("rows.cleaned", { ...location, rows: applied ? expiredRows.length : 0 });
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
@@ -66,30 +76,51 @@
         }
     }
 
-    async function findExpiredRows(target: CleanedTable, location: RowRange): Promise<readonly StoreRow[]> {
+    /** Returns the number of removed rows. A row that was written in the meantime is in use, and ends the removal. */
+    async function removeRows(location: RowRange, batches: readonly Batch[]): Promise<number> {
+        let removedRows = 0;
+        for (const { rows, conditions } of batches.slice(0, maxChangesPerRun)) {
+            const { applied } = await store.change({
+                conditions: conditions.map(({ key, version }) => ({ ...location, key, version })),
+                removals: rows.map(({ key }) => ({ ...location, key })),
+            }, { timeout: callTimeoutMs });
+            if (!applied) {
+                break;
+            }
+            removedRows += rows.length;
+        }
+        return removedRows;
+    }
+
+    /** Returns the expired entries of the first page on which one ends. */
+    async function findExpiredEntries(target: CleanedTable, location: RowRange): Promise<readonly Entry[]> {
         let from = "";
-        for (let pages = 1; pages <= maxPagesPerRun; pages += 1) {
+        let unfinished: Entry | undefined;
+        for (let pages = 1; pages <= maxPagesPerRun || unfinished?.expired === true; pages += 1) {
             const page = await store.read({ ...location, from }, { timeout: callTimeoutMs });
-            const expiredRows = expiredRowsOf(target, page);
-            if (expiredRows.length > 0 || !page.more) {
-                return expiredRows;
+            const entries = entriesOf(target, page.rows, unfinished);
+            unfinished = page.more ? entries.at(-1) : undefined;
+            const expired = entries.filter(entry => entry.expired && entry !== unfinished);
+            if (expired.length > 0 || !page.more) {
+                return expired;
             }
             from = `${page.rows.at(-1)!.key}\0`;
         }
         return [];
     }
 
-    function expiredRowsOf(target: CleanedTable, { rows, more }: RowPage): readonly StoreRow[] {
-        const entries = entriesOf(target, rows);
-        const complete = more ? entries.slice(0, -1) : entries;
-        const expired: StoreRow[] = [];
-        for (const entry of complete.filter(each => isExpired(target, each))) {
-            if (expired.length + entry.length > maxRowsPerChange) {
-                break;
-            }
-            expired.push(...entry);
-        }
-        return expired;
+    /** Groups the rows of a page. Whether an entry has expired is known from the page on which it begins. */
+    function entriesOf(target: CleanedTable, rows: readonly StoreRow[],
+        unfinished: Entry | undefined): readonly Entry[] {
+        const unfinishedKey = unfinished === undefined ? undefined : target.entryKeyOf(unfinished.rows[0]!.key);
+        const groups = groupByEntry(target, rows);
+        const rest = groups.find(group => target.entryKeyOf(group[0]!.key) === unfinishedKey) ?? [];
+        const begun = groups.filter(group => group !== rest).map(group => ({ rows: group.map(versionOf),
+            expired: isExpired(target, group) })
+        );
+        return unfinished === undefined
+            ? begun
+            : [{ ...unfinished, rows: [...unfinished.rows, ...rest.map(versionOf)] }, ...begun];
     }
 
     function isExpired(target: CleanedTable, rows: readonly StoreRow[]): boolean {
@@ -104,6 +135,36 @@
     return { [Symbol.dispose]: () => clearInterval(timer) };
 }
 
+function versionOf({ key, version }: StoreRow): RowVersion {
+    return { key, version };
+}
+
+/** Divides entries into the calls that remove them; small ones share a call. */
+function batchesOf(entries: readonly Entry[]): readonly Batch[] {
+    const batches: Batch[] = [];
+    for (const batch of entries.flatMap(batchesOfEntry)) {
+        const last = batches.at(-1);
+        if (last !== undefined && last.rows.length + batch.rows.length <= maxRowsPerChange) {
+            batches[batches.length - 1] = { rows: [...last.rows, ...batch.rows],
+                conditions: [...last.conditions, ...batch.conditions] };
+        }
+        else {
+            batches.push(batch);
+        }
+    }
+    return batches;
+}
+
+/** From the last row to the first one, as rows without a first one cannot be read, and would be left. */
+function batchesOfEntry({ rows }: Entry): readonly Batch[] {
+    const batches: Batch[] = [];
+    for (let end = rows.length; end > 0; end -= maxRowsPerChange) {
+        const batch = rows.slice(Math.max(0, end - maxRowsPerChange), end);
+        batches.push({ rows: batch, conditions: batch.includes(rows[0]!) ? batch : [rows[0]!, ...batch] });
+    }
+    return batches;
+}
+
 function retainedUntilOf({ retainedUntil }: CleanedTable, rows: readonly StoreRow[]): number {
     try {
         return retainedUntil(rows);
@@ -114,11 +175,11 @@
     }
 }
 
-function entriesOf({ entryKeyOf }: CleanedTable, rows: readonly StoreRow[]): readonly (readonly StoreRow[])[] {
-    const entries = new Map<string, StoreRow[]>();
+function groupByEntry({ entryKeyOf }: CleanedTable, rows: readonly StoreRow[]): readonly (readonly StoreRow[])[] {
+    const groups = new Map<string, StoreRow[]>();
     for (const row of rows) {
         const key = entryKeyOf(row.key);
-        entries.set(key, [...entries.get(key) ?? [], row]);
+        groups.set(key, [...groups.get(key) ?? [], row]);
     }
-    return [...entries.values()];
+    return [...groups.values()];
 }
