--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,4 +1,5 @@
 import { benchCommands, replayCommand } from "@tamarackgauge/bench";
+import { fuzzCommand } from "@tamarackgauge/fuzz";
 import { createGatewayCommands } from "@tamarackgauge/gateway";
 import { lossesCommand } from "@tamarackgauge/losses";
 import { createOperatorCommands, exitCodes, type Terminal } from "@tamarackgauge/operator";
@@ -21,6 +22,7 @@
             standin: standinCommands,
             bench: benchCommands,
             replay: replayCommand,
+            fuzz: fuzzCommand,
         },
     });
 }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,22 +1,17 @@
 import type { GatewaySettings } from "@tamarackgauge/core/gateway";
-import { createStore } from "@tamarackgauge/platform";
-import { createGatewayUpstream, createRowStore, type GatewayUpstream, type RowStore, type RowStoreFault,
-    type RowStoreListener } from "@tamarackgauge/standin";
+import { createGatewayUpstream, createRowStore, freeAddress, gatewayDeclaration, gatewayReadinessPath,
+    type GatewayUpstream, type RowStore, type RowStoreFault, type RowStoreListener,
+    startRawServer } from "@tamarackgauge/standin";
 import { once } from "node:events";
 import { type Agent, type ClientRequest, type IncomingHttpHeaders, request } from "node:http";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createGateway, type Gateway } from "../src/index.ts";
-import { defaultLimits } from "../src/limits.ts";
-import type { Log, LogFields } from "../src/log.ts";
+import { inProcessDefaults, type InProcessGateway, startInProcess } from "../src/inProcess.ts";
 import { defaultPeerListTimes, type PeerListTimes } from "../src/peerList.ts";
 
 /** A gateway under test, with its own store endpoint, for which faults can be injected. */
-export interface TestGateway extends AsyncDisposable {
-    readonly gateway: Gateway;
-    readonly settings: GatewaySettings;
+export interface TestGateway extends InProcessGateway {
     readonly storeEndpoint: RowStoreListener;
-    readonly logLines: readonly { readonly event: string; readonly fields: LogFields; }[];
     readinessStatus(): Promise<number>;
 }
 
@@ -51,25 +46,8 @@
         peerListTimes?: PeerListTimes): Promise<TestGateway>;
 }
 
-const routeDefaults = { hostname: "fleet.test", timeoutMs: 2_500, targetLatencyMs: 250, priority: 0, maxAttempts: 2 };
-
-/** Routes: `/turn/` keeps turns, `/plan/` is resumable, `/look/` is idempotent, `/pay/` runs at most once. */
-export const declaration = {
-    version: 1,
-    routes: [
-        { ...routeDefaults, name: "turn", prefix: "/turn/", routeType: "streaming", backend: "models", retain: true,
-            retentionS: 60 },
-        { ...routeDefaults, name: "plan", prefix: "/plan/", routeType: "streaming", backend: "models",
-            resumable: true },
-        { ...routeDefaults, name: "look", prefix: "/look/", routeType: "idempotent", backend: "tools" },
-        { ...routeDefaults, name: "pay", prefix: "/pay/", routeType: "non_idempotent", backend: "tools" },
-    ],
-    backends: [
-        { name: "models", maxConnections: 160, engine: { slots: 12, kvCapacityTokens: 100_000, eventTokens: 10 } },
-        { name: "tools", maxConnections: 110 },
-    ],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-};
+/** The declaration of all fleets. */
+export const declaration = gatewayDeclaration;
 
 /** Starts a store with a declaration, two engines and a tool. Tests start the gateways. */
 export async function createFleet(): Promise<Fleet> {
@@ -115,28 +93,18 @@
 
 async function openGateway(storeEndpoint: RowStoreListener, changes: Partial<GatewaySettings>,
     peerListTimes: PeerListTimes): Promise<TestGateway> {
-    const [callers, ready, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress()]);
-    const settings: GatewaySettings = { name: "g", dataCentre: "a", callerAddress: callers, readinessAddress: ready,
-        peerAddress: peers, knownPeers: [], metricsAddress: undefined,
-        storeAddress: { host: storeEndpoint.address, port: storeEndpoint.port }, maxRowBytes: 65_536,
-        memoryBytes: undefined, shutdownGrace: 8_000, ...changes };
-    const logLines: { event: string; fields: LogFields; }[] = [];
-    const record = (event: string, fields: LogFields) => void logLines.push({ event, fields });
-    const log: Log = { info: record, warn: record };
-    const store = createStore(settings.storeAddress);
-    const gateway = await createGateway({ settings, limits: defaultLimits, store, log, peerListTimes,
-        now: () => performance.now() });
-    return {
-        gateway,
-        settings,
-        storeEndpoint,
-        logLines,
-        readinessStatus: () => fetchReadinessStatus(settings.readinessAddress.port),
-        async [Symbol.asyncDispose]() {
-            await gateway[Symbol.asyncDispose]();
-            await store[Symbol.asyncDispose]();
-        },
-    };
+    const started = await startInProcess(await loopbackSettings(storeEndpoint, changes), peerListTimes);
+    return { ...started, storeEndpoint,
+        readinessStatus: () => fetchReadinessStatus(started.settings.readinessAddress.port) };
+}
+
+/** Settings of a gateway on free loopback ports. */
+async function loopbackSettings(storeEndpoint: RowStoreListener,
+    changes: Partial<GatewaySettings>): Promise<GatewaySettings> {
+    const [callerAddress, readinessAddress, peerAddress] = await Promise.all([freeAddress(), freeAddress(),
+        freeAddress()]);
+    return { ...inProcessDefaults, callerAddress, readinessAddress, peerAddress,
+        storeAddress: { host: storeEndpoint.address, port: storeEndpoint.port }, ...changes };
 }
 
 /** Waits until a condition holds. */
@@ -171,7 +139,7 @@
 /** Returns the HTTP status of a readiness check; 0 if nothing listens on the port. */
 export async function fetchReadinessStatus(port: number): Promise<number> {
     try {
-        return (await get(port, "/tamarackgauge/ready")).status;
+        return (await get(port, gatewayReadinessPath)).status;
     }
     catch {
         return 0;
@@ -237,27 +205,6 @@
     });
 }
 
-/** Starts a TCP server, for upstreams that send malformed HTTP. */
-export async function startRawServer(onConnection: (socket: Socket) => void) {
-    const openSockets = new Set<Socket>();
-    const server = createServer(socket => {
-        openSockets.add(socket);
-        // The client may reset the connection at any time.
-        socket.on("error", () => undefined);
-        socket.on("close", () => openSockets.delete(socket));
-        onConnection(socket);
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        openConnections: () => openSockets.size,
-        [Symbol.dispose]() {
-            server.close();
-            openSockets.forEach(socket => socket.destroy());
-        },
-    };
-}
-
 /** A gateway whose upstreams run each call and answer with the bytes of a test. */
 export interface RawFleet extends AsyncDisposable {
     readonly fleet: Fleet;
@@ -321,17 +268,4 @@
     return /^x-request-id: (.*)\r$/mi.exec(request.toString("latin1"))?.[1];
 }
 
-/** Range below the kernel's ephemeral ports, so that no outgoing connection takes a port before a test listens on it. */
-const firstPort = 10_000;
-const portCount = 22_000;
-
-/** Returns an address on which nothing listens. */
-export function freeAddress(): Promise<{ host: string; port: number; }> {
-    const host = "127.0.0.1";
-    const port = firstPort + Math.floor(Math.random() * portCount);
-    return new Promise(resolve => {
-        const server = createServer();
-        server.once("error", () => resolve(freeAddress()));
-        server.listen({ host, port }, () => server.close(() => resolve({ host, port })));
-    });
-}
+export { freeAddress, startRawServer };
--- a/packages/gateway/test/sharedBudgets.test.ts
+++ b/packages/gateway/test/sharedBudgets.test.ts
@@ -228,7 +228,8 @@
     const log: Log = { info: () => undefined, warn: () => undefined };
     const now = () => time;
     using contacts = createPeerContacts({ log, now });
-    const { recallFrom } = createSharedBudgets({ contacts, log, now, metrics: createMetrics({ limitedUpstreams: () => new Map() }), peers: () => [],
+    const { recallFrom } = createSharedBudgets({ contacts, log, now,
+        metrics: createMetrics({ limitedUpstreams: () => new Map() }), peers: () => [],
         settings: { name: "one", dataCentre: "a" }, ownBudgets: () => assert.fail("no tokens are reserved") });
     assert.equal(await recallFrom("two/1", "p"), "pending");
     // A gateway that has just started is in the list within less than this time.
