--- a/packages/fuzz/src/storePeer.ts
+++ b/packages/fuzz/src/storePeer.ts
@@ -20,7 +20,6 @@
 /** Starts a store in front of the one that listens on a port. */
 export async function startStorePeer(storePort: number): Promise<StorePeer> {
     let reactions: StoreReaction[] = [];
-    // Not a port of the range from which upstreams get theirs: a gateway that has ended may still probe its store.
     const { port } = await freeAddress();
     const server = await startRawServer(socket => void forward(socket), port);
 
--- a/packages/fuzz/src/upstreamPeer.ts
+++ b/packages/fuzz/src/upstreamPeer.ts
@@ -1,4 +1,4 @@
-import { type ParsedMessage, type RawServer, readCallHead, startRawServer } from "@tamarackgauge/standin";
+import { freeAddress, type ParsedMessage, type RawServer, readCallHead, startRawServer } from "@tamarackgauge/standin";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { extraBytes, planAnswer, type PlannedAnswer } from "./content.ts";
@@ -25,14 +25,16 @@
 export async function startUpstreamPeer(parts: UpstreamPeerParts): Promise<UpstreamPeer> {
     let refusalsLeft = parts.refusedConnections;
     let runs = 0;
-    const server = await startRawServer(socket => {
+    const server = await startRawServer(accept, (await freeAddress()).port);
+
+    function accept(socket: Socket): void {
         if (refusalsLeft > 0) {
             refusalsLeft -= 1;
             socket.resetAndDestroy();
             return;
         }
         void serveConnection(socket);
-    });
+    }
 
     async function serveConnection(socket: Socket): Promise<void> {
         const reader = openSocketReader(socket);
--- a/packages/standin/src/rawServer.ts
+++ b/packages/standin/src/rawServer.ts
@@ -33,11 +33,16 @@
 /** Range below the kernel's ephemeral ports, so that no outgoing connection takes a port before a test listens on it. */
 const firstPort = 10_000;
 const portCount = 22_000;
+let nextPort = Math.floor(Math.random() * portCount);
 
-/** Returns an address on which nothing listens. */
+/**
+ * Returns an address on which nothing listens, a different one each time. Gateways of other processes may go on calling an
+ * ephemeral port after its server has closed, so these ports suit servers that report unexpected calls.
+ */
 export function freeAddress(): Promise<{ host: string; port: number; }> {
     const host = "127.0.0.1";
-    const port = firstPort + Math.floor(Math.random() * portCount);
+    const port = firstPort + nextPort;
+    nextPort = (nextPort + 1) % portCount;
     return new Promise(resolve => {
         const server = createServer();
         server.once("error", () => resolve(freeAddress()));
