Standins: raw servers take the next free port of their own range

A server of the fuzzer ended its process once, as the port that had just been found free was in use again (EADDRINUSE). Raw servers, and the addresses that tests choose, now try the next port until one can be listened on.

--- a/packages/fuzz/src/storePeer.ts
+++ b/packages/fuzz/src/storePeer.ts
@@ -1,4 +1,4 @@
-import { freeAddress, startRawServer } from "@tamarackgauge/standin";
+import { startRawServer } from "@tamarackgauge/standin";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { portion } from "./content.ts";
@@ -20,8 +20,7 @@
 /** Starts a store in front of the one that listens on a port. */
 export async function startStorePeer(storePort: number): Promise<StorePeer> {
     let reactions: StoreReaction[] = [];
-    const { port } = await freeAddress();
-    const server = await startRawServer(socket => void forward(socket), port);
+    const server = await startRawServer(socket => void forward(socket));
 
     async function forward(socket: Socket): Promise<void> {
         const store = connect(storePort, "127.0.0.1");
@@ -48,7 +47,7 @@
     }
 
     return {
-        port,
+        port: server.port,
         react: next => void (reactions = [...next]),
         [Symbol.dispose]: () => server[Symbol.dispose](),
     };
--- a/packages/fuzz/src/upstreamPeer.ts
+++ b/packages/fuzz/src/upstreamPeer.ts
@@ -1,4 +1,4 @@
-import { freeAddress, type ParsedMessage, type RawServer, readCallHead, startRawServer } from "@tamarackgauge/standin";
+import { type ParsedMessage, type RawServer, readCallHead, startRawServer } from "@tamarackgauge/standin";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { extraBytes, planAnswer, type PlannedAnswer } from "./content.ts";
@@ -25,7 +25,7 @@
 export async function startUpstreamPeer(parts: UpstreamPeerParts): Promise<UpstreamPeer> {
     let refusalsLeft = parts.refusedConnections;
     let runs = 0;
-    const server = await startRawServer(accept, (await freeAddress()).port);
+    const server = await startRawServer(accept);
 
     function accept(socket: Socket): void {
         if (refusalsLeft > 0) {
--- a/packages/standin/src/rawServer.ts
+++ b/packages/standin/src/rawServer.ts
@@ -1,4 +1,6 @@
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
+
+const host = "127.0.0.1";
 
 /** A TCP server whose connections a test serves byte by byte. */
 export interface RawServer extends Disposable {
@@ -7,8 +9,8 @@
     openConnections(): number;
 }
 
-/** Starts a TCP server on a loopback port, a free one by default, for peers that send malformed HTTP. */
-export async function startRawServer(onConnection: (socket: Socket) => void, chosenPort = 0): Promise<RawServer> {
+/** Starts a TCP server on a loopback port, for peers that send malformed HTTP. */
+export async function startRawServer(onConnection: (socket: Socket) => void): Promise<RawServer> {
     const openSockets = new Set<Socket>();
     const server = createServer({ noDelay: true }, socket => {
         openSockets.add(socket);
@@ -17,10 +19,9 @@
         socket.on("close", () => openSockets.delete(socket));
         onConnection(socket);
     });
-    await new Promise<void>(resolve => server.listen(chosenPort, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
+    const port = await listenOnFreePort(server);
     return {
-        address: `127.0.0.1:${port}`,
+        address: `${host}:${port}`,
         port,
         openConnections: () => openSockets.size,
         [Symbol.dispose]() {
@@ -30,22 +31,41 @@
     };
 }
 
-/** Range below the kernel's ephemeral ports, so that no outgoing connection takes a port before a test listens on it. */
+/**
+ * Range below the kernel's ephemeral ports: no outgoing connection takes a port before a test listens on it, and a gateway of
+ * another process that still calls an ephemeral port whose server has closed reaches none of these servers.
+ */
 const firstPort = 10_000;
 const portCount = 22_000;
 let nextPort = Math.floor(Math.random() * portCount);
 
-/**
- * Returns an address on which nothing listens, a different one each time. Gateways of other processes may go on calling an
- * ephemeral port after its server has closed, so these ports suit servers that report unexpected calls.
- */
-export function freeAddress(): Promise<{ host: string; port: number; }> {
-    const host = "127.0.0.1";
-    const port = firstPort + nextPort;
-    nextPort = (nextPort + 1) % portCount;
+/** Listens on a loopback port that this process has not used yet, and returns it. */
+async function listenOnFreePort(server: Server): Promise<number> {
+    for (;;) {
+        const port = firstPort + nextPort;
+        nextPort = (nextPort + 1) % portCount;
+        if (await isListening(server, port)) {
+            return port;
+        }
+    }
+}
+
+/** Resolves with whether the server listens; the port may be in use. */
+function isListening(server: Server, port: number): Promise<boolean> {
     return new Promise(resolve => {
-        const server = createServer();
-        server.once("error", () => resolve(freeAddress()));
-        server.listen({ host, port }, () => server.close(() => resolve({ host, port })));
+        const fail = () => resolve(false);
+        server.once("error", fail);
+        server.listen(port, host, () => {
+            server.off("error", fail);
+            resolve(true);
+        });
     });
 }
+
+/** Returns an address on which nothing listens, a different one each time. */
+export async function freeAddress(): Promise<{ host: string; port: number; }> {
+    const server = createServer();
+    const port = await listenOnFreePort(server);
+    await new Promise(resolve => server.close(resolve));
+    return { host, port };
+}
