Standins: raw servers listen on a loopback address of their process

On a machine that plays several tests, upstreams of the fuzzer received readiness checks and requests of other processes' tests, whose servers had listened on the same port before (: GET /; a trial: GET of the readiness path), reported as UNASKED. Each process now has an address in 127.0.0.0/8 for its raw servers and the gateways of the fuzzer.

--- a/packages/fuzz/src/callerPeer.ts
+++ b/packages/fuzz/src/callerPeer.ts
@@ -1,4 +1,4 @@
-import { parseMessage, readAnswerHead, renderCall } from "@tamarackgauge/standin";
+import { ownHost, parseMessage, readAnswerHead, renderCall } from "@tamarackgauge/standin";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -55,7 +55,7 @@
 }
 
 async function openConnection(port: number): Promise<OpenConnection> {
-    const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+    const socket = connect({ port, host: ownHost, noDelay: true });
     let chunks: Buffer[] = [];
     let wake = () => undefined as void;
     const connection: OpenConnection = {
--- a/packages/fuzz/src/play.ts
+++ b/packages/fuzz/src/play.ts
@@ -1,6 +1,6 @@
 import { createDisposal, inProcessDefaults, type InProcessGateway, type RecordedLogLine,
     startInProcess } from "@tamarackgauge/gateway";
-import { createRowStore, freeAddress, gatewayDeclaration, gatewayReadinessPath,
+import { createRowStore, freeAddress, gatewayDeclaration, gatewayReadinessPath, ownHost,
     type RowStore } from "@tamarackgauge/standin";
 import { request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -125,10 +125,10 @@
 }
 
 async function startGateway(storePort: number): Promise<InProcessGateway> {
-    const [callerAddress, readinessAddress, peerAddress] = await Promise.all([freeAddress(), freeAddress(),
-        freeAddress()]);
+    const [callerAddress, readinessAddress, peerAddress] = await Promise.all([freeAddress(ownHost),
+        freeAddress(ownHost), freeAddress(ownHost)]);
     const gateway = await startInProcess({ ...inProcessDefaults, callerAddress, readinessAddress, peerAddress,
-        storeAddress: { host: "127.0.0.1", port: storePort } });
+        storeAddress: { host: ownHost, port: storePort } });
     const startedAt = performance.now();
     while (await readinessStatus(readinessAddress.port) !== 200) {
         if (performance.now() - startedAt > maxStartMs) {
@@ -143,7 +143,7 @@
 
 function readinessStatus(port: number): Promise<number> {
     return new Promise((resolve, reject) => {
-        const outgoing = request({ host: "127.0.0.1", port, path: gatewayReadinessPath, agent: false }, response => {
+        const outgoing = request({ host: ownHost, port, path: gatewayReadinessPath, agent: false }, response => {
             response.resume();
             resolve(response.statusCode ?? 0);
         });
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -20,7 +20,7 @@
 export type { Standin } from "./listener.ts";
 export { createPlatform } from "./platform.ts";
 export type { Platform, PlatformCounts, PlatformOptions } from "./platform.ts";
-export { freeAddress, startRawServer } from "./rawServer.ts";
+export { freeAddress, ownHost, startRawServer } from "./rawServer.ts";
 export type { RawServer } from "./rawServer.ts";
 export { createRowStore } from "./rowStore.ts";
 export type { RowStore, RowStoreFault, RowStoreListener } from "./rowStore.ts";
--- a/packages/standin/src/rawServer.ts
+++ b/packages/standin/src/rawServer.ts
@@ -1,6 +1,14 @@
 import { createServer, type Server, type Socket } from "node:net";
 
-const host = "127.0.0.1";
+const sharedHost = "127.0.0.1";
+
+/**
+ * A loopback address of this process alone. Processes of other tests may go on calling a port whose server has closed, and a
+ * server that gets the same port would take these calls for calls of its own test.
+ */
+export const ownHost = process.platform === "linux"
+    ? `127.${64 + (process.pid >> 16 & 63)}.${process.pid >> 8 & 255}.${process.pid & 255}`
+    : sharedHost;
 
 /** A TCP server whose connections a test serves byte by byte. */
 export interface RawServer extends Disposable {
@@ -19,9 +27,9 @@
         socket.on("close", () => openSockets.delete(socket));
         onConnection(socket);
     });
-    const port = await listenOnFreePort(server);
+    const port = await listenOnFreePort(server, ownHost);
     return {
-        address: `${host}:${port}`,
+        address: `${ownHost}:${port}`,
         port,
         openConnections: () => openSockets.size,
         [Symbol.dispose]() {
@@ -31,27 +39,24 @@
     };
 }
 
-/**
- * Range below the kernel's ephemeral ports: no outgoing connection takes a port before a test listens on it, and a gateway of
- * another process that still calls an ephemeral port whose server has closed reaches none of these servers.
- */
+/** Range below the kernel's ephemeral ports, so that no outgoing connection takes a port before a test listens on it. */
 const firstPort = 10_000;
 const portCount = 22_000;
 let nextPort = Math.floor(Math.random() * portCount);
 
 /** Listens on a loopback port that this process has not used yet, and returns it. */
-async function listenOnFreePort(server: Server): Promise<number> {
+async function listenOnFreePort(server: Server, host: string): Promise<number> {
     for (;;) {
         const port = firstPort + nextPort;
         nextPort = (nextPort + 1) % portCount;
-        if (await isListening(server, port)) {
+        if (await isListening(server, host, port)) {
             return port;
         }
     }
 }
 
 /** Resolves with whether the server listens; the port may be in use. */
-function isListening(server: Server, port: number): Promise<boolean> {
+function isListening(server: Server, host: string, port: number): Promise<boolean> {
     return new Promise(resolve => {
         const fail = () => resolve(false);
         server.once("error", fail);
@@ -63,9 +68,9 @@
 }
 
 /** Returns an address on which nothing listens, a different one each time. */
-export async function freeAddress(): Promise<{ host: string; port: number; }> {
+export async function freeAddress(host = sharedHost): Promise<{ host: string; port: number; }> {
     const server = createServer();
-    const port = await listenOnFreePort(server);
+    const port = await listenOnFreePort(server, host);
     await new Promise(resolve => server.close(resolve));
     return { host, port };
 }
