--- a/packages/fuzz/src/callerPeer.ts
+++ b/packages/fuzz/src/callerPeer.ts
@@ -25,7 +25,7 @@
 
 /** What a caller has seen. */
 export interface PlayedConnection {
-    readonly connections: readonly ObservedConnection[];
+    readonly connections: readonly Omit<ObservedConnection, "gateway">[];
     /** The last turn that was answered whole. */
     readonly lastWholeTurn: string | undefined;
 }
--- a/packages/fuzz/src/observation.ts
+++ b/packages/fuzz/src/observation.ts
@@ -43,6 +43,8 @@
     readonly received: Buffer;
     readonly end: ConnectionEnd;
     readonly endedAtMs: number;
+    /** Number of the gateway that it leads to. */
+    readonly gateway: number;
 }
 
 /** A change of an upstream's entry that the store has acknowledged. */
--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -202,24 +202,24 @@
 
 function judgeDraining(records: readonly CallRecord[],
     { entryChanges, script: { store } }: Observation): readonly Violation[] {
-    // An acknowledgement counts only if the store was stable.
+    // An acknowledgement counts only if the store was stable, and an announcement for the gateway that passed it on.
     const acknowledged = store.length > 0 ? [] : entryChanges;
-    const announcements = records.flatMap(({ sent, answer, attempts }) =>
+    const announced = records.flatMap(({ sent, answer, attempts, connection: { gateway } }) =>
         attempts
             .filter(({ announcesLeaving, answer: { signature } }) =>
                 announcesLeaving && signature !== undefined && signature === answer?.signature
             )
-            .flatMap(({ upstream }) => sent.answeredAtMs === undefined ? [] : [{ upstream, atMs: sent.answeredAtMs }])
-    );
-    return records.flatMap(({ sent, attempts }) =>
-        attempts
-            .filter(({ upstream }) =>
-                [...acknowledged, ...announcements].some(change =>
-                    change.upstream === upstream && sent.sentAtMs > change.atMs + drainMs
-                )
+            .flatMap(({ upstream }) =>
+                sent.answeredAtMs === undefined ? [] : [{ upstream, gateway, atMs: sent.answeredAtMs }]
             )
-            .map(({ upstream }): Violation => ({ rule: "DRAIN", subject: sent.id, detail: `reached ${upstream}` }))
     );
+    return records.flatMap(({ sent, attempts, connection: { gateway } }) => {
+        const changes = [...acknowledged, ...announced.filter(change => change.gateway === gateway)]
+            .filter(({ atMs }) => sent.sentAtMs > atMs + drainMs);
+        return attempts
+            .filter(attempt => changes.some(({ upstream }) => upstream === attempt.upstream))
+            .map(({ upstream }): Violation => ({ rule: "DRAIN", subject: sent.id, detail: `reached ${upstream}` }));
+    });
 }
 
 /** Tokens that the callers of a program received, against its budget and the most of one turn. */
--- a/packages/fuzz/src/play.ts
+++ b/packages/fuzz/src/play.ts
@@ -5,7 +5,7 @@
 import { request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { playConnection, type PlayedConnection } from "./callerPeer.ts";
-import type { Observation, ObservedAttempt, ObservedEntryChange } from "./observation.ts";
+import type { Observation, ObservedAttempt, ObservedConnection, ObservedEntryChange } from "./observation.ts";
 import { callIdOf, type CallScript, type Script, scriptDefaults, soundReaction } from "./script.ts";
 import { startStorePeer } from "./storePeer.ts";
 import { startUpstreamPeer, type UpstreamPeer } from "./upstreamPeer.ts";
@@ -49,16 +49,20 @@
     );
     await changes;
     store.react([]);
+    const connections = connectionsOf(played, 0);
     const logLines = [...gateway.logLines];
     if (script.store.length > 0) {
         script.upstreams.forEach(({ service }, index) => register(rowStore, upstreams[index]!, service, "ready"));
         const other = disposal.own(await startGateway(store.port));
-        played.push(...await continueTurns(other, played, recorder.calls));
+        connections.push(...connectionsOf(await continueTurns(other, played, recorder.calls), 1));
         logLines.push(...other.logLines);
     }
     await sleep(settleMs);
-    return { observation: { ...recorder, script, connections: played.flatMap(({ connections }) => connections) },
-        logLines };
+    return { observation: { ...recorder, script, connections }, logLines };
+}
+
+function connectionsOf(played: readonly PlayedConnection[], gateway: number): ObservedConnection[] {
+    return played.flatMap(({ connections }) => connections.map(connection => ({ ...connection, gateway })));
 }
 
 /** Collects what upstreams see, and gives each attempt its reaction. */
