--- a/packages/cli/test/everyLibrary.ts
+++ b/packages/cli/test/everyLibrary.ts
@@ -1,6 +1,7 @@
 // Entry point of a test build that uses every library of the executable once.
 import { command, run } from "cmd-ts";
 import debug from "debug";
+import fc from "fast-check";
 import { build as histogram } from "hdr-histogram-js";
 import { of } from "most";
 import { pack, unpack } from "msgpackr";
@@ -23,6 +24,7 @@
     await of(1).drain();
     const values = unpack(pack({ right: Right(1).extract(), maximum: recorder.maxValue })) as unknown;
     const checked = z.object({ right: z.literal(1), maximum: z.literal(7) }).parse(values);
+    fc.assert(fc.property(fc.integer(), Number.isInteger));
     const metrics = await new Registry().metrics();
     console.log(JSON.stringify({ ...checked, metrics: typeof metrics }));
 }
