--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -11,7 +11,6 @@
 export { createGatewayUpstream } from "./gatewayUpstream.ts";
 export type { Arrival, ExecutedCall, GatewayUpstream, GatewayUpstreamOptions, NamedLimit,
     UpstreamBehaviour } from "./gatewayUpstream.ts";
-export type { ExecutedCall, GatewayUpstream, GatewayUpstreamOptions, UpstreamBehaviour } from "./gatewayUpstream.ts";
 export { readAnswerHead, readCallHead, renderAnswerHead, renderCall, renderChunks,
     withoutCallId } from "./gatewayWire.ts";
 export type { ReceivedCallHead, WireAnswer, WireAnswerHead, WireCall } from "./gatewayWire.ts";
