Streams: one that broke off and cannot go on is ended, not left open

What callers saw: a resumable stream broke off before its first whole event, with its head already written, and the next attempt got a 4xx. The caller got neither an answer nor the end of the connection, still 8 s after its deadline.

Cause: the answer of the next attempt was to be written in place of a head that had been sent, which did nothing, and the call counted as answered. The connection is closed now, as after any other break.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -223,6 +223,10 @@
             case "streamed":
                 return finishStream(relay!, history, result.upstream);
             case "answer":
+                if (response.headersSent) {
+                    answerLocally({ status: badGateway, reason: "the stream broke off and was not resumed" });
+                    return false;
+                }
                 phase = "answered";
                 writeUpstreamAnswer(response, result.answer);
                 return true;
