Rate limits: one stays known when the entry of its upstream goes and comes back

Entries expire while the store is away and return. The state of the upstream was then made anew, so that its limit was unknown until its next answer. The limit is kept by incarnation now, as the announcement of leaving is. An older statement no longer replaces a newer one.

--- a/packages/core/src/gateway/rateLimit.ts
+++ b/packages/core/src/gateway/rateLimit.ts
@@ -56,6 +56,9 @@
     }
 
     private name(requestsPerSecond: number, now: number): RateLimitChange | undefined {
+        if (now < this.lastNamedAt) {
+            return undefined;
+        }
         if (this.current === undefined) {
             this.startedAt = now;
         }
--- a/packages/core/src/gateway/upstreamState.ts
+++ b/packages/core/src/gateway/upstreamState.ts
@@ -12,7 +12,6 @@
     /** Calls of this process that are in flight. */
     inFlight = 0;
     readonly cache: PrefixCache;
-    readonly rateLimit = new RateLimit();
     private load: UpstreamLoad | undefined;
     private loadAt = -Infinity;
     private inFlightAtLoad = 0;
@@ -27,6 +26,7 @@
         cacheTokens: number,
         /** Estimates shared by all upstreams of the service. */
         readonly estimate = new ServiceEstimate(),
+        readonly rateLimit = new RateLimit(),
     ) {
         this.cache = new PrefixCache(cacheTokens);
     }
@@ -118,6 +118,11 @@
         return isKnown ? Math.max(0, this.permitExpectedAt - now) : 0;
     }
 
+    /** Whether the upstream has no rate limit, or is expected to have a permit within `maxDelay` ms. */
+    takesRequestWithin(maxDelay: number, now: number): boolean {
+        return !this.rateLimit.isInForce() || this.permitDelay(now) <= maxDelay;
+    }
+
     hasAnnouncedLeaving(): boolean {
         return this.leaving;
     }
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -1,5 +1,5 @@
-import { chooseUpstream, type Declaration, incarnationOf, modelCosts, plainServiceCosts, type SelectionCriteria,
-    ServiceEstimate, type UpstreamEntry, UpstreamState } from "@tamarackgauge/core/gateway";
+import { chooseUpstream, type Declaration, incarnationOf, modelCosts, plainServiceCosts, RateLimit,
+    type SelectionCriteria, ServiceEstimate, type UpstreamEntry, UpstreamState } from "@tamarackgauge/core/gateway";
 import type { MemoryLimits } from "./limits.ts";
 import { createUpstreamClient, type UpstreamClient } from "./upstreamClient.ts";
 
@@ -56,14 +56,17 @@
 const minConnections = 4;
 /** Connections to a removed upstream are closed after this delay, so that its last calls can complete. */
 const closeDelayMs = 10_000;
-/** Number of incarnations that are remembered as leaving, several times that of upstreams. */
-const maxLeavingIncarnations = 10_000;
+/** Number of incarnations that are remembered, several times that of upstreams. */
+const maxRememberedIncarnations = 10_000;
 
 /** Creates an empty set of upstreams. */
 export function createUpstreams({ declaration, gateways, limits, now }: UpstreamsParts): Upstreams {
     const upstreamsById = new Map<string, Upstream>();
     const statesByService = new Map<string, Map<string, UpstreamState>>();
 
+    /** By incarnation, as an entry may be removed and come back. */
+    const rateLimits = new Map<string, RateLimit>();
+
     /** Incarnations that have announced that they leave. Their entries may be removed and come back. */
     const leavingIncarnations = new Set<string>();
 
@@ -72,6 +75,17 @@
 
     const estimates = new Map<string, ServiceEstimate>();
 
+    function rateLimitOf(entry: UpstreamEntry): RateLimit {
+        const incarnation = incarnationOf(entry);
+        const found = rateLimits.get(incarnation) ?? new RateLimit();
+        rateLimits.set(incarnation, found);
+        if (rateLimits.size > maxRememberedIncarnations) {
+            const [oldest] = rateLimits.keys();
+            rateLimits.delete(oldest!);
+        }
+        return found;
+    }
+
     function estimate(service: string): ServiceEstimate {
         const found = estimates.get(service) ?? new ServiceEstimate();
         estimates.set(service, found);
@@ -103,7 +117,8 @@
 
     function add(entry: UpstreamEntry): void {
         const service = declaration()?.services.get(entry.service);
-        const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0, estimate(entry.service));
+        const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0, estimate(entry.service),
+            rateLimitOf(entry));
         const client = createUpstreamClient({ host: entry.address, port: entry.port,
             maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes });
         const upstream = { state, client };
@@ -116,7 +131,7 @@
     }
 
     function retire({ state, client }: Upstream): void {
-        if (leavingIncarnations.size >= maxLeavingIncarnations) {
+        if (leavingIncarnations.size >= maxRememberedIncarnations) {
             const [oldest] = leavingIncarnations;
             leavingIncarnations.delete(oldest!);
         }
