Rate limits: a call that gets no permit goes to an upstream without a limit

The last choice leaves limited upstreams out now. A refusal names the limits only if no further attempt was made for lack of a permit.

--- a/packages/core/src/gateway/choice.ts
+++ b/packages/core/src/gateway/choice.ts
@@ -12,7 +12,7 @@
     readonly tried: ReadonlySet<string>;
     /** Id of the upstream that is expected to have the program's previous turn in its cache. */
     readonly preferred: string | undefined;
-    /** How long the call can wait for a permit if the upstream has a rate limit, in ms. */
+    /** How long the call can wait for a permit if the upstream has a rate limit, in ms; negative if it goes to no such one. */
     readonly maxPermitDelay: number;
 }
 
@@ -89,7 +89,7 @@
 }
 
 function isUsable(upstream: UpstreamState, { tried, maxPermitDelay }: SelectionCriteria, now: number): boolean {
-    return !upstream.isLeaving() && !tried.has(upstream.entry.id) && upstream.permitDelay(now) <= maxPermitDelay;
+    return !upstream.isLeaving() && !tried.has(upstream.entry.id) && upstream.takesRequestWithin(maxPermitDelay, now);
 }
 
 /** Time to ask another gateway for a permit. */
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -58,6 +58,8 @@
 const fullRetryDelayMs = 15;
 /** Maximum number of permits that are asked for before an attempt. */
 const maxPermitRequests = 4;
+/** Limit of the wait for a permit that leaves out all upstreams with a rate limit. */
+const noLimitedUpstream = -1;
 
 /** Starts sending a call. */
 export function startSends({ upstreams, rateLimits, declaration, limits, dataCentre, metrics, log, now }: SendParts,
@@ -76,12 +78,15 @@
     const cancellation = new AbortController();
     let sentAtCancel = false;
     let permitWait = 0;
+    /** Whether no further attempt was made because no upstream had a permit in time. */
+    let permitMissing = false;
 
     async function run(): Promise<SendResult> {
         let lastFailure: FailedAttempt | undefined;
         for (let sends = 1; cancelled === undefined; sends += 1) {
             const upstream = await pickPermitted();
             if (upstream === undefined) {
+                permitMissing = upstreams.permitDelay(serviceOf(call, declaration())) !== undefined;
                 break;
             }
             const end = await attempt(upstream);
@@ -116,8 +121,8 @@
 
     /** Picks an upstream to which the call may be sent now. Those that take no request in time are left out. */
     async function pickPermitted(): Promise<Upstream | undefined> {
-        for (let requests = 0; cancelled === undefined && requests < maxPermitRequests; requests += 1) {
-            const choice = pick();
+        for (let requests = 0; cancelled === undefined && requests <= maxPermitRequests; requests += 1) {
+            const choice = pick(requests < maxPermitRequests);
             if (choice === undefined) {
                 return undefined;
             }
@@ -151,7 +156,7 @@
         if (overload !== undefined) {
             return overload;
         }
-        const expectedWait = upstreams.permitDelay(serviceOf(call, declaration()));
+        const expectedWait = permitMissing ? upstreams.permitDelay(serviceOf(call, declaration())) : undefined;
         return expectedWait === undefined ? { kind: "upstreamsFull" } : { kind: "rateLimited", expectedWait };
     }
 
@@ -161,25 +166,22 @@
             highLatency: upstreams.estimate(service).highLatency, timeLeft: call.deadlineAt - now() });
     }
 
-    function pick(): ChosenUpstream | undefined {
+    function pick(mayNeedPermit: boolean): ChosenUpstream | undefined {
         const service = serviceOf(call, declaration());
+        const maxDelay = mayNeedPermit ? permitDelayLimit(service) : noLimitedUpstream;
         const exhausted = reachedIds.size >= route.maxUpstreams;
         const criteria: SelectionCriteria = { parts: head.parts, promptTokens: head.promptTokens, dataCentre,
-            tried: exhausted ? new Set() : tried, preferred: plan.preferred,
-            maxPermitDelay: permitDelayLimit(service) };
-        if (!exhausted) {
-            return upstreams.choose(service, criteria) ?? pickReached(criteria.maxPermitDelay);
-        }
-        return pickReached(criteria.maxPermitDelay);
+            tried: exhausted ? new Set() : tried, preferred: plan.preferred, maxPermitDelay: maxDelay };
+        return (exhausted ? undefined : upstreams.choose(service, criteria)) ?? pickReached(maxDelay);
     }
 
     /**
      * Selects an upstream that already received the call; it does not count towards the route's `maxUpstreams` again.
      */
-    function pickReached(permitDelayLimitMs: number): ChosenUpstream | undefined {
+    function pickReached(maxDelay: number): ChosenUpstream | undefined {
         const upstream = [...reachedIds].flatMap(id => upstreams.find(id) ?? [])
-            .find(({ state }) => !state.isLeaving() && state.permitDelay(now()) <= permitDelayLimitMs);
-        return upstream === undefined ? undefined : { upstream, maxPermitDelay: permitDelayLimitMs };
+            .find(({ state }) => !state.isLeaving() && state.takesRequestWithin(maxDelay, now()));
+        return upstream === undefined ? undefined : { upstream, maxPermitDelay: maxDelay };
     }
 
     async function attempt(upstream: Upstream): Promise<AttemptEnd> {
