Permits: limits that fall or rise, links that open, gateways without a list

The interval follows from the limit in force. - A call that could wait was refused within 1 ms while the link to the issuer opened. It waits for the link. - A gateway without a list of gateways took itself for the issuer. With peers it sends nothing there until it has the list. - A permit's time counts from its request, not from the answer. An issuer's answer beyond the wait is no permit. - Each wait added a listener to the signal of its call; one promise serves all. The upstreams that an issuer knows are forgotten by their last use. Messages between gateways have one maximum on both sides, and the names of upstreams one.

--- a/packages/core/src/gateway/permitSchedule.ts
+++ b/packages/core/src/gateway/permitSchedule.ts
@@ -22,22 +22,18 @@
 
 /** Spaces the requests to one upstream evenly (generic cell rate algorithm). Times are monotonic milliseconds. */
 export class PermitSchedule {
-    /** Time of the next permit if there is no burst. */
-    private nextAt: number;
-
-    constructor(now: number) {
-        this.nextAt = now;
-    }
+    /** Time of the last permit. */
+    private lastAt = -Infinity;
 
     /** Takes the next permit if it is free soon enough. */
     take({ requestsPerSecond, burst, maxDelay }: PermitRequest, now: number): PermitDecision {
         const interval = msPerSecond / Math.max(minRequestsPerSecond, requestsPerSecond);
-        const permitAt = Math.max(this.nextAt, now - (burst - 1) * interval);
+        const permitAt = Math.max(this.lastAt + interval, now - (burst - 1) * interval);
         const delay = Math.max(0, permitAt - now);
         if (delay > maxDelay) {
             return { kind: "denied", delay };
         }
-        this.nextAt = permitAt + interval;
+        this.lastAt = permitAt;
         return { kind: "granted", delay };
     }
 }
--- a/packages/core/src/gateway/permitWait.ts
+++ b/packages/core/src/gateway/permitWait.ts
@@ -15,6 +15,8 @@
 const maxTurnWaitShare = 1 / 4;
 /** A call that is not streamed waits as long as it can still be answered in time, but at most for this share of its time. */
 const maxCallWaitShare = 1 / 2;
+/** Permits are not granted further ahead, as limits change and callers leave. */
+const maxCallWaitMs = 1_000;
 
 /**
  * How long a call waits for a permit if its upstream has a rate limit. Permits that are free later are granted only to
@@ -23,7 +25,7 @@
  */
 export function maxPermitDelay({ route, precedingTurns, highLatency, timeLeft }: PermitWaitBasis): number {
     if (!route.streamed) {
-        return Math.max(0, Math.min(timeLeft - highLatency, timeLeft * maxCallWaitShare));
+        return Math.max(0, Math.min(maxCallWaitMs, timeLeft - highLatency, timeLeft * maxCallWaitShare));
     }
     const share = Math.min(maxTurnWaitShare, (precedingTurns + 1) * turnWaitShare) / (1 + Math.max(0, route.priority));
     return Math.max(0, Math.min(timeLeft, route.callerPatience) * share);
--- a/packages/core/test/gateway/permit.test.ts
+++ b/packages/core/test/gateway/permit.test.ts
@@ -26,20 +26,20 @@
 
 for (const limit of [0.5, 1, 1.5, 4, 30]) {
     test(`permits for ${limit} a second are neither exceeded nor lost under pressure (guards against an upstream in need that gets more)`, () => {
-        const times = pressOn(new PermitSchedule(0), limit, 2, 20_000);
+        const times = pressOn(new PermitSchedule(), limit, 2, 20_000);
         assert.ok(mostInWindow(times) <= Math.ceil(4 * limit) + 2);
         assert.ok(times.length >= Math.floor(20 * limit));
     });
 
     test(`two issuers of ${limit} a second, one of them unsettled, stay within what is tolerated (guards against gateways that disagree on the issuer)`, () => {
-        const settled = pressOn(new PermitSchedule(0), limit, 2, 20_000);
-        const unsettled = pressOn(new PermitSchedule(0), limit * 0.4, 1, 20_000);
+        const settled = pressOn(new PermitSchedule(), limit, 2, 20_000);
+        const unsettled = pressOn(new PermitSchedule(), limit * 0.4, 1, 20_000);
         assert.ok(mostInWindow([...settled, ...unsettled].sort((left, right) => left - right)) <= tolerated(limit));
     });
 }
 
 test("a permit in the future is granted to a call that can wait for it, and to no other (guards against new programs before those under way)", () => {
-    const schedule = new PermitSchedule(0);
+    const schedule = new PermitSchedule();
     const take = (maxDelay: number) => schedule.take({ requestsPerSecond: 2, burst: 1, maxDelay }, 0);
     assert.deepEqual(take(0), { kind: "granted", delay: 0 });
     assert.deepEqual(take(0), { kind: "denied", delay: 500 });
@@ -48,7 +48,7 @@
 });
 
 test("an upstream that takes nothing is asked now and then (guards against a limit whose end is never learned)", () => {
-    const times = pressOn(new PermitSchedule(0), 0, 1, 20_000);
+    const times = pressOn(new PermitSchedule(), 0, 1, 20_000);
     assert.ok(times.length >= 4 && mostInWindow(times) <= tolerated(0));
 });
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -110,7 +110,8 @@
             now }),
     );
     const contacts = disposal.own(createPeerContacts({ log, now }));
-    const permits = createPermits({ name: settings.name, peers: () => peerList?.registered() ?? [], contacts,
+    const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
+        peers: () => peerList?.registered() ?? [], contacts,
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
     const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -1,7 +1,8 @@
 import { type SocketAddress, StoreError } from "@tamarackgauge/core/gateway";
 import { pack } from "msgpackr";
 import { WebSocket } from "ws";
-import { decodePeerAnswer, isValidResult, type PeerCall, type PeerRequest, type PeerResult } from "./peerMessage.ts";
+import { decodePeerAnswer, isValidResult, maxPeerMessageBytes, type PeerCall, type PeerRequest,
+    type PeerResult } from "./peerMessage.ts";
 
 /** A connection to another gateway. */
 export interface PeerLink {
@@ -41,7 +42,7 @@
 /** Opens a link. */
 export function openPeerLink(address: SocketAddress): PeerLink {
     const socket = new WebSocket(`ws://${address.host}:${address.port}`, { handshakeTimeout: connectTimeoutMs,
-        perMessageDeflate: false });
+        perMessageDeflate: false, maxPayload: maxPeerMessageBytes });
     const pending = new Map<number, PendingRequest>();
     let lastId = 0;
     let closed = false;
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -38,14 +38,17 @@
 /** Milliseconds since an upstream stated a rate limit, or its end, in an answer. */
 const statedAgo = z.number().nonnegative();
 const requestsPerSecond = z.number().nonnegative();
+const maxIncarnationLength = 1_000;
+/** Identifies an incarnation of an upstream. */
+const incarnation = z.string().max(maxIncarnationLength);
 
 /** Requests to the gateway that issues the permits for an upstream's rate limit. Times are in milliseconds. */
 const permitCallSchemas = [
     /** Asks for a permit to send one request; the answer is a `PermitAnswer`. */
-    z.object({ kind: z.literal("permit"), upstream: z.string(), requestsPerSecond, statedAgo,
+    z.object({ kind: z.literal("permit"), upstream: incarnation, requestsPerSecond, statedAgo,
         maxDelay: z.number().nonnegative() }),
     /** Reports what an upstream has stated; no `requestsPerSecond` means that its limit has ended. */
-    z.object({ kind: z.literal("rateLimit"), upstream: z.string(), requestsPerSecond: requestsPerSecond.optional(),
+    z.object({ kind: z.literal("rateLimit"), upstream: incarnation, requestsPerSecond: requestsPerSecond.optional(),
         statedAgo }),
 ] as const;
 
@@ -103,6 +106,9 @@
 /** Result of a kind of call. */
 export type PeerResult<Kind extends PeerCall["kind"]> = z.infer<(typeof resultSchemas)[Kind]>;
 
+/** Maximum size of a message between gateways. */
+export const maxPeerMessageBytes = 4 * 1024 * 1024;
+
 /** Decodes a request; undefined if it is malformed. */
 export function decodePeerRequest(data: Buffer): PeerRequest | undefined {
     return decode(peerRequestSchema, data);
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -6,8 +6,8 @@
 import type { TokenLender } from "./budgets.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
-import { decodePeerRequest, isPermitCall, isTokenCall, type PeerAnswer, type PeerCall, type PermitCall,
-    type RelayedCall, type TokenCall } from "./peerMessage.ts";
+import { decodePeerRequest, isPermitCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
+    type PermitCall, type RelayedCall, type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
 
 /** Parts of a peer server. */
@@ -24,7 +24,6 @@
 
 /** Maximum number of concurrent calls made for other gateways; more are refused, so that own calls are not delayed. */
 const maxRelayedCalls = 48;
-const maxMessageBytes = 4 * 1024 * 1024;
 const upgradeRequiredStatus = 426;
 
 /**
@@ -34,7 +33,7 @@
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
     const httpServer = createServer((_, response) => response.writeHead(upgradeRequiredStatus).end());
-    const server = new WebSocketServer({ noServer: true, maxPayload: maxMessageBytes, perMessageDeflate: false });
+    const server = new WebSocketServer({ noServer: true, maxPayload: maxPeerMessageBytes, perMessageDeflate: false });
     httpServer.on("upgrade",
         (request, socket, head) =>
             server.handleUpgrade(request, socket, head, link => server.emit("connection", link, request)));
--- a/packages/gateway/src/permits.ts
+++ b/packages/gateway/src/permits.ts
@@ -47,6 +47,8 @@
 export interface PermitsParts {
     /** Name of this gateway. */
     readonly name: string;
+    /** Whether other gateways can be asked, once their list is known. */
+    readonly hasPeers: boolean;
     readonly peers: () => readonly Peer[];
     readonly contacts: PeerContacts;
     /** Share of an upstream's limit that this gateway may grant. */
@@ -57,6 +59,8 @@
 
 /** An issuer that shows no sign of life within `silenceTimeout` is done without. */
 const requestLimits: RequestTimeouts = { timeout: 400, silenceTimeout: 150 };
+/** A call that can wait this long waits for the link to the issuer to open. */
+const linkOpeningMs = 50;
 const reportLimits: RequestTimeouts = { timeout: 1_000 };
 /** Number of issuers that are asked in turn. With more of them, all together could exceed the limit. */
 const maxIssuers = 2;
@@ -73,13 +77,15 @@
 }
 
 /** Creates the permits of a gateway, which issues those of some upstreams itself. */
-export function createPermits({ name, peers, contacts, shareOf, metrics, now }: PermitsParts): Permits & PermitIssuer {
+export function createPermits(
+    { name, hasPeers, peers, contacts, shareOf, metrics, now }: PermitsParts,
+): Permits & PermitIssuer {
     const issuedUpstreams = new Map<string, IssuedUpstream>();
 
     /** The gateways that may issue permits for the upstream; `undefined` stands for this one. */
     function issuersOf(upstream: string): readonly (Peer | undefined)[] {
         const known = peers();
-        const names = known.length === 0 ? [name] : known.map(peer => peer.name);
+        const names = hasPeers ? known.map(peer => peer.name) : [name];
         return rankIssuers(upstream, names).slice(0, maxIssuers)
             .map(issuer => issuer === name ? undefined : known.find(peer => peer.name === issuer));
     }
@@ -102,7 +108,8 @@
 
     /** Undefined if the issuer cannot be reached. */
     async function ask(issuer: Peer, question: PermitQuestion): Promise<PermitOutcome | undefined> {
-        if (contacts.isBackingOff(issuer.name) || !contacts.isReady(issuer)) {
+        const isTooLate = !contacts.isReady(issuer) && question.maxDelay < linkOpeningMs;
+        if (contacts.isBackingOff(issuer.name) || isTooLate) {
             return undefined;
         }
         try {
@@ -151,7 +158,9 @@
     function learn({ upstream, requestsPerSecond, statedAgo }: PermitCall): IssuedUpstream {
         const stated = { requestsPerSecond, statedAt: now() - statedAgo };
         const found = issuedUpstreams.get(upstream) ??
-            { schedule: new PermitSchedule(now()), stated, usedAt: now() };
+            { schedule: new PermitSchedule(), stated, usedAt: now() };
+        // The least recently used one is first.
+        issuedUpstreams.delete(upstream);
         issuedUpstreams.set(upstream, found);
         if (stated.statedAt > found.stated.statedAt) {
             found.stated = stated;
--- a/packages/gateway/src/rateLimits.ts
+++ b/packages/gateway/src/rateLimits.ts
@@ -41,6 +41,7 @@
         if (requestsPerSecond === undefined) {
             return true;
         }
+        const askedAt = now();
         const stated = { requestsPerSecond, statedAt: state.rateLimit.namedAt()! };
         const request = permits.request({ upstream: incarnationOf(state.entry), stated, maxDelay });
         const outcome = await Promise.race([request, whenAborted(signal)]);
@@ -52,20 +53,12 @@
             learn(state, later);
         }
         state.recordPermit(decision.delay, now());
-        return decision.kind === "granted" &&
-            waitForPermit(state, { delay: decision.delay, usableMs: usableTime(requestsPerSecond) }, signal);
-    }
-
-    /** Returns whether the permit may be used after its delay. */
-    async function waitForPermit(state: UpstreamState, { delay, usableMs }: {
-        readonly delay: number;
-        readonly usableMs: number;
-    }, signal: AbortSignal): Promise<boolean> {
-        const usableUntil = now() + delay + usableMs;
-        if (delay > 0) {
-            await Promise.race([sleep(delay), whenAborted(signal)]);
+        if (decision.kind === "denied" || decision.delay > maxDelay) {
+            return false;
         }
-        return !signal.aborted && !state.isLeaving() && now() <= usableUntil;
+        await Promise.race([sleep(askedAt + decision.delay - now()), whenAborted(signal)]);
+        const isInTime = now() <= askedAt + decision.delay + usableTime(requestsPerSecond);
+        return isInTime && !signal.aborted && !state.isLeaving() && !hasFallen(state, requestsPerSecond);
     }
 
     function learn(state: UpstreamState, { requestsPerSecond, statedAt }: StatedRateLimit): void {
@@ -110,8 +103,25 @@
     return Math.min(maxUsableMs, Math.max(minUsableMs, 1_000 / requestsPerSecond));
 }
 
-async function whenAborted(signal: AbortSignal): Promise<undefined> {
-    if (!signal.aborted) {
-        await new Promise(resolve => signal.addEventListener("abort", resolve, { once: true }));
+/** Whether the limit is lower than the one at which a permit was granted. */
+function hasFallen({ rateLimit }: UpstreamState, grantedAt: number): boolean {
+    return (rateLimit.requestsPerSecond() ?? Infinity) < grantedAt;
+}
+
+/** One promise for each signal, so that a call that waits often does not add a listener each time. */
+const abortions = new WeakMap<AbortSignal, Promise<undefined>>();
+
+function whenAborted(signal: AbortSignal): Promise<undefined> {
+    const known = abortions.get(signal);
+    if (known !== undefined) {
+        return known;
     }
+    const aborted = new Promise<undefined>(resolve => {
+        if (signal.aborted) {
+            resolve(undefined);
+        }
+        signal.addEventListener("abort", () => resolve(undefined), { once: true });
+    });
+    abortions.set(signal, aborted);
+    return aborted;
 }
