Prefix cache: callers cannot fill it with parts without tokens, long ids or many parts

Parts were bounded by tokens only, so those without any were never evicted. Parts without tokens and ids beyond 64 characters are not remembered, and 4,096 parts at most for each upstream. The test fails before: the part of a long id and the oldest of 10,000 parts were found. The built gateway was not run against such heads again.

--- a/packages/core/src/gateway/prefixCache.ts
+++ b/packages/core/src/gateway/prefixCache.ts
@@ -1,5 +1,10 @@
 import type { PromptPart } from "./call.ts";
 
+/** Longer ids are not remembered. */
+const maxIdLength = 64;
+/** Number of parts that are remembered. Parts of sound prompts are large, so that the tokens bound them first. */
+const maxParts = 4_096;
+
 /**
  * Model of an engine's prefix cache, derived from the calls that this process sent to it. The least recently used parts
  * are evicted first, as in the engine.
@@ -23,9 +28,9 @@
         return tokens;
     }
 
-    /** Records that the engine processed a prompt. */
+    /** Records that the engine processed a prompt. Callers choose the ids and the number of parts, so both are bounded. */
     record(prompt: readonly PromptPart[]): void {
-        for (const { id, tokens } of prompt) {
+        for (const { id, tokens } of prompt.filter(part => part.tokens > 0 && part.id.length <= maxIdLength)) {
             this.totalTokens += tokens - (this.tokensByPart.get(id) ?? 0);
             this.tokensByPart.delete(id);
             this.tokensByPart.set(id, tokens);
@@ -35,7 +40,7 @@
 
     private evict(): void {
         for (const [id, tokens] of this.tokensByPart) {
-            if (this.totalTokens <= this.capacityTokens) {
+            if (this.totalTokens <= this.capacityTokens && this.tokensByPart.size <= maxParts) {
                 return;
             }
             this.tokensByPart.delete(id);
--- a/packages/core/test/gateway/choice.test.ts
+++ b/packages/core/test/gateway/choice.test.ts
@@ -89,3 +89,23 @@
     assert.equal(chooseAt(999), undefined);
     assert.equal(chooseAt(1_000), "a");
 });
+
+test("a call that may wait for no permit goes to an upstream without a limit (guards against a refusal beside one that takes it)", () => {
+    const limited = upstream("limited");
+    limited.rateLimit.record({ kind: "limited", requestsPerSecond: 1 }, { sentAt: 0, receivedAt: 0 });
+    const busy = upstream("busy");
+    busy.inFlight = 20;
+    assert.equal(choose([limited, busy]), "limited");
+    assert.equal(choose([limited, busy], { ...defaultCriteria, maxPermitDelay: -1 }), "busy");
+});
+
+test("parts without tokens, with long ids or in great number are not remembered (guards against a heap that callers fill)", () => {
+    const cache = new PrefixCache(1e6);
+    cache.record([{ id: "empty", tokens: 0 }]);
+    cache.record([{ id: "x".repeat(10_000), tokens: 1 }]);
+    assert.equal(cache.matchedTokens([{ id: "x".repeat(10_000), tokens: 1 }]), 0);
+    const parts = Array.from({ length: 10_000 }, (_, index) => ({ id: `p${index}`, tokens: 1 }));
+    cache.record(parts);
+    assert.equal(cache.matchedTokens([parts[0]!]), 0);
+    assert.equal(cache.matchedTokens([parts.at(-1)!]), 1);
+});
