--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -41,6 +41,8 @@
     /** Memory reserved for the calls under way. */
     callBytes: number;
     lastRequest: IncomingMessage | undefined;
+    /** Whether bytes of the last request's body have been counted. */
+    isBodyRead: boolean;
     /** Status with which the connection ends when no call is under way. */
     refusedWith: number | undefined;
     /** No further request is taken. */
@@ -59,6 +61,11 @@
 /** White space and the framing of chunks are not counted in the size of a request; fewer bytes than this are no head. */
 const maxUncountedBytes = 1_024;
 
+/** Bytes of a chunk's length in hexadecimal and of the two line ends. */
+function chunkFramingBytes(chunkBytes: number): number {
+    return chunkBytes.toString(16).length + 4;
+}
+
 /** Starts counting what the connections of a server hold, which may be `maxBytes` in all. */
 export function trackConnections(server: Server, maxBytes: number, answer: (status: number) => string,
     initialTimeouts: ConnectionTimeouts): CallerConnections {
@@ -75,7 +82,7 @@
 
     server.on("connection", (socket: Socket) => {
         const connection: Connection = { socket, readBytes: 0, headBytes: 0, waitingSince: now(), calls: 0,
-            callBytes: 0, lastRequest: undefined, refusedWith: undefined, isEnding: false };
+            callBytes: 0, lastRequest: undefined, isBodyRead: false, refusedWith: undefined, isEnding: false };
         connections.set(socket, connection);
         socket.once("close", () => {
             connections.delete(socket);
@@ -104,7 +111,7 @@
         const all = [...connections.values()];
         all.forEach(updateHead);
         headBytes = all.reduce((sum, connection) => sum + connection.headBytes, 0);
-        return all;
+        return all.filter(({ isEnding }) => !isEnding);
     }
 
     function updateHead(connection: Connection): void {
@@ -112,7 +119,7 @@
             return;
         }
         if (connection.lastRequest?.complete === true) {
-            connection.lastRequest = undefined;
+            endRequest(connection, connection.lastRequest);
         }
         const bytes = connection.lastRequest === undefined
             ? Math.max(0, connection.socket.bytesRead - connection.readBytes)
@@ -123,6 +130,14 @@
         connection.headBytes = bytes;
     }
 
+    /** Bytes of a body without a length that nobody has read are no head. */
+    function endRequest(connection: Connection, request: IncomingMessage): void {
+        connection.lastRequest = undefined;
+        if (request.headers["transfer-encoding"] !== undefined && !connection.isBodyRead) {
+            connection.readBytes = connection.socket.bytesRead;
+        }
+    }
+
     function close(closings: readonly Closing<Connection>[]): void {
         for (const { connection, cause } of closings) {
             if (!connection.isEnding) {
@@ -136,6 +151,8 @@
             }
             else {
                 connection.isEnding = true;
+                // Not only as its socket closes, which is too late for the call that it makes room for.
+                connections.delete(connection.socket);
                 connection.socket.destroy();
             }
         }
@@ -178,6 +195,7 @@
         const cost = callCost(bytes, request.rawHeaders.length / 2);
         connection.readBytes += bytes + Number(request.headers["content-length"] ?? 0);
         connection.lastRequest = request;
+        connection.isBodyRead = false;
         connection.headBytes = 0;
         connection.calls += 1;
         const isAdmitted = reserve(connection, cost);
@@ -199,6 +217,9 @@
             return;
         }
         connection.waitingSince = now();
+        if (connection.lastRequest?.complete === true) {
+            endRequest(connection, connection.lastRequest);
+        }
         const uncounted = socket.bytesRead - connection.readBytes;
         if (uncounted > 0 && uncounted < maxUncountedBytes) {
             connection.readBytes = socket.bytesRead;
@@ -213,7 +234,8 @@
         recordBody(request, bytes) {
             const connection = connections.get(request.socket);
             if (connection !== undefined && request.headers["content-length"] === undefined) {
-                connection.readBytes += bytes;
+                connection.readBytes += bytes + chunkFramingBytes(bytes);
+                connection.isBodyRead = true;
             }
         },
         refuse(socket, status) {
