Teams: calls are identified by their keys, and turns, budgets and programs belong to a team

Cause: a declaration with teams was read without them. Keys and a caller's own X-Tenant were forwarded to upstreams, unknown keys were served, and a turn could be continued by anyone who knew its id. Change: one pure module (identification.ts) decides from the key, the route and the declaration which team a call belongs to. 401 only while the declaration is confirmed, else 503. Upstreams get X-Tenant and never the key; the team's priority replaces the route's. Turns, budgets and recent programs are kept under the team and the id, so that a turn of another team is unknown. Without teams in the declaration nothing changes.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -8,6 +8,7 @@
 export * from "./callerMemory.ts";
 export * from "./choice.ts";
 export * from "./event.ts";
+export * from "./identification.ts";
 export * from "./incarnation.ts";
 export * from "./ledger.ts";
 export * from "./outage.ts";
--- a/packages/core/src/gateway/route.ts
+++ b/packages/core/src/gateway/route.ts
@@ -32,6 +32,8 @@
     /** Maximum number of upstreams that one call may be sent to. */
     readonly maxUpstreams: number;
     readonly shares: readonly RouteShare[];
+    /** Calls need no key, also where teams are declared. */
+    readonly isPublic: boolean;
 }
 
 /** A service that upstreams belong to. */
@@ -58,12 +60,31 @@
     readonly idleTimeout: number;
 }
 
-/** Routes, services and limits as declared by the operators. */
+/** Requests of a team that may reach upstreams, summed over all gateways. */
+export interface Quota {
+    readonly ratePerSecond: number;
+    /** Requests beyond the rate that a window may hold. */
+    readonly burst: number;
+}
+
+/** A group of callers that share keys, a priority and a quota. */
+export interface Team {
+    readonly name: string;
+    readonly keys: readonly string[];
+    /** Replaces the priority of the route; 0 is the most urgent. */
+    readonly priority: number | undefined;
+    /** Undefined if the team may send any number of requests. */
+    readonly quota: Quota | undefined;
+}
+
+/** Routes, services, limits and teams as declared by the operators. */
 export interface Declaration {
     readonly version: number;
     readonly routes: readonly ServiceRoute[];
     readonly services: ReadonlyMap<string, Service>;
     readonly limits: CallerLimits;
+    /** Undefined if no teams are declared, so that callers need no key. */
+    readonly teams: readonly Team[] | undefined;
 }
 
 /** Finds routes by host and path. */
--- a/packages/core/src/gateway/settings.ts
+++ b/packages/core/src/gateway/settings.ts
@@ -4,6 +4,16 @@
     readonly port: number;
 }
 
+/** What all gateways together may pass on of a team's requests beyond its quota. */
+export interface QuotaSettings {
+    /** Length of the sliding window, in ms. */
+    readonly window: number;
+    /** Share of the quota by which a window may exceed it. */
+    readonly overage: number;
+    /** Requests by which a window may exceed it besides. */
+    readonly slack: number;
+}
+
 /** Settings of a gateway process. Times are in milliseconds, sizes in bytes. */
 export interface GatewaySettings {
     readonly name: string;
@@ -23,6 +33,12 @@
     readonly maxRowBytes: number;
     /** Memory of the process beyond which the platform kills it; undefined if the platform does not tell. */
     readonly memoryBytes: number | undefined;
+    /** How the quotas of teams are counted; undefined if no quotas are held. */
+    readonly quota: QuotaSettings | undefined;
+    /** Keys are accepted until the declaration has not been confirmed for this long; undefined: without end. */
+    readonly maxKeyAge: number | undefined;
+    /** Processor capacity of the VM for this process, in cores. */
+    readonly processorCores: number;
     /** Time after which the platform kills a process that was asked to stop. */
     readonly shutdownGrace: number;
 }
--- a/packages/core/test/gateway/route.test.ts
+++ b/packages/core/test/gateway/route.test.ts
@@ -17,6 +17,7 @@
     priority: 0,
     maxUpstreams: 1,
     shares: [{ service: "one", weight: 90 }, { service: "two", weight: 10 }],
+    isPublic: false,
 });
 
 test("the longest matching prefix of the host is used (guards against a general route that hides a specific one)", () => {
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,10 +1,11 @@
-import { countPrecedingTurns, decideAdmission, type RefusalCause } from "@tamarackgauge/core/gateway";
+import { countPrecedingTurns, decideAdmission, type RefusalCause, scopedId } from "@tamarackgauge/core/gateway";
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendParts, serviceOf } from "./sends.ts";
 
 /** Number of turns of the call's program that came before, as far as this gateway knows. */
-export function precedingTurns({ recentPrograms, now }: SendParts, { head }: ReceivedCall, historyTurns = 0): number {
-    const answered = head.program === undefined ? 0 : recentPrograms.turns(head.program, now());
+export function precedingTurns({ recentPrograms, now }: SendParts, { head, scope }: ReceivedCall,
+    historyTurns = 0): number {
+    const answered = head.program === undefined ? 0 : recentPrograms.turns(scopedId(scope, head.program), now());
     return countPrecedingTurns(head, Math.max(historyTurns, answered));
 }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -237,6 +237,7 @@
             deadline: call.deadlineAt - now(),
             priority: plan.priority,
             resumeAfter: sink?.resumeAfter(),
+            team: call.scope === undefined ? undefined : { name: call.team?.name },
         }),
         body: call.body,
         priority: plan.priority ?? 0,
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -14,6 +14,8 @@
     readonly reason: string;
     /** Milliseconds after which the caller should retry. */
     readonly retryAfter?: number;
+    /** Headers beside those that every such answer has. */
+    readonly headers?: Readonly<Record<string, string>>;
     /** What the decision was based on, for the log. */
     readonly details?: Readonly<Record<string, unknown>>;
     /** Closes the connection, so that the retry opens a new one and may reach another gateway. */
@@ -48,6 +50,7 @@
     if (answer.closeConnection === true) {
         response.setHeader("connection", "close");
     }
-    response.writeHead(answer.status, { ...encodeLocalAnswer(call, answer.retryAfter), "content-length": body.length });
+    response.writeHead(answer.status, { ...encodeLocalAnswer(call, answer.retryAfter), ...answer.headers,
+        "content-length": body.length });
     response.end(body);
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,4 +1,4 @@
-import { type RefusalCause, retryDelay, StoreError, turnPriority } from "@tamarackgauge/core/gateway";
+import { type RefusalCause, retryDelay, scopedId, StoreError, turnPriority } from "@tamarackgauge/core/gateway";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { overloadRefusal, precedingTurns } from "./admission.ts";
@@ -196,7 +196,7 @@
                 permitMs: Math.round(sends.permitWait()), keptMs: Math.round(now() - receivedAt) });
         }
         if (delivered && route.streamed && head.program !== undefined) {
-            parts.recentPrograms.record(head.program, now());
+            parts.recentPrograms.record(scopedId(call.scope, head.program), now());
         }
         return relay?.tokens() ?? 0;
     }
@@ -210,9 +210,9 @@
     /** Fields of each log line about the call. `after` and `turn` tell which tries concern the same turn. */
     function callFields() {
         const elapsed = now() - call.arrivedAt;
-        return { call: head.id, program: head.program, route: route.name, after: head.previousTurn,
-            turn: route.streamed ? precedingTurns(parts, call) : undefined, ms: Math.round(elapsed),
-            timeLeft: Math.round(call.deadlineAt - now()),
+        return { call: head.id, team: call.team?.name, program: head.program, route: route.name,
+            after: head.previousTurn, turn: route.streamed ? precedingTurns(parts, call) : undefined,
+            ms: Math.round(elapsed), timeLeft: Math.round(call.deadlineAt - now()),
             programLeft: head.programDeadline === undefined ? undefined : Math.round(head.programDeadline - elapsed) };
     }
 
@@ -257,7 +257,8 @@
             relay.finish();
             return true;
         }
-        const turn: NewTurn = { id: head.id, input: call.body ?? Buffer.alloc(0), output: relay.output(), upstream };
+        const turn: NewTurn = { id: scopedId(call.scope, head.id), input: call.body ?? Buffer.alloc(0),
+            output: relay.output(), upstream };
         try {
             // A caller may continue a turn as soon as its answer is complete, so the turn is stored before the last event
             // is sent.
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -1,12 +1,14 @@
-import { type ByteAccount, type CallHead, createByteBudget, createRouteTable, type Declaration, effectiveTimeout,
-    maxWait, type RouteTable } from "@tamarackgauge/core/gateway";
-import { decodeRequest } from "@tamarackgauge/platform";
+import { type ByteAccount, type CallHead, createByteBudget, createKeyRing, createRouteTable, type Declaration,
+    effectiveTimeout, type KeyRing, maxWait, type RouteTable, type ServiceRoute } from "@tamarackgauge/core/gateway";
+import { decodeCredentials, decodeRequest } from "@tamarackgauge/platform";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type LocalAnswer, writeLocalAnswer } from "./callerAnswer.ts";
 import type { CallerServer } from "./callerServer.ts";
 import { type Exchange, type ExchangeParts, refusalAnswer, startExchange } from "./exchange.ts";
+import { keyDigest } from "./keyDigest.ts";
 import { headSize } from "./requestHead.ts";
+import type { ReceivedCall } from "./sendPlan.ts";
 
 /** Serves the requests of callers. */
 export interface Frontend extends AsyncDisposable {
@@ -31,9 +33,12 @@
     readonly initialized: Promise<void>;
     /** Milliseconds since the declaration was last known to be current. */
     readonly declarationAge: () => number;
+    /** Calls that need a key are refused while the declaration has not been confirmed for this long, in ms. */
+    readonly maxKeyAge: number;
 }
 
 const badRequest = 400;
+const unauthorized = 401;
 const notFound = 404;
 const requestTimeout = 408;
 const payloadTooLarge = 413;
@@ -43,7 +48,7 @@
  * that a route can have.
  */
 const undeclaredPatienceMs = 2_000;
-/** An unknown path is refused with 404 only if the declaration was confirmed within this time. */
+/** An unknown path is refused with 404, and an unknown key with 401, only if the declaration was confirmed within this time. */
 const maxDeclarationAgeMs = 4_500;
 /** A caller that has not read its whole answer this long after the end of the call is disconnected. */
 const answerReadTimeoutMs = 10_000;
@@ -58,6 +63,7 @@
 export function createFrontend(parts: FrontendParts): Frontend {
     const { now, log, metrics } = parts;
     let routes: RouteTable | undefined;
+    let keyRing: KeyRing | undefined;
     let declaration: Declaration | undefined;
     let closing = false;
     let drainDeadline = Infinity;
@@ -85,6 +91,7 @@
     function setDeclaration(next: Declaration): void {
         declaration = next;
         routes = createRouteTable(next.routes);
+        keyRing = createKeyRing(next.teams);
         server.keepAliveTimeout = next.limits.idleTimeout;
         connections.setTimeouts({ head: next.limits.headerTimeout, idle: next.limits.idleTimeout });
         parts.callerServer.setMaxHeadBytes(next.limits.headerBytes);
@@ -149,6 +156,11 @@
             writeLocalAnswer(response, undefined, { status: badRequest, reason: "the request has no identity" });
             return undefined;
         }
+        const identity = identifyCaller(request, route, head.id);
+        if ("status" in identity) {
+            writeLocalAnswer(response, head.id, identity);
+            return undefined;
+        }
         const endsAt = arrivedAt + effectiveTimeout(route, head.deadline);
         if (endsAt > drainDeadline) {
             writeLocalAnswer(response, head.id, refusalAnswer({ kind: "stopping" }));
@@ -185,7 +197,7 @@
             path: url,
             rawHeaders: request.rawHeaders,
             head,
-            route,
+            ...identity,
             body: hasBody ? body : undefined,
             byteAccount,
             arrivedAt,
@@ -193,6 +205,27 @@
         }, response);
     }
 
+    /** Returns the caller's identity, or the answer for a caller without a valid key. */
+    function identifyCaller(request: IncomingMessage, route: ServiceRoute, call: string): CallerIdentity | LocalAnswer {
+        const credentials = decodeCredentials(request.rawHeaders);
+        const identification = keyRing!.identify(credentials, route.isPublic);
+        if (identification.kind === "notNeeded") {
+            return { route, team: undefined, scope: undefined };
+        }
+        if (identification.kind === "rejected") {
+            metrics.recordKeyRefusal(identification.reason);
+            log.warn("call.keyRefused", { call, route: route.name, reason: identification.reason,
+                keyDigest: credentials.length === 0 ? undefined : keyDigest(credentials.join()),
+                declaration: declaration?.version, declarationAge: Math.round(parts.declarationAge()) });
+            return isDeclarationCurrent() ? unauthorizedAnswer : staleDeclarationAnswer();
+        }
+        if (!route.isPublic && parts.declarationAge() > parts.maxKeyAge) {
+            return staleDeclarationAnswer();
+        }
+        const { team } = identification;
+        return { route: { ...route, priority: team?.priority ?? route.priority }, team, scope: team?.name ?? "" };
+    }
+
     /** A body that has not come is not waited for, as that would take the room that is missing. */
     function refuseCall(request: IncomingMessage, response: ServerResponse): undefined {
         metrics.recordMemoryRefusal("call");
@@ -208,10 +241,19 @@
 
     /** The answer is 404 only while the declaration is known to be current; otherwise the caller is told to retry. */
     function unknownRouteAnswer(): LocalAnswer {
-        return routes !== undefined && parts.declarationAge() < maxDeclarationAgeMs
+        return isDeclarationCurrent()
             ? { status: notFound, reason: "no route takes this path" }
-            : refusalAnswer({ kind: "storeAway", isolated: parts.storeOutage.isIsolated() },
-                "the declaration is not known");
+            : staleDeclarationAnswer();
+    }
+
+    /** Whether no newer declaration can have added what this one does not have. */
+    function isDeclarationCurrent(): boolean {
+        return routes !== undefined && parts.declarationAge() < maxDeclarationAgeMs;
+    }
+
+    function staleDeclarationAnswer(): LocalAnswer {
+        return refusalAnswer({ kind: "storeAway", isolated: parts.storeOutage.isIsolated() },
+            "the declaration is not known");
     }
 
     async function drain(deadline: number): Promise<void> {
@@ -249,6 +291,12 @@
     };
 }
 
+/** Who a call comes from, and its route with the priority of that team. */
+type CallerIdentity = Pick<ReceivedCall, "route" | "team" | "scope">;
+
+const unauthorizedAnswer: LocalAnswer = { status: unauthorized, reason: "the key is missing, malformed or unknown",
+    headers: { "www-authenticate": "Bearer" } };
+
 /** Resolves when the caller has read its answer, or has been disconnected because it did not. */
 async function waitUntilClosed(response: ServerResponse): Promise<void> {
     if (response.closed) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,7 +133,8 @@
     const frontend = disposal.own(
         createFrontend({ callerServer, limits, upstreams, rateLimits, recentPrograms: new RecentPrograms(),
             declaration: catalog.declaration, budgets, turns, storeOutage, initialized: catalog.initialized, log,
-            metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age() }),
+            metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
+            maxKeyAge: settings.maxKeyAge ?? Infinity }),
     );
     const pause = (maxMs: number) => store.pause(maxMs);
     const declarationWatch = disposal.own(
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,5 @@
-import type { CallerMemoryUse, ClosingCause, PermitDecision, RateLimitChange } from "@tamarackgauge/core/gateway";
+import type { CallerMemoryUse, ClosingCause, KeyProblem, PermitDecision,
+    RateLimitChange } from "@tamarackgauge/core/gateway";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** How a store call was made: by this gateway, or by a peer on its behalf. */
@@ -41,6 +42,8 @@
     recordClosings(cause: ClosingCause, count: number): void;
     /** Records a call that was refused because there was no room for it or for its body. */
     recordMemoryRefusal(part: "call" | "body"): void;
+    /** Records a call that was refused for its key. */
+    recordKeyRefusal(reason: KeyProblem): void;
     text(): Promise<string>;
     /** Values of all counters as log fields. */
     summary(): Promise<Readonly<Record<string, number>>>;
@@ -89,6 +92,8 @@
         registers });
     const memoryRefusals = new Counter({ name: "tamarackgauge_memory_refusals_total",
         help: "Calls refused for lack of memory", labelNames: ["part"], registers });
+    const keyRefusals = new Counter({ name: "tamarackgauge_key_refusals_total", help: "Calls refused for their key",
+        labelNames: ["reason"], registers });
     new Gauge({ name: "tamarackgauge_limited_upstreams", help: "Upstreams that name a rate limit",
         labelNames: ["service"], registers, collect() {
         this.reset();
@@ -113,11 +118,12 @@
             Object.entries(use).forEach(([part, bytes]) => callerBytes.set({ part }, bytes as number)),
         recordClosings: (cause, count) => closings.inc({ cause }, count),
         recordMemoryRefusal: part => memoryRefusals.inc({ part }),
+        recordKeyRefusal: reason => keyRefusals.inc({ reason }),
         text: () => registry.metrics(),
         async summary() {
             const fields: Record<string, number> = {};
             for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
-                closings, memoryRefusals, rateLimitChanges, permits]) {
+                closings, memoryRefusals, rateLimitChanges, permits, keyRefusals]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -1,4 +1,4 @@
-import type { ByteAccount, CallHead, RefusalCause, ServiceRoute } from "@tamarackgauge/core/gateway";
+import type { ByteAccount, CallHead, RefusalCause, Scope, ServiceRoute, Team } from "@tamarackgauge/core/gateway";
 import type { RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 
@@ -22,7 +22,11 @@
     readonly path: string;
     readonly rawHeaders: RawHeaders;
     readonly head: CallHead;
+    /** The route, with the priority of the caller's team. */
     readonly route: ServiceRoute;
+    readonly team: Team | undefined;
+    /** What the ids of the call's turn and program belong to. */
+    readonly scope: Scope;
     readonly body: Buffer | undefined;
     /** Accounts for the bytes that are buffered for the call. */
     readonly byteAccount: ByteAccount;
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -1,4 +1,4 @@
-import { maxWait, outageEndsWithin, type RefusalCause } from "@tamarackgauge/core/gateway";
+import { maxWait, outageEndsWithin, type RefusalCause, scopedId } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { isDecidedAtSend, overloadRefusal } from "./admission.ts";
 import type { BudgetedTurn, Budgets, ReservationResult, TokenReservation } from "./budgets.ts";
@@ -151,16 +151,17 @@
 }
 
 async function findHistory({ turns }: TurnPreparationParts,
-    { head, route, byteAccount }: ReceivedCall): Promise<History> {
+    { head, route, scope, byteAccount }: ReceivedCall): Promise<History> {
     return route.retention === undefined || head.previousTurn === undefined
         ? []
-        : turns.history(head.previousTurn, byteAccount);
+        : turns.history(scope, head.previousTurn, byteAccount);
 }
 
-async function reserve({ budgets }: TurnPreparationParts, { head }: ReceivedCall): Promise<ReservationResult> {
+async function reserve({ budgets }: TurnPreparationParts, { head, scope }: ReceivedCall): Promise<ReservationResult> {
     if (head.tokenBudget === undefined) {
         return unlimitedReservation;
     }
-    const turn: BudgetedTurn = { program: head.program ?? head.id, most: head.maxTokens, budget: head.tokenBudget };
+    const turn: BudgetedTurn = { program: scopedId(scope, head.program ?? head.id), most: head.maxTokens,
+        budget: head.tokenBudget };
     return budgets.reserve(turn);
 }
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -1,4 +1,5 @@
-import { type ByteAccount, type RowPage, type RowRange, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
+import { type ByteAccount, type RowPage, type RowRange, type Scope, scopedId, StoreError, type StoreRow,
+    unscopedId } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -20,10 +21,10 @@
 /** Turns that were answered completely, each stored in one or more rows. */
 export interface Turns {
     /**
-     * Returns a turn and all preceding turns; `unknown` only if the store reports that a turn does not exist. Their bytes
-     * are reserved from the account.
+     * Returns a turn of a scope and all preceding turns; `unknown` only if the store reports that a turn does not exist there.
+     * Their bytes are reserved from the account.
      */
-    history(id: string, account: ByteAccount): Promise<History>;
+    history(scope: Scope, id: string, account: ByteAccount): Promise<History>;
     /**
      * Stores a turn and, where needed, extends the retention of the preceding turns, so that all are kept for
      * `retention` milliseconds. Rejects with a `StoreError` if this cannot be confirmed within `maxDuration`
@@ -52,7 +53,7 @@
     const removal = createTurnRemoval({ store, longestRetention, log, now });
     const writer = createTurnWriter({ store, maxRowBytes, removal, now, readTurn });
 
-    async function history(id: string, account: ByteAccount): Promise<History> {
+    async function history(scope: Scope, id: string, account: ByteAccount): Promise<History> {
         let reservedBytes = 0;
         const reserve = (turn: Turn) => {
             if (!account.reserve(sizeOf(turn))) {
@@ -61,7 +62,7 @@
             reservedBytes += sizeOf(turn);
         };
         try {
-            const last = await findTurn(id, reserve);
+            const last = await findTurn(scopedId(scope, id), reserve) ?? await findUnscopedTurn(scope, id, reserve);
             if (last === undefined) {
                 return "unknown";
             }
@@ -74,6 +75,13 @@
         }
     }
 
+    /** Turns that were written before teams were declared belong to none. Their ids are known only to those who wrote them. */
+    async function findUnscopedTurn(scope: Scope, id: string,
+        reserve: (turn: Turn) => void): Promise<Turn | undefined> {
+        const earlierId = scope === undefined ? undefined : unscopedId(id);
+        return earlierId === undefined ? undefined : findTurn(earlierId, reserve);
+    }
+
     async function findTurn(id: string, reserve: (turn: Turn) => void): Promise<Turn | undefined> {
         const cached = cache.get(id);
         metrics.recordTurnLookup(cached === undefined ? "store" : "memory");
