Authorities: gateways agree on who decides about a subject, from rows that say when each registered

Cause: quotas of teams and the placement of calls need one gateway that decides for all. The list of gateways did not tell how long a gateway has been in it, so that one that was restarted could not know whether others ask it. Change: a gateway's row also holds when it first registered, by the store's clock, and the cores of its VM. A gateway takes part in decisions once the others must have read its row; those that start together take part at once. Rows of earlier versions are read as before.

--- a/packages/core/src/gateway/store.ts
+++ b/packages/core/src/gateway/store.ts
@@ -23,6 +23,8 @@
     readonly rows: readonly StoreRow[];
     readonly more: boolean;
     readonly version: number;
+    /** The store's clock in ms, if it tells. */
+    readonly time?: number | undefined;
 }
 
 /** Identifies a row. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { createAuthorities } from "./authorities.ts";
 import { budgetTable } from "./budgetRow.ts";
 import { createBudgets } from "./budgets.ts";
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
@@ -16,7 +17,8 @@
 import type { Log } from "./log.ts";
 import { createMetrics, type Metrics } from "./metrics.ts";
 import { createPeerContacts } from "./peerContacts.ts";
-import { createPeerList, defaultPeerListTimes, type PeerList, type PeerListTimes, peerTable } from "./peerList.ts";
+import { createPeerList, defaultPeerListTimes, type Peer, type PeerList, type PeerListTimes,
+    peerTable } from "./peerList.ts";
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
 import { createPermits } from "./permits.ts";
@@ -102,7 +104,7 @@
         ? undefined
         : disposal.own(
             createPeerList({ name: settings.name, address: settings.peerAddress, dataCentre: settings.dataCentre,
-                seeds: settings.knownPeers, store, onRead: names => memberships.record(names, now()), log, now,
+                cores: settings.processorCores, seeds: settings.knownPeers, store, onRead: recordPeers, log, now,
                 times: peerListTimes }),
         );
     const upstreams = disposal.own(
@@ -110,6 +112,8 @@
             now }),
     );
     const contacts = disposal.own(createPeerContacts({ log, now }));
+    const authorities = createAuthorities({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
+        settlingTime: peerListTimes.settling, contacts, now });
     const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
         peers: () => peerList?.registered() ?? [], contacts,
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
@@ -156,6 +160,11 @@
     disposal.defer(() => readiness.close());
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
+    function recordPeers(peers: readonly Peer[], storeTime: number | undefined): void {
+        memberships.record(peers.map(peer => peer.name), now());
+        authorities.record(peers, storeTime);
+    }
+
     function longestRetention(): number {
         return Math.max(0, ...catalog.declaration()?.routes.map(({ retention }) => retention ?? 0) ?? []);
     }
--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -1,11 +1,10 @@
-import { type SocketAddress, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
+import { type Member, type SocketAddress, type Store, StoreError, type StoreRow } from "@tamarackgauge/core/gateway";
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
 import type { Log } from "./log.ts";
 
 /** A registered gateway. */
-export interface Peer {
-    readonly name: string;
+export interface Peer extends Member {
     readonly address: SocketAddress;
     readonly dataCentre: string;
 }
@@ -41,10 +40,12 @@
     readonly name: string;
     readonly address: SocketAddress;
     readonly dataCentre: string;
+    /** Processor capacity of this VM, in cores. */
+    readonly cores: number;
     readonly seeds: readonly SocketAddress[];
     readonly store: Store;
-    /** Called with the names of the registered gateways each time that they have been read. */
-    readonly onRead?: (names: readonly string[]) => void;
+    /** Called with the registered gateways and the store's clock each time that they have been read. */
+    readonly onRead?: (peers: readonly Peer[], storeTime: number | undefined) => void;
     readonly log: Log;
     readonly now: () => number;
     readonly times?: PeerListTimes;
@@ -70,24 +71,34 @@
 
 /** Registers this gateway in the store, reads the registrations of the others and removes expired ones. */
 export function createPeerList(parts: PeerListParts): PeerList {
-    const { name, address, dataCentre, seeds, store, log, now, times = defaultPeerListTimes } = parts;
+    const { name, address, dataCentre, cores, seeds, store, log, now, times = defaultPeerListTimes } = parts;
     let currentSeeds = seeds;
     let knownPeers: readonly Peer[] = [];
     let observed = new Map<string, ObservedVersion>();
     let registeredAt = -Infinity;
+    /** When this gateway first registered, by the store's clock; kept while its row is there. */
+    let memberSince: number | undefined;
+    /** Whether the row was missing when the list was last read, as the others took this gateway for gone. */
+    let isAbsent = false;
     let deregistered = false;
     let timer = setTimeout(() => void refresh(), 0);
 
     async function refresh(): Promise<void> {
         try {
             const isFirst = registeredAt === -Infinity;
+            if (isFirst || isAbsent) {
+                const { rows: earlier, time } = await readRows();
+                memberSince = earlier.flatMap(row => row.key === name ? decodePeer(row) ?? [] : [])[0]?.registeredAt ??
+                    time;
+            }
             await register();
-            const rows = await readRows();
+            const { rows, time } = await readRows();
+            isAbsent = !deregistered && !rows.some(({ key }) => key === name);
             observed = new Map(rows.map(row => [row.key, observe(row)]));
             // Evaluated once: a row that expires between two checks would be removed and still be listed.
             const expired = new Set(rows.filter(isExpired));
             knownPeers = rows.flatMap(row => expired.has(row) ? [] : decodePeer(row) ?? []);
-            parts.onRead?.(knownPeers.map(peer => peer.name));
+            parts.onRead?.(knownPeers, time);
             await removeRows([...expired]);
             schedule(isFirst ? times.secondRefreshDelay : times.refreshInterval);
         }
@@ -103,21 +114,21 @@
     }
 
     async function register(): Promise<void> {
-        if (deregistered || now() - registeredAt < times.renewalInterval) {
+        if (deregistered || (!isAbsent && now() - registeredAt < times.renewalInterval)) {
             return;
         }
-        const value = Buffer.from(pack([address.host, address.port, dataCentre]));
+        const value = Buffer.from(pack([address.host, address.port, dataCentre, memberSince ?? null, cores]));
         await store.change({ puts: [{ ...peerTable, key: name, value }] }, { timeout: callTimeoutMs });
         registeredAt = now();
     }
 
-    async function readRows(): Promise<readonly StoreRow[]> {
+    async function readRows(): Promise<{ readonly rows: readonly StoreRow[]; readonly time: number | undefined; }> {
         const rows: StoreRow[] = [];
         for (let from = "";;) {
             const page = await store.read({ ...peerTable, from }, { timeout: callTimeoutMs });
             rows.push(...page.rows);
             if (!page.more) {
-                return rows;
+                return { rows, time: page.time };
             }
             from = `${page.rows.at(-1)!.key}\0`;
         }
@@ -174,14 +185,22 @@
     };
 }
 
-/** Value of a row: host, port, data centre. */
-const peerRowSchema = z.tuple([z.string(), z.number().int().positive(), z.string()]);
+/** Processor capacity that is assumed of a gateway whose row does not say. */
+const defaultCores = 1;
+/** Host, port and data centre: all that the rows of earlier versions hold. */
+const addressSchema = [z.string(), z.number().int().positive(), z.string()] as const;
+/** Value of a row: the address, when the gateway first registered, and the cores of its VM. */
+const peerRowSchema = z.union([
+    z.tuple([...addressSchema, z.number().nullable(), z.number().positive()]),
+    z.tuple(addressSchema),
+]);
 
 /** Decodes a row; undefined if its value is malformed. */
 function decodePeer({ key, value }: StoreRow): Peer | undefined {
     try {
-        const [host, port, dataCentre] = peerRowSchema.parse(unpack(value));
-        return { name: key, address: { host, port }, dataCentre };
+        const [host, port, dataCentre, registeredAt, cores] = peerRowSchema.parse(unpack(value));
+        return { name: key, address: { host, port }, dataCentre, registeredAt: registeredAt ?? undefined,
+            cores: cores ?? defaultCores };
     }
     catch {
         return undefined;
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -8,7 +8,8 @@
 const buffer = z.custom<Buffer>(value => Buffer.isBuffer(value));
 const rowName = z.object({ table: z.string(), part: z.string(), key: z.string() });
 const row = rowName.extend({ value: buffer, version: nonNegativeInteger, removed: z.boolean() });
-const page = z.object({ rows: z.array(row).readonly(), more: z.boolean(), version: nonNegativeInteger });
+const page = z.object({ rows: z.array(row).readonly(), more: z.boolean(), version: nonNegativeInteger,
+    time: z.number().optional() });
 const range = z.object({ table: z.string(), part: z.string(), from: z.string().optional(), to: z.string().optional(),
     limit: nonNegativeInteger.optional() });
 const change = z.object({
--- a/packages/gateway/test/peerList.test.ts
+++ b/packages/gateway/test/peerList.test.ts
@@ -16,8 +16,8 @@
     const lists: Disposable[] = [];
 
     function createList(name: string, now = () => performance.now()) {
-        const list = createPeerList({ name, address: { host: "127.0.0.1", port: 1 }, dataCentre: "a", seeds: [], store,
-            log: { info: () => undefined, warn: () => undefined }, now, times });
+        const list = createPeerList({ name, address: { host: "127.0.0.1", port: 1 }, dataCentre: "a", cores: 1,
+            seeds: [], store, log: { info: () => undefined, warn: () => undefined }, now, times });
         lists.push(list);
         return { list, names: () => list.registered().map(peer => peer.name) };
     }
