Ask for changes of upstreams every 400 ms at most

Each upstream rewrites its row every 1.2 s, so the feed of their table ended with each of these writes: 31 feeds a second at a gateway with 34 upstreams, nearly all of its processor time without calls. The next feed now starts 400 ms after the previous one, and the changes made meanwhile come together. A draining or new upstream is known up to 400 ms later.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,11 @@
 /** The gateway stays ready during store outages up to this long. */
 const maxReadyOutageMs = 700;
 const summaryIntervalMs = 10_000;
+/**
+ * Each upstream rewrites its row every 1.2 s, so with dozens of them a feed would end, and a new one start, dozens of times
+ * a second. A change is known later by half of this time on average.
+ */
+const upstreamFeedIntervalMs = 400;
 
 /** Number of parts that probes read. These parts contain no rows, so that answers are small. */
 const probePartCount = 512;
@@ -139,7 +144,10 @@
     const declarationWatch = disposal.own(
         watchTable({ store, log, now, pause, ...declarationRow, onChange: catalog.applyDeclaration }),
     );
-    disposal.own(watchTable({ store, log, now, pause, ...upstreamTable, onChange: catalog.applyUpstreams }));
+    disposal.own(
+        watchTable({ store, log, now, pause, ...upstreamTable, minFeedInterval: upstreamFeedIntervalMs,
+            onChange: catalog.applyUpstreams }),
+    );
     const summaryTimer = setInterval(() => void logSummary(), summaryIntervalMs);
     disposal.defer(() => clearInterval(summaryTimer));
     if (settings.metricsAddress !== undefined) {
--- a/packages/gateway/src/watch.ts
+++ b/packages/gateway/src/watch.ts
@@ -15,6 +15,11 @@
     readonly part: string;
     readonly log: Log;
     readonly now: () => number;
+    /**
+     * Minimum time in ms between the starts of two feeds, for a table that changes all the time: changes made meanwhile come
+     * together with the next answer.
+     */
+    readonly minFeedInterval?: number;
     /** Waits before a retry: resolves after `maxMs`, or earlier if an outage of the store ends. */
     readonly pause?: (maxMs: number) => Promise<void>;
     /** Called with all rows after the first read and after each change. */
@@ -28,7 +33,9 @@
 const maxRetryDelayMs = 400;
 
 /** Starts to watch a part of a table. */
-export function watchTable({ store, table, part, log, now, pause = sleep, onChange }: TableWatchParts): TableWatch {
+export function watchTable(
+    { store, table, part, log, now, minFeedInterval = 0, pause = sleep, onChange }: TableWatchParts,
+): TableWatch {
     let rows = new Map<string, StoreRow>();
     let version: number | undefined;
     let newestVersion = 0;
@@ -77,6 +84,14 @@
         version = result.version;
         newestVersion = result.version;
         applyChanges(result.rows);
+        await waitUntilFeedAt(requestedAt + minFeedInterval);
+    }
+
+    async function waitUntilFeedAt(time: number): Promise<void> {
+        const delay = time - now();
+        if (delay > 0) {
+            await sleep(delay, undefined, { ref: false });
+        }
     }
 
     async function readRows(): Promise<RowPage> {
