Decode only the rows of upstreams that have changed

Each change of one row decoded the rows of all upstreams and replaced all of them, though most writes change only a sequence number. Rows are now decoded once, and the upstreams are replaced only if an entry differs.

--- a/packages/gateway/bench/cost.ts
+++ b/packages/gateway/bench/cost.ts
@@ -24,6 +24,8 @@
 }
 
 const settlingMs = 700;
+/** Time after which the gateway has given back the tokens that the last turns did not need. */
+const aftermathMs = 4_000;
 const plainPerSecond = 3;
 const turnsPerSecond = 1;
 const busyFactor = 20;
@@ -53,6 +55,7 @@
     // The first calls compile code.
     await makeCalls(gateway, "plain", plainPerSecond * busyFactor, 1_000, `warm-plain-${index}`);
     await makeCalls(gateway, "turn", turnsPerSecond * busyFactor, 1_000, `warm-turn-${index}`);
+    await sleep(aftermathMs);
     const idle = await measurePhase(gateway, async () => {
         await sleep(idleMs);
         return 1;
--- a/packages/gateway/bench/costFleet.ts
+++ b/packages/gateway/bench/costFleet.ts
@@ -6,9 +6,8 @@
 import { Agent } from "node:http";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { chooseAddresses, createSettingsFolder, type GatewayAddresses, settingsText,
-    waitUntilProcessReady } from "../test/gatewayProcess.ts";
-import { call, declaration } from "../test/harness.ts";
+import { chooseAddresses, createSettingsFolder, type GatewayAddresses, settingsText } from "../test/gatewayProcess.ts";
+import { call, declaration, fetchReadinessStatus } from "../test/harness.ts";
 
 /** Sizes of the system around the measured gateways. */
 export interface CostFleetSize {
@@ -48,6 +47,7 @@
 
 /** Period with which each upstream writes its row, also if only its sequence number has changed. */
 const heartbeatMs = 1_200;
+const readinessIntervalMs = 200;
 const eventsPerTurn = 30;
 const eventDelayMs = 10;
 const inputBytes = 2_000;
@@ -118,7 +118,10 @@
         env: { PATH: process.env.PATH, TAMARACKGAUGE_CONFIG: settingsFile },
     });
     const exited = once(child, "exit");
-    await waitUntilProcessReady({ settings: addresses });
+    // Seldom, as the gateway answers each check.
+    while (await fetchReadinessStatus(addresses.readinessAddress.port) !== 200) {
+        await sleep(readinessIntervalMs);
+    }
     const agent = new Agent({ keepAlive: true });
     return {
         addresses,
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -22,7 +22,7 @@
     readonly log: Log;
     /** Called with each newer declaration. */
     readonly onDeclaration: (declaration: Declaration) => void;
-    /** Called with the sound entries whenever they or the declaration have changed. */
+    /** Called with the sound entries whenever one of them or the declaration has changed. */
     readonly onUpstreams: (entries: readonly UpstreamEntry[]) => void;
 }
 
@@ -30,6 +30,10 @@
 export function createCatalog({ log, onDeclaration, onUpstreams }: CatalogParts): Catalog {
     let declaration: Declaration | undefined;
     let upstreamRows: Rows = new Map();
+    /** What each row was decoded to. A row that has not changed is the same object. */
+    const decodedRows = new WeakMap<StoreRow, DecodedRow>();
+    /** The entry that each id had last. */
+    let entriesById: ReadonlyMap<string, UpstreamEntry> = new Map();
     /** Ids of the rows that cannot be decoded, each of which is logged once. */
     let unreadableIds: ReadonlySet<string> = new Set();
     let isInitialized = false;
@@ -50,6 +54,7 @@
             }
             declaration = next;
             onDeclaration(next);
+            decodeUpstreams();
             publishUpstreams();
             log.info("declaration.taken", { version: next.version });
         }
@@ -60,30 +65,64 @@
 
     function applyUpstreams(rows: Rows): void {
         upstreamRows = rows;
-        publishUpstreams();
+        // Without a declaration there is nothing to publish to.
+        if (declaration !== undefined && decodeUpstreams()) {
+            publishUpstreams();
+        }
     }
 
+    /** The number of connections to an upstream depends on its service, which the declaration defines. */
     function publishUpstreams(): void {
-        // The number of connections to an upstream depends on its service, which the declaration defines.
-        if (declaration === undefined) {
-            return;
-        }
-        const entries = decodeUpstreams();
-        onUpstreams(entries);
-        if (entries.length > 0) {
+        onUpstreams([...entriesById.values()]);
+        if (entriesById.size > 0) {
             isInitialized = true;
             resolveInitialized();
         }
     }
 
-    function decodeUpstreams(): readonly UpstreamEntry[] {
-        const decoded = [...upstreamRows].map(([id, row]) => ({ id, entry: decodeUpstream(id, row.value) }));
-        const unreadable = decoded.filter(({ entry }) => entry === undefined).map(({ id }) => id);
-        unreadable.filter(id => !unreadableIds.has(id)).forEach(id => log.warn("upstream.unreadable", { id }));
-        unreadableIds = new Set(unreadable);
-        return decoded.flatMap(({ entry }) => entry ?? []);
+    /** Decodes the rows that have changed; returns whether any entry has. Most writes of a row change none. */
+    function decodeUpstreams(): boolean {
+        const before = entriesById;
+        const unreadable = new Set<string>();
+        const entries = new Map<string, UpstreamEntry>();
+        for (const [id, row] of upstreamRows) {
+            const { entry } = decodedRow(id, row);
+            if (entry === undefined) {
+                unreadable.add(id);
+            }
+            else {
+                entries.set(id, entry);
+            }
+        }
+        unreadable.forEach(id => unreadableIds.has(id) || log.warn("upstream.unreadable", { id }));
+        unreadableIds = unreadable;
+        entriesById = entries;
+        return entries.size !== before.size || [...entries].some(([id, entry]) => before.get(id) !== entry);
+    }
+
+    function decodedRow(id: string, row: StoreRow): DecodedRow {
+        const known = decodedRows.get(row);
+        if (known !== undefined) {
+            return known;
+        }
+        const entry = decodeUpstream(id, row.value);
+        const earlier = entriesById.get(id);
+        const decoded = { entry: entry !== undefined && earlier !== undefined && isSameEntry(entry, earlier)
+            ? earlier
+            : entry };
+        decodedRows.set(row, decoded);
+        return decoded;
     }
 
     return { declaration: () => declaration, isInitialized: () => isInitialized, initialized, applyDeclaration,
         applyUpstreams };
 }
+
+/** The entry of a row; undefined if it cannot be decoded. */
+interface DecodedRow {
+    readonly entry: UpstreamEntry | undefined;
+}
+
+function isSameEntry(left: UpstreamEntry, right: UpstreamEntry): boolean {
+    return (Object.keys({ ...left, ...right }) as (keyof UpstreamEntry)[]).every(name => left[name] === right[name]);
+}
