Start from code compiled at build time

A start compiled 1.1 MB of JavaScript and loaded modules that nothing uses: those of HTTP/2, of a cluster and of default metrics. The build now writes the code that V8 compiled while the program was loaded beside the bundle, and the entry loads it.

--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -1,10 +1,14 @@
 // Builds the gateway into target/, or into the folder given as argument, so that it starts without resolving modules in node_modules: gateway.cjs listens for
-// callers and then loads the rest, gatewayProgram.cjs. The modules of libraries that the gateway does not use are left
-// out, as loading them takes most of the start.
+// callers and then loads the rest, gatewayProgram.cjs, with the code that was compiled for it, gatewayProgram.cache. The modules of libraries that the
+// gateway does not use are left out, as loading them takes most of the start.
 import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
+import { readFileSync, rmSync } from "node:fs";
+import { resolve } from "node:path";
 
 const outFolder = process.argv[2] ?? "target";
-const programFile = "./gatewayProgram.cjs";
+const programName = "gatewayProgram.cjs";
+const cacheModule = resolve("packages/gateway/src/programCache.ts");
 
 /** The modules of undici that the gateway uses; its main module loads all others too, and adds `request` to dispatchers. */
 const usedUndici = `
@@ -15,11 +19,26 @@
     buildConnector: require("undici/lib/core/connect.js"),
 };`;
 
+/** The classes of prom-client that the gateway uses; its main module loads those of a cluster and the default metrics too. */
+const usedPromClient = `
+module.exports = {
+    Counter: require("prom-client/lib/counter.js"),
+    Gauge: require("prom-client/lib/gauge.js"),
+    Histogram: require("prom-client/lib/histogram.js"),
+    Registry: require("prom-client/lib/registry.js"),
+};`;
+
+const usedModules = new Map([["undici", usedUndici], ["prom-client", usedPromClient]]);
+
 const leaveOutUnused = {
     name: "leave out unused modules",
     setup({ onResolve, onLoad }) {
-        onResolve({ filter: /^undici$/ }, () => ({ path: "undici", namespace: "used" }));
-        onLoad({ filter: /.*/, namespace: "used" }, () => ({ contents: usedUndici, resolveDir: process.cwd() }));
+        onResolve({ filter: /^(undici|prom-client)$/ }, ({ path }) => ({ path, namespace: "used" }));
+        onLoad({ filter: /.*/, namespace: "used" },
+            ({ path }) => ({ contents: usedModules.get(path), resolveDir: process.cwd() }));
+        // undici does without HTTP/2 if the module is missing, and no upstream speaks it.
+        onResolve({ filter: /^node:http2$/ }, ({ path }) => ({ path, namespace: "missing" }));
+        onLoad({ filter: /.*/, namespace: "missing" }, () => ({ contents: "throw new Error(\"left out\");" }));
         // Messages of zod in other languages.
         onLoad({ filter: /zod[\\/]v4[\\/]locales[\\/]index\.c?js$/ }, () => ({
             contents: "export { default as en } from \"./en.js\";",
@@ -30,9 +49,14 @@
 
 const loadProgramSeparately = {
     name: "load the program separately",
-    setup({ onResolve }) {
+    setup({ onResolve, onLoad }) {
         onResolve({ filter: /\/run\.ts$/ },
-            ({ kind }) => kind === "dynamic-import" ? { path: programFile, external: true } : undefined);
+            ({ kind, path }) => kind === "dynamic-import" ? { path, namespace: "program" } : undefined);
+        onLoad({ filter: /.*/, namespace: "program" }, () => ({
+            contents: `module.exports = require(${JSON.stringify(cacheModule)})
+                .loadProgram(require("node:path").join(__dirname, ${JSON.stringify(programName)}));`,
+            resolveDir: process.cwd(),
+        }));
     },
 };
 
@@ -53,6 +77,23 @@
 await Promise.all([
     build({ ...options, entryPoints: ["packages/gateway/src/main.ts"], outfile: `${outFolder}/gateway.cjs`,
         plugins: [loadProgramSeparately] }),
-    build({ ...options, entryPoints: ["packages/gateway/src/run.ts"], outfile: `${outFolder}/gatewayProgram.cjs`,
+    build({ ...options, entryPoints: ["packages/gateway/src/run.ts"], outfile: `${outFolder}/${programName}`,
         plugins: [leaveOutUnused] }),
 ]);
+
+// The flags of the deploy file, as code that was compiled with others is not taken.
+const [, ...command] = /^run = "(.*)"$/m.exec(readFileSync("deploy/system.toml", "utf8"))[1].split(" ");
+const flags = command.filter(argument => argument.startsWith("--"));
+rmSync(`${outFolder}/gatewayProgram.cache`, { force: true });
+const { outputFiles: [{ text: writer }] } = await build({ ...options, write: false, stdin: {
+    contents: `require(${JSON.stringify(cacheModule)}).writeProgramCache(${
+        JSON.stringify(resolve(outFolder, programName))
+    });`,
+    resolveDir: process.cwd(),
+} });
+// The program is loaded, but not run.
+const { status, stderr } = spawnSync(process.execPath, [...flags, "-"], { input: `${writer}\nprocess.exit();`,
+    encoding: "utf8" });
+if (status !== 0) {
+    process.stderr.write(`the code is not compiled before the start: ${stderr}\n`);
+}
