Render log lines without a library

pino was loaded at each start for lines of one flat object, which the early log already rendered with JSON.stringify. Both logs now share that, and a field that JSON cannot hold costs its own text instead of the line.

--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -1,5 +1,5 @@
 import type { Writable } from "node:stream";
-import pino from "pino";
+import { type LogLevel, renderJsonLine } from "./jsonLine.ts";
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -63,11 +63,10 @@
     let windowStart = now();
     let written = 0;
     let omitted = 0;
-    const logger = pino({ base: { vm: name }, timestamp: pino.stdTimeFunctions.epochTime }, {
-        write(line) {
-            omitted += sink(line) ? 0 : 1;
-        },
-    });
+
+    function write(level: LogLevel, event: string, fields: LogFields): void {
+        omitted += sink(renderJsonLine(level, name, event, fields)) ? 0 : 1;
+    }
 
     function admit(limit: number): boolean {
         if (now() - windowStart >= windowMs) {
@@ -87,19 +86,19 @@
         const lines = omitted;
         omitted = 0;
         if (lines > 0) {
-            logger.warn({ event: "log.omitted", lines });
+            write("warn", "log.omitted", { lines });
         }
     }
 
     return {
         info(event, fields) {
             if (admit(infoLineLimit)) {
-                logger.info({ event, ...fields });
+                write("info", event, fields);
             }
         },
         warn(event, fields) {
             if (admit(lineLimit)) {
-                logger.warn({ event, ...fields });
+                write("warn", event, fields);
             }
         },
     };
--- a/packages/gateway/src/processLog.ts
+++ b/packages/gateway/src/processLog.ts
@@ -1,4 +1,5 @@
 import { hostname } from "node:os";
+import { type LogLevel, renderJsonLine } from "./jsonLine.ts";
 import type { Log, LogFields } from "./log.ts";
 
 /** The log of a process from its first moment on. Until the program's own log is set, lines are written directly. */
@@ -16,25 +17,18 @@
 
 function ignoreError(): void {}
 
-/** Levels as in the program's log. */
-const infoLevel = 30;
-const warnLevel = 40;
-
 /** Creates the log. Lines have the form of the program's log. */
 export function createProcessLog(): ProcessLog {
     let target: Log | undefined;
     let vm = hostname();
 
-    function writeLine(level: number, event: string, fields: LogFields): void {
-        const line = { level, time: Date.now(), vm, event, ...fields };
-        openOutput().write(`${JSON.stringify(line)}\n`);
+    function writeLine(level: LogLevel, event: string, fields: LogFields): void {
+        openOutput().write(renderJsonLine(level, vm, event, fields));
     }
 
     return {
-        info: (event, fields) =>
-            target === undefined ? writeLine(infoLevel, event, fields) : target.info(event, fields),
-        warn: (event, fields) =>
-            target === undefined ? writeLine(warnLevel, event, fields) : target.warn(event, fields),
+        info: (event, fields) => target === undefined ? writeLine("info", event, fields) : target.info(event, fields),
+        warn: (event, fields) => target === undefined ? writeLine("warn", event, fields) : target.warn(event, fields),
         setTarget(next) {
             target = next;
         },
--- a/packages/gateway/test/log.test.ts
+++ b/packages/gateway/test/log.test.ts
@@ -43,3 +43,14 @@
     assert.equal(results[7], false);
     assert.ok(stream.writableLength < 500_000);
 });
+
+test("a field that JSON cannot hold does not lose its line (guards against an error in place of a log line)", () => {
+    const lines: string[] = [];
+    const log = createLog("g", line => lines.push(line) > 0, () => 0);
+    const circular: { self?: object; } = {};
+    circular.self = circular;
+    log.warn("call.refused", { call: "1", circular, size: 1n, missing: undefined, rate: NaN });
+    const { event, call, size } = parseLines(lines)[0] as Line & { readonly call: string; readonly size: string; };
+    assert.deepEqual([event, call, size], ["call.refused", "1", "1"]);
+    assert.ok(lines[0]!.endsWith("}\n"));
+});
