bench:gateway: measure a second with the calls of one gateway

Processor time of single calls at the rate of one gateway was below the spread of the idle time, which is subtracted. A whole second at that rate is now measured instead.

--- a/packages/gateway/bench/cost.ts
+++ b/packages/gateway/bench/cost.ts
@@ -7,11 +7,14 @@
     /** From the start of the process until it is ready and has settled. */
     readonly start: number;
     readonly idleSecond: number;
-    /** A plain call at the rate of one gateway, and at 20 times that. The cost of the idle time is subtracted. */
+    /** A second with the calls and turns of one gateway, the idle cost included. */
+    readonly ordinarySecond: number;
+    /** The same with 20 times as many plain calls, and with 20 times as many turns. */
+    readonly secondOfPlainCalls: number;
+    readonly secondOfTurns: number;
+    /** The last two divided by the number of calls, after the cost of the idle time has been subtracted. */
     readonly plainCall: number;
-    readonly plainCallBusy: number;
     readonly turn: number;
-    readonly turnBusy: number;
     /** Numbers of store calls, without those of an idle gateway. */
     readonly storeCallsPerTurn: number;
     readonly storeCallsPerIdleSecond: number;
@@ -61,19 +64,28 @@
         return 1;
     });
     const perIdleMs = { cpu: idle.cpu / idle.ms, stores: idle.stores / idle.ms };
-    const perCall = async (kind: "plain" | "turn", perSecond: number) => {
-        const phase = await measurePhase(gateway,
-            () => makeCalls(gateway, kind, perSecond, callsMs, `${kind}-${index}-${perSecond}`));
+    const ordinary = await measurePhase(gateway, async () => {
+        const counts = await Promise.all([
+            makeCalls(gateway, "plain", plainPerSecond, callsMs, `plain-${index}`),
+            makeCalls(gateway, "turn", turnsPerSecond, callsMs, `turn-${index}`),
+        ]);
+        return counts[0] + counts[1];
+    });
+    await sleep(aftermathMs);
+    const busy = async (kind: "plain" | "turn", perSecond: number) => {
+        const phase = await measurePhase(gateway, async () => {
+            const count = await makeCalls(gateway, kind, perSecond, callsMs, `busy-${kind}-${index}`);
+            await sleep(kind === "turn" ? aftermathMs : 0);
+            return count;
+        });
         return { cpu: (phase.cpu - perIdleMs.cpu * phase.ms) / phase.count,
-            stores: (phase.stores - perIdleMs.stores * phase.ms) / phase.count };
+            stores: (phase.stores - perIdleMs.stores * phase.ms) / phase.count, second: phase.cpu / phase.ms * 1_000 };
     };
-    const plain = await perCall("plain", plainPerSecond);
-    const plainBusy = await perCall("plain", plainPerSecond * busyFactor);
-    const turn = await perCall("turn", turnsPerSecond);
-    const turnBusy = await perCall("turn", turnsPerSecond * busyFactor);
-    return { start, idleSecond: perIdleMs.cpu * 1_000, plainCall: plain.cpu, plainCallBusy: plainBusy.cpu,
-        turn: turn.cpu, turnBusy: turnBusy.cpu, storeCallsPerTurn: turnBusy.stores,
-        storeCallsPerIdleSecond: perIdleMs.stores * 1_000 };
+    const plain = await busy("plain", plainPerSecond * busyFactor);
+    const turn = await busy("turn", turnsPerSecond * busyFactor);
+    return { start, idleSecond: perIdleMs.cpu * 1_000, ordinarySecond: ordinary.cpu / ordinary.ms * 1_000,
+        secondOfPlainCalls: plain.second, secondOfTurns: turn.second, plainCall: plain.cpu, turn: turn.cpu,
+        storeCallsPerTurn: turn.stores, storeCallsPerIdleSecond: perIdleMs.stores * 1_000 };
 }
 
 async function measurePhase(gateway: MeasuredGateway, run: () => Promise<number>) {
