check-configuration: checks a declaration before it is sent

Cause: operators learnt from their callers that a route was hidden by another one, a key stood at two teams, a limit refused everything or a version was ignored. Change: checkDeclaration (packages/core/src/gateway) finds entries without effect, limits that contradict each other, and what changes from the version in force, riskiest first. platform/src/configuration.ts reads the file with the gateways' decoder, refuses bad bytes, files over 8 MiB, nesting deeper than 32 levels and fields that occur twice, and places findings by line, column and path. The command exits with 0, 1 (warnings) or 2 (errors); the version in force comes from a file or the store. Evidence: declarationCheck.test.ts, configuration.test.ts (2,000 generated and mutated files: whatever the decoder refuses gives an error; no output holds a key) and checkConfiguration.test.ts pass.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -7,7 +7,12 @@
 export * from "./call.ts";
 export * from "./callerMemory.ts";
 export * from "./choice.ts";
+export * from "./declarationChanges.ts";
+export * from "./declarationCheck.ts";
+export type { CheckContext } from "./declarationFaults.ts";
 export * from "./event.ts";
+export { createFinding, type Finding, type FindingKind, type FindingPath, quoteName, type Severity,
+    sortFindings } from "./finding.ts";
 export * from "./identification.ts";
 export * from "./incarnation.ts";
 export * from "./ledger.ts";
--- a/packages/gateway/src/commands.ts
+++ b/packages/gateway/src/commands.ts
@@ -1,13 +1,28 @@
+import type { SocketAddress } from "@tamarackgauge/core/gateway";
 import { exitCodes, type Terminal } from "@tamarackgauge/operator";
 import { parseSettings, problemText, SettingsError } from "@tamarackgauge/platform";
-import { array, command, multioption, positional, string } from "cmd-ts";
+import { array, command, extendType, flag, multioption, option, optional, positional, string } from "cmd-ts";
 import { readFileSync } from "node:fs";
+import { checkConfigurationFile } from "./configurationCheck.ts";
 import { explainCall, explainRateLimits } from "./explain.ts";
 import { parseLogLines, renderLogLine } from "./logLine.ts";
 import { runGateway } from "./run.ts";
 
 const standardInput = 0;
 
+const defaultHttpPort = 80;
+
+const storeAddressType = extendType(string, {
+    displayName: "url",
+    from: async (text): Promise<SocketAddress> => {
+        if (!/^http:\/\/[^/\s@]+\/?$/.test(text) || !URL.canParse(text)) {
+            throw new Error("expected http://<address>:<port>");
+        }
+        const { hostname, port } = new URL(text);
+        return { host: hostname, port: port === "" ? defaultHttpPort : Number(port) };
+    },
+});
+
 /** Creates the commands for the users' platform. */
 export function createGatewayCommands(terminal: Terminal) {
     return {
@@ -23,6 +38,21 @@
             args: { file: positional({ type: string, displayName: "file" }) },
             handler: ({ file }) => checkSettings(terminal, file),
         }),
+        "check-configuration": command({
+            name: "check-configuration",
+            description:
+                "Check a declaration of routes, services and limits before it is sent to the users' platform. " +
+                "Exit codes: 0 nothing but notes, 1 warnings, 2 errors",
+            args: {
+                file: positional({ type: string, displayName: "file" }),
+                against: option({ type: optional(string), long: "against",
+                    description: "File with the version in force" }),
+                store: option({ type: optional(storeAddressType), long: "store",
+                    description: "Store from which the version in force and the upstreams are read" }),
+                json: flag({ long: "json", description: "Print one JSON object" }),
+            },
+            handler: args => checkConfigurationFile(terminal, args),
+        }),
         "explain": command({
             name: "explain",
             description: "Print the log lines of gateways that concern a call, ordered by time",
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -39,13 +39,14 @@
 const unbufferedBytes = 150_000_000;
 /** Each buffered byte takes more than twice its size, as bodies are assembled and their parts are collected later. */
 const bufferedShare = 0.35;
-const minBufferedBytes = 8 * mebibyte;
+/** Bytes that the smallest gateway may buffer for all its calls. */
+export const smallestBufferedBytes = 8 * mebibyte;
 const maxBufferedBytes = 48 * mebibyte;
 
 /** The bytes that may be buffered in a process of the given size. */
 function bufferedBytesWithin(memoryBytes: number): number {
     const available = (memoryBytes - unbufferedBytes) * bufferedShare;
-    return Math.round(Math.min(maxBufferedBytes, Math.max(minBufferedBytes, available)));
+    return Math.round(Math.min(maxBufferedBytes, Math.max(smallestBufferedBytes, available)));
 }
 
 /**
