docs: checking a declaration before it is sent

The pages for operators describe check-configuration, its kinds of findings and exit codes, with the output of a run on the two files in examples/; a test compares the page with the output.

--- a/packages/cli/test/checkConfiguration.test.ts
+++ b/packages/cli/test/checkConfiguration.test.ts
@@ -1,5 +1,7 @@
 import { createRowStore, freeAddress, gatewayDeclaration } from "@tamarackgauge/standin";
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
 import { test } from "node:test";
 import { run, withFile } from "./terminal.ts";
 
@@ -63,3 +65,14 @@
         assert.match(unreachable.error, /the store at .* cannot be read/);
     });
 });
+
+test("the example on the page is what the command prints (guards against a page that describes an earlier version)", async () => {
+    const root = join(import.meta.dirname, "../../..");
+    const examples = join(root, "examples");
+    const { code, out } = await run(
+        `check-configuration ${examples}/declaration.json --against ${examples}/declarationInForce.json`,
+    );
+    const page = readFileSync(join(root, "docs/configuration.md"), "utf8");
+    assert.equal(code, 2);
+    assert.ok(page.includes(out.replaceAll(examples, "examples")), out);
+});
