operator: an answer that is not a daemon's is told from none

Cause: the operators' commands printed "gave no answer" when a proxy or another server answered, as one outcome stood for both. Evidence: the new test of command.test.ts fails without the change with "gave no answer: HTTP status 502".

--- a/packages/cli/test/command.test.ts
+++ b/packages/cli/test/command.test.ts
@@ -2,6 +2,9 @@
 import { type Configuration, createConfiguration, hashKey, refuse } from "@tamarackgauge/core";
 import { type ConfigurationStore, createOperatorRoutes, exitCodes } from "@tamarackgauge/operator";
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { describe, it } from "node:test";
 import { Left, Right } from "purify-ts";
 import { run, withFile } from "./terminal.ts";
@@ -80,6 +83,16 @@
         });
     });
 
+    it("name an answer that is not a daemon's as such (guards against a search for a daemon that is down while a proxy answers)", async () => {
+        await using server = createServer((_, response) => response.writeHead(502).end("<html>bad gateway</html>"));
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const { code, error } = await run(`configuration show --to ${url}`, environment);
+        assert.equal(error, `${url} answered, but not as a daemon: HTTP status 502`);
+        assert.equal(code, exitCodes.unreachable);
+    });
+
     it("show the version of each daemon and report daemons with different versions", async () => {
         await using first = await openDaemon("vm-1", 7);
         await using second = await openDaemon("vm-2", 6, false);
--- a/packages/operator/src/client.ts
+++ b/packages/operator/src/client.ts
@@ -27,7 +27,7 @@
 /** A problem that a daemon found in a file. */
 export type ReportedProblem = z.infer<typeof problemSchema>;
 
-/** The outcome of a request to a daemon: a value, a refusal, or no valid response. */
+/** The outcome of a request to a daemon: a value, a refusal, a response that is not a daemon's, or none. */
 export type Reply<Value> =
     | { readonly kind: "value"; readonly value: Value; }
     | {
@@ -36,7 +36,7 @@
         readonly message: string;
         readonly problems: readonly ReportedProblem[];
     }
-    | { readonly kind: "unreachable"; readonly message: string; };
+    | { readonly kind: "foreign" | "unreachable"; readonly message: string; };
 
 /** Sends an operator's requests to one daemon. */
 export interface OperatorClient {
@@ -65,7 +65,7 @@
             // Drops the indentation of the file, which can be half of its size; the body limit counts bytes.
             const body = JSON.stringify({ plans, allowances });
             let reply = await applyOnce(body, expected, changeId);
-            for (let attempt = 1; reply.kind === "unreachable" && attempt < maxApplyAttempts; attempt += 1) {
+            for (let attempt = 1; isUnanswered(reply) && attempt < maxApplyAttempts; attempt += 1) {
                 reply = await applyOnce(body, expected, changeId);
             }
             return reply;
@@ -73,6 +73,11 @@
     };
 }
 
+/** Whether no daemon has answered. A change that was requested may have been applied. */
+export function isUnanswered(reply: Reply<unknown>): boolean {
+    return reply.kind === "unreachable" || reply.kind === "foreign";
+}
+
 async function sendRequest<Value>(
     schema: z.ZodType<Value>,
     url: string,
@@ -94,11 +99,11 @@
         const value = schema.safeParse(body);
         return value.success
             ? { kind: "value", value: value.data }
-            : { kind: "unreachable", message: "the response is not that of a daemon" };
+            : { kind: "foreign", message: "a body of another form" };
     }
     const refusal = refusalSchema.safeParse(body);
     if (!refusal.success) {
-        return { kind: "unreachable", message: `HTTP status ${status}` };
+        return { kind: "foreign", message: `HTTP status ${status}` };
     }
     const { code, message, problems = [] } = refusal.data.error;
     return { kind: "refused", code, message, problems };
--- a/packages/operator/src/command.ts
+++ b/packages/operator/src/command.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { text as readAll } from "node:stream/consumers";
-import { createOperatorClient, type OperatorClient, type Reply } from "./client.ts";
+import { createOperatorClient, isUnanswered, type OperatorClient, type Reply } from "./client.ts";
 
 /** Exit codes of the operators' commands; docs/configuration.md lists them. */
 export const exitCodes = {
@@ -145,7 +145,7 @@
     expected: number,
 ): Promise<number> {
     const reply = await client.apply(lists, expected, randomUUID());
-    if (reply.kind === "unreachable") {
+    if (isUnanswered(reply)) {
         terminal.error("it is not known whether the file was applied; see `configuration show`");
     }
     return report(terminal, url, reply, each => `version ${each.version} is in force`);
@@ -198,6 +198,9 @@
             reply.problems.forEach(each => terminal.error(formatProblem(each)));
             terminal.error(`${url} refused: ${reply.code} ${reply.message}`);
             return exitCodeOf(reply.code);
+        case "foreign":
+            terminal.error(`${url} answered, but not as a daemon: ${reply.message}`);
+            return exitCodes.unreachable;
         case "unreachable":
             terminal.error(`${url} gave no answer: ${reply.message}`);
             return exitCodes.unreachable;
