Peers, readiness, metrics: bound unfinished messages and connections

Each link could hold a message of 4 MiB, and fragments of one byte each took some hundred bytes. All unfinished messages together now hold 8 MiB; above that the link with most is closed, those older than 250 ms first. A message has at most 64 fragments. Of 256 connections to readiness or metrics, and 512 to the peers' port that are no links, the oldest is closed for a new one.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -11,6 +11,7 @@
 export * from "./incarnation.ts";
 export * from "./ledger.ts";
 export * from "./outage.ts";
+export * from "./peerMemory.ts";
 export * from "./permitIssuer.ts";
 export * from "./permitSchedule.ts";
 export * from "./permitWait.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { createCleaner } from "./cleaner.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
+import { limitConnections } from "./limitConnections.ts";
 import type { MemoryLimits } from "./limits.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
@@ -59,6 +60,8 @@
 /** The gateway stays ready during store outages up to this long. */
 const maxReadyOutageMs = 700;
 const summaryIntervalMs = 10_000;
+/** Maximum number of connections to the readiness port, and to that of the metrics. */
+const maxSideConnections = 256;
 
 /** Number of parts that probes read. These parts contain no rows, so that answers are small. */
 const probePartCount = 512;
@@ -130,6 +133,7 @@
         const path = (request.url ?? "").split("?")[0];
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
+    limitConnections(readiness, maxSideConnections);
     const frontend = disposal.own(
         createFrontend({ callerServer, limits, upstreams, rateLimits, recentPrograms: new RecentPrograms(),
             declaration: catalog.declaration, budgets, turns, storeOutage, initialized: catalog.initialized, log,
@@ -204,6 +208,7 @@
             response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text)
         );
     });
+    limitConnections(server, maxSideConnections);
     const stopped = new AbortController();
     listen(server, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("metrics.unavailable", { reason: error.message }));
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -4,8 +4,10 @@
 import { createServer } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
+import { limitConnections } from "./limitConnections.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
+import { createPeerLinkLimits } from "./peerLinkLimits.ts";
 import { decodePeerRequest, isPermitCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
     type PermitCall, type RelayedCall, type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
@@ -24,6 +26,10 @@
 
 /** Maximum number of concurrent calls made for other gateways; more are refused, so that own calls are not delayed. */
 const maxRelayedCalls = 48;
+/** Gateways send each message in one fragment. */
+const maxFragments = 64;
+/** Maximum number of connections that have not become links. */
+const maxPlainConnections = 512;
 const upgradeRequiredStatus = 426;
 
 /**
@@ -33,7 +39,10 @@
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
     const httpServer = createServer((_, response) => response.writeHead(upgradeRequiredStatus).end());
-    const server = new WebSocketServer({ noServer: true, maxPayload: maxPeerMessageBytes, perMessageDeflate: false });
+    const server = new WebSocketServer({ noServer: true, maxPayload: maxPeerMessageBytes, perMessageDeflate: false,
+        maxFragments });
+    const linkLimits = createPeerLinkLimits(log, parts.now);
+    const stopCounting = limitConnections(httpServer, maxPlainConnections);
     httpServer.on("upgrade",
         (request, socket, head) =>
             server.handleUpgrade(request, socket, head, link => server.emit("connection", link, request)));
@@ -41,7 +50,9 @@
     listen(httpServer, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("peers.unavailable", { reason: error.message }));
     let relayedCalls = 0;
-    server.on("connection", socket => {
+    server.on("connection", (socket, request) => {
+        stopCounting(request.socket);
+        linkLimits.track(socket, request.socket);
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
         socket.on("message", data => {
             handleMessage(socket, data as Buffer).catch((error: Error) => {
