Callers: requests are parsed one by one, and bodies are stored in blocks

A body in chunks of one byte held a Buffer for each, though one byte was counted; bodies that waited for the declaration were in no account; a new caller's body was refused while others held theirs open; Node.js parses all requests that one read has brought, so that those sent ahead took the room of all calls.

Now a connection is parsed head by head, and no further while it has four calls without an answer (one while calls take a quarter of the callers' memory); what waits unparsed has a quarter of it, above which the largest holders are closed. Bodies are read from their arrival, small chunks into blocks that are counted. Without room for a body, the call that has held most bytes for longest while waiting for its caller is ended, if it has waited for 250 ms. Heads are counted as they are parsed, so that the framing of chunks is no longer taken for one.

--- a/packages/core/src/gateway/callerMemory.ts
+++ b/packages/core/src/gateway/callerMemory.ts
@@ -22,6 +22,12 @@
 const unfinishedHeadShare = 0.25;
 /** Calls are refused above this share, so that further connections can still be told so. */
 const callShare = 0.85;
+/** Above this share, only one call of each connection is read. */
+const plentifulCallShare = 0.25;
+/** Calls of one connection that may be without an answer before it is read no further. */
+const maxCallsOfConnection = 4;
+/** Share for bytes that have been read and wait until calls before them are answered. */
+const waitingShare = 0.25;
 /** Connections are closed until no more than this part of what is allowed is in use. */
 const closingTarget = 0.95;
 /** A connection that was opened or used this short a time ago is not closed to make room for a call. */
@@ -47,8 +53,13 @@
     readonly calls: number;
 }
 
+/** Bytes that have been read from a connection and wait to be parsed, as calls before them have no answer yet. */
+export interface WaitingUse {
+    readonly waitingBytes: number;
+}
+
 /** Why a connection is closed. */
-export type ClosingCause = "headTimeout" | "headMemory" | "idleTimeout" | "idleMemory";
+export type ClosingCause = "headTimeout" | "headMemory" | "idleTimeout" | "idleMemory" | "waitingMemory";
 
 /** Time limits of connections, in milliseconds. */
 export interface ConnectionTimeouts {
@@ -67,11 +78,15 @@
     readonly connections: number;
     readonly heads: number;
     readonly calls: number;
+    /** Bytes that have been read and wait to be parsed. */
+    readonly waiting: number;
 }
 
 /** Memory of connections, of the bytes that have come of unfinished heads, and of calls as reserved. */
-export function callerMemoryUse(connections: number, headBytes: number, callCosts: number): CallerMemoryUse {
-    return { connections: connections * connectionBytes, heads: headBytes * unfinishedHeadFactor, calls: callCosts };
+export function callerMemoryUse(connections: number, headBytes: number, callCosts: number,
+    waiting = 0): CallerMemoryUse {
+    return { connections: connections * connectionBytes, heads: headBytes * unfinishedHeadFactor, calls: callCosts,
+        waiting };
 }
 
 function useOf(connections: readonly ConnectionUse[], callCosts: number): CallerMemoryUse {
@@ -89,9 +104,35 @@
     return totalOf(use, maxBytes) + cost <= maxBytes * callShare;
 }
 
-/** Whether unfinished heads take so much of their share that they must be looked at often. */
-export function areHeadsNearLimit({ heads }: CallerMemoryUse, maxBytes: number): boolean {
-    return heads > maxBytes * unfinishedHeadShare / 2;
+/** Whether unfinished heads take more than their share. */
+export function areHeadsOverLimit({ heads }: CallerMemoryUse, maxBytes: number): boolean {
+    return heads > maxBytes * unfinishedHeadShare;
+}
+
+/**
+ * How many calls of one connection may be without an answer before it is read no further. While calls take much of their
+ * room it is one, so that requests sent ahead take no room from other connections.
+ */
+export function maxUnansweredCalls({ calls }: CallerMemoryUse, maxBytes: number): number {
+    return calls > maxBytes * plentifulCallShare ? 1 : maxCallsOfConnection;
+}
+
+/** Chooses the connections to be closed as too many bytes wait to be parsed, those with the most of them first. */
+export function chooseWaiting<Connection extends WaitingUse>(connections: Iterable<Connection>, waitingBytes: number,
+    maxBytes: number): readonly Closing<Connection>[] {
+    if (waitingBytes <= maxBytes * waitingShare) {
+        return [];
+    }
+    const chosen: Closing<Connection>[] = [];
+    let excess = waitingBytes - maxBytes * waitingShare * closingTarget;
+    for (const connection of [...connections].toSorted((left, right) => right.waitingBytes - left.waitingBytes)) {
+        if (excess <= 0 || connection.waitingBytes === 0) {
+            break;
+        }
+        chosen.push({ connection, cause: "waitingMemory" });
+        excess -= connection.waitingBytes;
+    }
+    return chosen;
 }
 
 /**
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -1,16 +1,17 @@
-import { areHeadsNearLimit, callCost, type CallerMemoryUse, callerMemoryUse, chooseClosings, chooseClosingsForCall,
-    type Closing, type ClosingCause, type ConnectionTimeouts, type ConnectionUse,
-    hasRoomForCall } from "@tamarackgauge/core/gateway";
+import { areHeadsOverLimit, callCost, type CallerMemoryUse, callerMemoryUse, chooseClosings, chooseClosingsForCall,
+    chooseWaiting, type Closing, type ClosingCause, type ConnectionTimeouts, type ConnectionUse, hasRoomForCall,
+    maxUnansweredCalls } from "@tamarackgauge/core/gateway";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { paceParsing, type ParsingPace } from "./pacedParsing.ts";
 import { headSize } from "./requestHead.ts";
 
 /** The connections of callers and what they hold in memory, kept within a limit. */
 export interface CallerConnections {
     /** Counts a request that has been read. */
     admit(request: IncomingMessage, response: ServerResponse): Admission;
-    /** Counts the body of a request without a declared length. */
-    recordBody(request: IncomingMessage, bytes: number): void;
+    /** Reads on from connections whose first request waited until calls could be handled. */
+    open(): void;
     /** Ends a connection on which nothing more can be read, after the answers that it still waits for. */
     refuse(socket: Socket, status: number): void;
     setTimeouts(timeouts: ConnectionTimeouts): void;
@@ -33,16 +34,18 @@
 /** One connection of a caller. */
 interface Connection extends ConnectionUse {
     readonly socket: Socket;
-    /** Bytes of the requests that have been read. */
-    readBytes: number;
     headBytes: number;
+    /** Bytes that have been read from the connection and are not parsed yet. */
+    waitingBytes: number;
     waitingSince: number;
     calls: number;
     /** Memory reserved for the calls under way. */
     callBytes: number;
     lastRequest: IncomingMessage | undefined;
-    /** Whether bytes of the last request's body have been counted. */
-    isBodyRead: boolean;
+    /** Bytes of the last request's body that are still to come, if its length is declared. */
+    bodyLeft: number;
+    /** Continues to read a connection that was held. */
+    readOn: () => void;
     /** Status with which the connection ends when no call is under way. */
     refusedWith: number | undefined;
     /** No further request is taken. */
@@ -51,19 +54,21 @@
 
 const requestTimeout = 408;
 const checkIntervalMs = 200;
-const shortCheckIntervalMs = 20;
 /** The connections are also checked each time that so many have been opened. */
 const connectionsPerCheck = 64;
 /** Minimum time between two searches for connections to be closed for a call. */
 const minSearchIntervalMs = 50;
 /** Time for the caller to read the last answer before the connection is closed. */
 const lingerMs = 1_000;
-/** White space and the framing of chunks are not counted in the size of a request; fewer bytes than this are no head. */
-const maxUncountedBytes = 1_024;
+/** Most bytes that are parsed at once where requests may begin: a head ends after few of them. */
+const maxPartBytes = 1_024;
+const headEnd = "\r\n\r\n";
+const carriageReturn = 0x0d;
+const lineFeed = 0x0a;
 
-/** Bytes of a chunk's length in hexadecimal and of the two line ends. */
-function chunkFramingBytes(chunkBytes: number): number {
-    return chunkBytes.toString(16).length + 4;
+/** Empty lines between requests are no head. */
+function isBlank(bytes: Buffer): boolean {
+    return bytes.every(byte => byte === carriageReturn || byte === lineFeed);
 }
 
 /** Starts counting what the connections of a server hold, which may be `maxBytes` in all. */
@@ -76,16 +81,20 @@
     let headBytes = 0;
     let openedSinceCheck = 0;
     let searchedAt = -Infinity;
-    let timer = scheduleCheck(checkIntervalMs);
+    let waitingBytes = 0;
+    let isOpen = false;
+    const timer = setInterval(() => setImmediate(check), checkIntervalMs).unref();
     const now = () => performance.now();
-    const use = () => callerMemoryUse(connections.size, headBytes, callCosts);
+    const use = () => callerMemoryUse(connections.size, headBytes, callCosts, waitingBytes);
 
     server.on("connection", (socket: Socket) => {
-        const connection: Connection = { socket, readBytes: 0, headBytes: 0, waitingSince: now(), calls: 0,
-            callBytes: 0, lastRequest: undefined, isBodyRead: false, refusedWith: undefined, isEnding: false };
+        const connection: Connection = { socket, headBytes: 0, waitingBytes: 0, waitingSince: now(), calls: 0,
+            callBytes: 0, lastRequest: undefined, bodyLeft: 0, readOn: () => undefined, refusedWith: undefined,
+            isEnding: false };
         connections.set(socket, connection);
+        connection.readOn = paceParsing(socket, paceOf(connection));
         socket.once("close", () => {
-            connections.delete(socket);
+            forget(connection);
             callCosts -= connection.callBytes;
         });
         openedSinceCheck += 1;
@@ -94,47 +103,82 @@
         }
     });
 
-    /** What has come while the process was busy or stopped is read before the check. */
-    function scheduleCheck(ms: number): NodeJS.Timeout {
-        return setTimeout(() => setImmediate(check), ms).unref();
-    }
-
     function check(): void {
         openedSinceCheck = 0;
-        close(chooseClosings(update(), callCosts, maxBytes, timeouts, now()));
-        clearTimeout(timer);
-        timer = scheduleCheck(areHeadsNearLimit(use(), maxBytes) ? shortCheckIntervalMs : checkIntervalMs);
+        close(chooseClosings(openConnections(), callCosts, maxBytes, timeouts, now()));
     }
 
-    /** Counts the bytes of all unfinished heads anew, as Node.js reports none of them. */
-    function update(): readonly Connection[] {
-        const all = [...connections.values()];
-        all.forEach(updateHead);
-        headBytes = all.reduce((sum, connection) => sum + connection.headBytes, 0);
-        return all.filter(({ isEnding }) => !isEnding);
+    function openConnections(): readonly Connection[] {
+        return [...connections.values()].filter(({ isEnding }) => !isEnding);
     }
 
-    function updateHead(connection: Connection): void {
-        if (connection.isEnding) {
-            return;
-        }
-        if (connection.lastRequest?.complete === true) {
-            endRequest(connection, connection.lastRequest);
+    function forget(connection: Connection): void {
+        if (connections.delete(connection.socket)) {
+            setHeadBytes(connection, 0);
+            setWaitingBytes(connection, 0);
         }
-        const bytes = connection.lastRequest === undefined
-            ? Math.max(0, connection.socket.bytesRead - connection.readBytes)
-            : 0;
+    }
+
+    function setHeadBytes(connection: Connection, bytes: number): void {
         if (bytes > 0 && connection.headBytes === 0) {
             connection.waitingSince = now();
         }
+        headBytes += bytes - connection.headBytes;
         connection.headBytes = bytes;
     }
 
-    /** Bytes of a body without a length that nobody has read are no head. */
-    function endRequest(connection: Connection, request: IncomingMessage): void {
-        connection.lastRequest = undefined;
-        if (request.headers["transfer-encoding"] !== undefined && !connection.isBodyRead) {
-            connection.readBytes = connection.socket.bytesRead;
+    function setWaitingBytes(connection: Connection, bytes: number): void {
+        waitingBytes += bytes - connection.waitingBytes;
+        connection.waitingBytes = bytes;
+    }
+
+    function isReadingBody({ lastRequest }: Connection): boolean {
+        return lastRequest?.complete === false;
+    }
+
+    function paceOf(connection: Connection): ParsingPace {
+        return {
+            isHeld: () => connection.calls >= maxCallsOf() && (!isOpen || !isReadingBody(connection)),
+            isEnding: () => connection.isEnding || connection.refusedWith !== undefined,
+            nextPart(bytes) {
+                if (isReadingBody(connection) && connection.bodyLeft > 0) {
+                    return connection.bodyLeft;
+                }
+                const end = bytes.subarray(0, maxPartBytes).indexOf(headEnd);
+                return end < 0 ? maxPartBytes : end + headEnd.length;
+            },
+            parsed: part => recordPart(connection, part),
+            waiting(bytes) {
+                if (connections.has(connection.socket)) {
+                    setWaitingBytes(connection, bytes);
+                    close(chooseWaiting(connections.values(), waitingBytes, maxBytes));
+                }
+            },
+        };
+    }
+
+    function maxCallsOf(): number {
+        return isOpen ? maxUnansweredCalls(use(), maxBytes) : 1;
+    }
+
+    /** Counts what has been parsed as a part of a head, unless it belongs to a request whose head is whole. */
+    function recordPart(connection: Connection, part: Buffer): void {
+        const { lastRequest } = connection;
+        if (lastRequest !== undefined) {
+            connection.bodyLeft -= Math.min(part.length, connection.bodyLeft);
+            connection.lastRequest = lastRequest.complete ? undefined : lastRequest;
+        }
+        else if (connections.has(connection.socket) && !connection.isEnding &&
+            (connection.headBytes > 0 || !isBlank(part))) {
+            setHeadBytes(connection, connection.headBytes + part.length);
+            checkHeads();
+        }
+    }
+
+    /** Closes unfinished heads beyond their share as they come. */
+    function checkHeads(): void {
+        if (areHeadsOverLimit(use(), maxBytes)) {
+            check();
         }
     }
 
@@ -152,7 +196,7 @@
             else {
                 connection.isEnding = true;
                 // Not only as its socket closes, which is too late for the call that it makes room for.
-                connections.delete(connection.socket);
+                forget(connection);
                 connection.socket.destroy();
             }
         }
@@ -161,6 +205,7 @@
     /** Ends a connection with an answer that its caller has the given time to read. */
     function end(connection: Connection, status: number, maxMs: number): void {
         const { socket } = connection;
+        setHeadBytes(connection, 0);
         if (connection.isEnding || !socket.writable) {
             connection.isEnding = true;
             socket.destroy();
@@ -176,7 +221,7 @@
     function reserve(connection: Connection, cost: number): boolean {
         if (!hasRoomForCall(use(), cost, maxBytes) && now() - searchedAt > minSearchIntervalMs) {
             searchedAt = now();
-            close(chooseClosingsForCall(update(), callCosts, cost, maxBytes, now()));
+            close(chooseClosingsForCall(openConnections(), callCosts, cost, maxBytes, now()));
         }
         if (!hasRoomForCall(use(), cost, maxBytes)) {
             return false;
@@ -193,10 +238,9 @@
         }
         const bytes = headSize(request);
         const cost = callCost(bytes, request.rawHeaders.length / 2);
-        connection.readBytes += bytes + Number(request.headers["content-length"] ?? 0);
+        connection.bodyLeft = Number(request.headers["content-length"] ?? 0);
         connection.lastRequest = request;
-        connection.isBodyRead = false;
-        connection.headBytes = 0;
+        setHeadBytes(connection, 0);
         connection.calls += 1;
         const isAdmitted = reserve(connection, cost);
         // The refusal closes the connection, so no later request on it may run.
@@ -206,37 +250,26 @@
     }
 
     function finishCall(connection: Connection, cost: number): void {
-        const { socket } = connection;
-        if (!connections.has(socket)) {
+        if (!connections.has(connection.socket)) {
             return;
         }
         callCosts -= cost;
         connection.callBytes -= cost;
         connection.calls -= 1;
-        if (connection.calls > 0) {
-            return;
-        }
-        connection.waitingSince = now();
-        if (connection.lastRequest?.complete === true) {
-            endRequest(connection, connection.lastRequest);
-        }
-        const uncounted = socket.bytesRead - connection.readBytes;
-        if (uncounted > 0 && uncounted < maxUncountedBytes) {
-            connection.readBytes = socket.bytesRead;
-        }
-        if (connection.refusedWith !== undefined) {
-            end(connection, connection.refusedWith, lingerMs);
+        connection.readOn();
+        if (connection.calls === 0) {
+            connection.waitingSince = now();
+            if (connection.refusedWith !== undefined) {
+                end(connection, connection.refusedWith, lingerMs);
+            }
         }
     }
 
     return {
         admit,
-        recordBody(request, bytes) {
-            const connection = connections.get(request.socket);
-            if (connection !== undefined && request.headers["content-length"] === undefined) {
-                connection.readBytes += bytes + chunkFramingBytes(bytes);
-                connection.isBodyRead = true;
-            }
+        open() {
+            isOpen = true;
+            connections.forEach(({ readOn }) => readOn());
         },
         refuse(socket, status) {
             const connection = connections.get(socket);
@@ -258,6 +291,6 @@
             closed.clear();
             return result;
         },
-        close: () => clearTimeout(timer),
+        close: () => clearInterval(timer),
     };
 }
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -65,6 +65,7 @@
         connections,
         setListener(next) {
             listener = next;
+            connections.open();
             waiting.splice(0).forEach(([request, response]) => next(request, response, true));
         },
         setMaxHeadBytes(bytes) {
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -6,6 +6,7 @@
 import { type LocalAnswer, writeLocalAnswer } from "./callerAnswer.ts";
 import type { CallerServer } from "./callerServer.ts";
 import { type Exchange, type ExchangeParts, refusalAnswer, startExchange } from "./exchange.ts";
+import { type BodyFailure, readBody } from "./requestBody.ts";
 import { headSize } from "./requestHead.ts";
 
 /** Serves the requests of callers. */
@@ -66,7 +67,7 @@
     let notifyIdle: (() => void) | undefined;
     const exchanges = new Set<Exchange>();
     const exchangeParts: ExchangeParts = { ...parts, latestEnd: () => drainDeadline };
-    const byteBudget = createByteBudget(parts.limits.maxBufferedBytes);
+    const byteBudget = createByteBudget(parts.limits.maxBufferedBytes, now);
     const { server, connections } = parts.callerServer;
     const reportTimer = setInterval(reportMemory, memoryReportIntervalMs);
     reportTimer.unref();
@@ -124,6 +125,7 @@
             exchanges.delete(exchange!);
             metrics.recordCall(exchange?.route ?? "none", response.headersSent ? response.statusCode : 0,
                 now() - arrivedAt);
+            byteAccount.setReclaimable(() => response.destroy());
             await waitUntilClosed(response);
             active -= 1;
             metrics.setActiveCalls(active);
@@ -137,6 +139,7 @@
         byteAccount: ByteAccount) {
         const head = decodeRequest(request.headers);
         const url = request.url ?? "/";
+        const incomingBody = readBody(request, byteAccount);
         if (!initialized) {
             await waitUntilInitialized(head);
         }
@@ -157,10 +160,7 @@
         const { headerBytes, bodyBytes } = declaration.limits;
         const body = headSize(request) > headerBytes
             ? "headTooLarge"
-            : await readBody(request, { maxBytes: bodyBytes, timeoutMs: endsAt - now(), account: byteAccount });
-        if (typeof body !== "string") {
-            connections.recordBody(request, body.length);
-        }
+            : await incomingBody.within({ maxBytes: bodyBytes, timeoutMs: endsAt - now() });
         if (body === "noRoom") {
             metrics.recordMemoryRefusal("body");
         }
@@ -260,9 +260,6 @@
     clearTimeout(timer);
 }
 
-/** Why a body could not be read. `broken`: the caller has disconnected, so no answer is sent. */
-type BodyFailure = "tooLarge" | "tooSlow" | "noRoom" | "broken";
-
 function requestRefusal(failure: BodyFailure | "headTooLarge"): LocalAnswer | undefined {
     switch (failure) {
         case "headTooLarge":
@@ -289,43 +286,3 @@
     const ended = new Promise<void>(resolve => request.once("end", resolve).once("close", resolve));
     await Promise.race([ended, sleep(maxMs, undefined, { ref: false })]);
 }
-
-interface BodyLimits {
-    readonly maxBytes: number;
-    readonly timeoutMs: number;
-    readonly account: ByteAccount;
-}
-
-function readBody(request: IncomingMessage,
-    { maxBytes, timeoutMs, account }: BodyLimits): Promise<Buffer | BodyFailure> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    return new Promise(resolve => {
-        const timer = setTimeout(() => finish("tooSlow"), timeoutMs);
-        request.on("data", appendChunk);
-        request.once("end", () => finish(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
-        request.once("error", () => finish("broken"));
-        request.once("close", () => finish("broken"));
-
-        function appendChunk(chunk: Buffer): void {
-            length += chunk.length;
-            if (length > maxBytes) {
-                finish("tooLarge");
-            }
-            else if (!account.reserve(chunk.length)) {
-                finish("noRoom");
-            }
-            else {
-                chunks.push(chunk);
-            }
-        }
-
-        function finish(result: Buffer | BodyFailure): void {
-            clearTimeout(timer);
-            request.off("data", appendChunk);
-            // The rest of a refused body is read and discarded until the answer has been sent.
-            request.resume();
-            resolve(result);
-        }
-    });
-}
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -22,7 +22,8 @@
 function receivedCall(): ReceivedCall {
     return { method: "GET", path: "/pay/x", rawHeaders: [], head: decodeRequest({ "x-request-id": "1" })!,
         route: declaration.routes.find(({ name }) => name === "pay")!, body: undefined,
-        byteAccount: createByteBudget(1_000_000).openAccount(), arrivedAt: 0, deadlineAt: performance.now() + 1_000 };
+        byteAccount: createByteBudget(1_000_000, () => performance.now()).openAccount(), arrivedAt: 0,
+        deadlineAt: performance.now() + 1_000 };
 }
 
 test("an error when an attempt starts leads to another upstream, also for a call that runs once (guards against calls closed without an answer)", async () => {
