Upstreams: interim answers are skipped, also a 100 that nobody asked for

The HTTP client closes a connection on which a 100 comes without an Expect, so a call that ran got 502.

--- a/packages/core/src/gateway/peerMemory.ts
+++ b/packages/core/src/gateway/peerMemory.ts
@@ -22,7 +22,8 @@
  * Chooses the link to be closed, as all unfinished messages together hold too much: the one with the most bytes among those
  * that have been unfinished for long, or among all.
  */
-export function chooseLink<Message extends UnfinishedMessage>(messages: readonly Message[], now: number): Message
+export function chooseLink<Message extends UnfinishedMessage>(messages: readonly Message[], now: number):
+    | Message
     | undefined {
     const old = messages.filter(({ since }) => now - since >= minAgeMs);
     return (old.length > 0 ? old : messages).reduce<Message | undefined>(
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -125,7 +125,7 @@
     }
 
     function openConnection(): Connection {
-        const socket = createUpstreamSocket();
+        const socket = createUpstreamSocket(maxHeadBytes);
         const client = new Client(`http://${host}:${port}`, {
             pipelining: 1,
             headersTimeout: 0,
@@ -249,6 +249,7 @@
                     return;
                 }
                 sent = true;
+                connection.socket.expectAnswer();
             },
             onResponseStart(_, status, responseHeaders, reasonPhrase) {
                 if (ended || status < 200) {
--- a/packages/gateway/src/upstreamConnector.ts
+++ b/packages/gateway/src/upstreamConnector.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
+import { type InterimAnswers, skipInterimAnswers } from "./interimAnswers.ts";
 
 /** The upstream closed a new connection before anything was sent over it, as its connection limit is reached. */
 export class UpstreamFullError extends Error {
@@ -18,14 +19,21 @@
 /** The connection that is currently open to an upstream, if any. */
 export interface UpstreamSocket {
     readonly connector: buildConnector.connector;
+    /** States that a call is sent now, so that the next bytes begin its answer. */
+    expectAnswer(): void;
     /** Whether the connection ended because it was reset, not because the upstream closed its side. */
     wasReset(): Promise<boolean>;
 }
 
-/** Creates a connector that opens the connections to an upstream, one after the other. */
-export function createUpstreamSocket(): UpstreamSocket {
+/** Creates a connector that opens the connections to an upstream, one after the other; `maxHeadBytes` is the maximum size of an answer's head. */
+export function createUpstreamSocket(maxHeadBytes: number): UpstreamSocket {
     let wasReset = async () => false;
-    return { connector: createConnector(socket => wasReset = detectReset(socket)), wasReset: () => wasReset() };
+    let interimAnswers: InterimAnswers | undefined;
+    const connector = createConnector(socket => {
+        wasReset = detectReset(socket);
+        interimAnswers = skipInterimAnswers(socket, maxHeadBytes);
+    });
+    return { connector, wasReset: () => wasReset(), expectAnswer: () => interimAnswers?.expectAnswer() };
 }
 
 /** `onOpen` receives each socket before it is used. */
