--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -18,6 +18,7 @@
 export * from "./ledger.ts";
 export * from "./membership.ts";
 export * from "./outage.ts";
+export * from "./peerMemory.ts";
 export * from "./permitIssuer.ts";
 export * from "./permitSchedule.ts";
 export * from "./permitWait.ts";
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -22,7 +22,7 @@
 function receivedCall(): ReceivedCall {
     return { method: "GET", path: "/pay/x", rawHeaders: [], head: decodeRequest({ "x-request-id": "1" })!,
         team: undefined, scope: undefined, route: declaration.routes.find(({ name }) => name === "pay")!,
-        body: undefined, byteAccount: createByteBudget(1_000_000).openAccount(), arrivedAt: 0,
+        body: undefined, byteAccount: createByteBudget(1_000_000, () => performance.now()).openAccount(), arrivedAt: 0,
         deadlineAt: performance.now() + 1_000 };
 }
 
