Team quotas: what a gateway may hand out, and what it remembers of a team's calls

Cause: a team's quota counts over all gateways, and each of them sees less than one call a second of it. Membership tells whether a gateway holds a place other than the first, and since when no ranking changed.

--- a/packages/core/src/gateway/membership.ts
+++ b/packages/core/src/gateway/membership.ts
@@ -33,6 +33,7 @@
     /** Until when `established` holds without a new list. */
     private validUntil = -Infinity;
     private established: readonly Member[] = [];
+    private changedAt = -Infinity;
     private readonly rankings = new Map<string, readonly string[]>();
 
     constructor(
@@ -43,6 +44,10 @@
 
     /** Records the list as it was read; `storeTime` is the store's clock at that moment, if the store tells it. */
     record(members: readonly Member[], storeTime: number | undefined, now: number): void {
+        if (now - this.confirmedAt > this.settlingTime) {
+            // The list may have changed and changed back meanwhile.
+            this.changedAt = now;
+        }
         this.members = members;
         this.oldestRegistration = Math.min(...members.map(({ registeredAt }) => registeredAt ?? -Infinity));
         this.confirmedAt = now;
@@ -50,6 +55,12 @@
         this.refresh(now);
     }
 
+    /** Since when no ranking has changed, as far as this gateway knows. */
+    unchangedSince(now: number): number {
+        this.establishedMembers(now);
+        return this.changedAt;
+    }
+
     /** Number of gateways that take part in decisions. */
     establishedCount(now: number): number {
         return this.establishedMembers(now).length;
@@ -68,12 +79,12 @@
     }
 
     /**
-     * Whether no other gateway can take itself for the first one of a ranking. Others may do so while they have an older list,
-     * or this gateway has.
+     * Whether this gateway has a place in a ranking, by default the first one, and no other gateway can take that place for its
+     * own. Others may do so while they have an older list, or this gateway has.
      */
-    isSettled(ranking: readonly string[], now: number): boolean {
+    isSettled(ranking: readonly string[], now: number, place = 0): boolean {
         const own = this.members.find(({ name }) => name === this.self);
-        return own !== undefined && ranking[0] === this.self && now - this.confirmedAt <= this.settlingTime &&
+        return own !== undefined && ranking[place] === this.self && now - this.confirmedAt <= this.settlingTime &&
             this.age(own, now) >= (this.isFounder(own) ? this.startTime : this.settlingTime + takeoverMarginMs);
     }
 
@@ -114,6 +125,7 @@
         if (next.length !== this.established.length ||
             next.some((member, index) => !isSame(member, this.established[index]!))) {
             this.rankings.clear();
+            this.changedAt = now;
         }
         this.established = next;
     }
--- a/packages/core/src/gateway/retryDelay.ts
+++ b/packages/core/src/gateway/retryDelay.ts
@@ -13,6 +13,10 @@
     | { readonly kind: "upstreamsFull"; }
     /** The upstreams take no more requests a second; by the end of `expectedWait` one of them may take another one. */
     | { readonly kind: "rateLimited"; readonly expectedWait: number; }
+    /** The team has used up its quota; by the end of `expectedWait` it may send another request. */
+    | { readonly kind: "quotaExceeded"; readonly expectedWait: number; }
+    /** None of the gateways that know how much of the team's quota is used can be reached from this one. */
+    | { readonly kind: "quotaUnknown"; }
     /** The gateway holds as many bodies as its memory allows. */
     | { readonly kind: "memoryFull"; }
     /** The process is about to end; another gateway can serve the call. */
@@ -30,14 +34,21 @@
 /** Bounds of the delay after a refusal because the rate limits of the upstreams are reached. */
 const minRateLimitedDelayMs = 100;
 const maxRateLimitedDelayMs = 2_000;
+/** Bounds of the delay after a refusal because the quota of the team is used up. */
+const minQuotaDelayMs = 50;
+const maxQuotaDelayMs = 5_000;
+const quotaUnknownDelayMs = 100;
 
 /**
  * Milliseconds after which the caller of a refused call should try again; undefined if it should not. Callers try a few times only, so the delay is
  * long where an early attempt would be refused as well, and short where the next gateway can serve the call or lets it
- * wait. The jitter of a quarter keeps callers that were refused together from returning together.
+ * wait. The jitter of a quarter keeps callers that were refused together from returning together. A caller whose team has
+ * used up its quota does not return before there is credit, so that the jitter only adds to the delay.
  */
 export function retryDelay(cause: RefusalCause, random: Random): number | undefined {
-    return cause.kind === "outOfTime" ? undefined : baseDelay(cause) * (0.75 + random() * 0.5);
+    return cause.kind === "outOfTime"
+        ? undefined
+        : baseDelay(cause) * ((cause.kind === "quotaExceeded" ? 1 : 0.75) + random() * 0.5);
 }
 
 function baseDelay(cause: Exclude<RefusalCause, { kind: "outOfTime"; }>): number {
@@ -50,6 +61,10 @@
             return upstreamsFullDelayMs;
         case "rateLimited":
             return Math.min(maxRateLimitedDelayMs, Math.max(minRateLimitedDelayMs, cause.expectedWait));
+        case "quotaExceeded":
+            return Math.min(maxQuotaDelayMs, Math.max(minQuotaDelayMs, cause.expectedWait));
+        case "quotaUnknown":
+            return quotaUnknownDelayMs;
         case "memoryFull":
             return memoryFullDelayMs;
         case "stopping":
