Team quotas: calls need a credit that all gateways count together

Cause: the quotas of teams were declared and not kept. Change: peer calls credit, creditReturn and quotaShare; a call beyond its team's quota gets 429 before tokens are reserved or a turn is read, with the time until there is credit.

--- a/packages/gateway/src/authorities.ts
+++ b/packages/gateway/src/authorities.ts
@@ -25,6 +25,10 @@
     isSettled(subject: string): boolean;
     /** The same for `rankCapable`. */
     isSettledCapable(subject: string): boolean;
+    /** Whether this gateway has that place in `rank`, counted from 0, and no other gateway can take it for its own. */
+    holdsPlace(subject: string, place: number): boolean;
+    /** Since when, in monotonic milliseconds, no ranking has changed. */
+    unchangedSince(): number;
     /** Number of gateways that take part in decisions. */
     establishedCount(): number;
     /** Asks the peers one after the other; undefined if none of them can be reached. */
@@ -47,6 +51,7 @@
 /** Creates authorities. Until a list is recorded, no gateway decides, unless there can be no others. */
 export function createAuthorities({ name, hasPeers, settlingTime, contacts, now }: AuthoritiesParts): Authorities {
     const membership = new Membership(name, settlingTime);
+    const createdAt = now();
     let peersByName: ReadonlyMap<string, Peer> = new Map();
 
     function record(peers: readonly Peer[], storeTime: number | undefined): void {
@@ -80,6 +85,9 @@
         rank: (subject, count) => authoritiesOf(membership.rank(subject, now()), count),
         rankCapable: (subject, count) => authoritiesOf(membership.rankCapable(subject, now()), count),
         isSettled: subject => !hasPeers || membership.isSettled(membership.rank(subject, now()), now()),
+        holdsPlace: (subject, place) =>
+            !hasPeers || membership.isSettled(membership.rank(subject, now()), now(), place),
+        unchangedSince: () => hasPeers ? membership.unchangedSince(now()) : createdAt,
         isSettledCapable: subject => !hasPeers || membership.isSettled(membership.rankCapable(subject, now()), now()),
         establishedCount: () => hasPeers ? membership.establishedCount(now()) : 1,
         ask,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -2,7 +2,9 @@
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { overloadRefusal, precedingTurns } from "./admission.ts";
+import { createCallCredit } from "./callCredit.ts";
 import { type LocalAnswer, writeLocalAnswer, writeUpstreamAnswer } from "./callerAnswer.ts";
+import type { Quotas } from "./quotas.ts";
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendResult, type Sends, startSends } from "./sends.ts";
 import { createStreamRelay, type StreamRelay } from "./streams.ts";
@@ -16,6 +18,8 @@
 export interface ExchangeParts extends TurnPreparationParts {
     /** The monotonic time at which a call must have ended to be sent, as the process ends then; it may change. */
     readonly latestEnd: () => number;
+    /** Undefined if no quotas are held. */
+    readonly quotas: Quotas | undefined;
 }
 
 /** Serves one call, from the end of its request body to the end of its answer. */
@@ -33,6 +37,7 @@
 const serviceUnavailable = 503;
 const gatewayTimeout = 504;
 const paymentRequired = 402;
+const tooManyRequests = 429;
 const notFound = 404;
 /** What a refused caller is told about each cause. */
 const refusalReasons: Readonly<Record<RefusalCause["kind"], string>> = {
@@ -40,6 +45,8 @@
     enginesFull: "the engines are full",
     upstreamsFull: "no upstream takes calls",
     rateLimited: "the upstreams' rate limits are reached",
+    quotaExceeded: "the team's quota is used up",
+    quotaUnknown: "the team's quota cannot be checked",
     memoryFull: "too many bodies are held",
     stopping: "the gateway is stopping",
     outOfTime: "no time was left",
@@ -52,12 +59,14 @@
 } as const;
 
 /** Causes of a refusal that concern only this gateway or the way to it, so that another one may serve the call. */
-const causesToGoElsewhere: ReadonlySet<RefusalCause["kind"]> = new Set(["storeAway", "memoryFull", "stopping"]);
+const causesToGoElsewhere: ReadonlySet<RefusalCause["kind"]> = new Set(["storeAway", "quotaUnknown", "memoryFull",
+    "stopping"]);
 
 /** The answer to a call that has not run and will not run. */
 export function refusalAnswer(cause: RefusalCause, reason = refusalReasons[cause.kind]): LocalAnswer {
-    return { status: serviceUnavailable, reason, retryAfter: retryDelay(cause, Math.random),
-        closeConnection: causesToGoElsewhere.has(cause.kind), details: { ...cause } };
+    return { status: cause.kind === "quotaExceeded" ? tooManyRequests : serviceUnavailable, reason,
+        retryAfter: retryDelay(cause, Math.random), closeConnection: causesToGoElsewhere.has(cause.kind),
+        details: { ...cause } };
 }
 
 /** The answer to a turn that may not run; `unprepared` is the cause for one whose preparation has not ended. */
@@ -95,6 +104,7 @@
     let endless = false;
     let endCause: "outOfTime" | "stopping" | undefined;
     let phase: CallPhase = "preparing";
+    const credit = createCallCredit(parts.quotas, call.team);
     const timer = setTimeout(() => end("outOfTime"), call.deadlineAt - startedAt);
 
     function end(cause: "outOfTime" | "stopping"): void {
@@ -105,10 +115,18 @@
 
     async function run(): Promise<void> {
         try {
-            await (isTurn() ? serveTurn() : serve(call, undefined));
+            const acquired = credit.acquire();
+            const refusal = acquired instanceof Promise ? await acquired : acquired;
+            if (refusal === undefined) {
+                await (isTurn() ? serveTurn() : serve(call, undefined));
+            }
+            else if (!disconnected) {
+                answerLocally(refusalAnswer(refusal));
+            }
         }
         finally {
             clearTimeout(timer);
+            credit.release();
         }
     }
 
@@ -181,7 +199,7 @@
             : undefined;
         const turnsBefore = precedingTurns(parts, call, history?.length);
         const priority = route.streamed ? turnPriority(route.priority, turnsBefore) : undefined;
-        sends = startSends(parts, { call: callToSend, priority, sink: relay, precedingTurns: turnsBefore,
+        sends = startSends(parts, { call: callToSend, credit, priority, sink: relay, precedingTurns: turnsBefore,
             overload: () => history === undefined ? undefined : overloadRefusal(parts, call),
             preferred: history?.[history.length - 1]?.upstream });
         phase = "sent";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
 import { createPermits } from "./permits.ts";
+import { createQuotas } from "./quotas.ts";
 import { createRateLimits } from "./rateLimits.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
@@ -117,6 +118,13 @@
     const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
         peers: () => peerList?.registered() ?? [], contacts,
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
+    const quotas = settings.quota === undefined
+        ? undefined
+        : disposal.own(
+            createQuotas({ settings: settings.quota, version: () => catalog.declaration()?.version ?? 0,
+                issuer: randomBytes(4).readUInt32LE(), metrics, log, now, schedule,
+                ranking: { ...authorities, noteSignOfLife: peer => contacts.noteSignOfLife(peer.name) } }),
+        );
     const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
         peers: () => peerList?.registered() ?? [], contacts, metrics, log, now });
@@ -136,8 +144,8 @@
     });
     const frontend = disposal.own(
         createFrontend({ callerServer, limits, upstreams, rateLimits, recentPrograms: new RecentPrograms(),
-            declaration: catalog.declaration, budgets, turns, storeOutage, initialized: catalog.initialized, log,
-            metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
+            declaration: catalog.declaration, budgets, quotas, turns, storeOutage, initialized: catalog.initialized,
+            log, metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
             maxKeyAge: settings.maxKeyAge ?? Infinity }),
     );
     const pause = (maxMs: number) => store.pause(maxMs);
@@ -153,7 +161,7 @@
     if (settings.peerAddress !== undefined) {
         disposal.own(
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
-                permitIssuer: permits, log, now }),
+                permitIssuer: permits, quotaServer: quotas, log, now }),
         );
     }
     await listen(readiness, () => settings.readinessAddress, log);
@@ -207,6 +215,12 @@
     };
 }
 
+function schedule(action: () => void, ms: number): Disposable {
+    const timer = setTimeout(action, ms);
+    timer.unref();
+    return { [Symbol.dispose]: () => clearTimeout(timer) };
+}
+
 /** Serves the metrics. Calls are served without them too, so an address that is in use is only logged. */
 function serveMetrics(address: SocketAddress, metrics: Metrics, log: Log): Disposable {
     const server = createServer((_, response) => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,6 +1,7 @@
 import type { CallerMemoryUse, ClosingCause, KeyProblem, PermitDecision,
     RateLimitChange } from "@tamarackgauge/core/gateway";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { QuotaCall } from "./peerMessage.ts";
 
 /** How a store call was made: by this gateway, or by a peer on its behalf. */
 export type StoreWay = "direct" | "peer";
@@ -16,6 +17,13 @@
     readonly outcome: "answered" | "failed";
 }
 
+/**
+ * How a call of a team with a quota was decided. `held`: with a credit at hand. `issued`: by this gateway, as it decides.
+ * `asked`: by another gateway. `denied`: that one, or this one, had no credit. `remembered`: it was known from an earlier
+ * denial that there is none. `unreachable`: none of the deciding gateways could be reached.
+ */
+export type QuotaDecision = "held" | "issued" | "asked" | "denied" | "remembered" | "unreachable";
+
 /** Metrics of one gateway. */
 export interface Metrics {
     /** Records the end of a caller's call; `status` is 0 if there was no answer. */
@@ -44,6 +52,12 @@
     recordMemoryRefusal(part: "call" | "body"): void;
     /** Records a call that was refused for its key. */
     recordKeyRefusal(reason: KeyProblem): void;
+    /** Records how a call of a team with a quota was decided. */
+    recordQuotaDecision(decision: QuotaDecision): void;
+    /** Records credits that this gateway handed out, or took back, for all gateways. */
+    recordCredits(kind: "granted" | "denied" | "takenBack", count: number): void;
+    /** Records a message to a gateway that decides about quotas. */
+    recordQuotaMessage(kind: QuotaCall["kind"], outcome: "answered" | "failed"): void;
     text(): Promise<string>;
     /** Values of all counters as log fields. */
     summary(): Promise<Readonly<Record<string, number>>>;
@@ -94,6 +108,12 @@
         help: "Calls refused for lack of memory", labelNames: ["part"], registers });
     const keyRefusals = new Counter({ name: "tamarackgauge_key_refusals_total", help: "Calls refused for their key",
         labelNames: ["reason"], registers });
+    const quotaDecisions = new Counter({ name: "tamarackgauge_quota_decisions_total",
+        help: "Calls of teams with a quota, by how they were decided", labelNames: ["decision"], registers });
+    const credits = new Counter({ name: "tamarackgauge_quota_credits_total",
+        help: "Credits that this gateway handed out, denied or took back", labelNames: ["kind"], registers });
+    const quotaMessages = new Counter({ name: "tamarackgauge_quota_messages_total",
+        help: "Messages to gateways that decide about quotas", labelNames: ["kind", "outcome"], registers });
     new Gauge({ name: "tamarackgauge_limited_upstreams", help: "Upstreams that name a rate limit",
         labelNames: ["service"], registers, collect() {
         this.reset();
@@ -119,11 +139,15 @@
         recordClosings: (cause, count) => closings.inc({ cause }, count),
         recordMemoryRefusal: part => memoryRefusals.inc({ part }),
         recordKeyRefusal: reason => keyRefusals.inc({ reason }),
+        recordQuotaDecision: decision => quotaDecisions.inc({ decision }),
+        recordCredits: (kind, count) => credits.inc({ kind }, count),
+        recordQuotaMessage: (kind, outcome) => quotaMessages.inc({ kind, outcome }),
         text: () => registry.metrics(),
         async summary() {
             const fields: Record<string, number> = {};
             for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
-                closings, memoryRefusals, rateLimitChanges, permits, keyRefusals]) {
+                closings, memoryRefusals, rateLimitChanges, permits, keyRefusals, quotaDecisions, credits,
+                quotaMessages]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/peerContacts.ts
+++ b/packages/gateway/src/peerContacts.ts
@@ -7,6 +7,8 @@
 export interface PeerContacts extends Disposable {
     /** Whether the peer is not to be asked for now, as it failed recently. */
     isBackingOff(name: string): boolean;
+    /** Notes that a message of the peer has come, so that it is asked again soon if it has failed. */
+    noteSignOfLife(name: string): void;
     /** Milliseconds since the first of the current consecutive failures; 0 if there are none. */
     failingFor(name: string): number;
     /** Whether a call can be sent immediately; if not, a link is being opened. */
@@ -85,9 +87,19 @@
         log.info("budget.homeAway", { home: peer.name, reason: error.message, rests: backoffMs });
     }
 
+    /** The shortest back-off remains, as the peer may be heard and not reached. */
+    function noteSignOfLife(name: string): void {
+        const contact = contacts.get(name);
+        if (contact !== undefined && contact.consecutiveFailures > 1) {
+            contact.consecutiveFailures = 1;
+            contact.backoffUntil = Math.min(contact.backoffUntil, now() + minBackoffMs);
+        }
+    }
+
     return {
         isBackingOff: name => now() < contactOf(name).backoffUntil,
         failingFor: name => now() - (contactOf(name).failingSince ?? now()),
+        noteSignOfLife,
         isReady: peer => currentLink(peer).isOpen,
         ask,
         [Symbol.dispose]: () => contacts.forEach(({ link }) => link?.terminate()),
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -60,7 +60,39 @@
     later: z.object({ requestsPerSecond: requestsPerSecond.optional(), statedAgo }).optional(),
 });
 
-const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas, ...permitCallSchemas]);
+const maxTeamNameLength = 1_000;
+const teamName = z.string().max(maxTeamNameLength);
+/** The quota of a team by the version of the declaration that the asking gateway knows. */
+const declaredQuota = z.object({ version: z.number(), ratePerSecond: z.number().nonnegative(),
+    burst: z.number().nonnegative() });
+const maxCreditCount = 10_000;
+const creditCount = nonNegativeInteger.max(maxCreditCount);
+/** By whom and when credits were issued; only the issuer reads it. */
+const creditIssue = z.object({ issuer: nonNegativeInteger, at: z.number() });
+
+/** Requests to the gateways that decide about the quota of a team. */
+const quotaCallSchemas = [
+    /** Asks for credits, one for each request to be sent; the answer is a `CreditAnswer`. `forwarded`: not to be forwarded again. */
+    z.object({ kind: z.literal("credit"), team: teamName, count: creditCount, quota: declaredQuota,
+        forwarded: z.boolean() }),
+    /** Gives unused credits back. */
+    z.object({ kind: z.literal("creditReturn"), team: teamName, count: creditCount, issue: creditIssue }),
+    /** The home asks its deputy for its share of a quota; the answer holds the credits that the deputy had at hand. */
+    z.object({ kind: z.literal("quotaShare"), team: teamName, quota: declaredQuota }),
+] as const;
+
+const creditAnswer = z.object({
+    granted: creditCount,
+    /** Undefined if the credits cannot be given back. */
+    issue: creditIssue.optional(),
+    /** Milliseconds until there is a credit, if fewer were granted than asked for. */
+    delay: z.number().nonnegative(),
+    /** Milliseconds after which refused callers should come back. */
+    wait: z.number().nonnegative(),
+});
+
+const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas, ...permitCallSchemas,
+    ...quotaCallSchemas]);
 const peerRequestSchema = z.object({ id: nonNegativeInteger, call: peerCallSchema });
 const storeFailures = ["refused", "away", "unknown"] as const satisfies readonly StoreFailure[];
 const peerAnswerSchema = z.union([
@@ -81,6 +113,10 @@
     recall: z.enum(["settled", "gone", "pending"]),
     permit: permitAnswer,
     rateLimit: z.literal(true),
+    credit: creditAnswer,
+    creditReturn: z.literal(true),
+    /** `tokens` is undefined if the gateway is not the deputy. */
+    quotaShare: z.object({ tokens: z.number().nonnegative().optional() }),
 } as const satisfies Record<PeerCall["kind"], z.ZodType>;
 
 /** Any request between gateways. */
@@ -95,6 +131,15 @@
 /** A request that concerns the rate limit of an upstream. */
 export type PermitCall = z.infer<(typeof permitCallSchemas)[number]>;
 
+/** A request that concerns the quota of a team. */
+export type QuotaCall = z.infer<(typeof quotaCallSchemas)[number]>;
+
+/** The answer to a request for credits. */
+export type CreditAnswer = z.infer<typeof creditAnswer>;
+
+/** By whom and when credits were issued. */
+export type CreditIssue = z.infer<typeof creditIssue>;
+
 /** The answer to a request for a permit. */
 export type PermitAnswer = z.infer<typeof permitAnswer>;
 
@@ -135,6 +180,11 @@
     return permitCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
 }
 
+/** Whether a call concerns the quota of a team. */
+export function isQuotaCall(call: PeerCall): call is QuotaCall {
+    return quotaCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
+}
+
 function decode<Schema extends z.ZodType>(schema: Schema, data: Buffer): z.infer<Schema> | undefined {
     try {
         return schema.safeParse(unpack(data)).data;
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -6,9 +6,10 @@
 import type { TokenLender } from "./budgets.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
-import { decodePeerRequest, isPermitCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
+import { decodePeerRequest, isPermitCall, isQuotaCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
     type PermitCall, type RelayedCall, type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
+import type { QuotaServer } from "./quotas.ts";
 
 /** Parts of a peer server. */
 export interface PeerServerParts {
@@ -18,6 +19,8 @@
     readonly health: StoreHealth;
     readonly lender: TokenLender;
     readonly permitIssuer: PermitIssuer;
+    /** Undefined if no quotas are held. */
+    readonly quotaServer: QuotaServer | undefined;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -27,7 +30,8 @@
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, lends tokens of programs and issues permits. Calls are
+ * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits and
+ * hands out credits of teams. Calls are
  * served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
@@ -73,6 +77,11 @@
         if (isTokenCall(call)) {
             return { id, result: await handleTokenCall(call) };
         }
+        if (isQuotaCall(call)) {
+            return parts.quotaServer === undefined
+                ? { id, failure: "refused", reason: "no quotas are held here" }
+                : { id, result: await parts.quotaServer.serve(call) };
+        }
         return isPermitCall(call) ? { id, result: handlePermitCall(call) } : relayToStore(id, call);
     }
 
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -1,10 +1,13 @@
 import type { ByteAccount, CallHead, RefusalCause, Scope, ServiceRoute, Team } from "@tamarackgauge/core/gateway";
 import type { RawHeaders } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
+import type { CallCredit } from "./callCredit.ts";
 
 /** What is needed to send a call to upstreams. */
 export interface SendPlan {
     readonly call: ReceivedCall;
+    /** The call is sent only with a credit of its team. */
+    readonly credit: CallCredit;
     readonly priority: number | undefined;
     /** Turns of the program that came before, as far as known. */
     readonly precedingTurns: number;
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -73,6 +73,8 @@
     let worstFailure: AttemptFailure = "notRun";
     let timeouts = 0;
     let overload: RefusalCause | undefined;
+    /** Why the call got no other credit after it had waited longer than the first one lasts. */
+    let quotaRefusal: RefusalCause | undefined;
     let current: Attempt | undefined;
     let cancelled: CancelReason | undefined;
     const cancellation = new AbortController();
@@ -89,6 +91,12 @@
                 permitMissing = upstreams.permitDelay(serviceOf(call, declaration())) !== undefined;
                 break;
             }
+            const acquired = plan.credit.acquire();
+            quotaRefusal = acquired instanceof Promise ? await acquired : acquired;
+            if (quotaRefusal !== undefined || cancelled !== undefined) {
+                break;
+            }
+            plan.credit.use();
             const end = await attempt(upstream);
             if (cancelled !== undefined) {
                 break;
@@ -153,8 +161,8 @@
     }
 
     function refusalCause(): RefusalCause {
-        if (overload !== undefined) {
-            return overload;
+        if (overload !== undefined || quotaRefusal !== undefined) {
+            return overload ?? quotaRefusal!;
         }
         const expectedWait = permitMissing ? upstreams.permitDelay(serviceOf(call, declaration())) : undefined;
         return expectedWait === undefined ? { kind: "upstreamsFull" } : { kind: "rateLimited", expectedWait };
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -2,6 +2,7 @@
 import { decodeDeclaration, decodeRequest } from "@tamarackgauge/platform";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { freeCallCredit } from "../src/callCredit.ts";
 import { defaultLimits } from "../src/limits.ts";
 import { createMetrics } from "../src/metrics.ts";
 import type { ReceivedCall } from "../src/sendPlan.ts";
@@ -54,8 +55,8 @@
         metrics: createMetrics({ limitedUpstreams: () => new Map() }),
         log,
         now: () => performance.now(),
-    }, { call: receivedCall(), priority: undefined, precedingTurns: 0, overload: () => undefined, preferred: undefined,
-        sink: undefined });
+    }, { call: receivedCall(), credit: freeCallCredit, priority: undefined, precedingTurns: 0,
+        overload: () => undefined, preferred: undefined, sink: undefined });
     const end = await result;
     assert.equal(end.kind === "answer" && end.upstream, "sound");
     assert.equal(broken.state.inFlight, 0);
