--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -8,9 +8,10 @@
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
 import { createPeerLinkLimits } from "./peerLinkLimits.ts";
-import { decodePeerRequest, isPermitCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
+import { decodePeerRequest, isPermitCall, isQuotaCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
     type PermitCall, type RelayedCall, type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
+import type { QuotaServer } from "./quotas.ts";
 
 /** Parts of a peer server. */
 export interface PeerServerParts {
@@ -20,6 +21,8 @@
     readonly health: StoreHealth;
     readonly lender: TokenLender;
     readonly permitIssuer: PermitIssuer;
+    /** Undefined if no quotas are held. */
+    readonly quotaServer: QuotaServer | undefined;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -33,7 +36,8 @@
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, lends tokens of programs and issues permits. Calls are
+ * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits and
+ * hands out credits of teams. Calls are
  * served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
@@ -84,6 +88,11 @@
         if (isTokenCall(call)) {
             return { id, result: await handleTokenCall(call) };
         }
+        if (isQuotaCall(call)) {
+            return parts.quotaServer === undefined
+                ? { id, failure: "refused", reason: "no quotas are held here" }
+                : { id, result: await parts.quotaServer.serve(call) };
+        }
         return isPermitCall(call) ? { id, result: handlePermitCall(call) } : relayToStore(id, call);
     }
 
