--- /dev/null
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -0,0 +1,429 @@
+import type { Random } from "../clock.ts";
+import type { UpstreamEntry } from "./call.ts";
+import { type AgedLoad, EngineAccount, type EngineOutcome } from "./engineAccount.ts";
+import { chooseEngine, type ChosenEngine, hasCandidate, PartRates, type PlacementBasis,
+    type PlacementDemand } from "./placement.ts";
+import { ReturnSchedule } from "./returnSchedule.ts";
+import { ServiceEstimate } from "./serviceEstimate.ts";
+import { LowQuantile, Rate, RecentMean } from "./statistics.ts";
+import { TeamUse } from "./teamUse.ts";
+
+/** A call that a gateway asks to place. Times are in milliseconds. */
+export interface DispatchCall extends PlacementDemand {
+    /** Identifies the placement. */
+    readonly key: number;
+    /** Priority of the route or team; 0 is the most urgent. */
+    readonly priority: number;
+    /** Turns of the program that came before. */
+    readonly precedingTurns: number;
+    /** Empty if the call has no team. */
+    readonly team: string;
+    /** Identifies the program, to recognize a caller that returns. */
+    readonly program: number | undefined;
+    /** How long the call may wait for a place. */
+    readonly maxWait: number;
+    readonly timeLeft: number;
+}
+
+/** Why a call was not placed. `full`: the queue is full. `wait`: it would wait too long. `expired`: it has waited too long. */
+export type DispatchRefusalReason = "full" | "wait" | "expired";
+
+/** What becomes of a call. */
+export type DispatchDecision =
+    | { readonly kind: "placed"; readonly upstream: string; }
+    | { readonly kind: "refused"; readonly reason: DispatchRefusalReason; /** When a retry is worthwhile, in ms. */
+        readonly retryAfter: number; readonly expectedWait: number; /** Number of calls that would have gone first. */
+        readonly ahead: number; }
+    /** No engine is known that the call could be sent to. */
+    | { readonly kind: "noEngine"; };
+
+/** The end of a placement, as its gateway reports it. Times are in milliseconds. */
+export interface DispatchRelease {
+    readonly key: number;
+    readonly upstream: string;
+    readonly outcome: EngineOutcome;
+    readonly load: AgedLoad | undefined;
+    /** Measurements of a complete answer. */
+    readonly timing:
+        | { readonly timeToFirstByte: number; readonly latency: number; readonly events: number; }
+        | undefined;
+}
+
+/** A decision about a call that has waited. */
+export interface QueuedDecision {
+    readonly key: number;
+    readonly decision: DispatchDecision;
+    /** How long the call has waited, in ms. */
+    readonly waited: number;
+}
+
+/** State of a queue, for operators. */
+export interface DispatchSummary {
+    readonly engines: number;
+    readonly running: number;
+    readonly waiting: number;
+    /** Largest number of tokens in progress at an engine, as a share of what is allowed. */
+    readonly memory: number;
+    /** Number of calls that each engine got since the last summary. */
+    readonly placed: Readonly<Record<string, number>>;
+    readonly suspended: number;
+    /** Share of the slots that first turns may use. */
+    readonly firstTurnShare: number;
+}
+
+/** Settings of a queue. */
+export interface DispatchQueueOptions {
+    /** Tokens in the memory of an engine. */
+    readonly cacheTokens: number;
+    readonly crossDataCentreMs: number;
+    readonly random: Random;
+    readonly startedAt: number;
+}
+
+interface WaitingCall {
+    readonly call: DispatchCall;
+    readonly isReturning: boolean;
+    readonly arrivedAt: number;
+    readonly waitsUntil: number;
+    readonly endsAt: number;
+}
+
+interface Placement {
+    readonly engine: EngineAccount;
+    readonly team: string;
+    readonly uncachedTokens: number;
+}
+
+/** Number of calls that may wait. More would wait longer than their callers do. */
+const maxWaiting = 512;
+/** Time after the start in which an engine that has not reported its load gets only this share of its slots. */
+const startMs = 2_000;
+const startShare = 0.25;
+/** Share of the slots that teams above their usual share may use, so that others find free ones. */
+const excessTeamShare = 0.75;
+const drainHalfLifeMs = 500;
+const firstTurnHalfLifeMs = 1_000;
+const usualHalfLifeMs = 60_000;
+/** Lower bound of the share of first turns among the calls that are placed. */
+const minFirstTurnRateShare = 0.05;
+/** Share of the spare rate at which refused callers are told to return, and its lower bound. */
+const returnRateShare = 0.7;
+const minReturnRateShare = 0.25;
+/** Bounds of the retry delay of a later turn: its program should not lose more time than necessary. */
+const minTurnDelayMs = 100;
+const maxTurnDelayMs = 1_000;
+/**
+ * Time between two events, relative to that without load, above and below which fewer and more first turns are admitted.
+ * Programs are of value if they end within 1.4 to 1.7 times their time without load.
+ */
+const highStretch = 1.5;
+const lowStretch = 1.35;
+const minFirstTurnShare = 0.6;
+const firstTurnShareFall = 0.99;
+const firstTurnShareRise = 0.005;
+/** Minimum number of events from which the time between events is derived. */
+const minEvents = 3;
+const defaultEventIntervalMs = 10;
+
+/** Places the calls of one service, and lets those wait for which there is no place. Times are monotonic milliseconds. */
+export class DispatchQueue {
+    private engines: readonly EngineAccount[] = [];
+    private readonly enginesById = new Map<string, EngineAccount>();
+    private readonly placements = new Map<number, Placement>();
+    private waiting: WaitingCall[] = [];
+    private readonly estimate = new ServiceEstimate();
+    private readonly baselineInterval = new LowQuantile(defaultEventIntervalMs);
+    private readonly recentInterval = new RecentMean();
+    private readonly partRates = new PartRates();
+    private readonly teams: TeamUse;
+    private readonly returns: ReturnSchedule;
+    private readonly drainRate = new Rate(drainHalfLifeMs);
+    private readonly firstTurnRate = new Rate(firstTurnHalfLifeMs);
+    private readonly usualFirstTurnRate = new Rate(usualHalfLifeMs);
+    private firstTurnShare = 1;
+    private readonly placedAtSummary = new Map<string, number>();
+
+    constructor(private readonly options: DispatchQueueOptions) {
+        this.teams = new TeamUse(options.startedAt);
+        this.returns = new ReturnSchedule(options.random);
+    }
+
+    /** Sets the engines of the service. */
+    setEngines(entries: readonly UpstreamEntry[], now: number): void {
+        const listed = new Set(entries.map(({ id }) => id));
+        [...this.enginesById.values()].filter(({ entry }) => !listed.has(entry.id)).forEach(each =>
+            this.removeEngine(each, now)
+        );
+        for (const entry of entries) {
+            const known = this.enginesById.get(entry.id);
+            if (known?.isSameProcess(entry) === true) {
+                known.entry = entry;
+                continue;
+            }
+            if (known !== undefined) {
+                this.removeEngine(known, now);
+            }
+            this.enginesById.set(entry.id, new EngineAccount(entry, this.options.cacheTokens, now));
+        }
+        this.engines = [...this.enginesById.values()];
+    }
+
+    /** Places a call, refuses it, or lets it wait: then the decision is undefined, and `advance` returns it later. */
+    place(call: DispatchCall, now: number): DispatchDecision | undefined {
+        this.removeExpired(now);
+        if (!hasCandidate(this.engines, call, now)) {
+            return { kind: "noEngine" };
+        }
+        const waitingCall: WaitingCall = { call, isReturning: this.returns.isReturning(call.program, now),
+            arrivedAt: now, waitsUntil: now + Math.min(call.maxWait, call.timeLeft), endsAt: now + call.timeLeft };
+        if (isFirstTurn(call) && !waitingCall.isReturning) {
+            this.usualFirstTurnRate.record(now);
+        }
+        const ahead = this.waiting.filter(each => isUnrestricted(each.call) && this.compare(each, waitingCall) <= 0);
+        const upstream = ahead.length === 0 ? this.tryToPlace(waitingCall, now) : undefined;
+        if (upstream !== undefined) {
+            return { kind: "placed", upstream };
+        }
+        const expectedWait = this.expectedWait(waitingCall, ahead, now);
+        if (this.waiting.length >= maxWaiting || expectedWait > waitingCall.waitsUntil - now) {
+            const reason = this.waiting.length >= maxWaiting ? "full" : "wait";
+            return this.refusal(waitingCall, reason, expectedWait, ahead.length, now);
+        }
+        this.waiting.push(waitingCall);
+        return undefined;
+    }
+
+    /** Records the end of a placement; returns whether its engine is suspended from now on. */
+    release({ key, upstream, outcome, load, timing }: DispatchRelease, now: number): boolean {
+        const placement = this.endPlacement(key, now);
+        const engine = this.enginesById.get(upstream);
+        if (engine === undefined || (placement !== undefined && placement.engine !== engine)) {
+            return false;
+        }
+        const wasSuspended = engine.isSuspended(now);
+        engine.recordOutcome(outcome, now);
+        if (load !== undefined) {
+            engine.recordLoad(load, now);
+        }
+        if (timing !== undefined) {
+            this.recordTiming(engine, timing, placement?.uncachedTokens, load, now);
+        }
+        return !wasSuspended && engine.isSuspended(now);
+    }
+
+    /** Ends the wait or the placement of a call that its gateway no longer sends. */
+    withdraw(key: number, now: number): void {
+        this.waiting = this.waiting.filter(({ call }) => call.key !== key);
+        this.endPlacement(key, now);
+    }
+
+    /** Places the waiting calls for which there is a place now, and refuses those that have waited too long. */
+    advance(now: number): readonly QueuedDecision[] {
+        this.removeExpired(now);
+        if (this.waiting.length === 0) {
+            return [];
+        }
+        const decisions: QueuedDecision[] = [];
+        let firstTurnFailed = false;
+        for (const next of this.waiting.toSorted((left, right) => this.compare(left, right))) {
+            const isFirst = isFirstTurn(next.call);
+            const upstream = firstTurnFailed && isFirst ? undefined : this.tryToPlace(next, now);
+            if (upstream !== undefined) {
+                decisions.push(decided(next, { kind: "placed", upstream }, now));
+            }
+            else if (now >= next.waitsUntil) {
+                decisions.push(decided(next, this.refusal(next, "expired", next.call.maxWait, 0, now), now));
+            }
+            else if (isFirst) {
+                firstTurnFailed ||= isUnrestricted(next.call);
+            }
+        }
+        if (decisions.length > 0) {
+            const keys = new Set(decisions.map(({ key }) => key));
+            this.waiting = this.waiting.filter(({ call }) => !keys.has(call.key));
+        }
+        return decisions;
+    }
+
+    /** Number of calls that wait. */
+    get waitingCalls(): number {
+        return this.waiting.length;
+    }
+
+    /** Summarizes the state since the last summary. */
+    summary(now: number): DispatchSummary {
+        const placed = Object.fromEntries(
+            this.engines.map((
+                { entry, placedCalls },
+            ) => [entry.id, placedCalls - (this.placedAtSummary.get(entry.id) ?? 0)]),
+        );
+        this.engines.forEach(({ entry, placedCalls }) => this.placedAtSummary.set(entry.id, placedCalls));
+        const memory = Math.max(0, ...this.engines.map(({ tokens, maxTokens }) => tokens / maxTokens));
+        return { engines: this.engines.length, running: this.placements.size, waiting: this.waiting.length,
+            memory: Math.round(memory * 100) / 100, placed,
+            suspended: this.engines.filter(engine => engine.isSuspended(now)).length,
+            firstTurnShare: Math.round(this.firstTurnShare * 100) / 100 };
+    }
+
+    private tryToPlace({ call, isReturning }: WaitingCall, now: number): string | undefined {
+        const chosen = this.choose(call, now);
+        if (chosen === undefined || this.wouldBeginTooLate(chosen, call, now)) {
+            return undefined;
+        }
+        const { engine, uncachedTokens, prefillMs } = chosen;
+        engine.add({ key: call.key, parts: call.parts, promptTokens: call.promptTokens, maxTokens: call.maxTokens,
+            uncachedTokens, prefillMs, expiresAt: now + call.timeLeft }, now);
+        this.placements.set(call.key, { engine, team: call.team, uncachedTokens });
+        this.teams.add(call.team, 1, now);
+        if (isFirstTurn(call)) {
+            this.firstTurnRate.record(now);
+        }
+        if (isReturning) {
+            this.returns.forget(call.program);
+        }
+        if (call.parts.length > 0) {
+            this.partRates.record(call.parts[0]!.id, call.dataCentre, now);
+        }
+        return engine.entry.id;
+    }
+
+    private choose(call: DispatchCall, now: number): ChosenEngine | undefined {
+        const slotShare = this.slotShare(call);
+        const basis: PlacementBasis = { prefillTokensPerMs: this.estimate.prefillTokensPerMs,
+            baselineLatency: this.estimate.baselineLatency, crossDataCentreMs: this.options.crossDataCentreMs,
+            partRates: this.partRates, maxCalls: engine => this.maxCalls(engine, slotShare, now) };
+        return chooseEngine(this.engines, call, basis, now, this.options.random);
+    }
+
+    /** Share of an engine's slots that the call may use; undefined if it may also be one more, read meanwhile. */
+    private slotShare(call: DispatchCall): number | undefined {
+        const classShare = isFirstTurn(call) ? this.firstTurnShare : undefined;
+        return this.teams.excess(call.team) > 0 ? (classShare ?? 1) * excessTeamShare : classShare;
+    }
+
+    private maxCalls(engine: EngineAccount, slotShare: number | undefined, now: number): number {
+        const { slots } = engine.entry;
+        const isStarting = now - this.options.startedAt < startMs && !engine.hasReportedWithin(startMs, now);
+        const limit = slotShare === undefined ? slots + 1 : Math.floor(slots * slotShare);
+        return Math.max(1, isStarting ? Math.min(limit, Math.ceil(slots * startShare)) : limit);
+    }
+
+    /** Whether the prompts before a first turn take longer to read than it may wait. */
+    private wouldBeginTooLate({ engine }: ChosenEngine, call: DispatchCall, now: number): boolean {
+        return isFirstTurn(call) && engine.prefillBacklog(now) > call.maxWait;
+    }
+
+    /** Negative if the left call goes first. Teams above their usual share wait for themselves. */
+    private compare(left: WaitingCall, right: WaitingCall): number {
+        return this.teams.excess(left.call.team) - this.teams.excess(right.call.team) ||
+            left.call.priority - right.call.priority ||
+            right.call.precedingTurns - left.call.precedingTurns ||
+            Number(right.isReturning) - Number(left.isReturning) ||
+            left.endsAt - right.endsAt;
+    }
+
+    private expectedWait({ call }: WaitingCall, ahead: readonly WaitingCall[], now: number): number {
+        const drain = this.drain(now);
+        const all = (ahead.length + 1) / drain;
+        if (!isFirstTurn(call)) {
+            return all;
+        }
+        const firstTurns = ahead.filter(each => isFirstTurn(each.call)).length + 1;
+        return Math.max(all, firstTurns / this.firstTurnDrain(now));
+    }
+
+    /** Calls that end per millisecond. Before some have ended, all are assumed to take several times their baseline. */
+    private drain(now: number): number {
+        const slots = this.engines.reduce((sum, { entry }) => sum + entry.slots, 0);
+        return Math.max(this.drainRate.value(now), slots / (4 * this.estimate.baselineLatency));
+    }
+
+    /** First turns that are placed per millisecond. */
+    private firstTurnDrain(now: number): number {
+        return Math.max(this.firstTurnRate.value(now), this.drain(now) * minFirstTurnRateShare);
+    }
+
+    private refusal({ call }: WaitingCall, reason: DispatchRefusalReason, expectedWait: number, ahead: number,
+        now: number): DispatchDecision {
+        const retryAfter = isFirstTurn(call)
+            ? this.scheduleReturn(call, now)
+            : this.returns.remember(call.program, Math.min(maxTurnDelayMs, Math.max(minTurnDelayMs, expectedWait)),
+                now);
+        return { kind: "refused", reason, retryAfter, expectedWait, ahead };
+    }
+
+    /** Refused programs return at the rate that is left beside usual arrivals. */
+    private scheduleReturn({ program, team }: DispatchCall, now: number): number {
+        const drain = this.firstTurnDrain(now);
+        const spare = Math.max(drain * minReturnRateShare,
+            (drain - this.usualFirstTurnRate.value(now)) * returnRateShare);
+        const isInExcess = this.teams.excess(team) > 0;
+        return isInExcess
+            ? this.returns.schedule(program, team, spare * Math.max(0.02, this.teams.usualShare(team)), now)
+            : this.returns.schedule(program, "", spare, now);
+    }
+
+    private recordTiming(engine: EngineAccount, { timeToFirstByte, latency, events }: NonNullable<
+        DispatchRelease["timing"]
+    >, uncachedTokens: number | undefined, load: AgedLoad | undefined, now: number): void {
+        const slowness = load?.slowness ?? 1;
+        this.estimate.recordFirstByte({ timeToFirstByte, prefillTokens: uncachedTokens, load }, now);
+        this.estimate.recordCompletedCall({ latency, timeToFirstByte, events, slowness }, now);
+        if (events < minEvents) {
+            return;
+        }
+        const interval = (latency - timeToFirstByte) / (events - 1);
+        const average = this.recentInterval.value(now) ?? interval;
+        if (average > 0) {
+            engine.recordPace(interval / average, now);
+        }
+        this.baselineInterval.add(interval);
+        this.recentInterval.add(interval, now);
+        const stretch = this.recentInterval.value(now)! / Math.max(0.1, this.baselineInterval.value);
+        if (stretch > highStretch) {
+            this.firstTurnShare = Math.max(minFirstTurnShare, this.firstTurnShare * firstTurnShareFall);
+        }
+        else if (stretch < lowStretch) {
+            this.firstTurnShare = Math.min(1, this.firstTurnShare + firstTurnShareRise);
+        }
+    }
+
+    private endPlacement(key: number, now: number): Placement | undefined {
+        const placement = this.placements.get(key);
+        if (placement !== undefined) {
+            this.placements.delete(key);
+            placement.engine.remove(key, now);
+            this.teams.add(placement.team, -1, now);
+            this.drainRate.record(now);
+        }
+        return placement;
+    }
+
+    private removeExpired(now: number): void {
+        for (const engine of this.engines) {
+            for (const key of engine.removeExpired(now)) {
+                this.endPlacement(key, now);
+            }
+        }
+    }
+
+    private removeEngine(engine: EngineAccount, now: number): void {
+        this.enginesById.delete(engine.entry.id);
+        this.placedAtSummary.delete(engine.entry.id);
+        [...this.placements].filter(([, placement]) => placement.engine === engine)
+            .forEach(([key]) => this.endPlacement(key, now));
+    }
+}
+
+function isFirstTurn({ precedingTurns, tried }: DispatchCall): boolean {
+    // A call that was sent before has been admitted.
+    return precedingTurns === 0 && tried.length === 0;
+}
+
+function isUnrestricted({ excluded, only }: DispatchCall): boolean {
+    return excluded.length === 0 && only === undefined;
+}
+
+function decided({ call, arrivedAt }: WaitingCall, decision: DispatchDecision, now: number): QueuedDecision {
+    return { key: call.key, decision, waited: now - arrivedAt };
+}
--- a/packages/core/src/gateway/prefixCache.ts
+++ b/packages/core/src/gateway/prefixCache.ts
@@ -38,6 +38,17 @@
         this.evict();
     }
 
+    /** Whether a part is cached. */
+    has(id: string): boolean {
+        return this.tokensByPart.has(id);
+    }
+
+    /** Forgets all parts. */
+    clear(): void {
+        this.tokensByPart.clear();
+        this.totalTokens = 0;
+    }
+
     private evict(): void {
         for (const [id, tokens] of this.tokensByPart) {
             if (this.totalTokens <= this.capacityTokens && this.tokensByPart.size <= maxParts) {
--- a/packages/core/src/gateway/retryDelay.ts
+++ b/packages/core/src/gateway/retryDelay.ts
@@ -1,4 +1,5 @@
 import type { Random } from "../clock.ts";
+import type { DispatchRefusalReason } from "./dispatchQueue.ts";
 
 /** Why a call is refused that has not run and will not run. Times are in milliseconds. */
 export type RefusalCause =
@@ -9,6 +10,9 @@
     | { readonly kind: "storeAway"; readonly isolated: boolean; }
     /** The engines are overloaded; by the end of `expectedWait` the calls that wait now should have started. */
     | { readonly kind: "enginesFull"; readonly expectedWait: number; }
+    /** The dispatcher has no place for the call; it tells each caller its own time to come back. */
+    | { readonly kind: "noPlace"; readonly reason: DispatchRefusalReason; readonly retryAfter: number;
+        readonly expectedWait: number; readonly ahead: number; }
     /** The upstreams refused the call, or no connection to them was free. */
     | { readonly kind: "upstreamsFull"; }
     /** The upstreams take no more requests a second; by the end of `expectedWait` one of them may take another one. */
@@ -37,10 +41,17 @@
  * wait. The jitter of a quarter keeps callers that were refused together from returning together.
  */
 export function retryDelay(cause: RefusalCause, random: Random): number | undefined {
-    return cause.kind === "outOfTime" ? undefined : baseDelay(cause) * (0.75 + random() * 0.5);
+    switch (cause.kind) {
+        case "outOfTime":
+            return undefined;
+        case "noPlace":
+            return cause.retryAfter;
+        default:
+            return baseDelay(cause) * (0.75 + random() * 0.5);
+    }
 }
 
-function baseDelay(cause: Exclude<RefusalCause, { kind: "outOfTime"; }>): number {
+function baseDelay(cause: Exclude<RefusalCause, { kind: "outOfTime" | "noPlace"; }>): number {
     switch (cause.kind) {
         case "storeAway":
             return cause.isolated ? 0 : storeAwayDelayMs;
--- a/packages/core/src/gateway/statistics.ts
+++ b/packages/core/src/gateway/statistics.ts
@@ -111,3 +111,30 @@
         this.quantile += value < this.quantile ? -baseStep * (1 - lowQuantileRank) : baseStep * lowQuantileRank;
     }
 }
+
+/** Share of the weight of a steady rate from which a rate is derived at the earliest. */
+const minRateCoverage = 0.05;
+
+/** Rate of recent events, in events per millisecond: the weight of an event halves with each half-life. */
+export class Rate {
+    private weight = 0;
+    private startedAt: number | undefined;
+    private updatedAt = -Infinity;
+
+    constructor(private readonly halfLife: number) {}
+
+    record(now: number, events = 1): void {
+        this.startedAt ??= now;
+        this.weight = this.decayed(now) + events;
+        this.updatedAt = now;
+    }
+
+    value(now: number): number {
+        const coverage = 1 - 0.5 ** ((now - (this.startedAt ?? now)) / this.halfLife);
+        return this.decayed(now) * Math.LN2 / this.halfLife / Math.max(minRateCoverage, coverage);
+    }
+
+    private decayed(now: number): number {
+        return this.weight === 0 ? 0 : this.weight * 0.5 ** (Math.max(0, now - this.updatedAt) / this.halfLife);
+    }
+}
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -10,11 +10,12 @@
 }
 
 /**
- * Whether the turn is admitted when its upstream is chosen: where upstreams have rate limits, one that grants a permit takes it,
- * however full the others are.
+ * Whether the turn is admitted when its upstream is chosen: by the dispatcher of its service, or, where upstreams have rate
+ * limits, by one that grants a permit, however full the others are.
  */
-export function isDecidedAtSend({ upstreams, declaration }: SendParts, call: ReceivedCall): boolean {
-    return upstreams.permitDelay(serviceOf(call, declaration())) !== undefined;
+export function isDecidedAtSend({ upstreams, declaration, dispatch }: SendParts, call: ReceivedCall): boolean {
+    const service = serviceOf(call, declaration());
+    return dispatch.isInForce(service) || upstreams.permitDelay(service) !== undefined;
 }
 
 /**
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,5 @@
-import { type AnswerHead, answerTimeout, type AnswerVerdict, type AttemptFailure, isOwnAnswer, isSuccess, judgeAnswer,
-    type RateLimitStatement, tokensToPrefill, type UpstreamState } from "@tamarackgauge/core/gateway";
+import { type AgedLoad, type AnswerHead, answerTimeout, type AnswerVerdict, type AttemptFailure, isOwnAnswer, isSuccess,
+    judgeAnswer, type RateLimitStatement, tokensToPrefill, type UpstreamState } from "@tamarackgauge/core/gateway";
 import { encodeRequest } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -48,6 +48,17 @@
     wasSent(): boolean;
     /** Closes the connection, so that the upstream stops working on the call; the attempt ends with a failure. */
     cancel(): void;
+    /** What has been measured so far. */
+    measured(): AttemptMeasurement;
+}
+
+/** What an attempt tells about its upstream. Times are in milliseconds. */
+export interface AttemptMeasurement {
+    readonly load: AgedLoad | undefined;
+    /** Undefined before the answer is complete. */
+    readonly timing:
+        | { readonly timeToFirstByte: number; readonly latency: number; readonly events: number; }
+        | undefined;
 }
 
 /**
@@ -85,6 +96,8 @@
     /** Bytes of the answer that are reserved in the account of the call. */
     let accountedBytes = 0;
     let timeToFirstByte = 0;
+    let headAt = 0;
+    let timing: AttemptMeasurement["timing"];
     const eventsBefore = sink?.relayedEvents() ?? 0;
     let streaming = false;
     let finished = false;
@@ -121,6 +134,7 @@
     function receiveHead(head: AnswerHead, headers: IncomingHttpHeaders): void {
         const verdict = judgeAnswer(head, call.route);
         answer = { head, headers, verdict };
+        headAt = now();
         if (isOwnAnswer(head)) {
             receiveAnnouncements(head);
         }
@@ -214,9 +228,8 @@
             return failure("unknown", "the stream ended before its first event");
         }
         if (isSuccess(answer!.head.status)) {
-            state.recordCompletedCall({ latency: now() - sentAt, timeToFirstByte,
-                events: (sink?.relayedEvents() ?? 0) - eventsBefore, slowness: answer!.head.load?.slowness ?? 1 },
-                now());
+            timing = { latency: now() - sentAt, timeToFirstByte, events: (sink?.relayedEvents() ?? 0) - eventsBefore };
+            state.recordCompletedCall({ ...timing, slowness: answer!.head.load?.slowness ?? 1 }, now());
         }
         if (streaming) {
             return { kind: "streamed" };
@@ -264,7 +277,12 @@
         abort("cancelled");
     }
 
-    return { end, wasSent: () => activeRequest.wasSent(), cancel };
+    function measured(): AttemptMeasurement {
+        const load = answer?.head.load;
+        return { load: load === undefined ? undefined : { ...load, age: now() - headAt }, timing };
+    }
+
+    return { end, wasSent: () => activeRequest.wasSent(), cancel, measured };
 }
 
 /** Timeout for an answer, or for the next complete event of a stream, if the call may be sent to another upstream. */
--- /dev/null
+++ b/packages/gateway/src/dispatch.ts
@@ -0,0 +1,163 @@
+import type { Declaration, EngineOutcome, Random, RefusalCause } from "@tamarackgauge/core/gateway";
+import type { AttemptMeasurement } from "./attempt.ts";
+import type { DispatcherSession, PlaceCall } from "./dispatcher.ts";
+import type { Metrics } from "./metrics.ts";
+import type { PeerContacts } from "./peerContacts.ts";
+import type { RequestTimeouts } from "./peerLink.ts";
+import type { Peer } from "./peerList.ts";
+import type { PlaceAnswer } from "./peerMessage.ts";
+
+/** Asks the dispatcher of a service where to send a call. */
+export interface Dispatch {
+    /** Whether the calls of the service are placed by a dispatcher that could be reached of late. */
+    isInForce(service: string): boolean;
+    /** Undefined if the gateway is to decide alone. When the signal is aborted, the request is withdrawn. */
+    place(call: PlacementRequest, signal: AbortSignal): Promise<Placement | PlacementRefusal | undefined>;
+}
+
+/** What the dispatcher is told of a call. */
+export type PlacementRequest = Omit<PlaceCall, "kind" | "key">;
+
+/** A place at an upstream. It must be released when the attempt ends. */
+export interface Placement {
+    readonly kind: "placed";
+    readonly upstream: string;
+    release(outcome: EngineOutcome, measured?: AttemptMeasurement): void;
+}
+
+/** Why there is no place. `withdrawn`: the caller has left. */
+export type PlacementRefusal =
+    | { readonly kind: "refused"; readonly cause: RefusalCause; }
+    | { readonly kind: "withdrawn"; };
+
+/** The gateways that may be a service's dispatcher, and the calls to them. */
+export interface DispatchAuthorities {
+    /** Number of gateways that all others know. */
+    establishedCount(): number;
+    /** The first gateways for a subject among those with the most processor time; `undefined` stands for this gateway. */
+    rankCapable(subject: string, count: number): readonly (Peer | undefined)[];
+    /** Asks the gateways in turn; undefined if none answers. */
+    ask(ranked: readonly Peer[], call: PlaceCall,
+        limits: RequestTimeouts): Promise<{ readonly result: PlaceAnswer; readonly from: Peer; } | undefined>;
+}
+
+/** Of a gateway that knows no others. */
+export const noAuthorities: DispatchAuthorities = { establishedCount: () => 0, rankCapable: () => [],
+    ask: async () => undefined };
+
+/** Dependencies of the dispatch. */
+export interface DispatchParts {
+    readonly authorities: DispatchAuthorities;
+    readonly contacts: Pick<PeerContacts, "notify">;
+    /** The dispatcher in this process. */
+    readonly session: DispatcherSession;
+    readonly declaration: () => Declaration | undefined;
+    readonly metrics: Metrics;
+    readonly now: () => number;
+    readonly random: Random;
+}
+
+/** With fewer gateways, each one sees enough of the engines by itself. */
+const minGateways = 24;
+/** A dispatcher without a sign of life for this long is done without. */
+const silenceTimeoutMs = 150;
+/** Time for the answer beside the wait for a place. */
+const answerMarginMs = 500;
+/** After a failure this gateway decides alone for this long. */
+const aloneMs = 1_000;
+/** The ranking is computed anew after this time, as gateways come and go. */
+const rankingMs = 1_000;
+const keyRange = 2 ** 48;
+
+interface Ranking {
+    readonly dispatcher: Peer | undefined;
+    readonly computedAt: number;
+}
+
+/** Creates the dispatch of a gateway. */
+export function createDispatch(
+    { authorities, contacts, session, declaration, metrics, now, random }: DispatchParts,
+): Dispatch {
+    const rankings = new Map<string, Ranking>();
+    const aloneUntil = new Map<string, number>();
+
+    function isInForce(service: string): boolean {
+        return declaration()?.services.get(service)?.model !== undefined &&
+            authorities.establishedCount() >= minGateways && now() >= (aloneUntil.get(service) ?? -Infinity);
+    }
+
+    function dispatcherOf(service: string): Peer | undefined {
+        const known = rankings.get(service);
+        if (known !== undefined && now() - known.computedAt < rankingMs) {
+            return known.dispatcher;
+        }
+        const [dispatcher] = authorities.rankCapable(`dispatch ${service}`, 1);
+        rankings.set(service, { dispatcher, computedAt: now() });
+        return dispatcher;
+    }
+
+    async function place(request: PlacementRequest, signal: AbortSignal) {
+        if (!isInForce(request.service)) {
+            return undefined;
+        }
+        const call: PlaceCall = { kind: "place", key: Math.floor(random() * keyRange), ...request };
+        const dispatcher = dispatcherOf(request.service);
+        const withdraw = () => notify(dispatcher, { kind: "withdraw", key: call.key, service: call.service });
+        signal.addEventListener("abort", withdraw, { once: true });
+        const answer = await ask(dispatcher, call);
+        signal.removeEventListener("abort", withdraw);
+        if (signal.aborted && answer?.kind === "placed") {
+            withdraw();
+        }
+        return outcomeOf(signal.aborted ? { kind: "withdrawn" } : answer, call, dispatcher);
+    }
+
+    async function ask(dispatcher: Peer | undefined, call: PlaceCall): Promise<PlaceAnswer | undefined> {
+        if (dispatcher === undefined) {
+            return session.place(call);
+        }
+        const answered = await authorities.ask([dispatcher], call, { timeout: call.maxWait + answerMarginMs,
+            silenceTimeout: silenceTimeoutMs });
+        if (answered === undefined) {
+            aloneUntil.set(call.service, now() + aloneMs);
+        }
+        return answered?.result;
+    }
+
+    function outcomeOf(answer: PlaceAnswer | undefined, { key, service }: PlaceCall, dispatcher: Peer | undefined):
+        | Placement
+        | PlacementRefusal
+        | undefined {
+        switch (answer?.kind) {
+            case "placed":
+                metrics.recordPlacement("placed");
+                return { kind: "placed", upstream: answer.upstream,
+                    release: (outcome, measured) =>
+                        notify(dispatcher, { kind: "release", key, service, upstream: answer.upstream, outcome,
+                            ...measured?.load === undefined ? {} : { load: measured.load },
+                            ...measured?.timing === undefined ? {} : { timing: measured.timing } }) };
+            case "refused":
+                metrics.recordPlacement("refused");
+                return { kind: "refused", cause: { ...answer, kind: "noPlace" } };
+            case "withdrawn":
+                metrics.recordPlacement("withdrawn");
+                return answer;
+            case "noEngine":
+            case undefined:
+                metrics.recordPlacement("alone");
+                return undefined;
+        }
+    }
+
+    /** If the link has broken, the dispatcher ends the placement by itself. */
+    function notify(dispatcher: Peer | undefined, notice: Parameters<DispatcherSession["notify"]>[0]): void {
+        if (dispatcher === undefined) {
+            session.notify(notice);
+        }
+        else {
+            contacts.notify(dispatcher, notice);
+        }
+    }
+
+    return { isInForce, place };
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -38,6 +38,7 @@
 const refusalReasons: Readonly<Record<RefusalCause["kind"], string>> = {
     storeAway: "the store does not answer",
     enginesFull: "the engines are full",
+    noPlace: "the engines have no place",
     upstreamsFull: "no upstream takes calls",
     rateLimited: "the upstreams' rate limits are reached",
     memoryFull: "too many bodies are held",
@@ -105,7 +106,7 @@
 
     async function run(): Promise<void> {
         try {
-            await (isTurn() ? serveTurn() : serve(call, undefined));
+            await (isTurn() ? serveTurn() : serve(call, undefined, true));
         }
         finally {
             clearTimeout(timer);
@@ -133,7 +134,7 @@
             : { kind: "storeAway", isolated: parts.storeOutage.isIsolated() };
     }
 
-    async function servePrepared({ reservation, history }: PreparedTurn): Promise<void> {
+    async function servePrepared({ reservation, history, isAdmitted }: PreparedTurn): Promise<void> {
         if (!reserveBodyWithHistory(history)) {
             reservation.settle(0);
             answerLocally(refusalAnswer({ kind: "memoryFull" }));
@@ -142,7 +143,7 @@
         // If the call fails, the engine may have generated the maximum number of tokens.
         let usedTokens = head.maxTokens;
         try {
-            usedTokens = await serve({ ...call, body: bodyWithHistory(history) }, history);
+            usedTokens = await serve({ ...call, body: bodyWithHistory(history) }, history, isAdmitted);
         }
         finally {
             reservation.settle(usedTokens);
@@ -162,7 +163,8 @@
     }
 
     /** Sends the call and forwards the answer; returns the number of tokens that the caller may have received. */
-    async function serve(callToSend: ReceivedCall, history: readonly Turn[] | undefined): Promise<number> {
+    async function serve(callToSend: ReceivedCall, history: readonly Turn[] | undefined,
+        isAdmitted: boolean): Promise<number> {
         if (disconnected) {
             return 0;
         }
@@ -181,7 +183,7 @@
             : undefined;
         const turnsBefore = precedingTurns(parts, call, history?.length);
         const priority = route.streamed ? turnPriority(route.priority, turnsBefore) : undefined;
-        sends = startSends(parts, { call: callToSend, priority, sink: relay, precedingTurns: turnsBefore,
+        sends = startSends(parts, { call: callToSend, priority, sink: relay, precedingTurns: turnsBefore, isAdmitted,
             overload: () => history === undefined ? undefined : overloadRefusal(parts, call),
             preferred: history?.[history.length - 1]?.upstream });
         phase = "sent";
@@ -193,7 +195,8 @@
         if (delivered && "upstream" in result) {
             log.info("call.answered", { ...callFields(), upstream: result.upstream,
                 preparedMs: Math.round(sentAt - call.arrivedAt), upstreamMs: Math.round(receivedAt - sentAt),
-                permitMs: Math.round(sends.permitWait()), keptMs: Math.round(now() - receivedAt) });
+                permitMs: Math.round(sends.permitWait()), placeMs: Math.round(sends.placeWait()),
+                keptMs: Math.round(now() - receivedAt) });
         }
         if (delivered && route.streamed && head.program !== undefined) {
             parts.recentPrograms.record(scopedId(call.scope, head.program), now());
@@ -293,7 +296,7 @@
         log.warn("call.refused", { ...callFields(), status: answer.status, reason: answer.reason,
             begun: response.headersSent, retryAfter: roundIfKnown(answer.retryAfter),
             outageMs: Math.round(parts.storeOutage.age()), permitMs: roundIfKnown(sends?.permitWait()),
-            ...answer.details });
+            placeMs: roundIfKnown(sends?.placeWait()), ...answer.details });
         phase = "answered";
         writeLocalAnswer(response, head.id, answer);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,8 @@
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { createCatalog } from "./catalog.ts";
 import { createCleaner } from "./cleaner.ts";
+import { createDispatch, noAuthorities } from "./dispatch.ts";
+import { createDispatcher } from "./dispatcher.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
 import type { MemoryLimits } from "./limits.ts";
@@ -91,9 +93,15 @@
     const { settings, limits, store: direct, callerServer, log, now } = parts;
     let stopping = false;
     const health = createStoreHealth();
-    const metrics = createMetrics({ limitedUpstreams: () => upstreams.limited() });
-    const catalog = createCatalog({ log, onDeclaration: next => frontend.setDeclaration(next),
-        onUpstreams: entries => upstreams.replace(entries) });
+    const metrics = createMetrics({ limitedUpstreams: () => upstreams.limited(),
+        waitingCalls: () => dispatcher.waitingCalls() });
+    const catalog = createCatalog({ log, onDeclaration: next => frontend.setDeclaration(next), onUpstreams(entries) {
+        upstreams.replace(entries);
+        dispatcher.setUpstreams(entries);
+    } });
+    const dispatcher = disposal.own(
+        createDispatcher({ declaration: catalog.declaration, metrics, log, now, random: Math.random }),
+    );
     const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
     const store = disposal.own(createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange }));
     const peerListTimes = parts.peerListTimes ?? defaultPeerListTimes;
@@ -113,6 +121,8 @@
     const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
         peers: () => peerList?.registered() ?? [], contacts,
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
+    const dispatch = createDispatch({ authorities: noAuthorities, contacts, session: dispatcher.open(),
+        declaration: catalog.declaration, metrics, now, random: Math.random });
     const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
         peers: () => peerList?.registered() ?? [], contacts, metrics, log, now });
@@ -131,7 +141,7 @@
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
     const frontend = disposal.own(
-        createFrontend({ callerServer, limits, upstreams, rateLimits, recentPrograms: new RecentPrograms(),
+        createFrontend({ callerServer, limits, upstreams, rateLimits, dispatch, recentPrograms: new RecentPrograms(),
             declaration: catalog.declaration, budgets, turns, storeOutage, initialized: catalog.initialized, log,
             metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
             maxKeyAge: settings.maxKeyAge ?? Infinity }),
@@ -149,7 +159,7 @@
     if (settings.peerAddress !== undefined) {
         disposal.own(
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
-                permitIssuer: permits, log, now }),
+                permitIssuer: permits, dispatcher, log, now }),
         );
     }
     await listen(readiness, () => settings.readinessAddress, log);
@@ -161,6 +171,7 @@
     }
 
     async function logSummary(): Promise<void> {
+        dispatcher.logSummary();
         log.info("gateway.summary", { active: frontend.activeCalls(), upstreams: upstreams.count(),
             ...upstreams.summary(), ...await metrics.summary() });
     }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,4 @@
-import type { CallerMemoryUse, ClosingCause, KeyProblem, PermitDecision,
+import type { CallerMemoryUse, ClosingCause, DispatchRefusalReason, KeyProblem, PermitDecision,
     RateLimitChange } from "@tamarackgauge/core/gateway";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
@@ -31,6 +31,10 @@
     recordRateLimitChange(service: string, change: RateLimitChange["kind"]): void;
     /** Records the outcome of a request for a permit to send to an upstream with a rate limit. */
     recordPermit(outcome: PermitDecision["kind"] | "unavailable"): void;
+    /** Records how a request of this gateway for a place at an engine ended. */
+    recordPlacement(outcome: PlacementOutcome): void;
+    /** Records what this gateway decided as the dispatcher of a service. */
+    recordDispatch(decision: DispatchRecord): void;
     /** Records whether a previous turn was found in memory or had to be read from the store. */
     recordTurnLookup(where: "memory" | "store"): void;
     /** Records whether a turn's tokens were reserved by this gateway or by the program's home gateway. */
@@ -49,16 +53,29 @@
     summary(): Promise<Readonly<Record<string, number>>>;
 }
 
+/** How a request for a place ended. `alone`: the dispatcher could not be asked, so that the gateway chose by itself. */
+export type PlacementOutcome = "placed" | "refused" | "withdrawn" | "alone";
+
+/** A decision of the dispatcher. */
+export interface DispatchRecord {
+    readonly service: string;
+    readonly turn: "first" | "later";
+    /** `queued`: placed after a wait. */
+    readonly decision: "placed" | "queued" | "noEngine" | "withdrawn" | DispatchRefusalReason;
+}
+
 const latencyBucketsMs = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000];
 
 /** What is read whenever the metrics are. */
 export interface MetricsSources {
     /** Number of upstreams that name a rate limit, for each service. */
     readonly limitedUpstreams: () => ReadonlyMap<string, number>;
+    /** Number of calls that wait here for a place, for each service that this gateway dispatches. */
+    readonly waitingCalls?: () => ReadonlyMap<string, number>;
 }
 
 /** Creates the metrics of a gateway. */
-export function createMetrics({ limitedUpstreams }: MetricsSources): Metrics {
+export function createMetrics({ limitedUpstreams, waitingCalls }: MetricsSources): Metrics {
     const registry = new Registry();
     const registers = [registry];
     const calls = new Counter({ name: "tamarackgauge_calls_total", help: "Calls of callers that have ended",
@@ -79,6 +96,11 @@
         help: "Rate limits that upstreams named, changed or ended", labelNames: ["service", "change"], registers });
     const permits = new Counter({ name: "tamarackgauge_permits_total",
         help: "Requests for permits to send to upstreams with a rate limit", labelNames: ["outcome"], registers });
+    const placements = new Counter({ name: "tamarackgauge_placements_total",
+        help: "Requests to the dispatcher for a place at an engine", labelNames: ["outcome"], registers });
+    const dispatches = new Counter({ name: "tamarackgauge_dispatch_decisions_total",
+        help: "Decisions of this gateway as the dispatcher of a service", labelNames: ["service", "turn", "decision"],
+        registers });
     const turnLookups = new Counter({ name: "tamarackgauge_previous_turns_total",
         help: "Previous turns, by where they were found", labelNames: ["where"], registers });
     const tokenReservations = new Counter({ name: "tamarackgauge_token_reservations_total",
@@ -99,6 +121,11 @@
         this.reset();
         limitedUpstreams().forEach((count, service) => this.set({ service }, count));
     } });
+    new Gauge({ name: "tamarackgauge_dispatch_waiting", help: "Calls that wait here for a place at an engine",
+        labelNames: ["service"], registers, collect() {
+        this.reset();
+        waitingCalls?.().forEach((count, service) => this.set({ service }, count));
+    } });
 
     return {
         recordCall(route, status, ms) {
@@ -111,6 +138,8 @@
         recordLeaving: service => leaving.inc({ service }),
         recordRateLimitChange: (service, change) => rateLimitChanges.inc({ service, change }),
         recordPermit: outcome => permits.inc({ outcome }),
+        recordPlacement: outcome => placements.inc({ outcome }),
+        recordDispatch: ({ service, turn, decision }) => dispatches.inc({ service, turn, decision }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
         setActiveCalls: count => activeCalls.set(count),
@@ -123,7 +152,7 @@
         async summary() {
             const fields: Record<string, number> = {};
             for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
-                closings, memoryRefusals, rateLimitChanges, permits, keyRefusals]) {
+                closings, memoryRefusals, rateLimitChanges, permits, keyRefusals, placements, dispatches]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/peerContacts.ts
+++ b/packages/gateway/src/peerContacts.ts
@@ -1,7 +1,7 @@
 import type { Log } from "./log.ts";
 import { openPeerLink, type PeerLink, type RequestTimeouts } from "./peerLink.ts";
 import type { Peer } from "./peerList.ts";
-import type { PeerCall, PeerResult } from "./peerMessage.ts";
+import type { PeerCall, PeerNotice, PeerResult } from "./peerMessage.ts";
 
 /** Links to other gateways, one for each, opened on first use. */
 export interface PeerContacts extends Disposable {
@@ -16,6 +16,8 @@
      */
     ask<const Call extends PeerCall>(peer: Peer, call: Call,
         limits: RequestTimeouts): Promise<PeerResult<Call["kind"]>>;
+    /** Sends a message that is not answered over a link that is open; returns whether there is one. */
+    notify(peer: Peer, notice: PeerNotice): boolean;
 }
 
 /** Dependencies of contacts. */
@@ -90,6 +92,7 @@
         failingFor: name => now() - (contactOf(name).failingSince ?? now()),
         isReady: peer => currentLink(peer).isOpen,
         ask,
+        notify: (peer, notice) => contactOf(peer.name).link?.notify(notice) ?? false,
         [Symbol.dispose]: () => contacts.forEach(({ link }) => link?.terminate()),
     };
 }
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -1,7 +1,7 @@
 import { type SocketAddress, StoreError } from "@tamarackgauge/core/gateway";
 import { pack } from "msgpackr";
 import { WebSocket } from "ws";
-import { decodePeerAnswer, isValidResult, maxPeerMessageBytes, type PeerCall, type PeerRequest,
+import { decodePeerAnswer, isValidResult, maxPeerMessageBytes, type PeerCall, type PeerNotice, type PeerRequest,
     type PeerResult } from "./peerMessage.ts";
 
 /** A connection to another gateway. */
@@ -16,6 +16,8 @@
      * side noticing.
      */
     request<const Call extends PeerCall>(call: Call, limits: RequestTimeouts): Promise<PeerResult<Call["kind"]>>;
+    /** Sends a message that is not answered. Returns whether the link is open. */
+    notify(notice: PeerNotice): boolean;
     /** Closes the link; messages already sent are still delivered. */
     close(): void;
     terminate(): void;
@@ -108,6 +110,15 @@
         return answer.finally(() => timers.forEach(clearTimeout));
     }
 
+    function notify(notice: PeerNotice): boolean {
+        if (socket.readyState !== socket.OPEN) {
+            return false;
+        }
+        lastId += 1;
+        socket.send(pack({ id: lastId, call: notice } satisfies PeerRequest));
+        return true;
+    }
+
     return {
         address,
         opened,
@@ -118,6 +129,7 @@
             return closed;
         },
         request,
+        notify,
         close() {
             closed = true;
             socket.close();
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -1,4 +1,4 @@
-import type { StoreFailure } from "@tamarackgauge/core/gateway";
+import type { DispatchRefusalReason, EngineOutcome, StoreFailure } from "@tamarackgauge/core/gateway";
 import { unpack } from "msgpackr";
 import { z } from "zod";
 
@@ -59,7 +59,45 @@
     later: z.object({ requestsPerSecond: requestsPerSecond.optional(), statedAgo }).optional(),
 });
 
-const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas, ...permitCallSchemas]);
+const maxIdLength = 256;
+const maxListLength = 256;
+const engineId = z.string().max(maxIdLength);
+const engineIds = z.array(engineId).max(maxListLength).readonly();
+const ms = z.number().nonnegative();
+const placementKey = z.number().int().nonnegative();
+const promptPart = z.object({ id: z.string().max(maxIdLength), tokens: tokenCount });
+const upstreamLoad = z.object({ running: tokenCount, waiting: tokenCount, slots: tokenCount,
+    slowness: z.number().positive(), age: ms });
+const answerTiming = z.object({ timeToFirstByte: ms, latency: ms, events: nonNegativeInteger });
+const engineOutcomes = ["answered", "rejected", "failed", "unused", "limited",
+    "leaving"] as const satisfies readonly EngineOutcome[];
+
+/** Requests to the gateway that places the calls of a model service. Times are in milliseconds. */
+const dispatchCallSchemas = [
+    /** Asks for a place at an engine; the answer is a `PlaceAnswer`, and may come after `maxWait`. */
+    z.object({ kind: z.literal("place"), key: placementKey, service: z.string().max(maxIdLength),
+        parts: z.array(promptPart).max(maxListLength).readonly(), promptTokens: tokenCount, maxTokens: tokenCount,
+        dataCentre: z.string().max(maxIdLength), tried: engineIds, excluded: engineIds, only: engineIds.optional(),
+        preferred: engineId.optional(), priority: z.number(), precedingTurns: nonNegativeInteger,
+        team: z.string().max(maxIdLength), program: nonNegativeInteger.optional(), maxWait: ms, timeLeft: ms }),
+    /** Ends a placement. There is no answer. */
+    z.object({ kind: z.literal("release"), key: placementKey, service: z.string().max(maxIdLength), upstream: engineId,
+        outcome: z.enum(engineOutcomes), load: upstreamLoad.optional(), timing: answerTiming.optional() }),
+    /** Ends a request for a place, as the caller has left. There is no answer. */
+    z.object({ kind: z.literal("withdraw"), key: placementKey, service: z.string().max(maxIdLength) }),
+] as const;
+
+const refusalReasons = ["full", "wait", "expired"] as const satisfies readonly DispatchRefusalReason[];
+const placeAnswer = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("placed"), upstream: z.string() }),
+    z.object({ kind: z.literal("refused"), reason: z.enum(refusalReasons), retryAfter: ms, expectedWait: ms,
+        ahead: nonNegativeInteger }),
+    z.object({ kind: z.literal("noEngine") }),
+    z.object({ kind: z.literal("withdrawn") }),
+]);
+
+const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas, ...permitCallSchemas,
+    ...dispatchCallSchemas]);
 const peerRequestSchema = z.object({ id: nonNegativeInteger, call: peerCallSchema });
 const storeFailures = ["refused", "away", "unknown"] as const satisfies readonly StoreFailure[];
 const peerAnswerSchema = z.union([
@@ -80,6 +118,9 @@
     recall: z.enum(["settled", "gone", "pending"]),
     permit: permitAnswer,
     rateLimit: z.literal(true),
+    place: placeAnswer,
+    release: z.undefined(),
+    withdraw: z.undefined(),
 } as const satisfies Record<PeerCall["kind"], z.ZodType>;
 
 /** Any request between gateways. */
@@ -97,6 +138,15 @@
 /** The answer to a request for a permit. */
 export type PermitAnswer = z.infer<typeof permitAnswer>;
 
+/** A request that concerns the placement of a call at an engine. */
+export type DispatchPeerCall = z.infer<(typeof dispatchCallSchemas)[number]>;
+
+/** The answer to a request for a place. */
+export type PlaceAnswer = z.infer<typeof placeAnswer>;
+
+/** A call that is not answered. */
+export type PeerNotice = Extract<DispatchPeerCall, { kind: "release" | "withdraw"; }>;
+
 /** A call with the id that its answer repeats. */
 export type PeerRequest = z.infer<typeof peerRequestSchema>;
 
@@ -134,6 +184,16 @@
     return permitCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
 }
 
+/** Whether a call concerns the placement of a call at an engine. */
+export function isDispatchCall(call: PeerCall): call is DispatchPeerCall {
+    return call.kind === "place" || isNotice(call);
+}
+
+/** Whether a call is not answered. */
+export function isNotice(call: PeerCall): call is PeerNotice {
+    return call.kind === "release" || call.kind === "withdraw";
+}
+
 function decode<Schema extends z.ZodType>(schema: Schema, data: Buffer): z.infer<Schema> | undefined {
     try {
         return schema.safeParse(unpack(data)).data;
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -4,10 +4,12 @@
 import { createServer } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
+import type { Dispatcher, DispatcherSession } from "./dispatcher.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
-import { decodePeerRequest, isPermitCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
-    type PermitCall, type RelayedCall, type TokenCall } from "./peerMessage.ts";
+import { decodePeerRequest, type DispatchPeerCall, isDispatchCall, isNotice, isPermitCall, isTokenCall,
+    maxPeerMessageBytes, type PeerAnswer, type PeerCall, type PermitCall, type RelayedCall,
+    type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
 
 /** Parts of a peer server. */
@@ -18,6 +20,7 @@
     readonly health: StoreHealth;
     readonly lender: TokenLender;
     readonly permitIssuer: PermitIssuer;
+    readonly dispatcher: Pick<Dispatcher, "open">;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -27,8 +30,8 @@
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, lends tokens of programs and issues permits. Calls are
- * served without it, so the start does not wait until it listens.
+ * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits and places calls.
+ * Calls are served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
@@ -42,16 +45,18 @@
         .catch((error: Error) => log.warn("peers.unavailable", { reason: error.message }));
     let relayedCalls = 0;
     server.on("connection", socket => {
+        const session = parts.dispatcher.open();
+        socket.on("close", () => session[Symbol.dispose]());
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
         socket.on("message", data => {
-            handleMessage(socket, data as Buffer).catch((error: Error) => {
+            handleMessage(socket, session, data as Buffer).catch((error: Error) => {
                 log.warn("peer.broken", { reason: error.stack ?? error.message });
                 socket.terminate();
             });
         });
     });
 
-    async function handleMessage(socket: WebSocket, data: Buffer): Promise<void> {
+    async function handleMessage(socket: WebSocket, session: DispatcherSession, data: Buffer): Promise<void> {
         const request = decodePeerRequest(data);
         if (request === undefined) {
             log.warn("peer.unreadable", {});
@@ -59,7 +64,11 @@
             return;
         }
         const { id, call } = request;
-        const answer = await answerTo(id, call);
+        if (isNotice(call)) {
+            session.notify(call);
+            return;
+        }
+        const answer = isDispatchCall(call) ? { id, result: await session.place(call) } : await answerTo(id, call);
         if (socket.readyState === socket.OPEN) {
             socket.send(pack(answer));
         }
@@ -69,7 +78,7 @@
         }
     }
 
-    async function answerTo(id: number, call: PeerCall): Promise<PeerAnswer> {
+    async function answerTo(id: number, call: Exclude<PeerCall, DispatchPeerCall>): Promise<PeerAnswer> {
         if (isTokenCall(call)) {
             return { id, result: await handleTokenCall(call) };
         }
--- a/packages/gateway/src/sendPlan.ts
+++ b/packages/gateway/src/sendPlan.ts
@@ -8,6 +8,8 @@
     readonly priority: number | undefined;
     /** Turns of the program that came before, as far as known. */
     readonly precedingTurns: number;
+    /** Whether it was decided before that the call is admitted, whatever the load. */
+    readonly isAdmitted: boolean;
     /** Why the call is refused if no upstream with a rate limit takes it, as the others are overloaded. */
     readonly overload: () => RefusalCause | undefined;
     /** Id of the engine that is expected to have the previous turn in its cache, if known. */
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,9 +1,10 @@
-import { type AttemptFailure, type Declaration, hash, maxPermitDelay, nextStep, pickService, type RateLimitStatement,
-    type RecentPrograms, type RefusalCause, type SelectionCriteria,
+import { type AttemptFailure, type Declaration, type EngineOutcome, hash, maxDispatchWait, maxPermitDelay, nextStep,
+    pickService, type RateLimitStatement, type RecentPrograms, type RefusalCause, scopedId, type SelectionCriteria,
     type ServiceRoute } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
+import type { Dispatch, Placement, PlacementRequest } from "./dispatch.ts";
 import type { MemoryLimits } from "./limits.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -25,6 +26,7 @@
 export interface SendParts {
     readonly upstreams: Upstreams;
     readonly rateLimits: RateLimits;
+    readonly dispatch: Dispatch;
     readonly recentPrograms: RecentPrograms;
     readonly declaration: () => Declaration | undefined;
     readonly limits: MemoryLimits;
@@ -41,6 +43,8 @@
     cancel(reason: CancelReason): void;
     /** How long the call has waited for permits to send to upstreams with a rate limit, in ms. */
     permitWait(): number;
+    /** How long the call has waited for the dispatcher's decisions, in ms. */
+    placeWait(): number;
 }
 
 /** `left`: the caller disconnected. `late`: the call timed out, which may be the upstream's fault. */
@@ -61,9 +65,22 @@
 /** Limit of the wait for a permit that leaves out all upstreams with a rate limit. */
 const noLimitedUpstream = -1;
 
+/** The dispatcher is told only of as many prompt parts, and of ids of this length. The tokens of all others count as read anew. */
+const maxPlacedParts = 64;
+const maxPlacedIdLength = 64;
+
+/** An upstream to which a call may be sent now. */
+interface PermittedUpstream {
+    readonly upstream: Upstream;
+    /** Undefined if this gateway has chosen the upstream alone. */
+    readonly placement: Placement | undefined;
+}
+
 /** Starts sending a call. */
-export function startSends({ upstreams, rateLimits, declaration, limits, dataCentre, metrics, log, now }: SendParts,
-    plan: SendPlan): Sends {
+export function startSends(
+    { upstreams, rateLimits, dispatch, declaration, limits, dataCentre, metrics, log, now }: SendParts,
+    plan: SendPlan,
+): Sends {
     const { call } = plan;
     const { route, head } = call;
     const tried = new Set<string>();
@@ -78,18 +95,20 @@
     const cancellation = new AbortController();
     let sentAtCancel = false;
     let permitWait = 0;
+    let placeWait = 0;
     /** Whether no further attempt was made because no upstream had a permit in time. */
     let permitMissing = false;
 
     async function run(): Promise<SendResult> {
         let lastFailure: FailedAttempt | undefined;
         for (let sends = 1; cancelled === undefined; sends += 1) {
-            const upstream = await pickPermitted();
-            if (upstream === undefined) {
+            const picked = await pickPermitted();
+            if (picked === undefined) {
                 permitMissing = upstreams.permitDelay(serviceOf(call, declaration())) !== undefined;
                 break;
             }
-            const end = await attempt(upstream);
+            const { upstream } = picked;
+            const end = await attempt(picked);
             if (cancelled !== undefined) {
                 break;
             }
@@ -120,7 +139,11 @@
     }
 
     /** Picks an upstream to which the call may be sent now. Those that take no request in time are left out. */
-    async function pickPermitted(): Promise<Upstream | undefined> {
+    async function pickPermitted(): Promise<PermittedUpstream | undefined> {
+        const placed = await pickPlaced();
+        if (placed !== "alone") {
+            return placed;
+        }
         for (let requests = 0; cancelled === undefined && requests <= maxPermitRequests; requests += 1) {
             const choice = pick(requests < maxPermitRequests);
             if (choice === undefined) {
@@ -131,12 +154,74 @@
                 return undefined;
             }
             if (await acquirePermit(choice)) {
+                return { upstream, placement: undefined };
+            }
+        }
+        return undefined;
+    }
+
+    /**
+     * Picks the upstream that the dispatcher says. Undefined if there is no place for the call; "alone" if this gateway has to
+     * choose by itself.
+     */
+    async function pickPlaced(): Promise<PermittedUpstream | "alone" | undefined> {
+        const excluded: string[] = [];
+        while (cancelled === undefined && excluded.length < maxPermitRequests) {
+            const service = serviceOf(call, declaration());
+            const askedAt = now();
+            const answer = await dispatch.place(placementRequest(service, excluded), cancellation.signal);
+            placeWait += now() - askedAt;
+            if (answer === undefined) {
+                return "alone";
+            }
+            if (answer.kind !== "placed") {
+                overload = answer.kind === "refused" ? answer.cause : undefined;
+                return undefined;
+            }
+            const upstream = await usePlacement(answer, service);
+            if (upstream !== undefined) {
+                return { upstream, placement: answer };
+            }
+            excluded.push(answer.upstream);
+        }
+        return "alone";
+    }
+
+    /** Returns the upstream of a placement; if the call cannot be sent to it now, releases the placement. */
+    async function usePlacement(placement: Placement, service: string): Promise<Upstream | undefined> {
+        const upstream = upstreams.find(placement.upstream);
+        if (upstream === undefined || upstream.state.isLeaving()) {
+            placement.release(upstream === undefined ? "unused" : "leaving");
+            return undefined;
+        }
+        if (await acquirePermit({ upstream, maxPermitDelay: permitDelayLimit(service) })) {
+            if (cancelled === undefined) {
                 return upstream;
             }
+            placement.release("unused");
+            return undefined;
         }
+        placement.release(cancelled === undefined ? "limited" : "unused");
         return undefined;
     }
 
+    function placementRequest(service: string, excluded: readonly string[]): PlacementRequest {
+        const timeLeft = Math.max(0, call.deadlineAt - now());
+        const { precedingTurns, preferred } = plan;
+        const isExhausted = reachedIds.size >= route.maxUpstreams;
+        return { service, parts: placedParts(), promptTokens: head.promptTokens, maxTokens: head.maxTokens, dataCentre,
+            tried: isExhausted ? [] : [...tried], excluded, ...isExhausted ? { only: [...reachedIds] } : {},
+            ...preferred === undefined ? {} : { preferred }, priority: route.priority, precedingTurns,
+            team: call.team?.name ?? "",
+            ...head.program === undefined ? {} : { program: hash(scopedId(call.scope, head.program)) },
+            maxWait: maxDispatchWait({ route, precedingTurns, wasSent: reachedIds.size > 0, timeLeft }), timeLeft };
+    }
+
+    function placedParts() {
+        const end = head.parts.findIndex(({ id }) => id.length > maxPlacedIdLength);
+        return head.parts.slice(0, Math.min(maxPlacedParts, end < 0 ? Infinity : end));
+    }
+
     async function acquirePermit({ upstream, maxPermitDelay: maxDelay }: ChosenUpstream): Promise<boolean> {
         const askedAt = now();
         const isPermitted = await rateLimits.acquire(upstream.state, maxDelay, cancellation.signal);
@@ -147,7 +232,7 @@
     /** An upstream without a limit takes a new program only if it is not overloaded. */
     function isRefusedForOverload({ state }: Upstream): boolean {
         const isAdmitted = reachedIds.size > 0 || state.rateLimit.isInForce() ||
-            upstreams.permitDelay(state.entry.service) === undefined;
+            (plan.isAdmitted && upstreams.permitDelay(state.entry.service) === undefined);
         overload = isAdmitted ? undefined : plan.overload();
         return overload !== undefined;
     }
@@ -184,9 +269,10 @@
         return upstream === undefined ? undefined : { upstream, maxPermitDelay: maxDelay };
     }
 
-    async function attempt(upstream: Upstream): Promise<AttemptEnd> {
+    async function attempt({ upstream, placement }: PermittedUpstream): Promise<AttemptEnd> {
         const { state } = upstream;
         const end = await startAttemptSafely(upstream);
+        placement?.release(engineOutcome(upstream, end), current?.measured());
         if (end.kind !== "failure" || !end.unreachable) {
             reachedIds.add(state.entry.id);
         }
@@ -204,6 +290,16 @@
         return end;
     }
 
+    function engineOutcome({ state }: Upstream, end: AttemptEnd): EngineOutcome {
+        if (state.isLeaving()) {
+            return "leaving";
+        }
+        if (end.kind !== "failure") {
+            return "answered";
+        }
+        return cancelled === "left" ? "unused" : wasRejected(end) ? "rejected" : "failed";
+    }
+
     /** An error before anything was sent is a failed attempt, so that another upstream is tried. */
     async function startAttemptSafely(upstream: Upstream): Promise<AttemptEnd> {
         try {
@@ -237,7 +333,7 @@
         current?.cancel();
     }
 
-    return { result: run(), cancel, permitWait: () => permitWait };
+    return { result: run(), cancel, permitWait: () => permitWait, placeWait: () => placeWait };
 }
 
 /**
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -12,6 +12,8 @@
     readonly kind: "prepared";
     readonly reservation: TokenReservation;
     readonly history: readonly Turn[];
+    /** Whether the turn is admitted; otherwise that is decided when its upstream is chosen. */
+    readonly isAdmitted: boolean;
 }
 
 /** Why a turn may not run. `left`: its caller has left or its time has ended before it was prepared. */
@@ -121,7 +123,8 @@
 
 /** Prepares the turn with what the store answers now; `unavailable` if it does not answer. */
 async function tryToPrepare(parts: TurnPreparationParts, call: ReceivedCall): Promise<PreparationResult> {
-    const overload = isDecidedAtSend(parts, call) ? undefined : overloadRefusal(parts, call);
+    const isAdmitted = !isDecidedAtSend(parts, call);
+    const overload = isAdmitted ? overloadRefusal(parts, call) : undefined;
     if (overload !== undefined) {
         return { kind: "refused", cause: overload };
     }
@@ -147,7 +150,9 @@
     if (history === "unknown") {
         return { kind: "noSuchTurn" };
     }
-    return reservation === "exhausted" ? { kind: "budgetSpent" } : { kind: "prepared", reservation, history };
+    return reservation === "exhausted"
+        ? { kind: "budgetSpent" }
+        : { kind: "prepared", reservation, history, isAdmitted };
 }
 
 async function findHistory({ turns }: TurnPreparationParts,
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -47,6 +47,7 @@
             estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
             [Symbol.asyncDispose]: async () => undefined },
         rateLimits: { acquire: async () => true, observe: () => undefined },
+        dispatch: { isInForce: () => false, place: async () => undefined },
         recentPrograms: new RecentPrograms(),
         declaration: () => declaration,
         limits: defaultLimits,
@@ -54,8 +55,8 @@
         metrics: createMetrics({ limitedUpstreams: () => new Map() }),
         log,
         now: () => performance.now(),
-    }, { call: receivedCall(), priority: undefined, precedingTurns: 0, overload: () => undefined, preferred: undefined,
-        sink: undefined });
+    }, { call: receivedCall(), priority: undefined, precedingTurns: 0, isAdmitted: true, overload: () => undefined,
+        preferred: undefined, sink: undefined });
     const end = await result;
     assert.equal(end.kind === "answer" && end.upstream, "sound");
     assert.equal(broken.state.inFlight, 0);
