--- a/packages/core/src/gateway/dispatchQueue.ts
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -96,11 +96,15 @@
 
 /** Number of calls that may wait. More would wait longer than their callers do. */
 const maxWaiting = 512;
-/** Time after the start in which an engine that has not reported its load gets only this share of its slots. */
+/** The share of its slots that an engine gets rises to 1 in this time after the start, as its earlier calls are not known. */
 const startMs = 2_000;
 const startShare = 0.25;
-/** Share of the slots that teams above their usual share may use, so that others find free ones. */
-const excessTeamShare = 0.75;
+/**
+ * Shares of what first turns may use that remain to first and later turns of teams above their usual share, so that
+ * others find free slots.
+ */
+const excessFirstTurnShare = 0.65;
+const excessLaterTurnShare = 0.8;
 const drainHalfLifeMs = 500;
 const firstTurnHalfLifeMs = 1_000;
 const usualHalfLifeMs = 60_000;
@@ -225,17 +229,21 @@
         }
         const decisions: QueuedDecision[] = [];
         let firstTurnFailed = false;
+        /** Calls of a lower priority must not take the places that a more urgent one waits for. */
+        let blockedPriority = Infinity;
         for (const next of this.waiting.toSorted((left, right) => this.compare(left, right))) {
             const isFirst = isFirstTurn(next.call);
-            const upstream = firstTurnFailed && isFirst ? undefined : this.tryToPlace(next, now);
+            const isBlocked = (firstTurnFailed && isFirst) || next.call.priority > blockedPriority;
+            const upstream = isBlocked ? undefined : this.tryToPlace(next, now);
             if (upstream !== undefined) {
                 decisions.push(decided(next, { kind: "placed", upstream }, now));
             }
             else if (now >= next.waitsUntil) {
                 decisions.push(decided(next, this.refusal(next, "expired", next.call.maxWait, 0, now), now));
             }
-            else if (isFirst) {
-                firstTurnFailed ||= isUnrestricted(next.call);
+            else if (isUnrestricted(next.call)) {
+                firstTurnFailed ||= isFirst;
+                blockedPriority = Math.min(blockedPriority, next.call.priority);
             }
         }
         if (decisions.length > 0) {
@@ -297,15 +305,22 @@
 
     /** Share of an engine's slots that the call may use; undefined if it may also be one more, read meanwhile. */
     private slotShare(call: DispatchCall): number | undefined {
-        const classShare = isFirstTurn(call) ? this.firstTurnShare : undefined;
-        return this.teams.excess(call.team) > 0 ? (classShare ?? 1) * excessTeamShare : classShare;
+        const isFirst = isFirstTurn(call);
+        if (this.teams.excess(call.team) > 0) {
+            return this.firstTurnShare * (isFirst ? excessFirstTurnShare : excessLaterTurnShare);
+        }
+        return isFirst ? this.firstTurnShare : undefined;
     }
 
     private maxCalls(engine: EngineAccount, slotShare: number | undefined, now: number): number {
         const { slots } = engine.entry;
-        const isStarting = now - this.options.startedAt < startMs && !engine.hasReportedWithin(startMs, now);
-        const limit = slotShare === undefined ? slots + 1 : Math.floor(slots * slotShare);
-        return Math.max(1, isStarting ? Math.min(limit, Math.ceil(slots * startShare)) : limit);
+        const limit = Math.max(1, slotShare === undefined ? slots + 1 : Math.floor(slots * slotShare));
+        const startedFor = now - this.options.startedAt;
+        if (startedFor >= startMs) {
+            return limit;
+        }
+        const ownCalls = Math.ceil(slots * (startShare + (1 - startShare) * startedFor / startMs));
+        return Math.min(limit, ownCalls + engine.estimatedCalls(now) - engine.ownCalls);
     }
 
     /** Whether the prompts before a first turn take longer to read than it may wait. */
--- a/packages/core/src/gateway/engineAccount.ts
+++ b/packages/core/src/gateway/engineAccount.ts
@@ -142,11 +142,6 @@
         return now - this.lastPlacedAt;
     }
 
-    /** Whether a load report came within the given time, in ms. */
-    hasReportedWithin(time: number, now: number): boolean {
-        return now - this.loadAt <= time;
-    }
-
     /** Whether the engine gets no new calls, by its entry or by its answers. */
     isLeaving(): boolean {
         return this.leaving || this.entry.draining;
--- a/packages/core/src/gateway/placement.ts
+++ b/packages/core/src/gateway/placement.ts
@@ -45,10 +45,10 @@
 const targetOccupancy = 0.6;
 /** Share of the time to read a part that counts if its rate warrants a further engine: later calls benefit from it. */
 const warrantedPrefillShare = 0.3;
-/** An engine without calls for this long gets one, so that its state is known and none stays unused. */
-const maxIdleMs = 20_000;
-/** Discount for such an engine: reading a whole prompt there counts little. */
-const idlePrefillShare = 0.2;
+/** An engine without calls for this long gets one that continues nothing, so that its state is known and none stays unused. */
+const maxIdleMs = 15_000;
+/** Advantage of such an engine over the others of its data centre, in ms. */
+const idleAdvantageMs = 1_000;
 /** Share of a part that nobody is known to have that is assumed on the engine to which other gateways send it. */
 const assumedCachedShare = 0.9;
 
@@ -101,11 +101,13 @@
         const slowness = engine.slowness(now);
         const uncachedTokens = Math.max(0, demand.promptTokens - cachedTokens(engine, demand, shares?.assumed));
         const prefillMs = uncachedTokens / basis.prefillTokensPerMs * slowness;
-        const cost = prefillMs * prefillShareOf(engine, firstPart, shares, now) + engine.prefillBacklog(now) +
+        const cost = prefillMs * prefillShareOf(engine, firstPart, shares) + engine.prefillBacklog(now) +
             loadCost(calls, engine, slowness, basis) + random() * modelCosts.jitter;
         if (engine.entry.dataCentre === demand.dataCentre) {
-            if (cost < lowest) {
-                lowest = cost;
+            const isIdle = demand.preferred === undefined && engine.idleTime(now) > maxIdleMs;
+            const homeCost = isIdle ? cost - idleAdvantageMs : cost;
+            if (homeCost < lowest) {
+                lowest = homeCost;
                 best = { engine, uncachedTokens, prefillMs };
             }
         }
@@ -114,7 +116,7 @@
             bestAway = { engine, uncachedTokens, prefillMs };
         }
     }
-    return lowestAway < lowest * (1 - hysteresisShare) ? bestAway : best ?? bestAway;
+    return lowestAway < lowest - Math.abs(lowest) * hysteresisShare ? bestAway : best ?? bestAway;
 }
 
 /** Whether some engine could run the call now or later. */
@@ -190,11 +192,7 @@
     return Math.max(known, previous);
 }
 
-function prefillShareOf(engine: EngineAccount, part: PromptPart | undefined, shares: PartShares | undefined,
-    now: number): number {
-    if (engine.idleTime(now) > maxIdleMs) {
-        return idlePrefillShare;
-    }
+function prefillShareOf(engine: EngineAccount, part: PromptPart | undefined, shares: PartShares | undefined): number {
     return shares?.warrantsFurther === true && !engine.cache.has(part!.id) ? warrantedPrefillShare : 1;
 }
 
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -1,6 +1,7 @@
 import type { Declaration, EngineOutcome, Random, RefusalCause } from "@tamarackgauge/core/gateway";
 import type { AttemptMeasurement } from "./attempt.ts";
 import type { DispatcherSession, PlaceCall } from "./dispatcher.ts";
+import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
 import type { PeerContacts } from "./peerContacts.ts";
 import type { RequestTimeouts } from "./peerLink.ts";
@@ -41,10 +42,6 @@
         limits: RequestTimeouts): Promise<{ readonly result: PlaceAnswer; readonly from: Peer; } | undefined>;
 }
 
-/** Of a gateway that knows no others. */
-export const noAuthorities: DispatchAuthorities = { establishedCount: () => 0, rankCapable: () => [],
-    ask: async () => undefined };
-
 /** Dependencies of the dispatch. */
 export interface DispatchParts {
     readonly authorities: DispatchAuthorities;
@@ -52,7 +49,8 @@
     /** The dispatcher in this process. */
     readonly session: DispatcherSession;
     readonly declaration: () => Declaration | undefined;
-    readonly metrics: Metrics;
+    readonly metrics: Pick<Metrics, "recordPlacement">;
+    readonly log: Log;
     readonly now: () => number;
     readonly random: Random;
 }
@@ -63,37 +61,45 @@
 const silenceTimeoutMs = 150;
 /** Time for the answer beside the wait for a place. */
 const answerMarginMs = 500;
-/** After a failure this gateway decides alone for this long. */
-const aloneMs = 1_000;
+/** A dispatcher that failed is not asked for this long. */
+const awayMs = 1_000;
+/** The second dispatcher is asked for the same call only if it was known at once that the first is away. */
+const maxLostMs = 20;
+/** The second one takes over from the first while that is away. */
+const maxDispatchers = 2;
 /** The ranking is computed anew after this time, as gateways come and go. */
 const rankingMs = 1_000;
 const keyRange = 2 ** 48;
 
 interface Ranking {
-    readonly dispatcher: Peer | undefined;
+    readonly dispatchers: readonly (Peer | undefined)[];
     readonly computedAt: number;
 }
 
 /** Creates the dispatch of a gateway. */
 export function createDispatch(
-    { authorities, contacts, session, declaration, metrics, now, random }: DispatchParts,
+    { authorities, contacts, session, declaration, metrics, log, now, random }: DispatchParts,
 ): Dispatch {
     const rankings = new Map<string, Ranking>();
-    const aloneUntil = new Map<string, number>();
+    const awayUntil = new Map<string, number>();
 
     function isInForce(service: string): boolean {
         return declaration()?.services.get(service)?.model !== undefined &&
-            authorities.establishedCount() >= minGateways && now() >= (aloneUntil.get(service) ?? -Infinity);
+            authorities.establishedCount() >= minGateways && !dispatchersOf(service).every(isAway);
     }
 
-    function dispatcherOf(service: string): Peer | undefined {
+    function dispatchersOf(service: string): readonly (Peer | undefined)[] {
         const known = rankings.get(service);
         if (known !== undefined && now() - known.computedAt < rankingMs) {
-            return known.dispatcher;
+            return known.dispatchers;
         }
-        const [dispatcher] = authorities.rankCapable(`dispatch ${service}`, 1);
-        rankings.set(service, { dispatcher, computedAt: now() });
-        return dispatcher;
+        const dispatchers = authorities.rankCapable(`dispatch ${service}`, maxDispatchers);
+        rankings.set(service, { dispatchers, computedAt: now() });
+        return dispatchers;
+    }
+
+    function isAway(dispatcher: Peer | undefined): boolean {
+        return dispatcher !== undefined && now() < (awayUntil.get(dispatcher.name) ?? -Infinity);
     }
 
     async function place(request: PlacementRequest, signal: AbortSignal) {
@@ -101,34 +107,50 @@
             return undefined;
         }
         const call: PlaceCall = { kind: "place", key: Math.floor(random() * keyRange), ...request };
-        const dispatcher = dispatcherOf(request.service);
+        const askedAt = now();
+        for (const dispatcher of dispatchersOf(request.service)) {
+            if (isAway(dispatcher) || now() - askedAt > maxLostMs) {
+                continue;
+            }
+            const answer = await askOne(dispatcher, call, signal);
+            if (answer !== undefined) {
+                return outcomeOf(answer, call, dispatcher);
+            }
+        }
+        metrics.recordPlacement("alone");
+        return undefined;
+    }
+
+    /** Undefined if the dispatcher does not answer. */
+    async function askOne(dispatcher: Peer | undefined, call: PlaceCall,
+        signal: AbortSignal): Promise<PlaceAnswer | undefined> {
         const withdraw = () => notify(dispatcher, { kind: "withdraw", key: call.key, service: call.service });
         signal.addEventListener("abort", withdraw, { once: true });
-        const answer = await ask(dispatcher, call);
+        const answer = dispatcher === undefined ? await session.place(call) : await askPeer(dispatcher, call);
         signal.removeEventListener("abort", withdraw);
         if (signal.aborted && answer?.kind === "placed") {
+            // Placed before the dispatcher knew that the caller has left.
             withdraw();
+            return { kind: "withdrawn" };
         }
-        return outcomeOf(signal.aborted ? { kind: "withdrawn" } : answer, call, dispatcher);
+        return answer;
     }
 
-    async function ask(dispatcher: Peer | undefined, call: PlaceCall): Promise<PlaceAnswer | undefined> {
-        if (dispatcher === undefined) {
-            return session.place(call);
-        }
+    async function askPeer(dispatcher: Peer, call: PlaceCall): Promise<PlaceAnswer | undefined> {
         const answered = await authorities.ask([dispatcher], call, { timeout: call.maxWait + answerMarginMs,
             silenceTimeout: silenceTimeoutMs });
         if (answered === undefined) {
-            aloneUntil.set(call.service, now() + aloneMs);
+            awayUntil.set(dispatcher.name, now() + awayMs);
+            log.info("dispatch.away", { service: call.service, dispatcher: dispatcher.name });
         }
         return answered?.result;
     }
 
-    function outcomeOf(answer: PlaceAnswer | undefined, { key, service }: PlaceCall, dispatcher: Peer | undefined):
+    function outcomeOf(answer: PlaceAnswer, { key, service }: PlaceCall, dispatcher: Peer | undefined):
         | Placement
         | PlacementRefusal
         | undefined {
-        switch (answer?.kind) {
+        switch (answer.kind) {
             case "placed":
                 metrics.recordPlacement("placed");
                 return { kind: "placed", upstream: answer.upstream,
@@ -143,7 +165,6 @@
                 metrics.recordPlacement("withdrawn");
                 return answer;
             case "noEngine":
-            case undefined:
                 metrics.recordPlacement("alone");
                 return undefined;
         }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { createCatalog } from "./catalog.ts";
 import { createCleaner } from "./cleaner.ts";
-import { createDispatch, noAuthorities } from "./dispatch.ts";
+import { createDispatch } from "./dispatch.ts";
 import { createDispatcher } from "./dispatcher.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
@@ -125,8 +125,8 @@
     const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
         peers: () => peerList?.registered() ?? [], contacts,
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
-    const dispatch = createDispatch({ authorities: noAuthorities, contacts, session: dispatcher.open(),
-        declaration: catalog.declaration, metrics, now, random: Math.random });
+    const dispatch = createDispatch({ authorities, contacts, session: dispatcher.open(),
+        declaration: catalog.declaration, metrics, log, now, random: Math.random });
     const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
         peers: () => peerList?.registered() ?? [], contacts, metrics, log, now });
