Dispatch: looks only at waiting calls that could get a place

Cause: each end of a call looked for an engine for every waiting call. Change: calls are left out if one before them found no free slot that they could use as well.

--- a/packages/core/src/gateway/dispatchQueue.ts
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -224,33 +224,65 @@
     /** Places the waiting calls for which there is a place now, and refuses those that have waited too long. */
     advance(now: number): readonly QueuedDecision[] {
         this.removeExpired(now);
-        if (this.waiting.length === 0) {
-            return [];
-        }
         const decisions: QueuedDecision[] = [];
-        let firstTurnFailed = false;
-        /** Calls of a lower priority must not take the places that a more urgent one waits for. */
-        let blockedPriority = Infinity;
-        for (const next of this.waiting.toSorted((left, right) => this.compare(left, right))) {
-            const isFirst = isFirstTurn(next.call);
-            const isBlocked = (firstTurnFailed && isFirst) || next.call.priority > blockedPriority;
-            const upstream = isBlocked ? undefined : this.tryToPlace(next, now);
+        for (const next of this.waiting.length === 0 ? [] : this.placeable(now)) {
+            const upstream = this.tryToPlace(next, now);
             if (upstream !== undefined) {
                 decisions.push(decided(next, { kind: "placed", upstream }, now));
+                this.waiting = this.waiting.filter(each => each !== next);
+            }
+        }
+        for (const expired of this.waiting.filter(({ waitsUntil }) => now >= waitsUntil)) {
+            decisions.push(
+                decided(expired, this.refusal(expired, "expired", expired.call.maxWait, 0, now), now),
+            );
+        }
+        this.waiting = this.waiting.filter(({ waitsUntil }) => now < waitsUntil);
+        return decisions;
+    }
+
+    /**
+     * The waiting calls in the order in which they get places. A call is left out if a call before it has found no free slot
+     * that it could use as well, or if a more urgent one waits for a slot.
+     */
+    private *placeable(now: number): Iterable<WaitingCall> {
+        const left = new Set(this.waiting);
+        let blockedLevel = Infinity;
+        let blockedPriority = Infinity;
+        while (left.size > 0) {
+            let next: WaitingCall | undefined;
+            for (const each of left) {
+                if (this.level(each.call) >= blockedLevel || each.call.priority > blockedPriority) {
+                    left.delete(each);
+                }
+                else if (next === undefined || this.compare(each, next) < 0) {
+                    next = each;
+                }
             }
-            else if (now >= next.waitsUntil) {
-                decisions.push(decided(next, this.refusal(next, "expired", next.call.maxWait, 0, now), now));
+            if (next === undefined) {
+                return;
             }
-            else if (isUnrestricted(next.call)) {
-                firstTurnFailed ||= isFirst;
+            left.delete(next);
+            yield next;
+            // A call that lacks memory must not keep smaller ones from running.
+            if (!this.placements.has(next.call.key) && isUnrestricted(next.call) && !this.hasFreeSlot(next.call, now)) {
+                blockedLevel = Math.min(blockedLevel, this.level(next.call));
                 blockedPriority = Math.min(blockedPriority, next.call.priority);
             }
         }
-        if (decisions.length > 0) {
-            const keys = new Set(decisions.map(({ key }) => key));
-            this.waiting = this.waiting.filter(({ call }) => !keys.has(call.key));
-        }
-        return decisions;
+    }
+
+    /** Calls of a higher level may use fewer slots. */
+    private level(call: DispatchCall): number {
+        return (this.teams.excess(call.team) > 0 ? 2 : 0) + Number(isFirstTurn(call));
+    }
+
+    private hasFreeSlot(call: DispatchCall, now: number): boolean {
+        const slotShare = this.slotShare(call);
+        return this.engines.some(engine =>
+            !engine.isLeaving() && !engine.isPaused(now) && !engine.isSuspended(now) &&
+            engine.estimatedCalls(now) < this.maxCalls(engine, slotShare, now)
+        );
     }
 
     /** Number of calls that wait. */
