--- a/packages/core/src/gateway/engineAccount.ts
+++ b/packages/core/src/gateway/engineAccount.ts
@@ -117,7 +117,9 @@
 
     /** Estimated number of calls at the engine: those placed here, and those that only its reports show. */
     estimatedCalls(now: number): number {
-        return this.calls.size + Math.round(this.unaccounted * 0.5 ** ((now - this.loadAt) / unaccountedHalfLifeMs));
+        return this.unaccounted === 0
+            ? this.calls.size
+            : this.calls.size + Math.round(this.unaccounted * 0.5 ** ((now - this.loadAt) / unaccountedHalfLifeMs));
     }
 
     /** Whether the engine has memory for the call. One that exceeds the limit by itself runs alone. */
@@ -132,6 +134,9 @@
 
     /** Processing time relative to that of the service's other engines; at least 1. */
     slowness(now: number): number {
+        if (this.reportedSlowness === 1 && this.pace <= 1) {
+            return 1;
+        }
         const reported = 1 + (this.reportedSlowness - 1) * 0.5 ** ((now - this.loadAt) / slownessHalfLifeMs);
         const measured = 1 + (this.pace - 1) * 0.5 ** ((now - this.paceAt) / paceHalfLifeMs);
         return Math.max(1, reported, measured);
