--- a/packages/core/src/gateway/retryDelay.ts
+++ b/packages/core/src/gateway/retryDelay.ts
@@ -11,7 +11,7 @@
     /** The engines are overloaded; by the end of `expectedWait` the calls that wait now should have started. */
     | { readonly kind: "enginesFull"; readonly expectedWait: number; }
     /** The dispatcher has no place for the call; it tells each caller its own time to come back. */
-    | { readonly kind: "noPlace"; readonly reason: DispatchRefusalReason; readonly retryAfter: number;
+    | { readonly kind: "noPlace"; readonly refusal: DispatchRefusalReason; readonly retryAfter: number;
         readonly expectedWait: number; readonly ahead: number; }
     /** The upstreams refused the call, or no connection to them was free. */
     | { readonly kind: "upstreamsFull"; }
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -160,7 +160,9 @@
                             ...measured?.timing === undefined ? {} : { timing: measured.timing } }) };
             case "refused":
                 metrics.recordPlacement("refused");
-                return { kind: "refused", cause: { ...answer, kind: "noPlace" } };
+                return { kind: "refused", cause: { kind: "noPlace", refusal: answer.reason,
+                    retryAfter: Math.round(answer.retryAfter), expectedWait: Math.round(answer.expectedWait),
+                    ahead: answer.ahead } };
             case "withdrawn":
                 metrics.recordPlacement("withdrawn");
                 return answer;
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -86,7 +86,7 @@
 });
 
 test("a call that the dispatcher refuses is not sent, and its caller is told when to return (guards against engines that are overloaded nevertheless)", async () => {
-    const cause: RefusalCause = { kind: "noPlace", reason: "wait", retryAfter: 1_234, expectedWait: 500, ahead: 3 };
+    const cause: RefusalCause = { kind: "noPlace", refusal: "wait", retryAfter: 1_234, expectedWait: 500, ahead: 3 };
     const dispatch: Dispatch = { isInForce: () => true, place: async () => ({ kind: "refused", cause }) };
     const end = await startSends(sendParts([createUpstream("full", () => assert.fail("sent"))], { dispatch }), plan())
         .result;
