--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export type { Random } from "../clock.ts";
 export { hash, rankByRendezvous } from "../hash.ts";
 export * from "./admission.ts";
 export * from "./answer.ts";
@@ -10,6 +11,9 @@
 export * from "./declarationChanges.ts";
 export * from "./declarationCheck.ts";
 export type { CheckContext } from "./declarationFaults.ts";
+export * from "./dispatchQueue.ts";
+export * from "./dispatchWait.ts";
+export * from "./engineAccount.ts";
 export * from "./event.ts";
 export { createFinding, type Finding, type FindingKind, type FindingPath, quoteName, type Severity,
     sortFindings } from "./finding.ts";
@@ -23,6 +27,7 @@
 export * from "./permitIssuer.ts";
 export * from "./permitSchedule.ts";
 export * from "./permitWait.ts";
+export * from "./placement.ts";
 export * from "./prefixCache.ts";
 export * from "./quotaAuthority.ts";
 export * from "./quotaBucket.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,8 @@
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { createCatalog } from "./catalog.ts";
 import { createCleaner } from "./cleaner.ts";
+import { createDispatch } from "./dispatch.ts";
+import { createDispatcher } from "./dispatcher.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
 import { limitConnections } from "./limitConnections.ts";
@@ -102,9 +104,15 @@
     const { settings, limits, store: direct, callerServer, log, now } = parts;
     let stopping = false;
     const health = createStoreHealth();
-    const metrics = createMetrics({ limitedUpstreams: () => upstreams.limited() });
-    const catalog = createCatalog({ log, onDeclaration: next => frontend.setDeclaration(next),
-        onUpstreams: entries => upstreams.replace(entries) });
+    const metrics = createMetrics({ limitedUpstreams: () => upstreams.limited(),
+        waitingCalls: () => dispatcher.waitingCalls() });
+    const catalog = createCatalog({ log, onDeclaration: next => frontend.setDeclaration(next), onUpstreams(entries) {
+        upstreams.replace(entries);
+        dispatcher.setUpstreams(entries);
+    } });
+    const dispatcher = disposal.own(
+        createDispatcher({ declaration: catalog.declaration, metrics, log, now, random: Math.random }),
+    );
     const peerStore = disposal.own(createPeerStore({ peers: () => peerList?.addresses() ?? [], now }));
     const store = disposal.own(createRoutedStore({ direct, peers: peerStore, health, metrics, log, now, probeRange }));
     const peerListTimes = parts.peerListTimes ?? defaultPeerListTimes;
@@ -133,6 +141,8 @@
                 issuer: randomBytes(4).readUInt32LE(), metrics, log, now, schedule,
                 ranking: { ...authorities, noteSignOfLife: peer => contacts.noteSignOfLife(peer.name) } }),
         );
+    const dispatch = createDispatch({ authorities, contacts, session: dispatcher.open(),
+        declaration: catalog.declaration, metrics, log, now, random: Math.random });
     const rateLimits = createRateLimits({ permits, metrics, log, now });
     const budgets = createSharedBudgets({ ownBudgets: () => ownBudgets, settings,
         peers: () => peerList?.registered() ?? [], contacts, metrics, log, now });
@@ -152,7 +162,7 @@
     });
     limitConnections(readiness, maxSideConnections);
     const frontend = disposal.own(
-        createFrontend({ callerServer, limits, upstreams, rateLimits, recentPrograms: new RecentPrograms(),
+        createFrontend({ callerServer, limits, upstreams, rateLimits, dispatch, recentPrograms: new RecentPrograms(),
             declaration: catalog.declaration, budgets, quotas, turns, storeOutage, initialized: catalog.initialized,
             log, metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
             maxKeyAge: settings.maxKeyAge ?? Infinity }),
@@ -173,7 +183,7 @@
     if (settings.peerAddress !== undefined) {
         disposal.own(
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
-                permitIssuer: permits, quotaServer: quotas, log, now }),
+                permitIssuer: permits, quotaServer: quotas, dispatcher, log, now }),
         );
     }
     await listen(readiness, () => settings.readinessAddress, log);
@@ -190,6 +200,7 @@
     }
 
     async function logSummary(): Promise<void> {
+        dispatcher.logSummary();
         log.info("gateway.summary", { active: frontend.activeCalls(), upstreams: upstreams.count(),
             ...upstreams.summary(), ...await metrics.summary() });
     }
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -4,12 +4,14 @@
 import { createServer } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
+import type { Dispatcher, DispatcherSession } from "./dispatcher.ts";
 import { limitConnections } from "./limitConnections.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
 import { createPeerLinkLimits } from "./peerLinkLimits.ts";
-import { decodePeerRequest, isPermitCall, isQuotaCall, isTokenCall, maxPeerMessageBytes, type PeerAnswer, type PeerCall,
-    type PermitCall, type RelayedCall, type TokenCall } from "./peerMessage.ts";
+import { decodePeerRequest, type DispatchPeerCall, isDispatchCall, isNotice, isPermitCall, isQuotaCall, isTokenCall,
+    maxPeerMessageBytes, type PeerAnswer, type PeerCall, type PermitCall, type RelayedCall,
+    type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
 import type { QuotaServer } from "./quotas.ts";
 
@@ -23,6 +25,7 @@
     readonly permitIssuer: PermitIssuer;
     /** Undefined if no quotas are held. */
     readonly quotaServer: QuotaServer | undefined;
+    readonly dispatcher: Pick<Dispatcher, "open">;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -36,9 +39,8 @@
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits and
- * hands out credits of teams. Calls are
- * served without it, so the start does not wait until it listens.
+ * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits, hands out credits of
+ * teams and places calls. Calls are served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
@@ -57,16 +59,18 @@
     server.on("connection", (socket, request) => {
         stopCounting(request.socket);
         linkLimits.track(socket, request.socket);
+        const session = parts.dispatcher.open();
+        socket.on("close", () => session[Symbol.dispose]());
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
         socket.on("message", data => {
-            handleMessage(socket, data as Buffer).catch((error: Error) => {
+            handleMessage(socket, session, data as Buffer).catch((error: Error) => {
                 log.warn("peer.broken", { reason: error.stack ?? error.message });
                 socket.terminate();
             });
         });
     });
 
-    async function handleMessage(socket: WebSocket, data: Buffer): Promise<void> {
+    async function handleMessage(socket: WebSocket, session: DispatcherSession, data: Buffer): Promise<void> {
         const request = decodePeerRequest(data);
         if (request === undefined) {
             log.warn("peer.unreadable", {});
@@ -74,7 +78,11 @@
             return;
         }
         const { id, call } = request;
-        const answer = await answerTo(id, call);
+        if (isNotice(call)) {
+            session.notify(call);
+            return;
+        }
+        const answer = isDispatchCall(call) ? { id, result: await session.place(call) } : await answerTo(id, call);
         if (socket.readyState === socket.OPEN) {
             socket.send(pack(answer));
         }
@@ -84,7 +92,7 @@
         }
     }
 
-    async function answerTo(id: number, call: PeerCall): Promise<PeerAnswer> {
+    async function answerTo(id: number, call: Exclude<PeerCall, DispatchPeerCall>): Promise<PeerAnswer> {
         if (isTokenCall(call)) {
             return { id, result: await handleTokenCall(call) };
         }
