--- a/packages/daemon/src/committer.ts
+++ b/packages/daemon/src/committer.ts
@@ -34,7 +34,8 @@
     readonly incarnation: string;
     /**
      * Appends steps to a partition's journal. Resolves with the segment that contains them once they are stored;
-     * rejects with a `FencedError` if they cannot be stored.
+     * rejects with a `FencedError` if they cannot be stored, and if the number of the next segment is not known, as the
+     * first segment would be overwritten.
      */
     append(partition: number, steps: readonly ProgramStep[]): Promise<StoredSegment>;
     /** Applies a change after all earlier writes; retries while the store is down. Rejects with a `FencedError`. */
@@ -153,7 +154,8 @@
         }
         for (const entry of batch) {
             pendingBytes -= entry.bytes;
-            entry.resolve(stored.get(entry.partition) ?? { number: 0, bytes: 0 });
+            // A batch stores one segment for each partition that it has entries of.
+            entry.resolve(stored.get(entry.partition)!);
         }
     }
 
@@ -193,7 +195,8 @@
         }
         const stored = new Map<number, StoredSegment>();
         const puts = [...byPartition].map(([partition, steps]) => {
-            const number = nextSegments.get(partition) ?? 0;
+            // `append` takes no entry of a partition whose next segment is not known.
+            const number = nextSegments.get(partition)!;
             nextSegments.set(partition, number + 1);
             const value = segmentRow.encode(steps);
             stored.set(partition, { number, bytes: value.length });
@@ -285,6 +288,9 @@
     }
 
     function append(partition: number, steps: readonly ProgramStep[]): Promise<StoredSegment> {
+        if (!nextSegments.has(partition)) {
+            return Promise.reject(new Error(`the journal of partition ${partition} was not read`));
+        }
         const bytes = segmentRow.encode([...steps]).length;
         pendingBytes += bytes;
         return enqueue((resolve, reject) => ({ type: "entry", partition, steps, bytes, resolve, reject }));
--- a/packages/daemon/test/compactor.test.ts
+++ b/packages/daemon/test/compactor.test.ts
@@ -36,7 +36,7 @@
             snapshots.push(new Map(rows));
         },
     });
-    return createCommitter({
+    const committer = await createCommitter({
         table,
         name: "d1",
         incarnation: "1",
@@ -46,6 +46,9 @@
         commitInterval: 0,
         onFenced: () => undefined,
     });
+    // As after reading an empty journal.
+    committer.setNextSegment(0, 0);
+    return committer;
 }
 
 /** Appends one long and many short programs; a turn of the long one has its own segment or shares it with a short one. */
