Rate limits: a first turn that can get no permit is refused before its tokens are reserved

Cause: where upstreams have rate limits, a first turn reserved its tokens in the store and asked for a permit only then. Beside a busy machine up to 0.9 s passed before its refusal, which was then later than the second that the tests ask. Change: if no upstream of the service takes a request in the time that a first turn waits, as far as the issuers have told in the last second, the turn is refused at once. Evidence: the new test of namedLimits.test.ts counts no store call for the refusal; one before.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,4 +1,5 @@
-import { countPrecedingTurns, decideAdmission, type RefusalCause, scopedId } from "@tamarackgauge/core/gateway";
+import { countPrecedingTurns, decideAdmission, maxPermitDelay, type RefusalCause,
+    scopedId } from "@tamarackgauge/core/gateway";
 import type { ReceivedCall } from "./sendPlan.ts";
 import { type SendParts, serviceOf } from "./sends.ts";
 
@@ -18,6 +19,22 @@
     return dispatch.isInForce(service) || upstreams.permitDelay(service) !== undefined;
 }
 
+/**
+ * Returns why a new program is refused if every upstream that could take it has a rate limit without room in the time that
+ * a first turn waits. It is known before the turn's tokens are reserved, which may take long while the store is slow.
+ */
+export function permitRefusal(parts: SendParts, call: ReceivedCall): RefusalCause | undefined {
+    const { upstreams, declaration, now } = parts;
+    const service = serviceOf(call, declaration());
+    const expectedWait = upstreams.permitDelay(service);
+    if (expectedWait === undefined || precedingTurns(parts, call) > 0) {
+        return undefined;
+    }
+    const maxDelay = maxPermitDelay({ route: call.route, precedingTurns: 0,
+        highLatency: upstreams.estimate(service).highLatency, timeLeft: call.deadlineAt - now() });
+    return upstreams.takesRequestWithin(service, maxDelay) ? undefined : { kind: "rateLimited", expectedWait };
+}
+
 /**
  * Returns why a new program is refused if the engines are overloaded. Only first turns are checked: running programs
  * free capacity when they finish.
--- a/packages/gateway/src/turnPreparation.ts
+++ b/packages/gateway/src/turnPreparation.ts
@@ -1,6 +1,6 @@
 import { maxWait, outageEndsWithin, type RefusalCause, scopedId } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
-import { isDecidedAtSend, overloadRefusal } from "./admission.ts";
+import { isDecidedAtSend, overloadRefusal, permitRefusal } from "./admission.ts";
 import type { BudgetedTurn, Budgets, ReservationResult, TokenReservation } from "./budgets.ts";
 import type { ReceivedCall } from "./sendPlan.ts";
 import type { SendParts } from "./sends.ts";
@@ -124,9 +124,9 @@
 /** Prepares the turn with what the store answers now; `unavailable` if it does not answer. */
 async function tryToPrepare(parts: TurnPreparationParts, call: ReceivedCall): Promise<PreparationResult> {
     const isAdmitted = !isDecidedAtSend(parts, call);
-    const overload = isAdmitted ? overloadRefusal(parts, call) : undefined;
-    if (overload !== undefined) {
-        return { kind: "refused", cause: overload };
+    const refusal = isAdmitted ? overloadRefusal(parts, call) : permitRefusal(parts, call);
+    if (refusal !== undefined) {
+        return { kind: "refused", cause: refusal };
     }
     const historyLookup = findHistory(parts, call);
     // Prevents an unhandled rejection while the reservation is pending; the await below handles the failure.
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -23,6 +23,8 @@
     choose(service: string, criteria: SelectionCriteria): ChosenUpstream | undefined;
     /** Time until a limited upstream of the service is expected to take a request, in ms; undefined if none is limited. */
     permitDelay(service: string): number | undefined;
+    /** Whether an upstream of the service takes a request within `maxDelay` ms, as far as its rate limit is known. */
+    takesRequestWithin(service: string, maxDelay: number): boolean;
     find(id: string): Upstream | undefined;
     /** Tokens in each event of a service's streams, also after the service has left the declaration. */
     tokensPerEvent(service: string): number;
@@ -171,6 +173,11 @@
             : Math.min(...limitedStates.map(state => state.permitDelay(now())));
     }
 
+    function takesRequestWithin(service: string, maxDelay: number): boolean {
+        return [...statesByService.get(service)?.values() ?? []]
+            .some(state => !state.isLeaving() && state.takesRequestWithin(maxDelay, now()));
+    }
+
     /** The rate limits that the upstreams of a service name, in requests a second. */
     function rateLimitsOf(states: ReadonlyMap<string, UpstreamState>): readonly number[] {
         return [...states.values()].flatMap(({ rateLimit }) => rateLimit.requestsPerSecond() ?? []);
@@ -193,6 +200,7 @@
         replace,
         choose,
         permitDelay,
+        takesRequestWithin,
         retire,
         tokensPerEvent,
         find: id => upstreamsById.get(id),
--- a/packages/gateway/test/namedLimits.test.ts
+++ b/packages/gateway/test/namedLimits.test.ts
@@ -111,3 +111,18 @@
     assert.match(reason!, /rate limits were reached/);
     assert.match(limit!, /^i-tool of tools takes 0.2 requests a second/);
 });
+
+test("a first turn that can get no permit is refused without a call of the store (guards against refusals that wait for tokens)", async () => {
+    await using parts = await startFleet();
+    const { fleet, gateway } = parts;
+    fleet.engine.limit(0.2);
+    let refused = 0;
+    for (let index = 0; refused === 0; index += 1) {
+        refused += (await call(gateway, turnCall(`first${index}`, `p${index}`))).status === 503 ? 1 : 0;
+    }
+    const changes = gateway.storeEndpoint.calls().changes;
+    const { status, body } = await call(gateway, turnCall("second", "another"));
+    assert.equal(status, 503);
+    assert.match(body, /rate limits/);
+    assert.equal(gateway.storeEndpoint.calls().changes, changes);
+});
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -43,7 +43,7 @@
 function sendParts(upstreams: readonly Upstream[], changes: Partial<SendParts> = {}): SendParts {
     const candidates = upstreams.map(upstream => ({ upstream, maxPermitDelay: 0 }));
     return {
-        upstreams: { choose: () => candidates.shift(), permitDelay: () => undefined,
+        upstreams: { choose: () => candidates.shift(), permitDelay: () => undefined, takesRequestWithin: () => true,
             find: id => upstreams.find(({ state }) => state.entry.id === id), retire: () => undefined,
             limited: () => new Map(), tokensPerEvent: () => 1, replace: () => undefined,
             estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
