fuzz: odd statuses, interim answers of each kind, and resets during a long upload

An upstream may write 000, 099, 1000, 2OO, nothing, 600 or 999 as its status, send 100 or 102 before its answer, and reset a connection early while up to 1 MB is written to it. An answer without a status of three digits breaks rule MIXED.

--- a/packages/fuzz/src/answers.ts
+++ b/packages/fuzz/src/answers.ts
@@ -38,6 +38,9 @@
         }
         const { message } = parsed;
         const head = readAnswerHead(message);
+        if (!/^HTTP\/1\.[01] [1-9]\d\d(?: |$)/.test(message.startLine)) {
+            return { answers, malformed: `no status: ${message.startLine}` };
+        }
         if (head.status >= firstFinalStatus) {
             answers.push({ ...head, body: message.body.toString("latin1"),
                 complete: message.framing === "none" ? end === "fin" : message.complete });
--- a/packages/fuzz/src/play.ts
+++ b/packages/fuzz/src/play.ts
@@ -17,6 +17,8 @@
 }
 
 /** Time in which a gateway may still send a call whose caller has got its answer. */
+/** Room for the longest body of a script. */
+const maxBodyBytes = 4_194_304;
 const settleMs = 40;
 const readinessIntervalMs = 3;
 const maxStartMs = 30_000;
@@ -36,7 +38,7 @@
             disposal.own(await startUpstreamPeer({ ...recorder, name: `${service}-${index}`, refusedConnections }))
         ),
     );
-    rowStore.put("op", "", "config", gatewayDeclaration);
+    rowStore.put("op", "", "config", { ...gatewayDeclaration, limits: { ...gatewayDeclaration.limits, maxBodyBytes } });
     script.upstreams.forEach(({ service }, index) => register(rowStore, upstreams[index]!, service, "ready"));
     const store = disposal.own(await startStorePeer((await rowStore.open()).port));
     const gateway = disposal.own(await startGateway(store.port));
