Dispatch: a test with whole gateways

Cause: no test showed that a gateway's turns reach the dispatcher in another gateway. Change: two gateways among 24 serve turns, and the one that ranks second asks the other.

--- a/packages/gateway/test/dispatch.test.ts
+++ b/packages/gateway/test/dispatch.test.ts
@@ -1,5 +1,6 @@
 import { createStoreHealth, hash, type UpstreamEntry } from "@tamarackgauge/core/gateway";
-import { decodeDeclaration } from "@tamarackgauge/platform";
+import { createStore, decodeDeclaration } from "@tamarackgauge/platform";
+import { pack } from "msgpackr";
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { test, type TestContext } from "node:test";
@@ -9,9 +10,10 @@
 import { createDispatcher, type Dispatcher } from "../src/dispatcher.ts";
 import { createMetrics } from "../src/metrics.ts";
 import { createPeerContacts, type PeerContacts } from "../src/peerContacts.ts";
-import type { Peer } from "../src/peerList.ts";
+import { defaultPeerListTimes, type Peer } from "../src/peerList.ts";
 import { createPeerServer } from "../src/peerServer.ts";
-import { declaration as wireDeclaration, freeAddress, waitUntil } from "./harness.ts";
+import { call, createFleet, declaration as wireDeclaration, freeAddress, type TestGateway, turnCall, waitUntil,
+    waitUntilReady } from "./harness.ts";
 
 const declaration = decodeDeclaration(Buffer.from(JSON.stringify(wireDeclaration)));
 const engine: UpstreamEntry = { id: "i-engine", service: "models", address: "127.0.0.1", port: 1, dataCentre: "a",
@@ -135,3 +137,36 @@
     assert.equal(await few.dispatch.place(request("p1"), signal), undefined);
     assert.equal(createAsker(context, peer).dispatch.isInForce("tools"), false);
 });
+
+/** The second one ranks first for the service. */
+const gatewayNames = ["g2", "g1"];
+
+test("turns at two gateways among 24 are placed by one of them (guards against a dispatcher that no call reaches)", async context => {
+    const fleet = await createFleet();
+    context.after(() => fleet[Symbol.asyncDispose]());
+    const storeEndpoint = await fleet.rowStore.open();
+    const store = createStore({ host: storeEndpoint.address, port: storeEndpoint.port });
+    context.after(() => store[Symbol.asyncDispose]());
+    // Their VMs are small, so that none of them is asked.
+    const value = Buffer.from(pack(["127.0.0.1", 1, "a", 1, 0.01]));
+    const puts = Array.from({ length: 22 },
+        (_, index) => ({ table: "gateways", part: "", key: `small${index}`, value }));
+    await store.change({ puts }, { timeout: 1_000 });
+    const times = { ...defaultPeerListTimes, secondRefreshDelay: 200, refreshInterval: 200, settling: 400 };
+    const gateways: TestGateway[] = [];
+    for (const name of gatewayNames) {
+        const gateway = await fleet.startGateway({ name, peerAddress: await freeAddress() }, undefined, times);
+        await waitUntilReady(gateway);
+        gateways.push(gateway);
+    }
+    const [asker, dispatcher] = gateways;
+    const isDispatcher = ({ logLines }: TestGateway) => logLines.some(({ event }) => event === "dispatch.started");
+    let turns = 0;
+    await waitUntil(async () => {
+        turns += 1;
+        assert.equal((await call(asker!, turnCall(`t${turns}`, `p${turns}`))).status, 200);
+        return isDispatcher(dispatcher!);
+    }, "a turn is placed by the other gateway");
+    assert.equal((await call(dispatcher!, turnCall("own", "own"))).status, 200);
+    assert.equal(isDispatcher(asker!), false);
+});
