dispatch: a report about another start of an engine, or of an unknown placement, changes nothing

A release named only the engine's id, and an engine that is marked as leaving stays so: a late release about an earlier start, or a gateway that read `draining` in an old row, took the restarted engine out of use for good. Places and releases now name the incarnation, outcomes count only for a known placement, and `leaving` is reported only after an announcement in an answer.

Before, the new test found the restarted engine without calls.

--- a/packages/core/src/gateway/dispatchQueue.ts
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -1,6 +1,7 @@
 import type { Random } from "../clock.ts";
 import type { PromptPart, UpstreamEntry } from "./call.ts";
 import { type AgedLoad, EngineAccount, type EngineOutcome } from "./engineAccount.ts";
+import { incarnationOf } from "./incarnation.ts";
 import { chooseEngine, type ChosenEngine, hasCandidate, PartRates, type PlacementBasis,
     type PlacementDemand } from "./placement.ts";
 import { ReturnSchedule } from "./returnSchedule.ts";
@@ -30,7 +31,7 @@
 
 /** What becomes of a call. */
 export type DispatchDecision =
-    | { readonly kind: "placed"; readonly upstream: string; }
+    | { readonly kind: "placed"; readonly upstream: string; /** See `incarnationOf`. */ readonly incarnation: string; }
     | { readonly kind: "refused"; readonly reason: DispatchRefusalReason; /** When a retry is worthwhile, in ms. */
         readonly retryAfter: number; readonly expectedWait: number; /** Number of calls that would have gone first. */
         readonly ahead: number; }
@@ -41,6 +42,8 @@
 export interface DispatchRelease {
     readonly key: number;
     readonly upstream: string;
+    /** The engine's incarnation that the call was placed at. */
+    readonly incarnation: string | undefined;
     readonly outcome: EngineOutcome;
     readonly load: AgedLoad | undefined;
     /** Measurements of a complete answer. */
@@ -185,9 +188,9 @@
             this.usualFirstTurnRate.record(now);
         }
         const ahead = this.waiting.filter(each => isUnrestricted(each.call) && this.compare(each, waitingCall) <= 0);
-        const upstream = ahead.length === 0 ? this.tryToPlace(waitingCall, now) : undefined;
-        if (upstream !== undefined) {
-            return { kind: "placed", upstream };
+        const engine = ahead.length === 0 ? this.tryToPlace(waitingCall, now) : undefined;
+        if (engine !== undefined) {
+            return placedAt(engine);
         }
         const expectedWait = this.expectedWait(waitingCall, ahead, now);
         if (this.waiting.length >= maxWaiting || expectedWait > waitingCall.waitsUntil - now) {
@@ -198,15 +201,21 @@
         return undefined;
     }
 
-    /** Records the end of a placement; returns whether its engine is suspended from now on. */
-    release({ key, upstream, outcome, load, timing }: DispatchRelease, now: number): boolean {
+    /**
+     * Records the end of a placement; returns whether its engine is suspended from now on. A report about another incarnation
+     * tells nothing of the engine, and the outcome of a placement that is not known may be out of date.
+     */
+    release({ key, upstream, incarnation, outcome, load, timing }: DispatchRelease, now: number): boolean {
         const placement = this.endPlacement(key, now);
         const engine = this.enginesById.get(upstream);
-        if (engine === undefined || (placement !== undefined && placement.engine !== engine)) {
+        if (engine === undefined || incarnation !== incarnationOf(engine.entry) ||
+            (placement !== undefined && placement.engine !== engine)) {
             return false;
         }
         const wasSuspended = engine.isSuspended(now);
-        engine.recordOutcome(outcome, now);
+        if (placement !== undefined) {
+            engine.recordOutcome(outcome, now);
+        }
         if (load !== undefined) {
             engine.recordLoad(load, now);
         }
@@ -227,9 +236,9 @@
         this.removeExpired(now);
         const decisions: QueuedDecision[] = [];
         for (const next of this.waiting.length === 0 ? [] : this.placeable(now)) {
-            const upstream = this.tryToPlace(next, now);
-            if (upstream !== undefined) {
-                decisions.push(decided(next, { kind: "placed", upstream }, now));
+            const engine = this.tryToPlace(next, now);
+            if (engine !== undefined) {
+                decisions.push(decided(next, placedAt(engine), now));
                 this.waiting = this.waiting.filter(each => each !== next);
             }
         }
@@ -306,7 +315,7 @@
             firstTurnShare: Math.round(this.firstTurnShare * 100) / 100 };
     }
 
-    private tryToPlace({ call, isReturning }: WaitingCall, now: number): string | undefined {
+    private tryToPlace({ call, isReturning }: WaitingCall, now: number): EngineAccount | undefined {
         const chosen = this.choose(call, now);
         if (chosen === undefined || this.wouldBeginTooLate(chosen, call, now)) {
             return undefined;
@@ -325,7 +334,7 @@
         if (call.parts.length > 0) {
             this.partRates.record(call.parts[0]!.id, call.dataCentre, now);
         }
-        return engine.entry.id;
+        return engine;
     }
 
     private choose(call: DispatchCall, now: number): ChosenEngine | undefined {
@@ -479,6 +488,10 @@
     return excluded.length === 0 && only === undefined;
 }
 
+function placedAt({ entry }: EngineAccount): DispatchDecision {
+    return { kind: "placed", upstream: entry.id, incarnation: incarnationOf(entry) };
+}
+
 function decided({ call, arrivedAt }: WaitingCall, decision: DispatchDecision, now: number): QueuedDecision {
     return { key: call.key, decision, waited: now - arrivedAt };
 }
--- a/packages/core/test/gateway/dispatch.test.ts
+++ b/packages/core/test/gateway/dispatch.test.ts
@@ -1,7 +1,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type DispatchCall, DispatchQueue, EngineAccount, type UpstreamEntry } from "../../src/gateway/index.ts";
+import { type DispatchCall, DispatchQueue, EngineAccount, incarnationOf,
+    type UpstreamEntry } from "../../src/gateway/index.ts";
 import { createRandom } from "../../src/index.ts";
 import { type DispatchResult, simulateDispatch, type TurnRecord } from "./dispatchLoad.ts";
 
@@ -27,7 +28,8 @@
 }
 
 function release(queue: DispatchQueue, key: number, now: number): void {
-    queue.release({ key, upstream: "0", outcome: "answered", load: undefined, timing: undefined }, now);
+    queue.release({ key, upstream: "0", incarnation: incarnationOf(entry), outcome: "answered", load: undefined,
+        timing: undefined }, now);
 }
 
 function shareRefused(turns: readonly TurnRecord[]): number {
@@ -192,3 +194,13 @@
         assert.equal(account.tokens, 0);
     }), { numRuns: 200, seed: 1 });
 });
+
+test("a late report about an earlier start of an engine changes nothing (guards against engines that are left out for good)", () => {
+    const restarted = { ...entry, startedAt: 2 };
+    const queue = fullQueue();
+    queue.setEngines([restarted], 10);
+    const leaving = { upstream: "0", outcome: "leaving", load: undefined, timing: undefined } as const;
+    queue.release({ ...leaving, key: 1, incarnation: incarnationOf(entry) }, 20);
+    queue.release({ ...leaving, key: 99, incarnation: incarnationOf(restarted) }, 20);
+    assert.equal(queue.place(dispatchCall(10), 30)?.kind, "placed");
+});
--- a/packages/core/test/gateway/dispatchLoad.ts
+++ b/packages/core/test/gateway/dispatchLoad.ts
@@ -1,4 +1,4 @@
-import { type DispatchCall, type DispatchDecision, DispatchQueue,
+import { type DispatchCall, type DispatchDecision, DispatchQueue, incarnationOf,
     type UpstreamEntry } from "../../src/gateway/index.ts";
 import { createRandom } from "../../src/index.ts";
 
@@ -181,8 +181,8 @@
             callsByEngine[index]! += 1;
             if (load.isFailing(index, now)) {
                 after(2, () => {
-                    owner.release({ key: call.key, upstream: String(index), outcome: "failed", load: undefined,
-                        timing: undefined }, now);
+                    owner.release({ key: call.key, upstream: String(index), incarnation: incarnationOf(entries[index]!),
+                        outcome: "failed", load: undefined, timing: undefined }, now);
                     advance();
                     runTurn(attempt, [...call.tried, String(index)]);
                 });
@@ -212,8 +212,9 @@
                 pauseMs;
             after(latency, () => {
                 engine.calls.delete(call.key);
-                const release = { key: call.key, upstream: String(index), outcome: "answered" as const,
-                    load: { ...report, age: latency - timeToFirstByte }, timing: { timeToFirstByte, latency, events } };
+                const release = { key: call.key, upstream: String(index), incarnation: incarnationOf(entries[index]!),
+                    outcome: "answered" as const, load: { ...report, age: latency - timeToFirstByte },
+                    timing: { timeToFirstByte, latency, events } };
                 // After a restart of the dispatcher, a gateway reports to the new one.
                 queue.release(release, now);
                 advance();
--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -23,6 +23,8 @@
 export interface Placement {
     readonly kind: "placed";
     readonly upstream: string;
+    /** The incarnation of the upstream that the dispatcher knows; undefined if it does not say. */
+    readonly incarnation: string | undefined;
     release(outcome: EngineOutcome, measured?: AttemptMeasurement): void;
 }
 
@@ -153,9 +155,10 @@
         switch (answer.kind) {
             case "placed":
                 metrics.recordPlacement("placed");
-                return { kind: "placed", upstream: answer.upstream,
+                return { kind: "placed", upstream: answer.upstream, incarnation: answer.incarnation,
                     release: (outcome, measured) =>
                         notify(dispatcher, { kind: "release", key, service, upstream: answer.upstream, outcome,
+                            ...answer.incarnation === undefined ? {} : { incarnation: answer.incarnation },
                             ...measured?.load === undefined ? {} : { load: measured.load },
                             ...measured?.timing === undefined ? {} : { timing: measured.timing } }) };
             case "refused":
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -125,8 +125,8 @@
             withdraw(dispatch, notice.key);
         }
         else {
-            const { load, timing } = notice;
-            if (dispatch.queue.release({ ...notice, load, timing }, now())) {
+            const { incarnation, load, timing } = notice;
+            if (dispatch.queue.release({ ...notice, incarnation, load, timing }, now())) {
                 log.warn("dispatch.suspended", { service: dispatch.service, upstream: notice.upstream });
             }
         }
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -114,14 +114,15 @@
         team: z.string().max(maxIdLength), program: nonNegativeInteger.optional(), maxWait: ms, timeLeft: ms }),
     /** Ends a placement. There is no answer. */
     z.object({ kind: z.literal("release"), key: placementKey, service: z.string().max(maxIdLength), upstream: engineId,
-        outcome: z.enum(engineOutcomes), load: upstreamLoad.optional(), timing: answerTiming.optional() }),
+        incarnation: incarnation.optional(), outcome: z.enum(engineOutcomes), load: upstreamLoad.optional(),
+        timing: answerTiming.optional() }),
     /** Ends a request for a place, as the caller has left. There is no answer. */
     z.object({ kind: z.literal("withdraw"), key: placementKey, service: z.string().max(maxIdLength) }),
 ] as const;
 
 const refusalReasons = ["full", "wait", "expired"] as const satisfies readonly DispatchRefusalReason[];
 const placeAnswer = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("placed"), upstream: z.string() }),
+    z.object({ kind: z.literal("placed"), upstream: z.string(), incarnation: incarnation.optional() }),
     z.object({ kind: z.literal("refused"), reason: z.enum(refusalReasons), retryAfter: ms, expectedWait: ms,
         ahead: nonNegativeInteger }),
     z.object({ kind: z.literal("noEngine") }),
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -1,6 +1,6 @@
-import { type AttemptFailure, type Declaration, type EngineOutcome, hash, maxDispatchWait, maxPermitDelay, nextStep,
-    pickService, type RateLimitStatement, type RecentPrograms, type RefusalCause, scopedId, type SelectionCriteria,
-    type ServiceRoute } from "@tamarackgauge/core/gateway";
+import { type AttemptFailure, type Declaration, type EngineOutcome, hash, incarnationOf, maxDispatchWait,
+    maxPermitDelay, nextStep, pickService, type RateLimitStatement, type RecentPrograms, type RefusalCause, scopedId,
+    type SelectionCriteria, type ServiceRoute } from "@tamarackgauge/core/gateway";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
@@ -199,8 +199,12 @@
     /** Returns the upstream of a placement; if the call cannot be sent to it now, releases the placement. */
     async function usePlacement(placement: Placement, service: string): Promise<Upstream | undefined> {
         const upstream = upstreams.find(placement.upstream);
-        if (upstream === undefined || upstream.state.isLeaving()) {
-            placement.release(upstream === undefined ? "unused" : "leaving");
+        if (upstream === undefined || !isOfIncarnation(upstream, placement.incarnation)) {
+            placement.release("unused");
+            return undefined;
+        }
+        if (upstream.state.isLeaving()) {
+            placement.release(upstream.state.hasAnnouncedLeaving() ? "leaving" : "unused");
             return undefined;
         }
         if (await acquirePermit({ upstream, maxPermitDelay: permitDelayLimit(service) })) {
@@ -300,7 +304,7 @@
     }
 
     function engineOutcome({ state }: Upstream, end: AttemptEnd): EngineOutcome {
-        if (state.isLeaving()) {
+        if (state.hasAnnouncedLeaving()) {
             return "leaving";
         }
         if (end.kind !== "failure") {
@@ -358,6 +362,11 @@
     return left.name === right.name && left.host === right.host && left.prefix === right.prefix;
 }
 
+/** Whether the dispatcher and this gateway know the same start of an upstream. */
+function isOfIncarnation({ state: { entry } }: Upstream, incarnation: string | undefined): boolean {
+    return incarnation === undefined || incarnation === incarnationOf(entry);
+}
+
 /** Whether the upstream was reached and did not accept the call. */
 function wasRejected({ failure, unreachable }: FailedAttempt): boolean {
     return failure === "notRun" && !unreachable;
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -78,7 +78,8 @@
     const releases: string[] = [];
     const dispatch: Dispatch = { isInForce: () => true, async place({ excluded }) {
         const upstream = excluded.includes("limited") ? "sound" : "limited";
-        return { kind: "placed", upstream, release: outcome => void releases.push(`${upstream} ${outcome}`) };
+        return { kind: "placed", upstream, incarnation: undefined,
+            release: outcome => void releases.push(`${upstream} ${outcome}`) };
     } };
     const rateLimits = { acquire: async ({ entry }: UpstreamState) => entry.id === "sound", observe: () => undefined };
     const end = await startSends(sendParts(upstreams, { dispatch, rateLimits }), plan()).result;
