dispatch: a call that was sent before is admitted, goes first, and is sent even if the dispatcher refuses it

A further attempt at a call, whose stream may have begun, was ordered behind all later turns, counted as a first turn where all engines allowed had been tried, and was given up when the dispatcher refused it. The request now says whether an engine was reached. Such a call is not refused on arrival, goes before all others, and if it waits too long its gateway decides alone.

Before, the queue refused such a call (expected wait 2000 ms), and the gateway failed it instead of sending it to the second upstream.

--- a/packages/core/src/gateway/dispatchQueue.ts
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -17,6 +17,8 @@
     readonly priority: number;
     /** Turns of the program that came before. */
     readonly precedingTurns: number;
+    /** Whether an engine was sent the call before, so that it is admitted and refusing it would break its answer. */
+    readonly wasSent?: boolean | undefined;
     /** Empty if the call has no team. */
     readonly team: string;
     /** Identifies the program, to recognize a caller that returns. */
@@ -193,7 +195,8 @@
             return placedAt(engine);
         }
         const expectedWait = this.expectedWait(waitingCall, ahead, now);
-        if (this.waiting.length >= maxWaiting || expectedWait > waitingCall.waitsUntil - now) {
+        if (call.wasSent !== true &&
+            (this.waiting.length >= maxWaiting || expectedWait > waitingCall.waitsUntil - now)) {
             const reason = this.waiting.length >= maxWaiting ? "full" : "wait";
             return this.refusal(waitingCall, reason, expectedWait, ahead.length, now);
         }
@@ -284,7 +287,7 @@
 
     /** Calls of a higher level may use fewer slots. */
     private level(call: DispatchCall): number {
-        return (this.teams.excess(call.team) > 0 ? 2 : 0) + Number(isFirstTurn(call));
+        return (this.isInExcess(call) ? 2 : 0) + Number(isFirstTurn(call));
     }
 
     private hasFreeSlot(call: DispatchCall, now: number): boolean {
@@ -348,12 +351,16 @@
     /** Share of an engine's slots that the call may use; undefined if it may also be one more, read meanwhile. */
     private slotShare(call: DispatchCall): number | undefined {
         const isFirst = isFirstTurn(call);
-        if (this.teams.excess(call.team) > 0) {
+        if (this.isInExcess(call)) {
             return this.firstTurnShare * (isFirst ? excessFirstTurnShare : excessLaterTurnShare);
         }
         return isFirst ? this.firstTurnShare : undefined;
     }
 
+    private isInExcess({ team, wasSent }: DispatchCall): boolean {
+        return wasSent !== true && this.teams.excess(team) > 0;
+    }
+
     private maxCalls(engine: EngineAccount, slotShare: number | undefined, now: number): number {
         const { slots } = engine.entry;
         const limit = Math.max(1, slotShare === undefined ? slots + 1 : Math.floor(slots * slotShare));
@@ -370,9 +377,10 @@
         return isFirstTurn(call) && engine.prefillBacklog(now) > call.maxWait;
     }
 
-    /** Negative if the left call goes first. Teams above their usual share wait for themselves. */
+    /** Negative if the left call goes first. Calls that were sent before are admitted. Teams above their usual share wait for themselves. */
     private compare(left: WaitingCall, right: WaitingCall): number {
-        return this.teams.excess(left.call.team) - this.teams.excess(right.call.team) ||
+        return Number(right.call.wasSent === true) - Number(left.call.wasSent === true) ||
+            this.teams.excess(left.call.team) - this.teams.excess(right.call.team) ||
             left.call.priority - right.call.priority ||
             right.call.precedingTurns - left.call.precedingTurns ||
             Number(right.isReturning) - Number(left.isReturning) ||
@@ -472,9 +480,9 @@
     }
 }
 
-function isFirstTurn({ precedingTurns, tried }: DispatchCall): boolean {
+function isFirstTurn({ precedingTurns, tried, wasSent }: DispatchCall): boolean {
     // A call that was sent before has been admitted.
-    return precedingTurns === 0 && tried.length === 0;
+    return precedingTurns === 0 && tried.length === 0 && wasSent !== true;
 }
 
 /** Callers may repeat a part. It is counted once, and the rest of the prompt as read anew. */
--- a/packages/core/test/gateway/dispatch.test.ts
+++ b/packages/core/test/gateway/dispatch.test.ts
@@ -147,6 +147,15 @@
     assert.deepEqual(order, [14, 13, 12, 15, 11, 10]);
 });
 
+test("a call that was sent before is admitted and goes first (guards against streams that break for lack of a place)", () => {
+    const queue = fullQueue();
+    const later = { precedingTurns: 5, maxWait: 5_000, timeLeft: 9_000 };
+    assert.equal(queue.place(dispatchCall(10, later), 0), undefined);
+    assert.equal(queue.place(dispatchCall(11, { wasSent: true, maxWait: 50, priority: 1 }), 0), undefined);
+    release(queue, 1, 10);
+    assert.deepEqual(queue.advance(10).map(({ key, decision }) => [key, decision.kind]), [[11, "placed"]]);
+});
+
 test("a call that has waited too long, has left or has ended takes no place (guards against places that are lost)", () => {
     const queue = fullQueue();
     assert.equal(queue.place(dispatchCall(10, { precedingTurns: 1, maxWait: 150 }), 0), undefined);
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -111,7 +111,8 @@
         parts: z.array(promptPart).max(maxListLength).readonly(), promptTokens: tokenCount, maxTokens: tokenCount,
         dataCentre: z.string().max(maxIdLength), tried: engineIds, excluded: engineIds, only: engineIds.optional(),
         preferred: engineId.optional(), priority: z.number(), precedingTurns: nonNegativeInteger,
-        team: z.string().max(maxIdLength), program: nonNegativeInteger.optional(), maxWait: ms, timeLeft: ms }),
+        wasSent: z.boolean().optional(), team: z.string().max(maxIdLength), program: nonNegativeInteger.optional(),
+        maxWait: ms, timeLeft: ms }),
     /** Ends a placement. There is no answer. */
     z.object({ kind: z.literal("release"), key: placementKey, service: z.string().max(maxIdLength), upstream: engineId,
         incarnation: incarnation.optional(), outcome: z.enum(engineOutcomes), load: upstreamLoad.optional(),
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -183,6 +183,10 @@
             if (answer === undefined) {
                 return "alone";
             }
+            if (answer.kind === "refused" && reachedIds.size > 0) {
+                // Its answer may have begun, so that it is better sent to a full engine than given up.
+                return "alone";
+            }
             if (answer.kind !== "placed") {
                 overload = answer.kind === "refused" ? answer.cause : undefined;
                 return undefined;
@@ -225,7 +229,7 @@
         return { service, parts: placedParts(), promptTokens: head.promptTokens, maxTokens: head.maxTokens, dataCentre,
             tried: isExhausted ? [] : [...tried], excluded, ...isExhausted ? { only: [...reachedIds] } : {},
             ...preferred === undefined ? {} : { preferred }, priority: route.priority, precedingTurns,
-            team: call.team?.name ?? "",
+            wasSent: reachedIds.size > 0, team: call.team?.name ?? "",
             ...head.program === undefined ? {} : { program: hash(scopedId(call.scope, head.program)) },
             maxWait: maxDispatchWait({ route, precedingTurns, wasSent: reachedIds.size > 0, timeLeft }), timeLeft };
     }
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -30,15 +30,15 @@
 }
 
 const log = { info: () => undefined, warn: () => undefined };
-const answersAtOnce: UpstreamClient["send"] = (_, observer) => {
+const answersWith = (status: number, notRun: boolean): UpstreamClient["send"] => (_, observer) => {
     queueMicrotask(() => {
-        observer.head({ status: 200, callId: "1", notRun: false, misdirected: false, spoiled: false, signed: true,
-            encoded: false, load: undefined, leaving: false, rateLimit: { kind: "unlimited" },
-            closesConnection: false }, {});
+        observer.head({ status, callId: "1", notRun, misdirected: false, spoiled: false, signed: true, encoded: false,
+            load: undefined, leaving: false, rateLimit: { kind: "unlimited" }, closesConnection: false }, {});
         observer.end();
     });
     return { wasSent: () => true, cancel: () => undefined, pause: () => undefined, resume: () => undefined };
 };
+const answersAtOnce = answersWith(200, false);
 
 function sendParts(upstreams: readonly Upstream[], changes: Partial<SendParts> = {}): SendParts {
     const candidates = upstreams.map(upstream => ({ upstream, maxPermitDelay: 0 }));
@@ -95,3 +95,17 @@
     assert.ok(end.kind === "failed" && end.failure === "notRun");
     assert.equal(retryDelay(end.cause, () => 0), 1_234);
 });
+
+test("a call that was sent before is sent again although the dispatcher refuses it (guards against answers that break off)", async () => {
+    const upstreams = [createUpstream("full", answersWith(503, true)), createUpstream("sound", answersAtOnce)];
+    const cause: RefusalCause = { kind: "noPlace", refusal: "expired", retryAfter: 100, expectedWait: 500, ahead: 3 };
+    const dispatch: Dispatch = { isInForce: () => true, async place({ wasSent }) {
+        return wasSent === true
+            ? { kind: "refused", cause }
+            : { kind: "placed", upstream: "full", incarnation: undefined, release: () => undefined };
+    } };
+    const parts = sendParts(upstreams, { dispatch });
+    parts.upstreams.choose("tools", {} as Parameters<typeof parts.upstreams.choose>[1]);
+    const end = await startSends(parts, plan()).result;
+    assert.equal(end.kind === "answer" && end.upstream, "sound");
+});
