dispatch: a refused caller's time to return starts anew after 1 s without refusals

Each refusal moved the time of the next one on, also for callers that never return, and nothing reset it, so that a single refusal long after an overload was told to wait for tens of seconds. The times of a class now start anew when it had no refusal for 1 s. A caller counts as returning at the time it was told, with the jitter.

Before, a refusal 2 s after 400 others was told 47812 ms.

--- a/packages/core/src/gateway/returnSchedule.ts
+++ b/packages/core/src/gateway/returnSchedule.ts
@@ -3,6 +3,8 @@
 /** Bounds of the time after which a refused caller is to come back. */
 const minDelayMs = 250;
 const maxDelayMs = 60_000;
+/** After this time without a refusal the callers refused earlier no longer delay others: the overload has ended. */
+const calmMs = 1_000;
 /** Callers come back up to this share later than told, so that those who were refused together do not collide. */
 const jitterShare = 0.25;
 /** A caller that comes this much earlier, or later, counts as one that returns as told. */
@@ -13,8 +15,8 @@
 
 /** Tells refused callers when to come back, one after the other, and recognizes those that do. */
 export class ReturnSchedule {
-    /** Time at which the last refused caller of each class is due. */
-    private readonly lastDueAt = new Map<string, number>();
+    /** When the last refused caller of each class was refused, and when it is due. */
+    private readonly last = new Map<string, { readonly refusedAt: number; readonly dueAt: number; }>();
     /** Time at which a program is due; the longest known one is first. */
     private readonly dueAt = new Map<number, number>();
 
@@ -22,14 +24,16 @@
 
     /** Returns the time after which a caller is to come back, in ms. `rate`: callers that can be served per millisecond. */
     schedule(program: number | undefined, group: string, rate: number, now: number): number {
-        const next = Math.max(now + minDelayMs, (this.lastDueAt.get(group) ?? -Infinity) + 1 / rate);
-        const due = Math.min(now + maxDelayMs, next);
-        this.lastDueAt.set(group, due);
-        return this.remember(program, due - now, now);
+        const last = this.last.get(group);
+        const lastDueAt = last === undefined || now - last.refusedAt > calmMs ? -Infinity : last.dueAt;
+        const dueAt = Math.min(now + maxDelayMs, Math.max(now + minDelayMs, lastDueAt + 1 / rate));
+        this.last.set(group, { refusedAt: now, dueAt });
+        return this.remember(program, dueAt - now, now);
     }
 
     /** Returns the time after which a caller is to come back that need not wait for its turn, in ms. */
-    remember(program: number | undefined, delay: number, now: number): number {
+    remember(program: number | undefined, minDelay: number, now: number): number {
+        const delay = minDelay * (1 + this.random() * jitterShare);
         if (program !== undefined) {
             this.dueAt.delete(program);
             this.dueAt.set(program, now + delay);
@@ -38,7 +42,7 @@
                 this.dueAt.delete(oldest!);
             }
         }
-        return delay * (1 + this.random() * jitterShare);
+        return delay;
     }
 
     /** Whether the program was refused before and returns as told. */
--- a/packages/core/test/gateway/dispatch.test.ts
+++ b/packages/core/test/gateway/dispatch.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { type DispatchCall, DispatchQueue, EngineAccount, incarnationOf,
     type UpstreamEntry } from "../../src/gateway/index.ts";
+import { ReturnSchedule } from "../../src/gateway/returnSchedule.ts";
 import { createRandom } from "../../src/index.ts";
 import { type DispatchResult, simulateDispatch, type TurnRecord } from "./dispatchLoad.ts";
 
@@ -213,3 +214,14 @@
     queue.release({ ...leaving, key: 99, incarnation: incarnationOf(restarted) }, 20);
     assert.equal(queue.place(dispatchCall(10), 30)?.kind, "placed");
 });
+
+test("a caller is told to return soon once an overload has ended (guards against programs that give up)", () => {
+    const schedule = new ReturnSchedule(() => 1);
+    for (let program = 0; program < 400; program += 1) {
+        schedule.schedule(program, "", 0.01, 0);
+    }
+    const delay = schedule.schedule(500, "", 0.01, 2_000);
+    assert.ok(delay < 500, `${delay} ms`);
+    assert.equal(schedule.isReturning(500, 2_000 + 160), false, "the time told includes the jitter");
+    assert.equal(schedule.isReturning(500, 2_000 + 312), true);
+});
