dispatch: the trouble of one gateway or caller does not count against an engine for all

Calls that ended by their callers' time limits, and calls that found no free connection of their gateway, were released as failed or rejected, and three failures reported by a single gateway suspended an engine for all. Such calls are now released as unused unless the engine missed its progress timeout, and failures that a single gateway reports count only if it got answers within the last 10 s.

Before, three failures of one gateway without answers suspended the engine, and a late call was released as failed.

--- a/packages/core/src/gateway/dispatchQueue.ts
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -1,6 +1,6 @@
 import type { Random } from "../clock.ts";
 import type { PromptPart, UpstreamEntry } from "./call.ts";
-import { type AgedLoad, EngineAccount, type EngineOutcome } from "./engineAccount.ts";
+import { type AgedLoad, EngineAccount, type EngineOutcome, type FailureReporter } from "./engineAccount.ts";
 import { incarnationOf } from "./incarnation.ts";
 import { chooseEngine, type ChosenEngine, hasCandidate, PartRates, type PlacementBasis,
     type PlacementDemand } from "./placement.ts";
@@ -47,6 +47,7 @@
     /** The engine's incarnation that the call was placed at. */
     readonly incarnation: string | undefined;
     readonly outcome: EngineOutcome;
+    readonly reporter?: FailureReporter;
     readonly load: AgedLoad | undefined;
     /** Measurements of a complete answer. */
     readonly timing:
@@ -208,7 +209,7 @@
      * Records the end of a placement; returns whether its engine is suspended from now on. A report about another incarnation
      * tells nothing of the engine, and the outcome of a placement that is not known may be out of date.
      */
-    release({ key, upstream, incarnation, outcome, load, timing }: DispatchRelease, now: number): boolean {
+    release({ key, upstream, incarnation, outcome, reporter, load, timing }: DispatchRelease, now: number): boolean {
         const placement = this.endPlacement(key, now);
         const engine = this.enginesById.get(upstream);
         if (engine === undefined || incarnation !== incarnationOf(engine.entry) ||
@@ -217,7 +218,7 @@
         }
         const wasSuspended = engine.isSuspended(now);
         if (placement !== undefined) {
-            engine.recordOutcome(outcome, now);
+            engine.recordOutcome(outcome, now, reporter);
         }
         if (load !== undefined) {
             engine.recordLoad(load, now);
--- a/packages/core/src/gateway/engineAccount.ts
+++ b/packages/core/src/gateway/engineAccount.ts
@@ -40,6 +40,18 @@
     readonly age: number;
 }
 
+/** The gateway that reports a failure. */
+export interface FailureReporter {
+    readonly gateway: number;
+    /** Whether it got answers from engines of late, so that the failure is hardly its own. */
+    readonly hasAnswers: boolean;
+}
+
+interface Failure {
+    readonly at: number;
+    readonly reporter: FailureReporter | undefined;
+}
+
 /** Share of an engine's memory that calls in progress may take. An engine may crash when its memory runs out. */
 export const usableMemoryShare = 0.9;
 /** An engine without room for calls is not used for this long if it does not report its load. */
@@ -81,7 +93,7 @@
     private loadAt = -Infinity;
     private pace = 1;
     private paceAt = -Infinity;
-    private failureTimes: readonly number[] = [];
+    private failures: readonly Failure[] = [];
     private suspensions = 0;
     private suspendedUntil = -Infinity;
     private pausedUntil = -Infinity;
@@ -218,15 +230,15 @@
     }
 
     /** Records how an attempt ended. */
-    recordOutcome(outcome: EngineOutcome, now: number): void {
+    recordOutcome(outcome: EngineOutcome, now: number, reporter?: FailureReporter): void {
         switch (outcome) {
             case "answered":
-                this.failureTimes = [];
+                this.failures = [];
                 this.suspensions = 0;
                 this.suspendedUntil = -Infinity;
                 break;
             case "failed":
-                this.recordFailure(now);
+                this.recordFailure({ at: now, reporter }, now);
                 break;
             case "rejected":
                 this.pausedUntil = now + rejectionPauseMs;
@@ -260,10 +272,10 @@
         this.paceAt = now;
     }
 
-    private recordFailure(now: number): void {
-        this.failureTimes = [...this.failureTimes.filter(at => now - at < failureMemoryMs), now];
+    private recordFailure(failure: Failure, now: number): void {
+        this.failures = [...this.failures.filter(({ at }) => now - at < failureMemoryMs), failure];
         const isProbe = this.suspensions > 0 && now >= this.suspendedUntil;
-        if (isProbe || (this.suspensions === 0 && this.failureTimes.length >= suspendingFailures)) {
+        if (isProbe || (this.suspensions === 0 && this.isSuspect())) {
             this.suspendedUntil = now + Math.min(maxSuspensionMs, initialSuspensionMs * 2 ** this.suspensions);
             this.suspensions += 1;
             // A process that failed may have been restarted, which empties its cache.
@@ -271,6 +283,13 @@
         }
     }
 
+    /** Failures that a single gateway has reported count only if it reaches other engines. */
+    private isSuspect(): boolean {
+        const gateways = new Set(this.failures.map(({ reporter }) => reporter?.gateway));
+        return this.failures.length >= suspendingFailures &&
+            (gateways.size > 1 || this.failures.some(({ reporter }) => reporter?.hasAnswers !== false));
+    }
+
     private additionalTokens(call: EngineDemand): number {
         let tokens = privateTokens(call);
         for (const part of call.parts) {
--- a/packages/core/test/gateway/dispatch.test.ts
+++ b/packages/core/test/gateway/dispatch.test.ts
@@ -225,3 +225,13 @@
     assert.equal(schedule.isReturning(500, 2_000 + 160), false, "the time told includes the jitter");
     assert.equal(schedule.isReturning(500, 2_000 + 312), true);
 });
+
+test("the failures of one gateway that reaches no engine suspend none (guards against engines lost by a gateway's own trouble)", () => {
+    const suspendedAfter = (gateways: readonly number[], hasAnswers: boolean) => {
+        const account = new EngineAccount(entry, memoryTokens, 0);
+        gateways.forEach(gateway => account.recordOutcome("failed", 0, { gateway, hasAnswers }));
+        return account.isSuspended(1);
+    };
+    assert.deepEqual([suspendedAfter([1, 1, 1], false), suspendedAfter([1, 1, 1], true),
+        suspendedAfter([1, 2, 1], false)], [false, true, true]);
+});
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,5 +1,5 @@
-import { type Declaration, type DispatchDecision, DispatchQueue, modelCosts, type QueuedDecision, type Random,
-    type UpstreamEntry } from "@tamarackgauge/core/gateway";
+import { type Declaration, type DispatchDecision, DispatchQueue, type FailureReporter, modelCosts, type QueuedDecision,
+    type Random, type UpstreamEntry } from "@tamarackgauge/core/gateway";
 import type { Log } from "./log.ts";
 import type { DispatchRecord, Metrics } from "./metrics.ts";
 import type { DispatchPeerCall, PeerNotice, PlaceAnswer } from "./peerMessage.ts";
@@ -44,6 +44,8 @@
  * The placements of a gateway end this long after its link: it may have lost only the link, and its calls then still run.
  */
 const orphanedMs = 500;
+/** A gateway that got an answer within this time reaches engines. */
+const answerMemoryMs = 10_000;
 /** Number of teams that are named in a summary. */
 const namedTeams = 5;
 
@@ -68,6 +70,7 @@
 export function createDispatcher({ declaration, metrics, log, now, random }: DispatcherParts): Dispatcher {
     const services = new Map<string, ServiceDispatch>();
     let upstreams: readonly UpstreamEntry[] = [];
+    let openedSessions = 0;
 
     /** Undefined if the service has no model. */
     function dispatchOf(service: string): ServiceDispatch | undefined {
@@ -116,7 +119,7 @@
         return new Promise(resolve => dispatch.pending.set(call.key, { call, resolve }));
     }
 
-    function notify(notice: PeerNotice): void {
+    function notify(notice: PeerNotice, reporter?: FailureReporter): void {
         const dispatch = services.get(notice.service);
         if (dispatch === undefined) {
             return;
@@ -126,7 +129,7 @@
         }
         else {
             const { incarnation, load, timing } = notice;
-            if (dispatch.queue.release({ ...notice, incarnation, load, timing }, now())) {
+            if (dispatch.queue.release({ ...notice, incarnation, load, timing, ...reporter && { reporter } }, now())) {
                 log.warn("dispatch.suspended", { service: dispatch.service, upstream: notice.upstream });
             }
         }
@@ -179,6 +182,9 @@
     }
 
     function open(): DispatcherSession {
+        openedSessions += 1;
+        const gateway = openedSessions;
+        let answeredAt = -Infinity;
         /** Services by the key of a placement. */
         const keys = new Map<number, string>();
 
@@ -205,7 +211,8 @@
             place: placeForSession,
             notify(notice) {
                 keys.delete(notice.key);
-                notify(notice);
+                notify(notice, { gateway, hasAnswers: now() - answeredAt < answerMemoryMs });
+                answeredAt = notice.kind === "release" && notice.outcome === "answered" ? now() : answeredAt;
             },
             [Symbol.dispose]: end,
         };
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -314,7 +314,15 @@
         if (end.kind !== "failure") {
             return "answered";
         }
-        return cancelled === "left" ? "unused" : wasRejected(end) ? "rejected" : "failed";
+        if (cancelled !== undefined) {
+            // Callers choose their time limits, so that a late call tells something only if no progress was seen.
+            return end.timedOut === true ? "failed" : "unused";
+        }
+        if (wasRejected(end)) {
+            // Without an answer, this gateway has no free connection.
+            return end.received === undefined ? "unused" : "rejected";
+        }
+        return "failed";
     }
 
     /** An error before anything was sent is a failed attempt, so that another upstream is tried. */
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -109,3 +109,18 @@
     const end = await startSends(parts, plan()).result;
     assert.equal(end.kind === "answer" && end.upstream, "sound");
 });
+
+test("a call that ends by its caller's time limit tells nothing of its upstream (guards against engines suspended for short time limits)", async () => {
+    const upstream = createUpstream("slow",
+        (_, observer) => ({ wasSent: () => true, cancel: () => observer.fail("unknown", "closed"),
+            pause: () => undefined, resume: () => undefined }));
+    const outcomes: string[] = [];
+    const dispatch: Dispatch = { isInForce: () => true,
+        place: async () => ({ kind: "placed", upstream: "slow", incarnation: undefined,
+            release: outcome => void outcomes.push(outcome) }) };
+    const sends = startSends(sendParts([upstream], { dispatch }), plan());
+    await new Promise(resolve => setImmediate(resolve));
+    sends.cancel("late");
+    await sends.result;
+    assert.deepEqual(outcomes, ["unused"]);
+});
