--- a/packages/core/test/gateway/dispatch.test.ts
+++ b/packages/core/test/gateway/dispatch.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { type DispatchCall, DispatchQueue, EngineAccount, incarnationOf,
     type UpstreamEntry } from "../../src/gateway/index.ts";
+import { ReturnSchedule } from "../../src/gateway/returnSchedule.ts";
 import { createRandom } from "../../src/index.ts";
 import { type DispatchResult, simulateDispatch, type TurnRecord } from "./dispatchLoad.ts";
 
@@ -147,6 +148,15 @@
     assert.deepEqual(order, [14, 13, 12, 15, 11, 10]);
 });
 
+test("a call that was sent before is admitted and goes first (guards against streams that break for lack of a place)", () => {
+    const queue = fullQueue();
+    const later = { precedingTurns: 5, maxWait: 5_000, timeLeft: 9_000 };
+    assert.equal(queue.place(dispatchCall(10, later), 0), undefined);
+    assert.equal(queue.place(dispatchCall(11, { wasSent: true, maxWait: 50, priority: 1 }), 0), undefined);
+    release(queue, 1, 10);
+    assert.deepEqual(queue.advance(10).map(({ key, decision }) => [key, decision.kind]), [[11, "placed"]]);
+});
+
 test("a call that has waited too long, has left or has ended takes no place (guards against places that are lost)", () => {
     const queue = fullQueue();
     assert.equal(queue.place(dispatchCall(10, { precedingTurns: 1, maxWait: 150 }), 0), undefined);
@@ -204,3 +214,24 @@
     queue.release({ ...leaving, key: 99, incarnation: incarnationOf(restarted) }, 20);
     assert.equal(queue.place(dispatchCall(10), 30)?.kind, "placed");
 });
+
+test("a caller is told to return soon once an overload has ended (guards against programs that give up)", () => {
+    const schedule = new ReturnSchedule(() => 1);
+    for (let program = 0; program < 400; program += 1) {
+        schedule.schedule(program, "", 0.01, 0);
+    }
+    const delay = schedule.schedule(500, "", 0.01, 2_000);
+    assert.ok(delay < 500, `${delay} ms`);
+    assert.equal(schedule.isReturning(500, 2_000 + 160), false, "the time told includes the jitter");
+    assert.equal(schedule.isReturning(500, 2_000 + 312), true);
+});
+
+test("the failures of one gateway that reaches no engine suspend none (guards against engines lost by a gateway's own trouble)", () => {
+    const suspendedAfter = (gateways: readonly number[], hasAnswers: boolean) => {
+        const account = new EngineAccount(entry, memoryTokens, 0);
+        gateways.forEach(gateway => account.recordOutcome("failed", 0, { gateway, hasAnswers }));
+        return account.isSuspended(1);
+    };
+    assert.deepEqual([suspendedAfter([1, 1, 1], false), suspendedAfter([1, 1, 1], true),
+        suspendedAfter([1, 2, 1], false)], [false, true, true]);
+});
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -183,6 +183,10 @@
             if (answer === undefined) {
                 return "alone";
             }
+            if (answer.kind === "refused" && reachedIds.size > 0) {
+                // Its answer may have begun, so that it is better sent to a full engine than given up.
+                return "alone";
+            }
             if (answer.kind !== "placed") {
                 overload = answer.kind === "refused" ? answer.cause : undefined;
                 return undefined;
@@ -225,7 +229,7 @@
         return { service, parts: placedParts(), promptTokens: head.promptTokens, maxTokens: head.maxTokens, dataCentre,
             tried: isExhausted ? [] : [...tried], excluded, ...isExhausted ? { only: [...reachedIds] } : {},
             ...preferred === undefined ? {} : { preferred }, priority: route.priority, precedingTurns,
-            team: call.team?.name ?? "",
+            wasSent: reachedIds.size > 0, team: call.team?.name ?? "",
             ...head.program === undefined ? {} : { program: hash(scopedId(call.scope, head.program)) },
             maxWait: maxDispatchWait({ route, precedingTurns, wasSent: reachedIds.size > 0, timeLeft }), timeLeft };
     }
@@ -310,7 +314,15 @@
         if (end.kind !== "failure") {
             return "answered";
         }
-        return cancelled === "left" ? "unused" : wasRejected(end) ? "rejected" : "failed";
+        if (cancelled !== undefined) {
+            // Callers choose their time limits, so that a late call tells something only if no progress was seen.
+            return end.timedOut === true ? "failed" : "unused";
+        }
+        if (wasRejected(end)) {
+            // Without an answer, this gateway has no free connection.
+            return end.received === undefined ? "unused" : "rejected";
+        }
+        return "failed";
     }
 
     /** An error before anything was sent is a failed attempt, so that another upstream is tried. */
