--- a/packages/core/src/gateway/dispatchQueue.ts
+++ b/packages/core/src/gateway/dispatchQueue.ts
@@ -109,7 +109,7 @@
 const firstTurnHalfLifeMs = 1_000;
 const usualHalfLifeMs = 60_000;
 /** Lower bound of the share of first turns among the calls that are placed. */
-const minFirstTurnRateShare = 0.05;
+const minFirstTurnRateShare = 0.12;
 /** Share of the spare rate at which refused callers are told to return, and its lower bound. */
 const returnRateShare = 0.7;
 const minReturnRateShare = 0.25;
