--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { createDispatcher } from "./dispatcher.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
+import { limitConnections } from "./limitConnections.ts";
 import type { MemoryLimits } from "./limits.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
@@ -24,6 +25,7 @@
 import { createPeerServer } from "./peerServer.ts";
 import { createPeerStore } from "./peerStore.ts";
 import { createPermits } from "./permits.ts";
+import { createQuotas } from "./quotas.ts";
 import { createRateLimits } from "./rateLimits.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
@@ -68,6 +70,8 @@
  * a second. A change is known later by half of this time on average.
  */
 const upstreamFeedIntervalMs = 400;
+/** Maximum number of connections to the readiness port, and to that of the metrics. */
+const maxSideConnections = 256;
 
 /** Number of parts that probes read. These parts contain no rows, so that answers are small. */
 const probePartCount = 512;
@@ -130,6 +134,13 @@
     const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
         peers: () => peerList?.registered() ?? [], contacts,
         shareOf: (upstream, time) => memberships.shareOf(upstream, time), metrics, now });
+    const quotas = settings.quota === undefined
+        ? undefined
+        : disposal.own(
+            createQuotas({ settings: settings.quota, version: () => catalog.declaration()?.version ?? 0,
+                issuer: randomBytes(4).readUInt32LE(), metrics, log, now, schedule,
+                ranking: { ...authorities, noteSignOfLife: peer => contacts.noteSignOfLife(peer.name) } }),
+        );
     const dispatch = createDispatch({ authorities, contacts, session: dispatcher.open(),
         declaration: catalog.declaration, metrics, log, now, random: Math.random });
     const rateLimits = createRateLimits({ permits, metrics, log, now });
@@ -149,10 +160,11 @@
         const path = (request.url ?? "").split("?")[0];
         response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
     });
+    limitConnections(readiness, maxSideConnections);
     const frontend = disposal.own(
         createFrontend({ callerServer, limits, upstreams, rateLimits, dispatch, recentPrograms: new RecentPrograms(),
-            declaration: catalog.declaration, budgets, turns, storeOutage, initialized: catalog.initialized, log,
-            metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
+            declaration: catalog.declaration, budgets, quotas, turns, storeOutage, initialized: catalog.initialized,
+            log, metrics, now, dataCentre: settings.dataCentre, declarationAge: () => declarationWatch.age(),
             maxKeyAge: settings.maxKeyAge ?? Infinity }),
     );
     const pause = (maxMs: number) => store.pause(maxMs);
@@ -171,7 +183,7 @@
     if (settings.peerAddress !== undefined) {
         disposal.own(
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
-                permitIssuer: permits, dispatcher, log, now }),
+                permitIssuer: permits, quotaServer: quotas, dispatcher, log, now }),
         );
     }
     await listen(readiness, () => settings.readinessAddress, log);
@@ -226,6 +238,12 @@
     };
 }
 
+function schedule(action: () => void, ms: number): Disposable {
+    const timer = setTimeout(action, ms);
+    timer.unref();
+    return { [Symbol.dispose]: () => clearTimeout(timer) };
+}
+
 /** Serves the metrics. Calls are served without them too, so an address that is in use is only logged. */
 function serveMetrics(address: SocketAddress, metrics: Metrics, log: Log): Disposable {
     const server = createServer((_, response) => {
@@ -233,6 +251,7 @@
             response.writeHead(200, { "content-type": "text/plain; version=0.0.4" }).end(text)
         );
     });
+    limitConnections(server, maxSideConnections);
     const stopped = new AbortController();
     listen(server, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("metrics.unavailable", { reason: error.message }));
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -60,6 +60,37 @@
     later: z.object({ requestsPerSecond: requestsPerSecond.optional(), statedAgo }).optional(),
 });
 
+const maxTeamNameLength = 1_000;
+const teamName = z.string().max(maxTeamNameLength);
+/** The quota of a team by the version of the declaration that the asking gateway knows. */
+const declaredQuota = z.object({ version: z.number(), ratePerSecond: z.number().nonnegative(),
+    burst: z.number().nonnegative() });
+const maxCreditCount = 10_000;
+const creditCount = nonNegativeInteger.max(maxCreditCount);
+/** By whom and when credits were issued; only the issuer reads it. */
+const creditIssue = z.object({ issuer: nonNegativeInteger, at: z.number() });
+
+/** Requests to the gateways that decide about the quota of a team. */
+const quotaCallSchemas = [
+    /** Asks for credits, one for each request to be sent; the answer is a `CreditAnswer`. `forwarded`: not to be forwarded again. */
+    z.object({ kind: z.literal("credit"), team: teamName, count: creditCount, quota: declaredQuota,
+        forwarded: z.boolean() }),
+    /** Gives unused credits back. */
+    z.object({ kind: z.literal("creditReturn"), team: teamName, count: creditCount, issue: creditIssue }),
+    /** The home asks its deputy for its share of a quota; the answer holds the credits that the deputy had at hand. */
+    z.object({ kind: z.literal("quotaShare"), team: teamName, quota: declaredQuota }),
+] as const;
+
+const creditAnswer = z.object({
+    granted: creditCount,
+    /** Undefined if the credits cannot be given back. */
+    issue: creditIssue.optional(),
+    /** Milliseconds until there is a credit, if fewer were granted than asked for. */
+    delay: z.number().nonnegative(),
+    /** Milliseconds after which refused callers should come back. */
+    wait: z.number().nonnegative(),
+});
+
 const maxIdLength = 256;
 const maxListLength = 256;
 const engineId = z.string().max(maxIdLength);
@@ -83,14 +114,15 @@
         team: z.string().max(maxIdLength), program: nonNegativeInteger.optional(), maxWait: ms, timeLeft: ms }),
     /** Ends a placement. There is no answer. */
     z.object({ kind: z.literal("release"), key: placementKey, service: z.string().max(maxIdLength), upstream: engineId,
-        outcome: z.enum(engineOutcomes), load: upstreamLoad.optional(), timing: answerTiming.optional() }),
+        incarnation: incarnation.optional(), outcome: z.enum(engineOutcomes), load: upstreamLoad.optional(),
+        timing: answerTiming.optional() }),
     /** Ends a request for a place, as the caller has left. There is no answer. */
     z.object({ kind: z.literal("withdraw"), key: placementKey, service: z.string().max(maxIdLength) }),
 ] as const;
 
 const refusalReasons = ["full", "wait", "expired"] as const satisfies readonly DispatchRefusalReason[];
 const placeAnswer = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("placed"), upstream: z.string() }),
+    z.object({ kind: z.literal("placed"), upstream: z.string(), incarnation: incarnation.optional() }),
     z.object({ kind: z.literal("refused"), reason: z.enum(refusalReasons), retryAfter: ms, expectedWait: ms,
         ahead: nonNegativeInteger }),
     z.object({ kind: z.literal("noEngine") }),
@@ -98,7 +130,7 @@
 ]);
 
 const peerCallSchema = z.discriminatedUnion("kind", [...relayedCallSchemas, ...tokenCallSchemas, ...permitCallSchemas,
-    ...dispatchCallSchemas]);
+    ...quotaCallSchemas, ...dispatchCallSchemas]);
 const peerRequestSchema = z.object({ id: nonNegativeInteger, call: peerCallSchema });
 const storeFailures = ["refused", "away", "unknown"] as const satisfies readonly StoreFailure[];
 const peerAnswerSchema = z.union([
@@ -119,6 +151,10 @@
     recall: z.enum(["settled", "gone", "pending"]),
     permit: permitAnswer,
     rateLimit: z.literal(true),
+    credit: creditAnswer,
+    creditReturn: z.literal(true),
+    /** `tokens` is undefined if the gateway is not the deputy. */
+    quotaShare: z.object({ tokens: z.number().nonnegative().optional() }),
     place: placeAnswer,
     release: z.undefined(),
     withdraw: z.undefined(),
@@ -136,6 +172,15 @@
 /** A request that concerns the rate limit of an upstream. */
 export type PermitCall = z.infer<(typeof permitCallSchemas)[number]>;
 
+/** A request that concerns the quota of a team. */
+export type QuotaCall = z.infer<(typeof quotaCallSchemas)[number]>;
+
+/** The answer to a request for credits. */
+export type CreditAnswer = z.infer<typeof creditAnswer>;
+
+/** By whom and when credits were issued. */
+export type CreditIssue = z.infer<typeof creditIssue>;
+
 /** The answer to a request for a permit. */
 export type PermitAnswer = z.infer<typeof permitAnswer>;
 
@@ -185,6 +230,11 @@
     return permitCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
 }
 
+/** Whether a call concerns the quota of a team. */
+export function isQuotaCall(call: PeerCall): call is QuotaCall {
+    return quotaCallSchemas.some(({ shape }) => shape.kind.value === call.kind);
+}
+
 /** Whether a call concerns the placement of a call at an engine. */
 export function isDispatchCall(call: PeerCall): call is DispatchPeerCall {
     return call.kind === "place" || isNotice(call);
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -5,12 +5,15 @@
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
 import type { Dispatcher, DispatcherSession } from "./dispatcher.ts";
+import { limitConnections } from "./limitConnections.ts";
 import { listen } from "./listen.ts";
 import type { Log } from "./log.ts";
-import { decodePeerRequest, type DispatchPeerCall, isDispatchCall, isNotice, isPermitCall, isTokenCall,
+import { createPeerLinkLimits } from "./peerLinkLimits.ts";
+import { decodePeerRequest, type DispatchPeerCall, isDispatchCall, isNotice, isPermitCall, isQuotaCall, isTokenCall,
     maxPeerMessageBytes, type PeerAnswer, type PeerCall, type PermitCall, type RelayedCall,
     type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
+import type { QuotaServer } from "./quotas.ts";
 
 /** Parts of a peer server. */
 export interface PeerServerParts {
@@ -20,6 +23,8 @@
     readonly health: StoreHealth;
     readonly lender: TokenLender;
     readonly permitIssuer: PermitIssuer;
+    /** Undefined if no quotas are held. */
+    readonly quotaServer: QuotaServer | undefined;
     readonly dispatcher: Pick<Dispatcher, "open">;
     readonly log: Log;
     readonly now: () => number;
@@ -27,16 +32,23 @@
 
 /** Maximum number of concurrent calls made for other gateways; more are refused, so that own calls are not delayed. */
 const maxRelayedCalls = 48;
+/** Gateways send each message in one fragment. */
+const maxFragments = 64;
+/** Maximum number of connections that have not become links. */
+const maxPlainConnections = 512;
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits and places calls.
- * Calls are served without it, so the start does not wait until it listens.
+ * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits, hands out credits of
+ * teams and places calls. Calls are served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
     const httpServer = createServer((_, response) => response.writeHead(upgradeRequiredStatus).end());
-    const server = new WebSocketServer({ noServer: true, maxPayload: maxPeerMessageBytes, perMessageDeflate: false });
+    const server = new WebSocketServer({ noServer: true, maxPayload: maxPeerMessageBytes, perMessageDeflate: false,
+        maxFragments });
+    const linkLimits = createPeerLinkLimits(log, parts.now);
+    const stopCounting = limitConnections(httpServer, maxPlainConnections);
     httpServer.on("upgrade",
         (request, socket, head) =>
             server.handleUpgrade(request, socket, head, link => server.emit("connection", link, request)));
@@ -44,7 +56,9 @@
     listen(httpServer, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("peers.unavailable", { reason: error.message }));
     let relayedCalls = 0;
-    server.on("connection", socket => {
+    server.on("connection", (socket, request) => {
+        stopCounting(request.socket);
+        linkLimits.track(socket, request.socket);
         const session = parts.dispatcher.open();
         socket.on("close", () => session[Symbol.dispose]());
         socket.on("error", error => log.info("peer.failed", { reason: error.message }));
@@ -82,6 +96,11 @@
         if (isTokenCall(call)) {
             return { id, result: await handleTokenCall(call) };
         }
+        if (isQuotaCall(call)) {
+            return parts.quotaServer === undefined
+                ? { id, failure: "refused", reason: "no quotas are held here" }
+                : { id, result: await parts.quotaServer.serve(call) };
+        }
         return isPermitCall(call) ? { id, result: handlePermitCall(call) } : relayToStore(id, call);
     }
 
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -3,6 +3,7 @@
 import { decodeDeclaration, decodeRequest } from "@tamarackgauge/platform";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { freeCallCredit } from "../src/callCredit.ts";
 import type { Dispatch } from "../src/dispatch.ts";
 import { defaultLimits } from "../src/limits.ts";
 import { createMetrics } from "../src/metrics.ts";
@@ -24,7 +25,7 @@
 function receivedCall(): ReceivedCall {
     return { method: "GET", path: "/pay/x", rawHeaders: [], head: decodeRequest({ "x-request-id": "1" })!,
         team: undefined, scope: undefined, route: declaration.routes.find(({ name }) => name === "pay")!,
-        body: undefined, byteAccount: createByteBudget(1_000_000).openAccount(), arrivedAt: 0,
+        body: undefined, byteAccount: createByteBudget(1_000_000, () => performance.now()).openAccount(), arrivedAt: 0,
         deadlineAt: performance.now() + 1_000 };
 }
 
@@ -42,7 +43,7 @@
 function sendParts(upstreams: readonly Upstream[], changes: Partial<SendParts> = {}): SendParts {
     const candidates = upstreams.map(upstream => ({ upstream, maxPermitDelay: 0 }));
     return {
-        upstreams: { choose: () => candidates.shift(), permitDelay: () => undefined,
+        upstreams: { choose: () => candidates.shift(), permitDelay: () => undefined, takesRequestWithin: () => true,
             find: id => upstreams.find(({ state }) => state.entry.id === id), retire: () => undefined,
             limited: () => new Map(), tokensPerEvent: () => 1, replace: () => undefined,
             estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
@@ -60,8 +61,8 @@
     };
 }
 
-const plan = () => ({ call: receivedCall(), priority: undefined, precedingTurns: 0, isAdmitted: true,
-    overload: () => undefined, preferred: undefined, sink: undefined });
+const plan = () => ({ call: receivedCall(), credit: freeCallCredit, priority: undefined, precedingTurns: 0,
+    isAdmitted: true, overload: () => undefined, preferred: undefined, sink: undefined });
 
 test("an error when an attempt starts leads to another upstream, also for a call that runs once (guards against calls closed without an answer)", async () => {
     const broken = createUpstream("broken", () => {
@@ -77,7 +78,8 @@
     const releases: string[] = [];
     const dispatch: Dispatch = { isInForce: () => true, async place({ excluded }) {
         const upstream = excluded.includes("limited") ? "sound" : "limited";
-        return { kind: "placed", upstream, release: outcome => void releases.push(`${upstream} ${outcome}`) };
+        return { kind: "placed", upstream, incarnation: undefined,
+            release: outcome => void releases.push(`${upstream} ${outcome}`) };
     } };
     const rateLimits = { acquire: async ({ entry }: UpstreamState) => entry.id === "sound", observe: () => undefined };
     const end = await startSends(sendParts(upstreams, { dispatch, rateLimits }), plan()).result;
