Dispatch: the place of a caller that leaves before the dispatcher is reached is given back

Cause: a withdrawal was dropped while the link was still being opened, and the request was sent afterwards: the call waited for its place to the end of its wait.

--- a/packages/gateway/src/dispatch.ts
+++ b/packages/gateway/src/dispatch.ts
@@ -123,19 +123,26 @@
         return undefined;
     }
 
-    /** Undefined if the dispatcher does not answer. */
+    /** Undefined if the dispatcher does not answer. A caller that leaves does not wait for the answer. */
     async function askOne(dispatcher: Peer | undefined, call: PlaceCall,
         signal: AbortSignal): Promise<PlaceAnswer | undefined> {
         const withdraw = () => notify(dispatcher, { kind: "withdraw", key: call.key, service: call.service });
-        signal.addEventListener("abort", withdraw, { once: true });
-        const answer = dispatcher === undefined ? await session.place(call) : await askPeer(dispatcher, call);
-        signal.removeEventListener("abort", withdraw);
-        if (signal.aborted && answer?.kind === "placed") {
-            // Placed before the dispatcher knew that the caller has left.
-            withdraw();
-            return { kind: "withdrawn" };
-        }
-        return answer;
+        const answer = dispatcher === undefined ? session.place(call) : askPeer(dispatcher, call);
+        return new Promise((resolve, reject) => {
+            const leave = () => {
+                withdraw();
+                resolve({ kind: "withdrawn" });
+            };
+            signal.addEventListener("abort", leave, { once: true });
+            answer.then(given => {
+                signal.removeEventListener("abort", leave);
+                if (signal.aborted && given?.kind === "placed") {
+                    // The dispatcher did not know that the caller has left, for example as the link was still being opened.
+                    withdraw();
+                }
+                resolve(signal.aborted ? { kind: "withdrawn" } : given);
+            }, reject);
+        });
     }
 
     async function askPeer(dispatcher: Peer, call: PlaceCall): Promise<PlaceAnswer | undefined> {
