--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -99,7 +99,7 @@
     });
 }
 
-test("600 bodies, 60 of them in chunks of one byte, before the first declaration: the process stays within its memory (guards against bodies that nobody counts)", async () => {
+test("460 bodies, 60 of them in chunks of one byte, before the first declaration: the process stays within its memory (guards against bodies that nobody counts)", async () => {
     await using fleet = await createFleet();
     const endpoint = await fleet.rowStore.open();
     endpoint.setFault({ mode: "silent" });
