Budgets: a turn waits up to 40 ms for the link to its program's home

Cause: a turn whose home's link was not open yet took a grant of its own. Change: the turn waits for the link, which opens in a few ms, for 40 ms at most. Evidence: the new test counts no write of the gateway; without the change it fails.

--- a/packages/gateway/src/peerContacts.ts
+++ b/packages/gateway/src/peerContacts.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Log } from "./log.ts";
 import { openPeerLink, type PeerLink, type RequestTimeouts } from "./peerLink.ts";
 import type { Peer } from "./peerList.ts";
@@ -13,6 +14,8 @@
     failingFor(name: string): number;
     /** Whether a call can be sent immediately; if not, a link is being opened. */
     isReady(peer: Peer): boolean;
+    /** Waits until a call can be sent immediately, for `maxMs` at most; returns whether it can. */
+    whenReady(peer: Peer, maxMs: number): Promise<boolean>;
     /**
      * Makes a call once the link is open. If the peer is unreachable or does not answer, rejects and starts a backoff.
      */
@@ -76,6 +79,15 @@
         }
     }
 
+    async function whenReady(peer: Peer, maxMs: number): Promise<boolean> {
+        const link = currentLink(peer);
+        if (!link.isOpen) {
+            // A link that fails to open is logged where it is opened.
+            await Promise.race([link.opened.catch(() => undefined), sleep(maxMs, undefined, { ref: false })]);
+        }
+        return link.isOpen;
+    }
+
     function backOff(peer: Peer, error: Error): void {
         const contact = contactOf(peer.name);
         contact.failingSince ??= now();
@@ -103,6 +115,7 @@
         failingFor: name => now() - (contactOf(name).failingSince ?? now()),
         noteSignOfLife,
         isReady: peer => currentLink(peer).isOpen,
+        whenReady,
         ask,
         notify: (peer, notice) => contactOf(peer.name).link?.notify(notice) ?? false,
         [Symbol.dispose]: () => contacts.forEach(({ link }) => link?.terminate()),
--- a/packages/gateway/src/sharedBudgets.ts
+++ b/packages/gateway/src/sharedBudgets.ts
@@ -26,6 +26,11 @@
 
 /** A home that shows no sign of life within `silence` is bypassed; one that waits for the store has until `timeout`. */
 const loanLimits: RequestTimeouts = { timeout: 1_500, silenceTimeout: 250 };
+/**
+ * A turn waits this long for the link to its home. A grant of its own, beside that of the home, would cost a write, another one to
+ * give it back, and a conflict for the home.
+ */
+const maxLinkOpeningMs = 40;
 const returnLimits: RequestTimeouts = { timeout: 1_000 };
 /** A recall includes a write to the store. */
 const recallLimits: RequestTimeouts = { timeout: 1_000 };
@@ -71,8 +76,7 @@
     }
 
     async function borrow(home: Peer, turn: BudgetedTurn): Promise<LoanOutcome> {
-        // A turn does not wait until a connection is established.
-        if (!contacts.isReady(home)) {
+        if (!await contacts.whenReady(home, maxLinkOpeningMs)) {
             return "unavailable";
         }
         try {
--- a/packages/gateway/test/sharedBudgets.test.ts
+++ b/packages/gateway/test/sharedBudgets.test.ts
@@ -74,6 +74,20 @@
     assert.equal(countChanges(gateways), before);
 });
 
+test("the first turn of a gateway waits for the link to the home (guards against a grant of its own beside that of the home)", async () => {
+    await using fleet = await createFleet();
+    const homeGateway = await fleet.startGateway({ name: home });
+    await waitUntilReady(homeGateway);
+    const two = await fleet.startGateway({ name: "two" });
+    await waitUntilReady(two);
+    await waitUntil(() =>
+        two.logLines.some(({ event }) => event === "gateway.started") &&
+        two.storeEndpoint.answeredReads("gateways") >= 2, "the list of gateways is read");
+    const before = two.storeEndpoint.calls().changes;
+    assert.equal((await call(two, turnWithoutRetention("t0", createProgramId()))).status, 200);
+    assert.equal(two.storeEndpoint.calls().changes, before);
+});
+
 test("a running program continues at any gateway while the store is unavailable (guards against programs that end with an outage)", async () => {
     await using setup = await startGateways();
     const gateways = [setup.one, setup.two];
