Team quotas: a frozen or cut-off home no longer turns grantable calls into refusals

Cause: the lifetime of a credit was counted from before the first gateway was asked, so that a deputy asked after a silent home granted credits that were already too old. The limit for silence began only after the link was open, up to 300 ms later, and each call after a back-off waited for the link again.

Change: a credit's lifetime counts from when the granting gateway was asked. Opening the link and the first sign of life share the limit for silence. The link to a peer that has failed is opened in the background; calls go to the next gateway until it is open.

Before, the tests showed a call refused as 'exceeded' though the deputy granted it, and a peer that accepts connections only given up after 312 to 320 ms instead of 150.

--- a/packages/gateway/src/authorities.ts
+++ b/packages/gateway/src/authorities.ts
@@ -67,7 +67,8 @@
 
     async function ask<const Call extends PeerCall>(ranked: readonly Peer[], call: Call, limits: RequestTimeouts) {
         for (const peer of ranked) {
-            if (contacts.isBackingOff(peer.name)) {
+            // The link to a peer that has failed is opened in the background, as the peer may still be frozen.
+            if (contacts.isBackingOff(peer.name) || (contacts.isFailing(peer.name) && !contacts.isReady(peer))) {
                 continue;
             }
             try {
--- a/packages/gateway/src/peerContacts.ts
+++ b/packages/gateway/src/peerContacts.ts
@@ -1,3 +1,5 @@
+import { StoreError } from "@tamarackgauge/core/gateway";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Log } from "./log.ts";
 import { openPeerLink, type PeerLink, type RequestTimeouts } from "./peerLink.ts";
 import type { Peer } from "./peerList.ts";
@@ -9,6 +11,8 @@
     isBackingOff(name: string): boolean;
     /** Notes that a message of the peer has come, so that it is asked again soon if it has failed. */
     noteSignOfLife(name: string): void;
+    /** Whether the last call failed, or the last attempt to open a link. */
+    isFailing(name: string): boolean;
     /** Milliseconds since the first of the current consecutive failures; 0 if there are none. */
     failingFor(name: string): number;
     /** Whether a call can be sent immediately; if not, a link is being opened. */
@@ -62,9 +66,10 @@
 
     async function ask<const Call extends PeerCall>(peer: Peer, call: Call, limits: RequestTimeouts) {
         const link = currentLink(peer);
-        await link.opened;
+        const startedAt = now();
         try {
-            const result = await link.request(call, limits);
+            await openedWithin(link, limits.silenceTimeout);
+            const result = await link.request(call, afterOpening(limits, now() - startedAt));
             const contact = contactOf(peer.name);
             contact.consecutiveFailures = 0;
             contact.failingSince = undefined;
@@ -100,6 +105,7 @@
 
     return {
         isBackingOff: name => now() < contactOf(name).backoffUntil,
+        isFailing: name => contactOf(name).failingSince !== undefined,
         failingFor: name => now() - (contactOf(name).failingSince ?? now()),
         noteSignOfLife,
         isReady: peer => currentLink(peer).isOpen,
@@ -108,3 +114,29 @@
         [Symbol.dispose]: () => contacts.forEach(({ link }) => link?.terminate()),
     };
 }
+
+/** Rejects if the link is not open within that time, as the kernel accepts connections for a frozen process. */
+async function openedWithin({ isOpen, opened }: PeerLink, timeoutMs: number | undefined): Promise<void> {
+    if (isOpen || timeoutMs === undefined) {
+        return opened;
+    }
+    const controller = new AbortController();
+    const timeout = sleep(timeoutMs, undefined, { signal: controller.signal }).then(() => {
+        throw new StoreError("away", "the link to the peer did not open in time");
+    });
+    // The promise that settles second is ignored.
+    timeout.catch(() => undefined);
+    try {
+        await Promise.race([opened, timeout]);
+    }
+    finally {
+        controller.abort();
+    }
+}
+
+/** The time for opening the link counts as silence, but a peer that has opened it gets half of the limit at least. */
+function afterOpening({ timeout, silenceTimeout }: RequestTimeouts, openingMs: number): RequestTimeouts {
+    return silenceTimeout === undefined
+        ? { timeout }
+        : { timeout, silenceTimeout: Math.max(silenceTimeout / 2, silenceTimeout - openingMs) };
+}
--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -64,6 +64,8 @@
 interface Decision {
     readonly answer: CreditAnswer;
     readonly from: Peer | undefined;
+    /** When this gateway was asked; its credits last from then on. */
+    readonly askedAt: number;
 }
 
 /** While credits are held, or the share of the deputy is needed, the state is brought up to date this often. */
@@ -133,15 +135,14 @@
         }
         known.isAsking = true;
         while (known.waiting.length > 0) {
-            const askedAt = now();
             const waiting = known.waiting.length;
             try {
-                const decision = await ask(known, waiting + known.local.advance(askedAt));
-                settleWaiting(known, known.waiting.splice(0, waiting), decision, askedAt);
+                const decision = await ask(known, waiting + known.local.advance(now()));
+                settleWaiting(known, known.waiting.splice(0, waiting), decision);
             }
             catch (error) {
                 log.warn("quota.broken", { team: known.team.name, reason: (error as Error).stack ?? String(error) });
-                settleWaiting(known, known.waiting.splice(0, waiting), undefined, askedAt);
+                settleWaiting(known, known.waiting.splice(0, waiting), undefined);
             }
         }
         known.isAsking = false;
@@ -152,10 +153,11 @@
         const call = { kind: "credit", team: team.name, count, quota: declared(quota), forwarded: false } as const;
         let last: Decision | undefined;
         for (const candidate of authorities.rank(team.name)) {
+            const askedAt = now();
             const answer = candidate === undefined
                 ? await authorities.issue({ ...call, forwarded: true })
                 : await authorities.ask(candidate, call);
-            last = answer === undefined ? last : { answer, from: candidate };
+            last = answer === undefined ? last : { answer, from: candidate, askedAt };
             if (last !== undefined && (candidate !== undefined || last.answer.granted > 0)) {
                 return last;
             }
@@ -163,17 +165,16 @@
         return last;
     }
 
-    function settleWaiting(known: LocalTeam, waiting: LocalTeam["waiting"], decision: Decision | undefined,
-        askedAt: number): void {
+    function settleWaiting(known: LocalTeam, waiting: LocalTeam["waiting"], decision: Decision | undefined): void {
         const time = now();
         // Credits that come too late to be used go back at once.
-        const inTime = decision !== undefined && isUsable({ askedAt, issue: undefined }, time);
+        const inTime = decision !== undefined && isUsable({ askedAt: decision.askedAt, issue: undefined }, time);
         const granted = decision?.answer.granted ?? 0;
         const usable = inTime ? granted : 0;
         waiting.forEach((resolve, index) =>
             resolve(index < usable
                 ? decided(known, decision!.from === undefined ? "issued" : "asked",
-                    creditOf(known, heldCredit(decision!, askedAt)))
+                    creditOf(known, heldCredit(decision!)))
                 : refuse(known, decision, time))
         );
         if (decision !== undefined && usable < waiting.length) {
@@ -181,7 +182,7 @@
         }
         if (decision !== undefined && inTime) {
             for (let index = waiting.length; index < granted; index += 1) {
-                known.local.hold(heldCredit(decision, askedAt));
+                known.local.hold(heldCredit(decision));
             }
         }
         else if (decision?.answer.issue !== undefined) {
@@ -191,9 +192,9 @@
 
     /** Settles a call about which this gateway has decided. */
     function settle(known: LocalTeam, answer: CreditAnswer, askedAt: number): Credit | QuotaRefusal {
-        const decision: Decision = { answer, from: undefined };
+        const decision: Decision = { answer, from: undefined, askedAt };
         if (answer.granted > 0) {
-            return decided(known, "issued", creditOf(known, heldCredit(decision, askedAt)));
+            return decided(known, "issued", creditOf(known, heldCredit(decision)));
         }
         known.local.recordDenial(answer.delay, answer.wait, now());
         return refuse(known, decision, now());
@@ -213,7 +214,7 @@
         return result;
     }
 
-    function heldCredit({ answer, from }: Decision, askedAt: number): HeldCredit<ReturnAddress> {
+    function heldCredit({ answer, from, askedAt }: Decision): HeldCredit<ReturnAddress> {
         return { askedAt, issue: answer.issue === undefined ? undefined : { ...answer.issue, from } };
     }
 
