Team quotas: a restarted home leaves calls to its deputy and does not drain it

Cause: at the beginning of its role a home hands out none of its share for 600 ms, but it refused the calls meanwhile, asked the deputy for its share, and discarded the answer, so that the share was lost.

Change: such a home does not ask for the deputy's share, and its calls are decided by the deputy, also those of other gateways.

Before, the test showed calls refused that the deputy would have granted.

--- a/packages/core/src/gateway/quotaAuthority.ts
+++ b/packages/core/src/gateway/quotaAuthority.ts
@@ -102,9 +102,9 @@
         this.shared.takeBack(count, issuedAt, now);
     }
 
-    /** Whether the home should ask the deputy for its share. */
+    /** Whether the home should ask the deputy for its share, which it could not hand out at the beginning of its role. */
     needsPromise(now: number): boolean {
-        return this.role === "home" && now < this.scarceUntil;
+        return this.role === "home" && now >= this.abstainsUntil && now < this.scarceUntil;
     }
 
     /** Whether the home has the share of this deputy. */
@@ -145,9 +145,12 @@
         return tokens;
     }
 
-    /** Whether the gateway leaves its share to the home, so that calls are to be decided there. */
+    /**
+     * Whether calls are to be decided by the other gateway of the two, as this one hands out none of its share: a deputy
+     * that has promised it, or a home at the beginning of its role.
+     */
     abstains(now: number): boolean {
-        return this.role === "deputy" && now < this.abstainsUntil;
+        return (this.role === "deputy" || this.role === "home") && now < this.abstainsUntil;
     }
 
     /** Share of the limits that this gateway owns whether or not it is in touch with the other one. */
--- a/packages/gateway/src/quotaAuthorities.ts
+++ b/packages/gateway/src/quotaAuthorities.ts
@@ -193,6 +193,10 @@
         return { ...rest, granted: first.granted + rest.granted, issue: first.granted === 0 ? rest.issue : undefined };
     }
 
+    function abstains(team: string): boolean {
+        return states.get(team)?.authority.abstains(now()) === true;
+    }
+
     function issueOwn({ team, count }: CreditRequest, { authority }: TeamState): CreditAnswer {
         const time = now();
         const grant = authority.issue(count, time);
@@ -263,10 +267,13 @@
     }
 
     return {
-        rank: team => viewOf(team).ranked,
+        rank(team) {
+            const { ranked } = viewOf(team);
+            return abstains(team) ? [...ranked.filter(candidate => candidate !== undefined), undefined] : ranked;
+        },
         isHome(team) {
             const { role } = viewOf(team);
-            return role === "home" || role === "alone";
+            return (role === "home" || role === "alone") && !abstains(team);
         },
         issue,
         takeBack({ team, count, issue: { issuer: by, at } }) {
--- a/packages/gateway/test/quotaFaults.test.ts
+++ b/packages/gateway/test/quotaFaults.test.ts
@@ -67,3 +67,14 @@
     const second = await askFrozen();
     assert.ok(second < 50, `left out after ${second} ms`);
 });
+
+test("a home that has just started leaves calls to its deputy and does not ask for its share (guards against a deputy drained for nothing)", async () => {
+    const kinds: string[] = [];
+    const { quotas } = createSetup({ ranked: [undefined, peerAt("deputy")], since: 100_000, answer: (_, call) => {
+        kinds.push(call.kind);
+        return call.kind === "credit" ? { granted: call.count, delay: 0, wait: 0 } : {};
+    } });
+    const outcomes = await Promise.all(Array.from({ length: 60 }, () => quotas.acquire(team)));
+    assert.ok(outcomes.every(({ kind }) => kind === "credit"));
+    assert.ok(!kinds.includes("quotaShare"));
+});
