Team quotas: an answer of a gateway that cannot decide is no denial

Cause: a gateway that is not among those that decide about a team, or does not know whether it still is, answered as if the quota were used up. The caller got 429, and no other gateway was asked.

Change: such an answer is marked undecided. The next gateway is asked; if none decides, the call gets 503.

Before, the test showed a call refused as 'exceeded' though the deputy would have granted it.

--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -89,6 +89,8 @@
     delay: z.number().nonnegative(),
     /** Milliseconds after which refused callers should come back. */
     wait: z.number().nonnegative(),
+    /** The gateway cannot decide about the team, so that another one is to be asked. */
+    undecided: z.boolean().optional(),
 });
 
 const maxIdLength = 256;
--- a/packages/gateway/src/quotaAuthorities.ts
+++ b/packages/gateway/src/quotaAuthorities.ts
@@ -91,7 +91,7 @@
 const rankedGateways = 2;
 /** A gateway that does not decide tells callers of a gateway that takes it for one to come back after this time. */
 const misdirectedDelayMs = 250;
-const misdirected: CreditAnswer = { granted: 0, delay: 0, wait: misdirectedDelayMs };
+const misdirected: CreditAnswer = { granted: 0, delay: 0, wait: misdirectedDelayMs, undecided: true };
 
 /** Creates the authorities of a gateway. */
 export function createQuotaAuthorities(
@@ -203,10 +203,14 @@
         metrics.recordCredits("granted", grant.granted);
         metrics.recordCredits("denied", count - grant.granted);
         report.recordIssue(team, grant.granted, count - grant.granted);
-        return answerOf(grant, time);
+        return answerOf(grant, time, authority.currentRole());
     }
 
-    function answerOf({ granted, returnable, delay, wait }: CreditGrant, time: number): CreditAnswer {
+    function answerOf({ granted, returnable, delay, wait }: CreditGrant, time: number,
+        role: QuotaRole | undefined): CreditAnswer {
+        if (granted === 0 && role === "unsettled") {
+            return { granted, delay, wait, undecided: true };
+        }
         return returnable && granted > 0
             ? { granted, issue: { issuer, at: time }, delay, wait }
             : { granted, delay, wait };
@@ -220,7 +224,7 @@
         const answer = target === undefined
             ? undefined
             : await ask(target, { kind: "credit", team, count, quota, forwarded: true });
-        if (answer !== undefined) {
+        if (answer !== undefined && answer.undecided !== true) {
             // They would have to go back by the same way.
             return { ...answer, issue: undefined };
         }
--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -148,7 +148,7 @@
         known.isAsking = false;
     }
 
-    /** Asks the gateways that decide, in order; undefined if none of them can be reached. */
+    /** Asks the gateways that decide, in order; undefined if none of them can be reached, or none can decide. */
     async function ask({ team, quota }: LocalTeam, count: number): Promise<Decision | undefined> {
         const call = { kind: "credit", team: team.name, count, quota: declared(quota), forwarded: false } as const;
         let last: Decision | undefined;
@@ -157,7 +157,7 @@
             const answer = candidate === undefined
                 ? await authorities.issue({ ...call, forwarded: true })
                 : await authorities.ask(candidate, call);
-            last = answer === undefined ? last : { answer, from: candidate, askedAt };
+            last = answer === undefined || answer.undecided === true ? last : { answer, from: candidate, askedAt };
             if (last !== undefined && (candidate !== undefined || last.answer.granted > 0)) {
                 return last;
             }
@@ -196,6 +196,9 @@
         if (answer.granted > 0) {
             return decided(known, "issued", creditOf(known, heldCredit(decision)));
         }
+        if (answer.undecided === true) {
+            return refuse(known, undefined, now());
+        }
         known.local.recordDenial(answer.delay, answer.wait, now());
         return refuse(known, decision, now());
     }
--- a/packages/gateway/test/quotaFaults.test.ts
+++ b/packages/gateway/test/quotaFaults.test.ts
@@ -78,3 +78,13 @@
     assert.ok(outcomes.every(({ kind }) => kind === "credit"));
     assert.ok(!kinds.includes("quotaShare"));
 });
+
+test("a gateway that cannot decide is passed over (guards against refusals by a gateway that does not know the quota's state)", async () => {
+    const undecided: CreditAnswer = { granted: 0, delay: 0, wait: 250, undecided: true };
+    const ranked = [peerAt("home"), peerAt("deputy")];
+    const { quotas } = createSetup({ ranked,
+        answer: ({ name }) => name === "home" ? undecided : { granted: 1, delay: 0, wait: 0 } });
+    assert.equal((await quotas.acquire(team)).kind, "credit");
+    const blind = createSetup({ ranked, answer: () => undecided });
+    assert.equal((await blind.quotas.acquire(team)).kind, "unreachable");
+});
