--- a/packages/gateway/test/quotaFaults.test.ts
+++ b/packages/gateway/test/quotaFaults.test.ts
@@ -74,7 +74,7 @@
         kinds.push(call.kind);
         return call.kind === "credit" ? { granted: call.count, delay: 0, wait: 0 } : {};
     } });
-    const outcomes = await Promise.all(Array.from({ length: 60 }, () => quotas.acquire(team)));
+    const outcomes = await Promise.all(Array.from({ length: 60 }, async () => quotas.acquire(team)));
     assert.ok(outcomes.every(({ kind }) => kind === "credit"));
     assert.ok(!kinds.includes("quotaShare"));
 });
