Team quotas: a failure while calls are settled does not block the team's later calls

Cause: if settling the calls failed after a failed request, the team stayed marked as being asked about, and no later call of it asked.

Change: the mark is removed in any case.

--- a/packages/gateway/src/quotas.ts
+++ b/packages/gateway/src/quotas.ts
@@ -134,18 +134,23 @@
             return;
         }
         known.isAsking = true;
-        while (known.waiting.length > 0) {
-            const waiting = known.waiting.length;
-            try {
-                const decision = await ask(known, waiting + known.local.advance(now()));
-                settleWaiting(known, known.waiting.splice(0, waiting), decision);
-            }
-            catch (error) {
-                log.warn("quota.broken", { team: known.team.name, reason: (error as Error).stack ?? String(error) });
-                settleWaiting(known, known.waiting.splice(0, waiting), undefined);
+        try {
+            while (known.waiting.length > 0) {
+                const waiting = known.waiting.length;
+                try {
+                    const decision = await ask(known, waiting + known.local.advance(now()));
+                    settleWaiting(known, known.waiting.splice(0, waiting), decision);
+                }
+                catch (error) {
+                    log.warn("quota.broken", { team: known.team.name,
+                        reason: (error as Error).stack ?? String(error) });
+                    settleWaiting(known, known.waiting.splice(0, waiting), undefined);
+                }
             }
         }
-        known.isAsking = false;
+        finally {
+            known.isAsking = false;
+        }
     }
 
     /** Asks the gateways that decide, in order; undefined if none of them can be reached, or none can decide. */
