gateway: a call that waits for a peer notices when the peer freezes meanwhile

The peer was pinged once, at half of the silence limit, and checked once, so that a request that waited for longer noticed a frozen peer only at its own time limit. It is now checked after each such interval and pinged again, except if this process was held up itself.

Before, a request with a time limit of 10 s to a peer that stopped answering pings ended with that limit instead of the silence limit of 300 ms.

--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -27,8 +27,8 @@
 export interface RequestTimeouts {
     readonly timeout: number;
     /**
-     * If given, the peer must send an answer or a pong within this time. A frozen process is thereby detected earlier than
-     * a busy one exceeds `timeout`.
+     * If given, the peer must send a message or a pong within each such time until it answers. A frozen process is thereby
+     * detected earlier than a busy one exceeds `timeout`.
      */
     readonly silenceTimeout?: number;
 }
@@ -40,6 +40,8 @@
 }
 
 const connectTimeoutMs = 300;
+/** An interval that lasted longer by this factor does not show that a peer is silent. */
+const heldUpFactor = 1.5;
 
 /** Opens a link. */
 export function openPeerLink(address: SocketAddress): PeerLink {
@@ -94,20 +96,46 @@
     function request<const Call extends PeerCall>(call: Call, { timeout, silenceTimeout }: RequestTimeouts) {
         lastId += 1;
         const id = lastId;
-        const sentAt = performance.now();
-        const timers = [setTimeout(() => failRequest(id, "the peer did not answer in time"), timeout)];
-        if (silenceTimeout !== undefined) {
-            timers.push(setTimeout(() => socket.ping(), silenceTimeout / 2));
-            timers.push(
-                setTimeout(() => lastReceivedAt < sentAt && failRequest(id, "the peer is silent"), silenceTimeout),
-            );
-        }
+        const timer = setTimeout(() => failRequest(id, "the peer did not answer in time"), timeout);
+        const stopWatching = silenceTimeout === undefined
+            ? () => undefined
+            : watchSilence(silenceTimeout, () => failRequest(id, "the peer is silent"));
         const answer = new Promise<PeerResult<Call["kind"]>>((resolve, reject) => {
             pending.set(id, { kind: call.kind, resolve: result => resolve(result as PeerResult<Call["kind"]>),
                 reject });
         });
         socket.send(pack({ id, call } satisfies PeerRequest));
-        return answer.finally(() => timers.forEach(clearTimeout));
+        return answer.finally(() => {
+            clearTimeout(timer);
+            stopWatching();
+        });
+    }
+
+    /** Reports an interval without a sign of life. The peer is pinged only if it does not answer soon. */
+    function watchSilence(silenceTimeout: number, onSilence: () => void): () => void {
+        let startedAt = performance.now();
+        const pingTimer = setTimeout(ping, silenceTimeout / 2);
+        const timer = setInterval(() => {
+            // If this process was held up itself, the peer's messages may not have been read yet.
+            const wasHeldUp = performance.now() - startedAt > silenceTimeout * heldUpFactor;
+            if (lastReceivedAt < startedAt && !wasHeldUp) {
+                onSilence();
+                return;
+            }
+            startedAt = performance.now();
+            ping();
+        }, silenceTimeout);
+
+        return () => {
+            clearTimeout(pingTimer);
+            clearInterval(timer);
+        };
+    }
+
+    function ping(): void {
+        if (socket.readyState === socket.OPEN) {
+            socket.ping();
+        }
     }
 
     function notify(notice: PeerNotice): boolean {
--- a/packages/gateway/test/dispatch.test.ts
+++ b/packages/gateway/test/dispatch.test.ts
@@ -1,14 +1,17 @@
 import { createStoreHealth, hash, type UpstreamEntry } from "@tamarackgauge/core/gateway";
 import { decodeDeclaration } from "@tamarackgauge/platform";
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { WebSocketServer } from "ws";
 import { createAuthorities } from "../src/authorities.ts";
 import { createDispatch, type Dispatch, type Placement, type PlacementRequest } from "../src/dispatch.ts";
 import { createDispatcher, type Dispatcher } from "../src/dispatcher.ts";
 import { createMetrics } from "../src/metrics.ts";
 import { createPeerContacts, type PeerContacts } from "../src/peerContacts.ts";
+import { openPeerLink } from "../src/peerLink.ts";
 import type { Peer } from "../src/peerList.ts";
 import { createPeerServer } from "../src/peerServer.ts";
 import { declaration as wireDeclaration, freeAddress, waitUntil } from "./harness.ts";
@@ -135,3 +138,18 @@
     assert.equal(await few.dispatch.place(request("p1"), signal), undefined);
     assert.equal(createAsker(context, peer).dispatch.isInForce("tools"), false);
 });
+
+test("a gateway that waits for a place notices a dispatcher that freezes meanwhile (guards against calls that wait for it in vain)", async context => {
+    const server = new WebSocketServer({ port: 0, host: "127.0.0.1", autoPong: false });
+    context.after(() => server.close());
+    let pongs = 0;
+    server.on("connection", socket => socket.on("ping", () => (pongs += 1) <= 2 && socket.pong()));
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const link = openPeerLink({ host: "127.0.0.1", port });
+    context.after(() => link.terminate());
+    await link.opened;
+    const call = { kind: "place", key: 1, ...request("p1") } as const;
+    await assert.rejects(link.request(call, { timeout: 10_000, silenceTimeout: 300 }), /silent/);
+    assert.ok(pongs >= 3, `${pongs} pings`);
+});
