Gateway list: a gateway knows the others from its first read on

Cause: since rows say when a gateway first registered, the list is read, the own row written and the list read again at a start. Change: the first read is used at once.

--- a/packages/gateway/src/peerList.ts
+++ b/packages/gateway/src/peerList.ts
@@ -88,8 +88,9 @@
             const isFirst = registeredAt === -Infinity;
             if (isFirst || isAbsent) {
                 const { rows: earlier, time } = await readRows();
-                memberSince = earlier.flatMap(row => row.key === name ? decodePeer(row) ?? [] : [])[0]?.registeredAt ??
-                    time;
+                // The others are known from now on, also if the registration fails.
+                knownPeers = earlier.flatMap(row => decodePeer(row) ?? []);
+                memberSince = knownPeers.find(peer => peer.name === name)?.registeredAt ?? time;
             }
             await register();
             const { rows, time } = await readRows();
