Authorities: without a question that nobody asks

Cause: isSettledCapable was declared for the dispatcher, which does not need it. Change: it is removed. Behaviour is the same; type check, formatter and linter are clean.

--- a/packages/gateway/src/authorities.ts
+++ b/packages/gateway/src/authorities.ts
@@ -23,8 +23,6 @@
     rankCapable(subject: string, count: number): readonly Authority[];
     /** Whether this gateway is the first one of `rank`, and no other gateway can take itself for it. */
     isSettled(subject: string): boolean;
-    /** The same for `rankCapable`. */
-    isSettledCapable(subject: string): boolean;
     /** Whether this gateway has that place in `rank`, counted from 0, and no other gateway can take it for its own. */
     holdsPlace(subject: string, place: number): boolean;
     /** Since when, in monotonic milliseconds, no ranking has changed. */
@@ -89,7 +87,6 @@
         holdsPlace: (subject, place) =>
             !hasPeers || membership.isSettled(membership.rank(subject, now()), now(), place),
         unchangedSince: () => hasPeers ? membership.unchangedSince(now()) : createdAt,
-        isSettledCapable: subject => !hasPeers || membership.isSettled(membership.rankCapable(subject, now()), now()),
         establishedCount: () => hasPeers ? membership.establishedCount(now()) : 1,
         ask,
     };
