Start: a process without resources for a socket waits for them

Cause: of the errors of listen, only an address in use or not there counted as one that passes. Ruled out for these errors: that waiting hides a wrong setting, as none of them speaks of the address.

--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -15,14 +15,15 @@
 const backlog = 1_024;
 const retryIntervalMs = 100;
 /**
- * An outgoing connection or the process before may still hold the port, and the address of the VM may not be configured
- * yet.
+ * An outgoing connection or the process before may still hold the port, the address of the VM may not be configured yet,
+ * and callers that have come already, or other processes, may have taken all descriptors or memory for sockets.
  */
-const transientCodes: ReadonlySet<string | undefined> = new Set(["EADDRINUSE", "EADDRNOTAVAIL"]);
+const transientCodes: ReadonlySet<string | undefined> = new Set(["EADDRINUSE", "EADDRNOTAVAIL", "EMFILE", "ENFILE",
+    "ENOBUFS", "ENOMEM"]);
 
 /**
- * Resolves when the server listens on the address, which is asked for at each try. It waits for the address as long as that is in use or not there, or until it
- * is aborted. Rejects with a `ListenError` if it may not listen there.
+ * Resolves when the server listens on the address, which is asked for at each try. It waits as long as the address is in use or not there, or there are no
+ * resources for a socket, or until it is aborted. Rejects with a `ListenError` if it may not listen there.
  */
 export async function listen(server: Server, address: () => SocketAddress, log: Log,
     signal?: AbortSignal): Promise<void> {
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -80,6 +80,26 @@
     });
 }
 
+for (const code of ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"]) {
+    test(`a gateway that starts while there are no resources for a socket (${code}) listens once there are (guards against a process that ends for what passes)`, async () => {
+        const server = createServer();
+        const listenNow = server.listen.bind(server) as (options: object) => typeof server;
+        let refusals = 2;
+        server.listen = ((options: object) => {
+            refusals -= 1;
+            if (refusals < 0) {
+                return listenNow(options);
+            }
+            server.emit("error", Object.assign(new Error(`listen ${code}`), { code }));
+            return server;
+        }) as typeof server.listen;
+        const address = await freeAddress();
+        await listen(server, () => address, createProcessLog());
+        assert.equal(server.listening, true);
+        server.close();
+    });
+}
+
 test("a gateway that may not use a port ends and names it (guards against a process that waits for what does not pass)", async () => {
     const refusal = Object.assign(new Error("listen EACCES: permission denied"), { code: "EACCES" });
     const server = createServer();
