Start: the readiness port is waited for beside the start, as that of peers is

What callers saw: calls cut off two seconds after a stop of a process that could not listen on its readiness port yet, although its callers' port had been open all along. Cause: such a process counted as not started, and a process that is asked to stop before its start has 2 s for it. Change: the readiness server has its own module. A start waits for the first try only; settings, signals and stops are handled from then on.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import { createStoreHealth, type GatewaySettings, MembershipHistory, RecentPrograms, type RowRange, type SocketAddress,
     type Store } from "@tamarackgauge/core/gateway";
-import { declarationRow, readinessPath, upstreamTable } from "@tamarackgauge/platform";
+import { declarationRow, upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -27,6 +27,7 @@
 import { createPermits } from "./permits.ts";
 import { createQuotas } from "./quotas.ts";
 import { createRateLimits } from "./rateLimits.ts";
+import { openReadinessServer } from "./readinessServer.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
 import type { StoreOutage } from "./turnPreparation.ts";
@@ -156,11 +157,6 @@
     disposal.own(createCleaner({ store, tables: [turnTable, budgetTable], log }));
     const storeOutage: StoreOutage = { age: () => store.unavailableFor(), isIsolated: () => store.isIsolated(),
         ended: (maxMs, signal) => store.whenReachable(maxMs, signal) };
-    const readiness = createServer((request, response) => {
-        const path = (request.url ?? "").split("?")[0];
-        response.writeHead(path !== readinessPath ? 404 : isReady() ? 200 : 503, { "content-length": 0 }).end();
-    });
-    limitConnections(readiness, maxSideConnections);
     const frontend = disposal.own(
         createFrontend({ callerServer, limits, upstreams, rateLimits, dispatch, recentPrograms: new RecentPrograms(),
             declaration: catalog.declaration, budgets, quotas, turns, storeOutage, initialized: catalog.initialized,
@@ -186,8 +182,10 @@
                 permitIssuer: permits, quotaServer: quotas, dispatcher, log, now }),
         );
     }
-    await listen(readiness, () => settings.readinessAddress, log);
-    disposal.defer(() => readiness.close());
+    disposal.own(
+        await openReadinessServer({ address: () => settings.readinessAddress, isReady,
+            maxConnections: maxSideConnections, log }),
+    );
     log.info("gateway.started", { dataCentre: settings.dataCentre });
 
     function recordPeers(peers: readonly Peer[], storeTime: number | undefined): void {
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -25,8 +25,8 @@
  * Resolves when the server listens on the address, which is asked for at each try. It waits as long as the address is in use or not there, or there are no
  * resources for a socket, or until it is aborted. Rejects with a `ListenError` if it may not listen there.
  */
-export async function listen(server: Server, address: () => SocketAddress, log: Log,
-    signal?: AbortSignal): Promise<void> {
+export async function listen(server: Server, address: () => SocketAddress, log: Log, signal?: AbortSignal,
+    onWaiting?: () => void): Promise<void> {
     const report = createWaitReport(log);
     const isAborted = () => signal?.aborted === true;
     while (!isAborted()) {
@@ -40,10 +40,29 @@
             throw new ListenError(current, error.message);
         }
         report(`${current.host}:${current.port}`, error.message);
+        onWaiting?.();
         await sleep(retryIntervalMs);
     }
 }
 
+/**
+ * Listens as `listen` does, but resolves as soon as it has to wait. Rejects only if the server may not listen there at the
+ * first try; a later refusal is logged.
+ */
+export async function listenBeside(server: Server, address: () => SocketAddress, log: Log,
+    signal: AbortSignal): Promise<void> {
+    const { promise: waiting, resolve: onWaiting } = withResolvers();
+    const listening = listen(server, address, log, signal, onWaiting);
+    await Promise.race([listening, waiting]);
+    listening.catch((error: Error) => log.warn("listen.failed", { reason: error.message }));
+}
+
+function withResolvers(): { readonly promise: Promise<void>; readonly resolve: () => void; } {
+    let resolve: () => void;
+    const promise = new Promise<void>(resolvePromise => resolve = resolvePromise);
+    return { promise, resolve: resolve! };
+}
+
 /** Resolves with the error, or with undefined if the server listens. */
 function listenOnce(server: Server, { host, port }: SocketAddress): Promise<NodeJS.ErrnoException | undefined> {
     return new Promise(resolve => {
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -128,6 +128,24 @@
     }
 });
 
+test("a gateway that is asked to stop while its readiness port is in use answers the call that it has (guards against calls cut off by a stop that takes the process for not started)", async () => {
+    await using fleet = await createFleet();
+    fleet.tool.behave("silent");
+    const addresses = await chooseAddresses();
+    await using occupied = await occupyPort(addresses.readinessAddress);
+    const { gateway } = await spawnGateway(fleet, addresses);
+    await using process = gateway;
+    await waitUntil(() => process.output().includes(`"awaited":"127.0.0.1:${occupied.port}"`), "it waits for the port");
+    await waitUntil(() => process.output().includes("declaration.taken"), "the declaration is known");
+    const silent = call({ settings: addresses }, { path: "/pay/x", id: "c1", body: "x",
+        headers: { "x-deadline-ms": "4000" } });
+    await waitUntil(() => fleet.tool.executed.length === 1, "the call runs");
+    process.child.kill("SIGTERM");
+    const { status, whole } = await silent;
+    assert.deepEqual([status, whole], [504, true]);
+    assert.equal(await process.exited, 0);
+});
+
 /** Events that tell that an error came up which no part expected, or that sound rows could not be applied. */
 const faultEvents = ["gateway.fault", "store.watch.broken", "declaration.unreadable", "peers.broken", "call.broken"];
 
