Callers: a call whose connection closes before its turn to be answered ends

What callers saw: a process of 178 MB that ends by itself, "JavaScript heap out of memory", after clients had sent requests ahead and left. Cause: Node.js emits "close" only on the response whose turn on its connection has come. The calls behind it kept their head, body and place among the active calls for good, and their upstreams worked on, while the room reserved for them was given back. Change: when a connection closes, its responses without a turn are closed too. A request that waits for the program to be loaded is dropped if its caller has left.

--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -39,6 +39,8 @@
     waitingBytes: number;
     waitingSince: number;
     calls: number;
+    /** Answers of the calls under way. */
+    readonly responses: Set<ServerResponse>;
     /** Memory reserved for the calls under way. */
     callBytes: number;
     lastRequest: IncomingMessage | undefined;
@@ -89,13 +91,14 @@
 
     server.on("connection", (socket: Socket) => {
         const connection: Connection = { socket, headBytes: 0, waitingBytes: 0, waitingSince: now(), calls: 0,
-            callBytes: 0, lastRequest: undefined, bodyLeft: 0, readOn: () => undefined, refusedWith: undefined,
-            isEnding: false };
+            responses: new Set(), callBytes: 0, lastRequest: undefined, bodyLeft: 0, readOn: () => undefined,
+            refusedWith: undefined, isEnding: false };
         connections.set(socket, connection);
         connection.readOn = paceParsing(socket, paceOf(connection));
         socket.once("close", () => {
             forget(connection);
             callCosts -= connection.callBytes;
+            endResponses(connection);
         });
         openedSinceCheck += 1;
         if (openedSinceCheck === connectionsPerCheck) {
@@ -119,6 +122,16 @@
         }
     }
 
+    /** Node.js reports the end of a connection only to the response whose turn on it has come. */
+    function endResponses({ responses }: Connection): void {
+        for (const response of responses) {
+            if (response.socket === null) {
+                response.destroy();
+                response.emit("close");
+            }
+        }
+    }
+
     function setHeadBytes(connection: Connection, bytes: number): void {
         if (bytes > 0 && connection.headBytes === 0) {
             connection.waitingSince = now();
@@ -245,7 +258,11 @@
         const isAdmitted = reserve(connection, cost);
         // The refusal closes the connection, so no later request on it may run.
         connection.isEnding = !isAdmitted;
-        response.once("close", () => finishCall(connection, isAdmitted ? cost : 0));
+        connection.responses.add(response);
+        response.once("close", () => {
+            connection.responses.delete(response);
+            finishCall(connection, isAdmitted ? cost : 0);
+        });
         return isAdmitted ? "admitted" : "noRoom";
     }
 
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -66,7 +66,9 @@
         setListener(next) {
             listener = next;
             connections.open();
-            waiting.splice(0).forEach(([request, response]) => next(request, response, true));
+            // A caller that has left meanwhile is not served, and its response reports no second end.
+            waiting.splice(0).filter(([, response]) => !response.destroyed)
+                .forEach(([request, response]) => next(request, response, true));
         },
         setMaxHeadBytes(bytes) {
             server.maxHeaderSize = bytes;
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -106,6 +106,7 @@
         }
         let exchange: Exchange | undefined;
         const byteAccount = byteBudget.openAccount();
+        const closed = new Promise<void>(resolve => response.once("close", resolve));
         response.on("close", () => {
             byteAccount[Symbol.dispose]();
             if (drainDeadline < Infinity) {
@@ -133,7 +134,7 @@
             metrics.recordCall(exchange?.route ?? "none", response.headersSent ? response.statusCode : 0,
                 now() - arrivedAt);
             byteAccount.setReclaimable(() => response.destroy());
-            await waitUntilClosed(response);
+            await disconnectSlowReader(response, closed);
             active -= 1;
             metrics.setActiveCalls(active);
             if (active === 0) {
@@ -298,13 +299,9 @@
     headers: { "www-authenticate": "Bearer" } };
 
 /** Resolves when the caller has read its answer, or has been disconnected because it did not. */
-async function waitUntilClosed(response: ServerResponse): Promise<void> {
-    if (response.closed) {
-        return;
-    }
+async function disconnectSlowReader(response: ServerResponse, closed: Promise<void>): Promise<void> {
     const timer = setTimeout(() => response.destroy(), answerReadTimeoutMs);
-    // Not `once` of node:events, which rejects when the response emits an error before it closes.
-    await new Promise<void>(resolve => response.once("close", () => resolve()));
+    await closed;
     clearTimeout(timer);
 }
 
--- a/packages/gateway/test/calls.test.ts
+++ b/packages/gateway/test/calls.test.ts
@@ -1,8 +1,10 @@
 import { createForwarder, type UpstreamBehaviour } from "@tamarackgauge/standin";
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { call, createFleet, openCall, requestIdOf, startRawServer, waitUntil, waitUntilReady } from "./harness.ts";
+import { call, createFleet, declaration, openCall, requestIdOf, startRawServer, waitForDeclaration, waitUntil,
+    waitUntilReady } from "./harness.ts";
 
 async function startFleet() {
     const fleet = await createFleet();
@@ -233,3 +235,19 @@
     const answer = await call(gateway, { path: "/pay/x", id: "1", body: "x" });
     assert.deepEqual([answer.status, answer.body, executions], [200, "done", 1]);
 });
+
+test("calls sent ahead are cancelled when their connection closes (guards against upstreams that work for callers who have left)", async () => {
+    await using parts = await startFleet();
+    // Longer than the test waits, so that it is not the time limit that cancels them.
+    const routes = declaration.routes.map(route => ({ ...route, timeoutMs: 60_000 }));
+    parts.fleet.declare({ version: 2, routes });
+    await waitForDeclaration(parts.gateway, 2);
+    const ids = ["1", "2", "3", "4"];
+    parts.fleet.tool.behave(...ids.map(() => "silent" as const));
+    const socket = connect(parts.gateway.settings.callerAddress.port, "127.0.0.1");
+    socket.write(ids.map(id => `GET /pay/x HTTP/1.1\r\nhost: fleet.test\r\nx-request-id: ${id}\r\n\r\n`).join(""));
+    await waitUntil(() => parts.fleet.tool.executed.length === ids.length, "the calls run");
+    socket.destroy();
+    await waitUntil(() => parts.fleet.tool.cancelled.length === ids.length, "the calls are cancelled");
+    assert.deepEqual([...parts.fleet.tool.cancelled].sort(), ids);
+});
--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -6,7 +6,7 @@
 import { type Crowd, crowdHead, openCrowd, sampleUsage, unfinishedChunks } from "./crowd.ts";
 import { buildDeployedProgram, type DeployedProgram, type GatewayProcess, startProcess,
     startProcessUnready } from "./gatewayProcess.ts";
-import { call, type CallerAnswer, createFleet, fetchReadinessStatus } from "./harness.ts";
+import { call, type CallerAnswer, createFleet, fetchReadinessStatus, waitUntil } from "./harness.ts";
 
 const memoryMb = 178;
 /** A process without callers has fewer than 60 descriptors open, and a crowd here has at most 460 connections. */
@@ -57,22 +57,28 @@
 /** Lets crowds come, and asserts that the process stays within its bounds until they have left. */
 async function endureCrowds(gateway: GatewayProcess, crowds: readonly CrowdOf[], whileThere: () => Promise<void>,
     atOnce = async () => {}): Promise<void> {
-    let ended: number | string | undefined;
-    void gateway.exited.then(code => ended = code);
+    await stayWithinBounds(gateway, async () => {
+        const opened = await Promise.all(crowds.map(openCrowdOf => openCrowdOf(gateway.settings)));
+        try {
+            await atOnce();
+            await sleep(crowdMs);
+            assert.equal(gateway.child.exitCode ?? gateway.child.signalCode, null, gateway.errors());
+            await whileThere();
+        }
+        finally {
+            opened.forEach(crowd => crowd[Symbol.dispose]());
+        }
+    });
+}
+
+/** Asserts that the process lives and stays within its bounds while something happens. */
+async function stayWithinBounds(gateway: GatewayProcess, happen: () => Promise<void>,
+    most = { descriptors: maxDescriptors }): Promise<void> {
     using usage = sampleUsage(gateway);
-    const opened = await Promise.all(crowds.map(openCrowdOf => openCrowdOf(gateway.settings)));
-    try {
-        await atOnce();
-        await sleep(crowdMs);
-        assert.equal(ended, undefined, gateway.errors());
-        await whileThere();
-    }
-    finally {
-        opened.forEach(crowd => crowd[Symbol.dispose]());
-    }
-    assert.equal(ended, undefined, gateway.errors());
+    await happen();
+    assert.equal(gateway.child.exitCode ?? gateway.child.signalCode, null, gateway.errors());
     assert.ok(usage.maxMegabytes() < memoryMb, `${usage.maxMegabytes()} MB`);
-    assert.ok(usage.maxDescriptors() < maxDescriptors, `${usage.maxDescriptors()} descriptors`);
+    assert.ok(usage.maxDescriptors() < most.descriptors, `${usage.maxDescriptors()} descriptors`);
 }
 
 async function assertServed(answer: Promise<CallerAnswer>): Promise<void> {
@@ -164,3 +170,39 @@
         });
     });
 }
+
+/** Header lines without a value, with names of a few letters, as many as fit into the given size. */
+function shortHeaderLines(bytes: number): string {
+    const lineBytes = "x000:\r\n".length;
+    return Array.from({ length: Math.floor(bytes / lineBytes) },
+        (_, index) => `x${index.toString(36).padStart(3, "0")}:\r\n`).join("");
+}
+
+/** Requests ahead that take much memory for their size; a declared head has at most 16,384 bytes. */
+function shortLinedRequests(path: string, connection: string, count: number): string {
+    const lines = shortHeaderLines(15_000);
+    return Array.from({ length: count },
+        (_, index) => crowdHead("GET", path, `x-request-id: ${connection}-${index}\r\n${lines}`)).join("");
+}
+
+test("720 connections with 4 requests ahead of many short header lines, which leave 60 at a time: their calls end with them, and an ordinary caller is answered (guards against calls that a process keeps after their callers have left)", async () => {
+    await using fleet = await createFleet();
+    fleet.tool.behave(...Array.from({ length: 4_000 }, () => "silent" as const));
+    await using gateway = await startProcess(fleet, { ...deployed, memoryMb });
+    await stayWithinBounds(gateway, async () => {
+        for (let wave = 0; wave < 12; wave += 1) {
+            using crowd = await openCrowd(gateway.settings.callerAddress.port, 60, index =>
+                shortLinedRequests("/look/x", `${wave}-${index}`, 4));
+            await waitUntil(() => crowd.sockets.every(socket => socket.writableLength === 0 || socket.destroyed),
+                "all has been sent");
+            await sleep(crowdMs / 10);
+        }
+        await waitUntil(async () => await activeCalls(gateway) === 0, "the calls have ended");
+        await assertServed(call(gateway, { path: "/plan/x", id: "after", body: "x".repeat(ordinaryBytes) }));
+    });
+});
+
+async function activeCalls({ settings }: GatewayProcess): Promise<number> {
+    const text = await (await fetch(`http://127.0.0.1:${settings.metricsAddress.port}/metrics`)).text();
+    return Number(/^tamarackgauge_active_calls (\d+)$/m.exec(text)?.[1]);
+}
