Callers: their connections leave descriptors to the store, upstreams, peers and readiness

What callers saw: connections reset without an answer, also those of the readiness check, for as long as a crowd of clients kept connections open, however little these sent. Cause: connections were bounded by memory alone, 8 KiB each; a VM with 2,212 descriptors and 186 MB had room for 4,650. Change: limits.maxFds is read. Connections of callers take six tenths of it: above, those without a call that have waited for longest are closed; from seven tenths on no further one is accepted. Weighed: closing the newest instead, which would lock out ordinary callers for as long as a crowd stays; reading the limit from the system, which the settings state already.

--- a/packages/core/src/gateway/callerMemory.ts
+++ b/packages/core/src/gateway/callerMemory.ts
@@ -38,6 +38,27 @@
     return Math.round(Math.min(maxCallerBytes, Math.max(minCallerBytes, memoryBytes * memoryShare)));
 }
 
+/** Share of a process's descriptors that connections of callers may take; the rest is for the store, upstreams and peers. */
+const descriptorShare = 0.6;
+/** Connections above this share are not accepted. Up to there new ones displace others, so that a rush has room. */
+const maxDescriptorShare = 0.7;
+
+/** What the callers of a process may hold. */
+export interface CallerCapacity {
+    /** Bytes in connections, heads and calls. */
+    readonly bytes: number;
+    /** Connections above which those without a call are closed. */
+    readonly connections: number;
+    /** Connections above which no further ones are accepted. */
+    readonly acceptedConnections: number;
+}
+
+/** The capacity of a process of the given size; without `maxDescriptors`, connections are bounded by memory alone. */
+export function callerCapacityOf(memoryBytes?: number, maxDescriptors = Infinity): CallerCapacity {
+    return { bytes: callerBytesWithin(memoryBytes), connections: Math.floor(maxDescriptors * descriptorShare),
+        acceptedConnections: Math.floor(maxDescriptors * maxDescriptorShare) };
+}
+
 /** Estimated memory of a call whose head has `bytes` bytes and `headers` headers, in bytes. */
 export function callCost(bytes: number, headers: number): number {
     return callBytes + headCopies * bytes + headers * headerBytes;
@@ -59,7 +80,13 @@
 }
 
 /** Why a connection is closed. */
-export type ClosingCause = "headTimeout" | "headMemory" | "idleTimeout" | "idleMemory" | "waitingMemory";
+export type ClosingCause =
+    | "headTimeout"
+    | "headMemory"
+    | "idleTimeout"
+    | "idleMemory"
+    | "waitingMemory"
+    | "descriptors";
 
 /** Time limits of connections, in milliseconds. */
 export interface ConnectionTimeouts {
@@ -137,10 +164,13 @@
 
 /**
  * Chooses the connections to be closed, none of which has a call under way: those beyond a time limit, then unfinished
- * heads and idle connections beyond their room, those that have waited for longest first.
+ * heads and idle connections beyond their room or beyond the descriptors for callers, those that have waited for longest
+ * first.
  */
 export function chooseClosings<Connection extends ConnectionUse>(connections: readonly Connection[], callCosts: number,
-    maxBytes: number, timeouts: ConnectionTimeouts, now: number): readonly Closing<Connection>[] {
+    capacity: Pick<CallerCapacity, "bytes" | "connections">, timeouts: ConnectionTimeouts,
+    now: number): readonly Closing<Connection>[] {
+    const maxBytes = capacity.bytes;
     const waiting = connections.filter(connection => connection.calls === 0);
     const expired = waiting.flatMap(connection => {
         const isIdle = connection.headBytes === 0;
@@ -160,9 +190,17 @@
         ...expired,
         ...heads.map(connection => ({ connection, cause: "headMemory" as const })),
         ...idle.map(connection => ({ connection, cause: "idleMemory" as const })),
+        ...chooseForDescriptors(connections.length, waiting, capacity.connections)
+            .map(connection => ({ connection, cause: "descriptors" as const })),
     ];
 }
 
+/** Chooses the connections to be closed as there are too many, also those with an unfinished head, however small. */
+function chooseForDescriptors<Connection extends ConnectionUse>(open: number, waiting: readonly Connection[],
+    maxConnections: number): readonly Connection[] {
+    return open <= maxConnections ? [] : oldestWorth(waiting, () => 1, open - maxConnections * closingTarget);
+}
+
 /** Chooses idle connections to be closed to make room for a call. */
 export function chooseClosingsForCall<Connection extends ConnectionUse>(connections: readonly Connection[],
     callCosts: number, cost: number, maxBytes: number, now: number): readonly Closing<Connection>[] {
--- a/packages/core/src/gateway/settings.ts
+++ b/packages/core/src/gateway/settings.ts
@@ -33,6 +33,8 @@
     readonly maxRowBytes: number;
     /** Memory of the process beyond which the platform kills it; undefined if the platform does not tell. */
     readonly memoryBytes: number | undefined;
+    /** Descriptors that the process may have open; undefined if the platform does not tell. */
+    readonly maxDescriptors: number | undefined;
     /** How the quotas of teams are counted; undefined if no quotas are held. */
     readonly quota: QuotaSettings | undefined;
     /** Keys are accepted until the declaration has not been confirmed for this long; undefined: without end. */
--- a/packages/core/test/gateway/callerMemory.test.ts
+++ b/packages/core/test/gateway/callerMemory.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { callCost, callerBytesWithin, callerMemoryUse, chooseClosings, chooseClosingsForCall, type ConnectionUse,
-    hasRoomForCall } from "../../src/gateway/index.ts";
+import { callCost, callerBytesWithin, callerCapacityOf, callerMemoryUse, chooseClosings, chooseClosingsForCall,
+    type ConnectionUse, hasRoomForCall } from "../../src/gateway/index.ts";
 
 interface NamedConnection extends ConnectionUse {
     readonly name: string;
@@ -20,8 +20,9 @@
     return Array.from({ length: count }, (_, index) => connection(`other ${index}`, changes));
 }
 
-function closingsOf(open: readonly NamedConnection[], callCosts: number, maxBytes: number) {
-    return chooseClosings(open, callCosts, maxBytes, timeouts, now).map(
+function closingsOf(open: readonly NamedConnection[], callCosts: number, maxBytes: number, maxConnections = Infinity) {
+    const capacity = { bytes: maxBytes, connections: maxConnections };
+    return chooseClosings(open, callCosts, capacity, timeouts, now).map(
         closing => [closing.connection.name, closing.cause],
     );
 }
@@ -67,6 +68,20 @@
     assert.deepEqual(closingsOf(open, 0, 16 * megabyte), [["late head", "headTimeout"], ["unused", "idleTimeout"]]);
 });
 
+test("connections beyond the descriptors for callers are closed, those without a call that have waited for longest first (guards against a process that callers leave no descriptor for upstreams)", () => {
+    const open = [connection("new", { waitingSince: now - 1 }), connection("old", { waitingSince: now - 9_000 }),
+        connection("head", { headBytes: 10, waitingSince: now - 2_000 }), ...connections(20, { calls: 1 })];
+    assert.deepEqual(closingsOf(open, 0, 16 * megabyte, 23), []);
+    assert.deepEqual(closingsOf(open, 0, 16 * megabyte, 22), [["old", "descriptors"], ["head", "descriptors"], ["new",
+        "descriptors"]]);
+});
+
+test("a VM with 2,212 descriptors leaves a third of them to the store, upstreams and peers, and takes 1,300 connections of callers (guards against limits that callers meet in calm)", () => {
+    const { connections: most, acceptedConnections } = callerCapacityOf(186 * megabyte, 2_212);
+    assert.ok(most >= 1_300);
+    assert.ok(acceptedConnections > most && 2_212 - acceptedConnections >= 600);
+});
+
 for (const [memoryMb, calls] of [[178, 800], [220, 1_000], [350, 1_200]] as const) {
     test(`a VM of ${memoryMb} MB takes ${calls} calls at once with heads of 2 KB, each on its own connection (guards against sound calls that are refused)`, () => {
         const cost = callCost(2_048, 30);
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -1,6 +1,6 @@
-import { areHeadsOverLimit, callCost, type CallerMemoryUse, callerMemoryUse, chooseClosings, chooseClosingsForCall,
-    chooseWaiting, type Closing, type ClosingCause, type ConnectionTimeouts, type ConnectionUse, hasRoomForCall,
-    maxUnansweredCalls } from "@tamarackgauge/core/gateway";
+import { areHeadsOverLimit, callCost, type CallerCapacity, type CallerMemoryUse, callerMemoryUse, chooseClosings,
+    chooseClosingsForCall, chooseWaiting, type Closing, type ClosingCause, type ConnectionTimeouts, type ConnectionUse,
+    hasRoomForCall, maxUnansweredCalls } from "@tamarackgauge/core/gateway";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { paceParsing, type ParsingPace } from "./pacedParsing.ts";
@@ -73,15 +73,17 @@
     return bytes.every(byte => byte === carriageReturn || byte === lineFeed);
 }
 
-/** Starts counting what the connections of a server hold, which may be `maxBytes` in all. */
-export function trackConnections(server: Server, maxBytes: number, answer: (status: number) => string,
+/** Starts counting what the connections of a server hold, and keeps it within the capacity. */
+export function trackConnections(server: Server, capacity: CallerCapacity, answer: (status: number) => string,
     initialTimeouts: ConnectionTimeouts): CallerConnections {
+    const maxBytes = capacity.bytes;
     const connections = new Map<Socket, Connection>();
     const closed = new Map<ClosingCause, number>();
     let timeouts = initialTimeouts;
     let callCosts = 0;
     let headBytes = 0;
     let openedSinceCheck = 0;
+    let isCheckDue = false;
     let searchedAt = -Infinity;
     let waitingBytes = 0;
     let isOpen = false;
@@ -101,14 +103,24 @@
             endResponses(connection);
         });
         openedSinceCheck += 1;
-        if (openedSinceCheck === connectionsPerCheck) {
+        if (!isCheckDue && (openedSinceCheck >= connectionsPerCheck || connections.size > capacity.connections)) {
+            isCheckDue = true;
             setImmediate(check);
         }
     });
+    if (Number.isFinite(capacity.acceptedConnections)) {
+        server.maxConnections = capacity.acceptedConnections;
+    }
+    server.on("drop", () => countClosing("descriptors"));
 
     function check(): void {
         openedSinceCheck = 0;
-        close(chooseClosings(openConnections(), callCosts, maxBytes, timeouts, now()));
+        isCheckDue = false;
+        close(chooseClosings(openConnections(), callCosts, capacity, timeouts, now()));
+    }
+
+    function countClosing(cause: ClosingCause): void {
+        closed.set(cause, (closed.get(cause) ?? 0) + 1);
     }
 
     function openConnections(): readonly Connection[] {
@@ -198,7 +210,7 @@
     function close(closings: readonly Closing<Connection>[]): void {
         for (const { connection, cause } of closings) {
             if (!connection.isEnding) {
-                closed.set(cause, (closed.get(cause) ?? 0) + 1);
+                countClosing(cause);
             }
             if (cause === "headTimeout") {
                 end(connection, requestTimeout, lingerMs);
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,4 +1,5 @@
-import { callerBytesWithin, type ConnectionTimeouts, type SocketAddress } from "@tamarackgauge/core/gateway";
+import { type CallerCapacity, callerCapacityOf, type ConnectionTimeouts,
+    type SocketAddress } from "@tamarackgauge/core/gateway";
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 import { type CallerConnections, trackConnections } from "./callerConnections.ts";
@@ -32,11 +33,11 @@
 
 /**
  * Starts listening for callers. This module loads quickly, so that a process that starts accepts connections before the
- * rest of the program is loaded; callers that find no listener use up their attempts. What callers hold in memory is
- * bounded from the first connection on; `memoryBytes` is the size of the VM.
+ * rest of the program is loaded; callers that find no listener use up their attempts. What callers hold is bounded from
+ * the first connection on.
  */
 export async function openCallerServer(address: () => SocketAddress, log: Log,
-    memoryBytes?: number): Promise<CallerServer> {
+    capacity: CallerCapacity = callerCapacityOf()): Promise<CallerServer> {
     const waiting: [IncomingMessage, ServerResponse][] = [];
     let listener: CallListener = (request, response, hasRoom) =>
         hasRoom ? waiting.push([request, response]) : refuseCall(response);
@@ -49,7 +50,7 @@
             listener(request, response, admission === "admitted");
         }
     });
-    const connections = trackConnections(server, callerBytesWithin(memoryBytes), rawAnswer, defaultTimeouts);
+    const connections = trackConnections(server, capacity, rawAnswer, defaultTimeouts);
     server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
         if (code === "ECONNRESET") {
             socket.destroy();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
-import { createStoreHealth, type GatewaySettings, MembershipHistory, RecentPrograms, type RowRange, type SocketAddress,
-    type Store } from "@tamarackgauge/core/gateway";
+import { callerCapacityOf, createStoreHealth, type GatewaySettings, MembershipHistory, RecentPrograms, type RowRange,
+    type SocketAddress, type Store } from "@tamarackgauge/core/gateway";
 import { declarationRow, upstreamTable } from "@tamarackgauge/platform";
 import { randomBytes } from "node:crypto";
 import { createServer } from "node:http";
@@ -85,7 +85,8 @@
 export async function createGateway(parts: GatewayParts): Promise<Gateway> {
     const { settings, log } = parts;
     const callerServer = parts.callerServer ??
-        await openCallerServer(() => settings.callerAddress, log, settings.memoryBytes);
+        await openCallerServer(() => settings.callerAddress, log,
+            callerCapacityOf(settings.memoryBytes, settings.maxDescriptors));
     const disposal = createDisposal();
     try {
         return await startGateway({ ...parts, callerServer }, disposal);
--- a/packages/gateway/src/inProcess.ts
+++ b/packages/gateway/src/inProcess.ts
@@ -20,8 +20,8 @@
 
 /** Settings of a gateway in the process of a test, without its addresses. */
 export const inProcessDefaults = { name: "g", dataCentre: "a", knownPeers: [], metricsAddress: undefined,
-    maxRowBytes: 65_536, memoryBytes: undefined, quota: undefined, maxKeyAge: undefined, processorCores: 1,
-    shutdownGrace: 8_000 };
+    maxRowBytes: 65_536, memoryBytes: undefined, maxDescriptors: undefined, quota: undefined, maxKeyAge: undefined,
+    processorCores: 1, shutdownGrace: 8_000 };
 
 /** Starts a gateway in this process, which records what it logs. */
 export async function startInProcess(settings: GatewaySettings,
--- a/packages/gateway/src/start.ts
+++ b/packages/gateway/src/start.ts
@@ -1,4 +1,4 @@
-import type { GatewaySettings } from "@tamarackgauge/core/gateway";
+import { callerCapacityOf, type GatewaySettings } from "@tamarackgauge/core/gateway";
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { describeError, type Ending, endingOf, stoppedEarlyEnding } from "./ending.ts";
 import { followSettings, waitForSettings } from "./initialSettings.ts";
@@ -57,6 +57,6 @@
     const callerServer = await openCallerServer(() => {
         settings = readLatest();
         return settings.callerAddress;
-    }, log, settings.memoryBytes);
+    }, log, callerCapacityOf(settings.memoryBytes, settings.maxDescriptors));
     return { ...context, settings, callerServer };
 }
--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -56,7 +56,7 @@
 
 /** Lets crowds come, and asserts that the process stays within its bounds until they have left. */
 async function endureCrowds(gateway: GatewayProcess, crowds: readonly CrowdOf[], whileThere: () => Promise<void>,
-    atOnce = async () => {}): Promise<void> {
+    atOnce = async () => {}, descriptors = maxDescriptors): Promise<void> {
     await stayWithinBounds(gateway, async () => {
         const opened = await Promise.all(crowds.map(openCrowdOf => openCrowdOf(gateway.settings)));
         try {
@@ -68,17 +68,17 @@
         finally {
             opened.forEach(crowd => crowd[Symbol.dispose]());
         }
-    });
+    }, descriptors);
 }
 
 /** Asserts that the process lives and stays within its bounds while something happens. */
 async function stayWithinBounds(gateway: GatewayProcess, happen: () => Promise<void>,
-    most = { descriptors: maxDescriptors }): Promise<void> {
+    descriptors = maxDescriptors): Promise<void> {
     using usage = sampleUsage(gateway);
     await happen();
     assert.equal(gateway.child.exitCode ?? gateway.child.signalCode, null, gateway.errors());
     assert.ok(usage.maxMegabytes() < memoryMb, `${usage.maxMegabytes()} MB`);
-    assert.ok(usage.maxDescriptors() < most.descriptors, `${usage.maxDescriptors()} descriptors`);
+    assert.ok(usage.maxDescriptors() < descriptors, `${usage.maxDescriptors()} descriptors`);
 }
 
 async function assertServed(answer: Promise<CallerAnswer>): Promise<void> {
@@ -171,6 +171,39 @@
     });
 }
 
+/** Descriptors of a process that crowds try to take, and how many of them may be in use. */
+const scarceDescriptors = { limit: 300, bound: 280 };
+
+/** Connections of which every other one leaves at once. */
+async function openLeavingCrowd(port: number, count: number, bytes: (index: number) => string): Promise<Crowd> {
+    const crowd = await openCrowd(port, count, bytes);
+    crowd.sockets.filter((_, index) => index % 2 === 1).forEach(socket => socket.destroy());
+    return crowd;
+}
+
+const connectionCrowds: Readonly<Record<string, CrowdOf>> = {
+    "600 connections that send nothing": ({ callerAddress }) => openCrowd(callerAddress.port, 600, () => ""),
+    "1,200 connections with a part of a head, half of which leave": ({ callerAddress }) =>
+        openLeavingCrowd(callerAddress.port, 1_200, () => "GET /look/x HTTP/1.1\r\nho"),
+    "1,200 connections with nothing, a part of a head or a call, half of which leave": ({ callerAddress }) =>
+        openLeavingCrowd(callerAddress.port, 1_200, index =>
+            ["", "GET /look/x HT", crowdHead("GET", "/look/x", `x-request-id: c${index}\r\n`)][index % 3]!),
+};
+
+for (const [name, openCrowdOf] of Object.entries(connectionCrowds)) {
+    test(`${name}, at a process with 300 descriptors: it has some left, and readiness and an ordinary caller are answered (guards against a process that callers cut off from its upstreams)`, async () => {
+        await using fleet = await createFleet();
+        await using gateway = await startProcess(fleet, { ...deployed, memoryMb,
+            maxDescriptors: scarceDescriptors.limit });
+        const ordinaryCall = (id: string) => call(gateway, { path: "/plan/x", id, body: "x".repeat(ordinaryBytes) });
+        await endureCrowds(gateway, [openCrowdOf], async () => {
+            assert.equal(await fetchReadinessStatus(gateway.settings.readinessAddress.port), 200);
+            await assertServed(ordinaryCall("meanwhile"));
+        }, undefined, scarceDescriptors.bound);
+        await assertServed(ordinaryCall("after"));
+    });
+}
+
 /** Header lines without a value, with names of a few letters, as many as fit into the given size. */
 function shortHeaderLines(bytes: number): string {
     const lineBytes = "x000:\r\n".length;
--- a/packages/gateway/test/gatewayProcess.ts
+++ b/packages/gateway/test/gatewayProcess.ts
@@ -43,7 +43,7 @@
 export interface ProcessOptions {
     readonly name?: string;
     readonly memoryMb?: number;
-    /** Maximum number of open descriptors; when omitted, that of the test. */
+    /** Maximum number of open descriptors; when omitted, that of the test, and 8,200 by the settings. */
     readonly maxDescriptors?: number;
     /** Seconds from SIGTERM until the platform kills the process. */
     readonly graceS?: number;
@@ -53,10 +53,11 @@
 
 /** Settings file of a gateway that uses the given store endpoint. */
 export function settingsText(storeEndpoint: RowStoreListener, addresses: GatewayAddresses,
-    { name = "g", memoryMb = 220, graceS = 8 }: ProcessOptions = {}): string {
+    { name = "g", memoryMb = 220, graceS = 8, maxDescriptors = 8_200 }: ProcessOptions = {}): string {
     return [
         `nodeName=${name}`,
         `limits.memoryMb=${memoryMb}`,
+        `limits.maxFds=${maxDescriptors}`,
         "ip=127.0.0.1",
         "zone=a",
         `bind.front=127.0.0.1:${addresses.callerAddress.port}`,
