Callers: connections are parsed in turns, so that small chunks do not hold up all else

What callers saw: no answer for half a minute, and no answer to the readiness check for 13 s, while clients sent bodies in chunks of one byte. Cause: a read of 64 KiB holds ten thousand such chunks and was parsed in one go, a read of each connection between two steps of any other call. The new test failed before with "all bodies were read before". Change: after 2 ms a connection waits until those before it have had their turn, one in each round of the event loop.

--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { paceParsing, type ParsingPace } from "./pacedParsing.ts";
+import { createParsingTurns } from "./parsingTurns.ts";
 import { headEnd, headSize } from "./requestHead.ts";
 
 /** The connections of callers and what they hold in memory, kept within a limit. */
@@ -94,6 +95,7 @@
     let isOpen = false;
     const timer = setInterval(() => setImmediate(check), checkIntervalMs).unref();
     const now = () => performance.now();
+    const turns = createParsingTurns(now);
     const use = () => callerMemoryUse(connections.size, headBytes, callCosts, waitingBytes);
 
     server.on("connection", (socket: Socket) => {
@@ -101,7 +103,7 @@
             responses: new Set(), callBytes: 0, lastRequest: undefined, part: noBytes, bodyLeft: 0,
             readOn: () => undefined, refusedWith: undefined, isEnding: false };
         connections.set(socket, connection);
-        connection.readOn = paceParsing(socket, paceOf(connection));
+        connection.readOn = paceParsing(socket, turns, paceOf(connection));
         socket.once("close", () => {
             forget(connection);
             callCosts -= connection.callBytes;
--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -6,7 +6,7 @@
 import { type Crowd, crowdHead, openCrowd, sampleUsage, unfinishedChunks } from "./crowd.ts";
 import { buildDeployedProgram, type DeployedProgram, type GatewayProcess, startProcess,
     startProcessUnready } from "./gatewayProcess.ts";
-import { call, type CallerAnswer, createFleet, fetchReadinessStatus, waitUntil } from "./harness.ts";
+import { call, type CallerAnswer, createFleet, declaration, fetchReadinessStatus, waitUntil } from "./harness.ts";
 
 const memoryMb = 178;
 /** A process without callers has fewer than 60 descriptors open, and a crowd here has at most 460 connections. */
@@ -243,3 +243,24 @@
     const text = await (await fetch(`http://127.0.0.1:${settings.metricsAddress.port}/metrics`)).text();
     return Number(/^tamarackgauge_active_calls (\d+)$/m.exec(text)?.[1]);
 }
+
+test("30 bodies of 200 KB in chunks of one byte: readiness and ten ordinary calls, one after the other, are answered before all of them are read (guards against a process that parses all that a crowd has sent before it does anything else)", async () => {
+    await using fleet = await createFleet();
+    // Calls of the crowd last longer than the test.
+    const routes = declaration.routes.map(route => ({ ...route, timeoutMs: 60_000 }));
+    fleet.declare({ routes, limits: { ...declaration.limits, maxBodyBytes: 250_000 } });
+    await using gateway = await startProcess(fleet, { ...deployed, memoryMb });
+    const body = `${unfinishedChunks(200_000, 1)}0\r\n\r\n`;
+    await stayWithinBounds(gateway, async () => {
+        using crowd = await openCrowd(gateway.settings.callerAddress.port, 30,
+            index =>
+                crowdHead("POST", "/pay/x", `x-request-id: body${index}\r\ntransfer-encoding: chunked\r\n`) + body);
+        for (let calls = 0; calls < 10; calls += 1) {
+            assert.equal(await fetchReadinessStatus(gateway.settings.readinessAddress.port), 200);
+            await assertServed(call(gateway, { path: "/plan/x", id: `ordinary${calls}`, body: "x" }));
+        }
+        assert.ok(fleet.tool.executed.length < crowd.sockets.length, "all bodies were read before");
+        await waitUntil(() => fleet.tool.executed.length === crowd.sockets.length, "the bodies are read");
+    });
+    await assertServed(call(gateway, { path: "/plan/x", id: "after", body: "x".repeat(ordinaryBytes) }));
+});
