Start: logging an error that no part expected cannot fail

Cause: a thrown value that is no error was described with String, which throws for objects without a prototype; in the listener of uncaught exceptions that ends a process with 7. Found by reading; nothing in the sources throws such a value. Change: inspect. Evidence: the new test failed before with "Cannot convert object to primitive value".

--- a/packages/gateway/src/ending.ts
+++ b/packages/gateway/src/ending.ts
@@ -1,4 +1,5 @@
 import { problemText, SettingsError } from "@tamarackgauge/platform/settings";
+import { inspect } from "node:util";
 import { ListenError } from "./listen.ts";
 
 /** How a process ends. */
@@ -32,5 +33,9 @@
 
 /** What the log says of an error that no part expected. */
 export function describeError(reason: unknown): string {
-    return reason instanceof Error ? reason.stack ?? reason.message : String(reason);
+    if (reason instanceof Error) {
+        return reason.stack ?? reason.message;
+    }
+    // Not `String`, which throws for some values; an error in the listener of errors would end the process.
+    return typeof reason === "string" ? reason : inspect(reason);
 }
--- a/packages/gateway/test/startup.test.ts
+++ b/packages/gateway/test/startup.test.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { endingOf, stoppedEnding } from "../src/ending.ts";
+import { describeError, endingOf, stoppedEnding } from "../src/ending.ts";
 import { listen } from "../src/listen.ts";
 import { createProcessLog } from "../src/processLog.ts";
 import { chooseAddresses, createSettingsFolder, type GatewayAddresses, occupyPort, settingsText,
@@ -115,6 +115,13 @@
         causes: ["cannot listen on 127.0.0.1:81: listen EACCES: permission denied"] });
 });
 
+test("any thrown value can be described (guards against a process that ends as it logs an error that no part expected)", () => {
+    const reasons = [undefined, null, "text", Symbol("s"), Object.create(null) as object, { toString: 1 },
+        new Proxy({}, {})];
+    reasons.forEach(reason => assert.equal(typeof describeError(reason), "string"));
+    assert.equal(describeError("text"), "text");
+});
+
 test("a gateway that waits for a port ends when it is asked to stop (guards against a process that the platform has to kill)", async () => {
     await using fleet = await createFleet();
     for (const name of ["callerAddress", "readinessAddress"] as const) {
