Callers: a request with several Host headers gets 400

What callers saw: 503, which invites them to try again, for a request that no gateway can take. Cause: Node.js keeps the first of several Host headers, and the client for upstreams then refused the copy with both. Change: 400 before the route is looked up, as HTTP asks. It has not run. Evidence: the new test failed before with 503 after several attempts, and passes.

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -150,6 +150,10 @@
         if (!initialized) {
             await waitUntilInitialized(head);
         }
+        if (hasSeveralHosts(request)) {
+            writeLocalAnswer(response, head?.id, { status: badRequest, reason: "the request names several hosts" });
+            return undefined;
+        }
         const route = routes?.find(request.headers.host ?? "", url);
         if (route === undefined || declaration === undefined) {
             writeLocalAnswer(response, head?.id, unknownRouteAnswer());
@@ -304,6 +308,11 @@
     clearTimeout(timer);
 }
 
+/** Whether a request has more than one `Host` header; Node.js keeps only the first. */
+function hasSeveralHosts({ rawHeaders }: IncomingMessage): boolean {
+    return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === "host").length > 1;
+}
+
 function requestRefusal(failure: BodyFailure | "headTooLarge"): LocalAnswer | undefined {
     switch (failure) {
         case "headTooLarge":
--- a/packages/gateway/test/callerLimits.test.ts
+++ b/packages/gateway/test/callerLimits.test.ts
@@ -125,6 +125,16 @@
     });
 }
 
+test("a request with two Host headers gets 400 and is not run (guards against a refusal that invites the caller to try again)", async () => {
+    await using fleet = await createFleet();
+    const gateway = await fleet.startGateway();
+    await waitUntilReady(gateway);
+    const head =
+        "GET /look/x HTTP/1.1\r\nhost: fleet.test\r\nHOST: other.test\r\nx-request-id: c1\r\nconnection: close\r\n\r\n";
+    assert.equal(await statusOf(gateway, head), "400");
+    assert.deepEqual(fleet.tool.executed, []);
+});
+
 test("bytes that are no request get 400 after the answer of the request before them (guards against an answer within another)", async () => {
     await using fleet = await createFleet();
     fleet.tool.behave("silent");
