Callers: what a closed connection has sent is not kept until its turn

Cause: a connection that waits for its turn stayed in the queue after it had closed, with up to 64 KiB that it had sent. A paused connection is also read further than what was counted of it.

--- a/packages/gateway/src/pacedParsing.ts
+++ b/packages/gateway/src/pacedParsing.ts
@@ -70,7 +70,8 @@
         pending = bytes;
         awaitsTurn = true;
         socket.pause();
-        pace.waiting(pending.length + socket.readableLength);
+        // A paused connection is read until so many bytes wait.
+        pace.waiting(pending.length + Math.max(socket.readableLength, socket.readableHighWaterMark));
         turns.enqueue(takeTurn);
     }
 
@@ -78,10 +79,13 @@
         const bytes = pending;
         pending = noBytes;
         awaitsTurn = false;
-        if (!socket.destroyed) {
-            resume();
-            parseInParts(bytes);
-        }
+        resume();
+        parseInParts(bytes);
+    }
+
+    function forget(): void {
+        pending = noBytes;
+        turns.remove(takeTurn);
     }
 
     function readOn(): void {
@@ -93,6 +97,7 @@
 
     // Node.js resumes a connection each time the body of a request is read.
     socket.resume = () => awaitsTurn ? socket : resume();
+    socket.once("close", forget);
     socket.off("data", parse);
     socket.on("data", parseInParts);
     return () => {
--- a/packages/gateway/src/parsingTurns.ts
+++ b/packages/gateway/src/parsingTurns.ts
@@ -2,23 +2,36 @@
 export interface ParsingTurns {
     /** Begins the turn of a connection. Returns a function that tells whether it is over. */
     begin(): () => boolean;
-    /** Continues a connection whose turn is over when the connections before it have had theirs. */
+    /** Continues a connection whose turn is over when those before it have had theirs. */
     enqueue(readOn: () => void): void;
+    /** Forgets a connection that waits for its turn, if it does. */
+    remove(readOn: () => void): void;
 }
 
 /** Time for which a connection is parsed before others get their turn. */
-const maxTurnMs = 2;
+const maxTurnMs = 1;
 
 /** Creates turns; `now` is the monotonic clock in milliseconds. */
 export function createParsingTurns(now: () => number): ParsingTurns {
-    const waiting: (() => void)[] = [];
+    const waiting = new Set<() => void>();
+    let isScheduled = false;
+
+    function schedule(): void {
+        if (!isScheduled && waiting.size > 0) {
+            isScheduled = true;
+            setImmediate(continueNext);
+        }
+    }
 
     /** One connection at a time, so that those which do not wait, and all else of the process, go on in between. */
     function continueNext(): void {
-        waiting.shift()?.();
-        if (waiting.length > 0) {
-            setImmediate(continueNext);
+        isScheduled = false;
+        const [next] = waiting;
+        if (next !== undefined) {
+            waiting.delete(next);
+            next();
         }
+        schedule();
     }
 
     return {
@@ -27,10 +40,9 @@
             return () => now() >= endsAt;
         },
         enqueue(readOn) {
-            waiting.push(readOn);
-            if (waiting.length === 1) {
-                setImmediate(continueNext);
-            }
+            waiting.add(readOn);
+            schedule();
         },
+        remove: readOn => void waiting.delete(readOn),
     };
 }
--- a/packages/gateway/test/crowds.test.ts
+++ b/packages/gateway/test/crowds.test.ts
@@ -264,3 +264,17 @@
     });
     await assertServed(call(gateway, { path: "/plan/x", id: "after", body: "x".repeat(ordinaryBytes) }));
 });
+
+test("1,600 bodies in chunks of seven bytes that do not end, whose callers leave 400 at a time: the process stays within its memory, and an ordinary caller is answered (guards against bytes of closed connections that are kept until their turn)", async () => {
+    await using fleet = await createFleet();
+    await using gateway = await startProcess(fleet, { ...deployed, memoryMb });
+    const openBodies = chunkedBodies(400, 7);
+    await stayWithinBounds(gateway, async () => {
+        for (let wave = 0; wave < 4; wave += 1) {
+            using crowd = await openBodies(gateway.settings);
+            await sleep(crowdMs / 4);
+            assert.equal(crowd.sockets.length, 400);
+        }
+        await assertServed(call(gateway, { path: "/plan/x", id: "after", body: "x".repeat(ordinaryBytes) }));
+    });
+});
