--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -7,7 +7,7 @@
 import { createParsingTurns } from "./parsingTurns.ts";
 import { headEnd, headSize } from "./requestHead.ts";
 
-/** The connections of callers and what they hold in memory, kept within a limit. */
+/** The connections of callers, kept within what they may hold of memory and descriptors. */
 export interface CallerConnections {
     /** Counts a request that has been read. */
     admit(request: IncomingMessage, response: ServerResponse): Admission;
@@ -47,7 +47,7 @@
     /** Memory reserved for the calls under way. */
     callBytes: number;
     lastRequest: IncomingMessage | undefined;
-    /** What is being parsed. */
+    /** The bytes that are being parsed; empty between two parts. */
     part: Buffer;
     /** Bytes of the last request's body that are still to come, if its length is declared. */
     bodyLeft: number;
--- a/packages/gateway/src/listen.ts
+++ b/packages/gateway/src/listen.ts
@@ -22,8 +22,9 @@
     "ENOBUFS", "ENOMEM"]);
 
 /**
- * Resolves when the server listens on the address, which is asked for at each try. It waits as long as the address is in use or not there, or there are no
- * resources for a socket, or until it is aborted. Rejects with a `ListenError` if it may not listen there.
+ * Resolves when the server listens on the address, which is asked for at each try. It waits as long as the address is in
+ * use or not there, or there are no resources for a socket, or until it is aborted; `onWaiting` is called at each failed
+ * try. Rejects with a `ListenError` if it may not listen there.
  */
 export async function listen(server: Server, address: () => SocketAddress, log: Log, signal?: AbortSignal,
     onWaiting?: () => void): Promise<void> {
--- a/packages/gateway/src/requestHead.ts
+++ b/packages/gateway/src/requestHead.ts
@@ -10,9 +10,10 @@
 const emptyLineBytes = 2;
 /** The end of a request head, an empty line after the last header. */
 export const headEnd = "\r\n\r\n";
+const headEndBytes = Buffer.from(headEnd);
 
-/** Smallest size in which a request head can have come, in bytes: without white space around values, which Node.js removes. */
-export function minHeadSize({ method = "", url = "", httpVersion, rawHeaders }: RequestHead): number {
+/** Smallest size in which a request head can have come: without white space around values, which Node.js removes. */
+function minHeadSize({ method = "", url = "", httpVersion, rawHeaders }: RequestHead): number {
     const line = method.length + url.length + httpVersion.length + requestLineBytes;
     const headers = rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
     return line + headers + rawHeaders.length / 2 * headerLineBytes + emptyLineBytes;
@@ -27,5 +28,3 @@
         ? earlierBytes + lastPart.length
         : minHeadSize(head);
 }
-
-const headEndBytes = Buffer.from(headEnd);
