--- a/packages/core/src/gateway/callerMemory.ts
+++ b/packages/core/src/gateway/callerMemory.ts
@@ -78,7 +78,7 @@
     readonly calls: number;
 }
 
-/** Bytes that have been read from a connection and wait to be parsed, as calls before them have no answer yet. */
+/** Bytes read from a connection that wait to be parsed, until a call before them is answered or others have had a turn. */
 export interface WaitingUse {
     readonly waitingBytes: number;
 }
