Upstreams: a gateway that is cut off from them reaches them through another one

Cause: a gateway had only its own connections to upstreams. Calls waited on kept connections that hang until their time was over, and 0.6 s for each new one ("Connect Timeout Error" in send.failed, "the time limit was reached" in call.refused of a VM that was cut off). Class: a single path to what all depend on, and its loss taken for that of the other end.

Change: a connection that is refused or not open after 150 ms is asked of another gateway, which opens it and passes the bytes on; everything else of a call stays where it is. Without contact with any upstream and with failures at two of them, a gateway counts as cut off: it drops its connections, sends calls again that may run again, asks others at once, and looks every 500 ms whether the cut has ended. Calls under way that are silent for 400 ms make it look. What it sees meanwhile counts against no upstream. Without a gateway that reaches upstreams, calls are refused at once with a time to return.

Why it works: a relayed connection ends as the upstream's does (end or reset), and closing it closes the upstream's, so that what is known about a call is as for an own connection. Gateways that are cut off open none for others, so that connections are never passed on twice.

Ruled out: a limit of readiness, as most VMs of a data centre may be cut off at once.

--- a/packages/core/src/gateway/index.ts
+++ b/packages/core/src/gateway/index.ts
@@ -43,4 +43,5 @@
 export * from "./teamQuota.ts";
 export * from "./tokenAccount.ts";
 export * from "./turnPriority.ts";
+export * from "./upstreamReach.ts";
 export * from "./upstreamState.ts";
--- a/packages/core/src/gateway/retryDelay.ts
+++ b/packages/core/src/gateway/retryDelay.ts
@@ -15,6 +15,8 @@
         readonly expectedWait: number; readonly ahead: number; }
     /** The upstreams refused the call, or no connection to them was free. */
     | { readonly kind: "upstreamsFull"; }
+    /** The gateway reaches no upstream, directly or through another gateway; a further gateway may reach some. */
+    | { readonly kind: "upstreamsUnreachable"; }
     /** The upstreams take no more requests a second; by the end of `expectedWait` one of them may take another one. */
     | { readonly kind: "rateLimited"; readonly expectedWait: number; }
     /** The team has used up its quota; by the end of `expectedWait` it may send another request. */
@@ -34,6 +36,7 @@
 /** Delay after a call has already waited here for the store: the next gateway lets it wait again. */
 const storeAwayDelayMs = 100;
 const upstreamsFullDelayMs = 100;
+const upstreamsUnreachableDelayMs = 100;
 const memoryFullDelayMs = 300;
 /** Bounds of the delay after a refusal because the rate limits of the upstreams are reached. */
 const minRateLimitedDelayMs = 100;
@@ -70,6 +73,8 @@
             return Math.min(maxOverloadDelayMs, Math.max(minOverloadDelayMs, cause.expectedWait));
         case "upstreamsFull":
             return upstreamsFullDelayMs;
+        case "upstreamsUnreachable":
+            return upstreamsUnreachableDelayMs;
         case "rateLimited":
             return Math.min(maxRateLimitedDelayMs, Math.max(minRateLimitedDelayMs, cause.expectedWait));
         case "quotaExceeded":
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -76,6 +76,8 @@
     readonly tokensPerEvent: number;
     /** Earlier attempts of the call that ended without an answer in time. */
     readonly timeouts: number;
+    /** Whether this gateway reaches no upstream itself, so that a wait says nothing about the upstream. */
+    readonly isCutOff: () => boolean;
     /** Called when the upstream announces in its answer that it leaves. */
     readonly onLeaving: () => void;
     /** Called with what the upstream states about its rate limit, and the time at which the call was sent. */
@@ -255,6 +257,7 @@
         body: call.body,
         priority: plan.priority ?? 0,
         usedConnections: plan.usedConnections,
+        isRepeatable: call.route.execution === "repeatable",
     }, {
         head: receiveHead,
         data: receiveData,
@@ -271,7 +274,7 @@
     }
 
     function cancel(): void {
-        if (answer === undefined) {
+        if (answer === undefined && !plan.isCutOff()) {
             state.estimate.recordAbandonedCall(now() - sentAt, now());
         }
         abort("cancelled");
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -45,6 +45,7 @@
     enginesFull: "the engines are full",
     noPlace: "the engines have no place",
     upstreamsFull: "no upstream takes calls",
+    upstreamsUnreachable: "no upstream can be reached from this gateway",
     rateLimited: "the upstreams' rate limits are reached",
     quotaExceeded: "the team's quota is used up",
     quotaUnknown: "the team's quota cannot be checked",
@@ -60,8 +61,8 @@
 } as const;
 
 /** Causes of a refusal that concern only this gateway or the way to it, so that another one may serve the call. */
-const causesToGoElsewhere: ReadonlySet<RefusalCause["kind"]> = new Set(["storeAway", "quotaUnknown", "memoryFull",
-    "stopping"]);
+const causesToGoElsewhere: ReadonlySet<RefusalCause["kind"]> = new Set(["storeAway", "upstreamsUnreachable",
+    "quotaUnknown", "memoryFull", "stopping"]);
 
 /** The answer to a call that has not run and will not run. */
 export function refusalAnswer(cause: RefusalCause, reason = refusalReasons[cause.kind]): LocalAnswer {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import { type CallerServer, openCallerServer } from "./callerServer.ts";
 import { createCatalog } from "./catalog.ts";
 import { createCleaner } from "./cleaner.ts";
+import type { DirectConnector } from "./directConnection.ts";
 import { createDispatch } from "./dispatch.ts";
 import { createDispatcher } from "./dispatcher.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
@@ -28,12 +29,15 @@
 import { createQuotas } from "./quotas.ts";
 import { createRateLimits } from "./rateLimits.ts";
 import { openReadinessServer } from "./readinessServer.ts";
+import { createRelays } from "./relays.ts";
+import { createRelayServer, relayCapacity } from "./relayServer.ts";
 import { createRoutedStore } from "./routedStore.ts";
 import { createSharedBudgets } from "./sharedBudgets.ts";
 import type { StoreOutage } from "./turnPreparation.ts";
 import { turnTable } from "./turnRow.ts";
 import { createTurns } from "./turns.ts";
-import { createUpstreams } from "./upstreams.ts";
+import { createUpstreamPaths, type UpstreamPaths } from "./upstreamPaths.ts";
+import { createUpstreams, type Upstreams } from "./upstreams.ts";
 import { watchTable } from "./watch.ts";
 
 /** A running gateway. */
@@ -55,6 +59,8 @@
     readonly log: Log;
     readonly now: () => number;
     readonly peerListTimes?: PeerListTimes;
+    /** Opens the gateway's own connections to upstreams. */
+    readonly connect?: DirectConnector;
 }
 
 /** Time until the load balancer sends no new connections: it polls readiness once a second and needs two failures. */
@@ -126,11 +132,20 @@
                 cores: settings.processorCores, seeds: settings.knownPeers, store, onRead: recordPeers, log, now,
                 times: peerListTimes }),
         );
-    const upstreams = disposal.own(
+    const contacts = disposal.own(createPeerContacts({ log, now }));
+    const relays = settings.peerAddress === undefined
+        ? undefined
+        : createRelays({ name: settings.name, dataCentre: settings.dataCentre,
+            peers: () => peerList?.registered() ?? [], isBackingOff: peer => contacts.isBackingOff(peer),
+            random: Math.random, now });
+    const paths: UpstreamPaths = disposal.own(
+        createUpstreamPaths({ relays, targets: () => upstreams.targets(), connect: parts.connect, metrics, log, now,
+            random: Math.random }),
+    );
+    const upstreams: Upstreams = disposal.own(
         createUpstreams({ declaration: catalog.declaration, gateways: () => peerList?.registered().length ?? 1, limits,
-            now }),
+            paths, now }),
     );
-    const contacts = disposal.own(createPeerContacts({ log, now }));
     const authorities = createAuthorities({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
         settlingTime: peerListTimes.settling, contacts, now });
     const permits = createPermits({ name: settings.name, hasPeers: settings.peerAddress !== undefined,
@@ -178,9 +193,14 @@
         disposal.own(serveMetrics(settings.metricsAddress, metrics, log));
     }
     if (settings.peerAddress !== undefined) {
+        const relayServer = disposal.own(
+            createRelayServer({ findTarget: id => upstreams.findTarget(id), isCutOff: () => paths.isCutOff(),
+                openDirectly: (target, timeoutMs) => paths.openDirectly(target, timeoutMs),
+                maxConnections: relayCapacity(settings.maxDescriptors), metrics, log }),
+        );
         disposal.own(
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
-                permitIssuer: permits, quotaServer: quotas, dispatcher, log, now }),
+                permitIssuer: permits, quotaServer: quotas, dispatcher, relayServer, log, now }),
         );
     }
     disposal.own(
--- a/packages/gateway/src/inProcess.ts
+++ b/packages/gateway/src/inProcess.ts
@@ -1,9 +1,8 @@
 import type { GatewaySettings } from "@tamarackgauge/core/gateway";
 import { createStore } from "@tamarackgauge/platform";
-import { createGateway, type Gateway } from "./gateway.ts";
+import { createGateway, type Gateway, type GatewayParts } from "./gateway.ts";
 import { defaultLimits } from "./limits.ts";
 import type { Log, LogFields } from "./log.ts";
-import type { PeerListTimes } from "./peerList.ts";
 
 /** A line that a gateway logged. */
 export interface RecordedLogLine {
@@ -25,12 +24,12 @@
 
 /** Starts a gateway in this process, which records what it logs. */
 export async function startInProcess(settings: GatewaySettings,
-    peerListTimes?: PeerListTimes): Promise<InProcessGateway> {
+    options: Pick<GatewayParts, "peerListTimes" | "connect"> = {}): Promise<InProcessGateway> {
     const logLines: RecordedLogLine[] = [];
     const record = (event: string, fields: LogFields) => void logLines.push({ event, fields });
     const log: Log = { info: record, warn: record };
     const store = createStore(settings.storeAddress);
-    const gateway = await createGateway({ settings, limits: defaultLimits, store, log, peerListTimes,
+    const gateway = await createGateway({ settings, limits: defaultLimits, store, log, ...options,
         now: () => performance.now() });
     return {
         gateway,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -47,6 +47,10 @@
     recordTurnLookup(where: "memory" | "store"): void;
     /** Records whether a turn's tokens were reserved by this gateway or by the program's home gateway. */
     recordTokenReservation(where: "own" | "home"): void;
+    /** Records a connection to an upstream, by whether another gateway opened it. */
+    recordUpstreamConnection(path: "direct" | "relayed"): void;
+    /** Records what became of a connection to an upstream that another gateway asked for. */
+    recordRelay(outcome: RelayOutcome): void;
     setActiveCalls(calls: number): void;
     /** Sets the memory that callers hold in connections, unfinished heads and calls. */
     setCallerMemory(use: CallerMemoryUse): void;
@@ -67,6 +71,12 @@
     summary(): Promise<Readonly<Record<string, number>>>;
 }
 
+/**
+ * What became of a connection that another gateway asked for. `refused`: this gateway is cut off too, does not know the
+ * upstream, or relays as many as it may. `unreachable`: it does not reach the upstream either.
+ */
+export type RelayOutcome = "opened" | "refused" | "unreachable";
+
 /** How a request for a place ended. `alone`: the dispatcher could not be asked, so that the gateway chose by itself. */
 export type PlacementOutcome = "placed" | "refused" | "withdrawn" | "alone";
 
@@ -119,6 +129,11 @@
         help: "Previous turns, by where they were found", labelNames: ["where"], registers });
     const tokenReservations = new Counter({ name: "tamarackgauge_token_reservations_total",
         help: "Reservations of tokens, by the gateway that made them", labelNames: ["where"], registers });
+    const upstreamConnections = new Counter({ name: "tamarackgauge_upstream_connections_total",
+        help: "Connections to upstreams, by whether this gateway opened them itself", labelNames: ["path"],
+        registers });
+    const relays = new Counter({ name: "tamarackgauge_relayed_connections_total",
+        help: "Connections to upstreams that other gateways asked for", labelNames: ["outcome"], registers });
     const activeCalls = new Gauge({ name: "tamarackgauge_active_calls", help: "Calls of callers under way",
         registers });
     const callerBytes = new Gauge({ name: "tamarackgauge_caller_bytes",
@@ -162,6 +177,8 @@
         recordDispatch: ({ service, turn, decision }) => dispatches.inc({ service, turn, decision }),
         recordTurnLookup: where => turnLookups.inc({ where }),
         recordTokenReservation: where => tokenReservations.inc({ where }),
+        recordUpstreamConnection: path => upstreamConnections.inc({ path }),
+        recordRelay: outcome => relays.inc({ outcome }),
         setActiveCalls: count => activeCalls.set(count),
         setCallerMemory: use =>
             Object.entries(use).forEach(([part, bytes]) => callerBytes.set({ part }, bytes as number)),
@@ -176,7 +193,7 @@
             const fields: Record<string, number> = {};
             for (const counter of [calls, storeCalls, sends, brokenAnswers, leaving, turnLookups, tokenReservations,
                 closings, memoryRefusals, rateLimitChanges, permits, keyRefusals, quotaDecisions, credits,
-                quotaMessages, placements, dispatches]) {
+                quotaMessages, placements, dispatches, upstreamConnections, relays]) {
                 const { name, values } = await counter.get();
                 for (const { labels, value } of values) {
                     fields[[name.replace(/^tamarackgauge_|_total$/g, ""), ...Object.values(labels)].join(".")] = value;
--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -2,6 +2,7 @@
     type StoreHealth } from "@tamarackgauge/core/gateway";
 import { pack } from "msgpackr";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { TokenLender } from "./budgets.ts";
 import type { Dispatcher, DispatcherSession } from "./dispatcher.ts";
@@ -14,6 +15,7 @@
     type TokenCall } from "./peerMessage.ts";
 import type { PermitIssuer } from "./permits.ts";
 import type { QuotaServer } from "./quotas.ts";
+import type { RelayServer } from "./relayServer.ts";
 
 /** Parts of a peer server. */
 export interface PeerServerParts {
@@ -26,6 +28,7 @@
     /** Undefined if no quotas are held. */
     readonly quotaServer: QuotaServer | undefined;
     readonly dispatcher: Pick<Dispatcher, "open">;
+    readonly relayServer: Pick<RelayServer, "serve">;
     readonly log: Log;
     readonly now: () => number;
 }
@@ -39,8 +42,8 @@
 const upgradeRequiredStatus = 426;
 
 /**
- * Makes store calls for gateways that cannot reach the store, lends tokens of programs, issues permits, hands out credits of
- * teams and places calls. Calls are served without it, so the start does not wait until it listens.
+ * Makes store calls for gateways that cannot reach the store, opens connections for those that cannot reach upstreams, lends
+ * tokens of programs, issues permits, hands out credits of teams and places calls. Calls are served without it, so the start does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
@@ -52,6 +55,10 @@
     httpServer.on("upgrade",
         (request, socket, head) =>
             server.handleUpgrade(request, socket, head, link => server.emit("connection", link, request)));
+    httpServer.on("connect", (request, socket: Socket) => {
+        stopCounting(socket);
+        parts.relayServer.serve(request, socket);
+    });
     const stopped = new AbortController();
     listen(httpServer, () => address, log, stopped.signal)
         .catch((error: Error) => log.warn("peers.unavailable", { reason: error.message }));
--- /dev/null
+++ b/packages/gateway/src/relayServer.ts
@@ -0,0 +1,106 @@
+import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
+import type { Log } from "./log.ts";
+import type { Metrics } from "./metrics.ts";
+import { decodeRelayHeaders, relayStatus } from "./relayMessage.ts";
+import type { UpstreamTarget } from "./relays.ts";
+import { detectReset } from "./upstreamConnector.ts";
+
+/** Opens connections to upstreams for gateways that do not reach them. */
+export interface RelayServer extends Disposable {
+    /** Takes a request for a connection. */
+    serve(request: IncomingMessage, caller: Socket): void;
+}
+
+/** Dependencies of a relay server. */
+export interface RelayServerParts {
+    /** The upstream with an id; undefined if there is none. No other address is connected to. */
+    readonly findTarget: (id: string) => UpstreamTarget | undefined;
+    /** Whether this gateway reaches no upstream itself. */
+    readonly isCutOff: () => boolean;
+    readonly openDirectly: (target: UpstreamTarget, timeoutMs: number) => Promise<Socket>;
+    /** Maximum number of connections that are relayed at a time. */
+    readonly maxConnections: number;
+    readonly metrics: Metrics;
+    readonly log: Log;
+}
+
+/** Shorter than what the asking gateway waits for, so that it is told that the upstream is out of reach. */
+const connectTimeoutMs = 250;
+/** A relayed connection without any bytes is closed after this time, as the other gateway may be gone without a sign. */
+const idleTimeoutMs = 120_000;
+/** The share of the descriptors that relayed connections may take; each takes two. */
+const descriptorShare = 0.1;
+const maxRelayed = 256;
+
+/** How many connections a process with so many descriptors relays at a time. */
+export function relayCapacity(maxDescriptors = Infinity): number {
+    return Math.min(maxRelayed, Math.floor(maxDescriptors * descriptorShare / 2));
+}
+
+/** Starts relaying. */
+export function createRelayServer(parts: RelayServerParts): RelayServer {
+    const { findTarget, isCutOff, openDirectly, maxConnections, metrics, log } = parts;
+    const callers = new Set<Socket>();
+
+    async function relay(request: IncomingMessage, caller: Socket): Promise<void> {
+        const id = decodeRelayHeaders(request.headers);
+        const target = id === undefined ? undefined : findTarget(id);
+        if (target === undefined || isCutOff() || callers.size > maxConnections) {
+            refuse(caller, relayStatus.unavailable);
+            return;
+        }
+        const upstream = await openDirectly(target, connectTimeoutMs).catch(() => undefined);
+        if (upstream === undefined) {
+            refuse(caller, relayStatus.upstreamUnreachable);
+        }
+        else if (caller.destroyed) {
+            upstream.destroy();
+        }
+        else {
+            metrics.recordRelay("opened");
+            caller.write(`HTTP/1.1 ${relayStatus.opened} OK\r\n\r\n`);
+            join(caller, upstream);
+        }
+    }
+
+    function refuse(caller: Socket, status: number): void {
+        metrics.recordRelay(status === relayStatus.unavailable ? "refused" : "unreachable");
+        caller.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\n\r\n`);
+    }
+
+    return {
+        serve(request, caller) {
+            callers.add(caller);
+            caller.once("close", () => callers.delete(caller));
+            // What broke is seen by the close that follows.
+            caller.on("error", () => undefined);
+            relay(request, caller).catch((error: Error) => {
+                log.warn("relay.broken", { reason: error.stack ?? error.message });
+                caller.destroy();
+            });
+        },
+        [Symbol.dispose]: () => callers.forEach(caller => caller.destroy()),
+    };
+}
+
+/**
+ * Passes on all bytes between a gateway and an upstream. A connection that the upstream resets is reset, so that an answer
+ * without a length is not taken for whole; one that the gateway closes is closed, so that the upstream stops its work.
+ */
+function join(caller: Socket, upstream: Socket): void {
+    const wasReset = detectReset(upstream);
+    upstream.on("error", () => undefined);
+    upstream.once("end", () => void wasReset().then(isReset => isReset ? caller.resetAndDestroy() : caller.end()));
+    upstream.once("close", () => {
+        if (!upstream.readableEnded) {
+            caller.resetAndDestroy();
+        }
+    });
+    caller.once("end", () => upstream.destroy());
+    caller.once("close", () => upstream.destroy());
+    caller.setTimeout(idleTimeoutMs, () => caller.destroy());
+    caller.setNoDelay(true);
+    upstream.pipe(caller, { end: false });
+    caller.pipe(upstream, { end: false });
+}
--- /dev/null
+++ b/packages/gateway/src/relays.ts
@@ -0,0 +1,117 @@
+import { rankRelays } from "@tamarackgauge/core/gateway";
+import { request } from "node:http";
+import type { Socket } from "node:net";
+import type { Peer } from "./peerList.ts";
+import { encodeRelayHeaders, relayStatus, relayTarget } from "./relayMessage.ts";
+
+/** An upstream to which a connection is opened. */
+export interface UpstreamTarget {
+    readonly id: string;
+    readonly address: { readonly host: string; readonly port: number; };
+    readonly dataCentre: string;
+}
+
+/** Opens connections to upstreams through other gateways. */
+export interface Relays {
+    /** Rejects if no gateway that was asked opens the connection, or when the signal is aborted. */
+    open(target: UpstreamTarget, signal: AbortSignal): Promise<Socket>;
+    /** Whether the last connection that was asked for could be opened through none of the gateways. */
+    areExhausted(): boolean;
+}
+
+/** Dependencies of relays. */
+export interface RelaysParts {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly peers: () => readonly Peer[];
+    /** Whether a gateway is not to be asked for now. */
+    readonly isBackingOff: (peer: string) => boolean;
+    readonly random: () => number;
+    readonly now: () => number;
+}
+
+/** Maximum number of gateways that are asked for one connection. Those that are cut off themselves refuse at once. */
+const maxAttempts = 8;
+/** A connection is given up once so many gateways have said that they do not reach the upstream. */
+const maxUnreachable = 2;
+/** Time for a gateway to open the connection, more than it takes itself for that. */
+const openTimeoutMs = 400;
+/** Time for which a gateway that did not open a connection is not asked. */
+const refusalBackoffMs = 1_000;
+const failureBackoffMs = 2_000;
+const keepAliveDelayMs = 1_000;
+
+/** What became of a request for a connection. */
+type RelayOutcome =
+    | { readonly kind: "opened"; readonly socket: Socket; }
+    | { readonly kind: "upstreamUnreachable" | "unavailable" | "failed" | "aborted"; };
+
+/** Creates relays; no connection is open yet. */
+export function createRelays({ name, dataCentre, peers, isBackingOff, random, now }: RelaysParts): Relays {
+    const backoffUntil = new Map<string, number>();
+    let exhausted = false;
+
+    function candidates(target: UpstreamTarget): readonly Peer[] {
+        const usable = peers().filter(peer =>
+            peer.name !== name && !isBackingOff(peer.name) && (backoffUntil.get(peer.name) ?? -Infinity) <= now()
+        );
+        return rankRelays(usable, dataCentre, target.dataCentre, random);
+    }
+
+    async function open(target: UpstreamTarget, signal: AbortSignal): Promise<Socket> {
+        let unreachable = 0;
+        for (const peer of candidates(target).slice(0, maxAttempts)) {
+            const outcome = await requestConnection(peer, target, signal);
+            if (outcome.kind === "opened") {
+                exhausted = false;
+                return outcome.socket;
+            }
+            if (outcome.kind === "aborted") {
+                throw new Error("the connection is not needed any more");
+            }
+            unreachable += outcome.kind === "upstreamUnreachable" ? 1 : 0;
+            if (unreachable >= maxUnreachable) {
+                throw new Error("the upstream cannot be reached from other gateways either");
+            }
+            if (outcome.kind !== "upstreamUnreachable") {
+                const backoffMs = outcome.kind === "unavailable" ? refusalBackoffMs : failureBackoffMs;
+                backoffUntil.set(peer.name, now() + backoffMs);
+            }
+        }
+        exhausted = unreachable === 0;
+        throw new Error("no other gateway opens a connection to the upstream");
+    }
+
+    return { open, areExhausted: () => exhausted };
+}
+
+function requestConnection({ address }: Peer, { id }: UpstreamTarget, signal: AbortSignal): Promise<RelayOutcome> {
+    return new Promise(resolve => {
+        const outgoing = request({ ...address, method: "CONNECT", path: relayTarget, headers: encodeRelayHeaders(id),
+            agent: false, signal });
+        const timer = setTimeout(() => outgoing.destroy(), openTimeoutMs);
+        outgoing.on("connect", ({ statusCode }, stream, head) => {
+            clearTimeout(timer);
+            const socket: Socket = stream;
+            if (statusCode !== relayStatus.opened) {
+                socket.destroy();
+                resolve({ kind: statusCode === relayStatus.upstreamUnreachable
+                    ? "upstreamUnreachable"
+                    : "unavailable" });
+                return;
+            }
+            socket.setNoDelay(true);
+            socket.setKeepAlive(true, keepAliveDelayMs);
+            if (head.length > 0) {
+                socket.unshift(head);
+            }
+            resolve({ kind: "opened", socket });
+        });
+        outgoing.on("error", () => resolve({ kind: signal.aborted ? "aborted" : "failed" }));
+        outgoing.on("close", () => {
+            clearTimeout(timer);
+            resolve({ kind: signal.aborted ? "aborted" : "failed" });
+        });
+        outgoing.end();
+    });
+}
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -100,6 +100,8 @@
     let placeWait = 0;
     /** Whether no further attempt was made because no upstream had a permit in time. */
     let permitMissing = false;
+    /** Whether no further attempt was made because no upstream can be reached from here. */
+    let stranded = false;
 
     async function run(): Promise<SendResult> {
         let lastFailure: FailedAttempt | undefined;
@@ -131,6 +133,10 @@
             lastFailure = end;
             worstFailure = end.failure === "notRun" ? worstFailure : end.failure;
             tried.add(upstream.state.entry.id);
+            if (end.unreachable && upstreams.paths.isStranded()) {
+                stranded = true;
+                break;
+            }
             if (nextStep(route.execution, end.failure, sends, wasRejected(end) ? maxSendsIfFull : maxSends) ===
                     "giveUp" ||
                 now() >= call.deadlineAt) {
@@ -258,6 +264,9 @@
         if (overload !== undefined || quotaRefusal !== undefined) {
             return overload ?? quotaRefusal!;
         }
+        if (stranded) {
+            return { kind: "upstreamsUnreachable" };
+        }
         const expectedWait = permitMissing ? upstreams.permitDelay(serviceOf(call, declaration())) : undefined;
         return expectedWait === undefined ? { kind: "upstreamsFull" } : { kind: "rateLimited", expectedWait };
     }
@@ -301,7 +310,8 @@
         if (end.kind !== "failure") {
             state.recordSuccess();
         }
-        else if (cancelled !== "left" && (end.failure !== "notRun" || end.unreachable)) {
+        else if (cancelled !== "left" && (end.failure !== "notRun" || end.unreachable) &&
+            !upstreams.paths.isCutOff()) {
             state.recordFailure(now());
         }
         return end;
@@ -314,6 +324,9 @@
         if (end.kind !== "failure") {
             return "answered";
         }
+        if (upstreams.paths.isCutOff()) {
+            return "unused";
+        }
         if (cancelled !== undefined) {
             // Callers choose their time limits, so that a late call tells something only if no progress was seen.
             return end.timedOut === true ? "failed" : "unused";
@@ -333,7 +346,7 @@
                 rateLimits.observe(upstream.state, { statement, sentAt, call: head.id });
             const tokensPerEvent = upstreams.tokensPerEvent(upstream.state.entry.service);
             current = startAttempt(upstream, { ...plan, usedConnections, tokensPerEvent, timeouts, onLeaving,
-                onRateLimit }, limits, now);
+                onRateLimit, isCutOff: () => upstreams.paths.isCutOff() }, limits, now);
         }
         catch (error) {
             const reason = (error as Error).message;
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -3,6 +3,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Client, type Dispatcher, errors } from "undici";
 import { createUpstreamSocket, UpstreamFullError, type UpstreamSocket } from "./upstreamConnector.ts";
+import { createDirectPaths, type UpstreamPaths, type WatchedCall } from "./upstreamPaths.ts";
 
 /** A call in the form in which it is sent to an upstream. */
 export interface UpstreamRequest {
@@ -17,6 +18,8 @@
     readonly priority: number;
     /** Connections that have carried the call in earlier attempts; the client adds the one that it uses. */
     readonly usedConnections: UsedConnections;
+    /** Whether the call may run again, so that it fails at once on a connection that was cut off. */
+    readonly isRepeatable?: boolean;
 }
 
 /**
@@ -69,12 +72,19 @@
     readonly maxConnections: () => number;
     /** Maximum size of an answer's status line and headers. */
     readonly maxHeadBytes: number;
+    /** Id and data centre of the upstream; needed to reach it through other gateways. */
+    readonly id?: string;
+    readonly dataCentre?: string;
+    readonly paths?: UpstreamPaths;
 }
 
 const idleTimeoutMs = 8_000;
 /** An idle connection is closed this long before the upstream would close it. */
 const idleTimeoutMarginMs = 1_000;
 
+/** A relayed connection is not reused after this time if the gateway is not cut off, so that a direct one is tried again. */
+const maxRelayedAgeMs = 2_000;
+
 /** Maximum time for which a call waits for a free connection before it may be sent to another upstream. */
 const connectionWaitMs = 250;
 
@@ -82,7 +92,10 @@
 interface Connection {
     readonly client: Client;
     readonly socket: UpstreamSocket;
+    readonly openedAt: number;
     busy: boolean;
+    /** Whether the call that it carries may run again. */
+    isRepeatable: boolean;
 }
 
 /** A call that waits for a connection. */
@@ -102,14 +115,30 @@
 
 /** Creates a client for the upstream at an address. */
 export function createUpstreamClient(parts: UpstreamClientParts): UpstreamClient {
-    const { host, port, maxConnections, maxHeadBytes } = parts;
+    const { host, port, maxConnections, maxHeadBytes, id = "", dataCentre = "", paths = createDirectPaths() } = parts;
+    const target = { id, dataCentre, address: { host, port } };
     /** The most recently used connection is first, so that those not needed become idle and are closed. */
     let connections: Connection[] = [];
     /** Ordered by priority, then by arrival. */
     let waiting: WaitingRequest[] = [];
     let retired = false;
+    const stopListening = paths.onCutOff(closeDirectConnections);
+
+    /** Calls that may not run again keep their connections, which may work again in time. */
+    function closeDirectConnections(): void {
+        connections
+            .filter(({ socket, busy, isRepeatable }) => socket.kind() === "direct" && (!busy || isRepeatable))
+            .forEach(closeConnection);
+    }
 
-    function acquireConnection({ usedConnections }: UpstreamRequest): Connection | undefined {
+    function isReusable({ socket, openedAt }: Connection): boolean {
+        return socket.kind() === "relayed"
+            ? paths.isCutOff() || performance.now() - openedAt < maxRelayedAgeMs
+            : !paths.isCutOff();
+    }
+
+    function acquireConnection({ usedConnections, isRepeatable = false }: UpstreamRequest): Connection | undefined {
+        connections.filter(connection => !connection.busy && !isReusable(connection)).forEach(closeConnection);
         const idle = connections.filter(({ busy }) => !busy);
         const unused = idle.find(connection => !usedConnections.has(connection));
         if (unused === undefined && connections.length >= maxConnections() && idle.length > 0) {
@@ -118,6 +147,7 @@
         const connection = unused ?? (connections.length < maxConnections() ? openConnection() : undefined);
         if (connection !== undefined) {
             connection.busy = true;
+            connection.isRepeatable = isRepeatable;
             usedConnections.add(connection);
             connections = [connection, ...connections.filter(other => other !== connection)];
         }
@@ -125,7 +155,7 @@
     }
 
     function openConnection(): Connection {
-        const socket = createUpstreamSocket(maxHeadBytes);
+        const socket = createUpstreamSocket(maxHeadBytes, () => paths.open(target));
         const client = new Client(`http://${host}:${port}`, {
             pipelining: 1,
             headersTimeout: 0,
@@ -135,7 +165,7 @@
             maxHeaderSize: maxHeadBytes,
             connect: socket.connector,
         });
-        return { client, socket, busy: false };
+        return { client, socket, openedAt: performance.now(), busy: false, isRepeatable: false };
     }
 
     /** A connection is not reused if it may still deliver an answer that belongs to none of the pending calls. */
@@ -147,7 +177,7 @@
         startNextWaiting();
     }
 
-    /** Closes a connection that carries no call, so that nothing depends on how it ends. */
+    /** Closes a connection; a call that it carries fails. */
     function closeConnection(connection: Connection): void {
         connections = connections.filter(other => other !== connection);
         connection.client.destroy().catch(() => undefined);
@@ -212,8 +242,10 @@
         let ended = false;
         let isMatched = false;
         let hasNoBody = false;
+        let watched: WatchedCall | undefined;
 
         function fail(error: Error): void {
+            stopWatching();
             if (!ended) {
                 ended = true;
                 observer.fail(sent ? "unknown" : error instanceof UpstreamFullError ? "noRoom" : "unreachable",
@@ -221,8 +253,14 @@
             }
         }
 
+        function stopWatching(): void {
+            watched?.[Symbol.dispose]();
+            watched = undefined;
+        }
+
         function cancel(): void {
             ended = true;
+            stopWatching();
             controller?.abort(new Error("cancelled"));
         }
 
@@ -249,9 +287,11 @@
                     return;
                 }
                 sent = true;
+                watched = connection.socket.kind() === "direct" ? paths.watch() : undefined;
                 connection.socket.expectAnswer();
             },
             onResponseStart(_, status, responseHeaders, reasonPhrase) {
+                watched?.heard();
                 if (ended || status < 200) {
                     return;
                 }
@@ -268,11 +308,13 @@
                 observer.head(head, responseHeaders);
             },
             onResponseData(_, chunk) {
+                watched?.heard();
                 if (!ended) {
                     observer.data(chunk);
                 }
             },
             onResponseEnd() {
+                stopWatching();
                 // The HTTP client takes a reset for the end of an answer that has neither a length nor chunks.
                 void connection.socket.wasReset().then(endOrFail);
                 releaseConnection(connection, isMatched);
@@ -307,6 +349,7 @@
         send,
         retire,
         async [Symbol.asyncDispose]() {
+            stopListening();
             await Promise.all(connections.map(({ client }) => client.destroy()));
         },
     };
--- a/packages/gateway/src/upstreamConnector.ts
+++ b/packages/gateway/src/upstreamConnector.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import type { buildConnector } from "undici";
 import { type InterimAnswers, skipInterimAnswers } from "./interimAnswers.ts";
+import type { PathKind, UpstreamPath } from "./upstreamPaths.ts";
 
 /** The upstream closed a new connection before anything was sent over it, as its connection limit is reached. */
 export class UpstreamFullError extends Error {
@@ -9,7 +10,6 @@
     }
 }
 
-const connectTimeoutMs = 600;
 /**
  * Time for which nothing is sent over a new connection. An upstream at its connection limit closes it at once; if a
  * call had already been sent, its outcome would be unknown.
@@ -19,6 +19,8 @@
 /** The connection that is currently open to an upstream, if any. */
 export interface UpstreamSocket {
     readonly connector: buildConnector.connector;
+    /** How the connection was opened; undefined before. */
+    kind(): PathKind | undefined;
     /** States that a call is sent now, so that the next bytes begin its answer. */
     expectAnswer(): void;
     /** Whether the connection ended because it was reset, not because the upstream closed its side. */
@@ -26,35 +28,32 @@
 }
 
 /** Creates a connector that opens the connections to an upstream, one after the other; `maxHeadBytes` is the maximum size of an answer's head. */
-export function createUpstreamSocket(maxHeadBytes: number): UpstreamSocket {
+export function createUpstreamSocket(maxHeadBytes: number, open: () => Promise<UpstreamPath>): UpstreamSocket {
     let wasReset = async () => false;
+    let kind: PathKind | undefined;
     let interimAnswers: InterimAnswers | undefined;
-    const connector = createConnector(socket => {
-        wasReset = detectReset(socket);
-        interimAnswers = skipInterimAnswers(socket, maxHeadBytes);
+    const connector = createConnector(open, path => {
+        kind = path.kind;
+        wasReset = detectReset(path.socket);
+        interimAnswers = skipInterimAnswers(path.socket, maxHeadBytes);
     });
-    return { connector, wasReset: () => wasReset(), expectAnswer: () => interimAnswers?.expectAnswer() };
+    return { connector, kind: () => kind, wasReset: () => wasReset(),
+        expectAnswer: () => interimAnswers?.expectAnswer() };
 }
 
-/** `onOpen` receives each socket before it is used. */
-function createConnector(onOpen: (socket: Socket) => void): buildConnector.connector {
-    const connect = buildConnector({ timeout: connectTimeoutMs, noDelay: true, keepAlive: true,
-        keepAliveInitialDelay: 1_000 });
-    return (options, callback) =>
-        connect(options, (...[error, socket]) => {
-            if (error !== null) {
-                callback(isReset(error) ? new UpstreamFullError() : error, null);
-                return;
-            }
-            detectEarlyClose(socket, isClosed => {
+/** `onOpen` receives each connection before it is used. */
+function createConnector(open: () => Promise<UpstreamPath>,
+    onOpen: (path: UpstreamPath) => void): buildConnector.connector {
+    return (_, callback) =>
+        void open().then(path =>
+            detectEarlyClose(path.socket, isClosed => {
                 if (isClosed) {
                     callback(new UpstreamFullError(), null);
                     return;
                 }
-                onOpen(socket);
-                callback(null, socket);
-            });
-        });
+                onOpen(path);
+                callback(null, path.socket);
+            }), (error: Error) => callback(isReset(error) ? new UpstreamFullError() : error, null));
 }
 
 function isReset(error: NodeJS.ErrnoException): boolean {
@@ -85,7 +84,7 @@
  * data as an orderly end. Writing zero bytes shows it: nothing is sent, and the write fails on a connection that was
  * reset.
  */
-function detectReset(socket: Socket): () => Promise<boolean> {
+export function detectReset(socket: Socket): () => Promise<boolean> {
     let failedAfterEnd: Promise<boolean> | undefined;
     // Before the socket's own listener, which rejects further writes.
     socket.prependListener("end", () => {
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -1,7 +1,9 @@
 import { chooseUpstream, type Declaration, incarnationOf, modelCosts, plainServiceCosts, RateLimit,
     type SelectionCriteria, ServiceEstimate, type UpstreamEntry, UpstreamState } from "@tamarackgauge/core/gateway";
 import type { MemoryLimits } from "./limits.ts";
+import type { UpstreamTarget } from "./relays.ts";
 import { createUpstreamClient, type UpstreamClient } from "./upstreamClient.ts";
+import { createDirectPaths, type UpstreamPaths } from "./upstreamPaths.ts";
 
 /** An upstream and the client that is connected to it. */
 export interface Upstream {
@@ -33,6 +35,11 @@
     /** Returns the latency and load estimate that all upstreams of a service share. */
     estimate(service: string): ServiceEstimate;
     count(): number;
+    /** The ways to them. */
+    readonly paths: UpstreamPaths;
+    /** Where they are, for connections that are opened for another gateway or only to see whether that is possible. */
+    targets(): readonly UpstreamTarget[];
+    findTarget(id: string): UpstreamTarget | undefined;
     /** Number of upstreams that name a rate limit, for each service that has some. */
     limited(): ReadonlyMap<string, number>;
     /** The estimates of all services, as fields of a log line. */
@@ -45,6 +52,7 @@
     /** Number of known gateways, including this one. */
     readonly gateways: () => number;
     readonly limits: MemoryLimits;
+    readonly paths?: UpstreamPaths;
     readonly now: () => number;
 }
 
@@ -62,7 +70,8 @@
 const maxRememberedIncarnations = 10_000;
 
 /** Creates an empty set of upstreams. */
-export function createUpstreams({ declaration, gateways, limits, now }: UpstreamsParts): Upstreams {
+export function createUpstreams(parts: UpstreamsParts): Upstreams {
+    const { declaration, gateways, limits, paths = createDirectPaths(), now } = parts;
     const upstreamsById = new Map<string, Upstream>();
     const statesByService = new Map<string, Map<string, UpstreamState>>();
 
@@ -122,7 +131,8 @@
         const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0, estimate(entry.service),
             rateLimitOf(entry));
         const client = createUpstreamClient({ host: entry.address, port: entry.port,
-            maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes });
+            maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes, id: entry.id,
+            dataCentre: entry.dataCentre, paths });
         const upstream = { state, client };
         upstreamsById.set(entry.id, upstream);
         const states = statesByService.get(entry.service) ?? new Map<string, UpstreamState>();
@@ -165,6 +175,11 @@
         return upstream === undefined ? undefined : { upstream, maxPermitDelay: choice!.maxPermitDelay };
     }
 
+    function findTarget(id: string): UpstreamTarget | undefined {
+        const upstream = upstreamsById.get(id);
+        return upstream === undefined ? undefined : targetOf(upstream.state.entry);
+    }
+
     function permitDelay(service: string): number | undefined {
         const limitedStates = [...statesByService.get(service)?.values() ?? []]
             .filter(state => state.rateLimit.isInForce() && !state.isLeaving());
@@ -206,6 +221,9 @@
         find: id => upstreamsById.get(id),
         estimate,
         count: () => upstreamsById.size,
+        paths,
+        targets: () => [...upstreamsById.values()].map(({ state }) => targetOf(state.entry)),
+        findTarget,
         limited,
         summary,
         async [Symbol.asyncDispose]() {
@@ -214,6 +232,10 @@
     };
 }
 
+function targetOf({ id, address, port, dataCentre }: UpstreamEntry): UpstreamTarget {
+    return { id, address: { host: address, port }, dataCentre };
+}
+
 function summaryOf(service: string, estimate: ServiceEstimate, now: number): Record<string, number> {
     return {
         [`service.${service}.callMs`]: Math.round(estimate.baselineLatency),
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,13 +1,17 @@
-import type { GatewaySettings } from "@tamarackgauge/core/gateway";
+import type { GatewaySettings, SocketAddress } from "@tamarackgauge/core/gateway";
+import { createStore } from "@tamarackgauge/platform";
 import { createGatewayUpstream, createRowStore, freeAddress, gatewayDeclaration, gatewayReadinessPath,
     type GatewayUpstream, type RowStore, type RowStoreFault, type RowStoreListener,
     startRawServer } from "@tamarackgauge/standin";
+import { pack } from "msgpackr";
 import { once } from "node:events";
 import { type Agent, type ClientRequest, type IncomingHttpHeaders, request } from "node:http";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { DirectConnector } from "../src/directConnection.ts";
+import type { GatewayParts } from "../src/gateway.ts";
 import { inProcessDefaults, type InProcessGateway, startInProcess } from "../src/inProcess.ts";
-import { defaultPeerListTimes, type PeerListTimes } from "../src/peerList.ts";
+import { defaultPeerListTimes, type PeerListTimes, peerTable } from "../src/peerList.ts";
 
 /** A gateway under test, with its own store endpoint, for which faults can be injected. */
 export interface TestGateway extends InProcessGateway {
@@ -41,9 +45,12 @@
     readonly tool: GatewayUpstream;
     registerUpstream(engine: GatewayUpstream, changes?: object): void;
     declare(changes?: object): void;
-    /** Starts a gateway; `storeFault` applies to its store endpoint from the start. */
-    startGateway(changes?: Partial<GatewaySettings>, storeFault?: RowStoreFault,
-        peerListTimes?: PeerListTimes): Promise<TestGateway>;
+    /**
+     * Starts a gateway; `storeFault` applies to its store endpoint from the start, and `connect` opens its own connections to
+     * upstreams.
+     */
+    startGateway(changes?: Partial<GatewaySettings>, storeFault?: RowStoreFault, peerListTimes?: PeerListTimes,
+        connect?: DirectConnector): Promise<TestGateway>;
 }
 
 /** The declaration of all fleets. */
@@ -64,10 +71,10 @@
     }
 
     async function startGateway(changes: Partial<GatewaySettings> = {}, storeFault?: RowStoreFault,
-        peerListTimes = defaultPeerListTimes): Promise<TestGateway> {
+        peerListTimes = defaultPeerListTimes, connect?: DirectConnector): Promise<TestGateway> {
         const storeEndpoint = await rowStore.open();
         storeEndpoint.setFault(storeFault);
-        const gateway = await openGateway(storeEndpoint, changes, peerListTimes);
+        const gateway = await openGateway(storeEndpoint, changes, { peerListTimes, connect });
         gateways.push(gateway);
         return gateway;
     }
@@ -92,8 +99,8 @@
 }
 
 async function openGateway(storeEndpoint: RowStoreListener, changes: Partial<GatewaySettings>,
-    peerListTimes: PeerListTimes): Promise<TestGateway> {
-    const started = await startInProcess(await loopbackSettings(storeEndpoint, changes), peerListTimes);
+    options: Pick<GatewayParts, "peerListTimes" | "connect">): Promise<TestGateway> {
+    const started = await startInProcess(await loopbackSettings(storeEndpoint, changes), options);
     return { ...started, storeEndpoint,
         readinessStatus: () => fetchReadinessStatus(started.settings.readinessAddress.port) };
 }
@@ -107,6 +114,14 @@
         storeAddress: { host: storeEndpoint.address, port: storeEndpoint.port }, ...changes };
 }
 
+/** Registers a gateway in the list that a fleet's gateways read; they have to start afterwards. */
+export async function registerPeer(fleet: Fleet, name: string, { host, port }: SocketAddress): Promise<void> {
+    const { address, port: storePort } = await fleet.rowStore.open();
+    await using store = createStore({ host: address, port: storePort });
+    const value = Buffer.from(pack([host, port, "a", 1, 1]));
+    await store.change({ puts: [{ ...peerTable, key: name, value }] }, { timeout: 1_000 });
+}
+
 /** Waits until a condition holds. */
 export async function waitUntil(condition: () => boolean | Promise<boolean>, description: string): Promise<void> {
     for (let tries = 0; tries < 2_000; tries += 1) {
--- /dev/null
+++ b/packages/gateway/test/relays.test.ts
@@ -0,0 +1,106 @@
+import type { SocketAddress } from "@tamarackgauge/core/gateway";
+import { freeAddress } from "@tamarackgauge/standin";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer as createHttpServer } from "node:http";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { connectDirectly } from "../src/directConnection.ts";
+import { createMetrics } from "../src/metrics.ts";
+import { createRelays, type Relays, type UpstreamTarget } from "../src/relays.ts";
+import { createRelayServer } from "../src/relayServer.ts";
+
+const log = { info: () => undefined, warn: () => undefined };
+const metrics = createMetrics({ limitedUpstreams: () => new Map() });
+const forever = new AbortController().signal;
+
+async function listenOn(context: TestContext, server: Server, address: SocketAddress): Promise<void> {
+    server.listen(address.port, address.host);
+    await once(server, "listening");
+    context.after(() => void server.close());
+}
+
+/** An upstream whose connections a test takes one by one, and a gateway that opens connections to it for others. */
+async function startRelay(context: TestContext, changes: { isCutOff?: () => boolean; } = {}) {
+    const [upstreamAddress, peerAddress] = [await freeAddress(), await freeAddress()];
+    const upstream = createServer({ allowHalfOpen: true });
+    await listenOn(context, upstream, upstreamAddress);
+    const target: UpstreamTarget = { id: "i/1", address: upstreamAddress, dataCentre: "a" };
+    const relayServer = createRelayServer({ findTarget: id => id === target.id ? target : undefined,
+        isCutOff: () => false, openDirectly: ({ address }, timeoutMs) => connectDirectly(address, timeoutMs),
+        maxConnections: 2, metrics, log, ...changes });
+    context.after(() => relayServer[Symbol.dispose]());
+    const peerServer = createHttpServer().on("connect",
+        (request, socket: Socket) => relayServer.serve(request, socket));
+    await listenOn(context, peerServer, peerAddress);
+    const relays = createRelays({ name: "own", dataCentre: "a", isBackingOff: () => false, random: Math.random,
+        now: () => performance.now(),
+        peers: () => [{ name: "peer", address: peerAddress, dataCentre: "a", registeredAt: 1, cores: 1 }] });
+    return { target, upstream, relays, peerAddress };
+}
+
+async function openRelayed(context: TestContext, { target, upstream, relays }: {
+    target: UpstreamTarget;
+    upstream: Server;
+    relays: Relays;
+}): Promise<{ socket: Socket; accepted: Socket; }> {
+    const accepted = once(upstream, "connection").then(([socket]) => socket as Socket);
+    const socket = await relays.open(target, forever);
+    socket.on("error", () => undefined);
+    context.after(async () => {
+        socket.destroy();
+        (await accepted).destroy();
+    });
+    return { socket, accepted: await accepted };
+}
+
+test("an answer that ends with its connection is told from one that is reset (guards against a part of an answer that is taken for whole)", async context => {
+    const relay = await startRelay(context);
+    for (const isReset of [false, true]) {
+        const { socket, accepted } = await openRelayed(context, relay);
+        const closed = new Promise<boolean>(resolve => {
+            socket.once("error", () => resolve(true));
+            socket.once("end", () => resolve(false));
+        });
+        const data = once(socket, "data");
+        accepted.write("the beginning");
+        assert.equal(String((await data)[0]), "the beginning");
+        if (isReset) {
+            accepted.resetAndDestroy();
+        }
+        else {
+            accepted.end();
+        }
+        assert.equal(await closed, isReset);
+    }
+});
+
+test("a connection that its gateway closes is closed at the upstream (guards against work that goes on for nobody)", async context => {
+    const { socket, accepted } = await openRelayed(context, await startRelay(context));
+    accepted.resume();
+    accepted.on("error", () => undefined);
+    const ended = Promise.race([once(accepted, "end"), once(accepted, "close")]);
+    socket.destroy();
+    await ended;
+});
+
+test("no connection is opened to what is no upstream, beyond the limit, or by a gateway that is cut off itself (guards against a gateway that connects strangers to anything)", async context => {
+    const relay = await startRelay(context);
+    await assert.rejects(relay.relays.open({ ...relay.target, id: "other" }, forever));
+    assert.equal(relay.relays.areExhausted(), true);
+    const cutOff = await startRelay(context, { isCutOff: () => true });
+    await assert.rejects(cutOff.relays.open(cutOff.target, forever));
+    const full = await startRelay(context);
+    await openRelayed(context, full);
+    await openRelayed(context, full);
+    await assert.rejects(full.relays.open(full.target, forever));
+});
+
+test("a request that names no upstream is refused (guards against a gateway that strangers end)", async context => {
+    const { peerAddress } = await startRelay(context);
+    const stranger = connect(peerAddress.port, peerAddress.host);
+    const answer = once(stranger, "data");
+    stranger.write("CONNECT upstream:1 HTTP/1.1\r\nhost: x\r\nupstream-id: %zz\r\n\r\n");
+    assert.match(String((await answer)[0]), /^HTTP\/1\.1 503 /);
+    await once(stranger, "close");
+});
--- a/packages/gateway/test/sends.test.ts
+++ b/packages/gateway/test/sends.test.ts
@@ -10,6 +10,7 @@
 import type { ReceivedCall } from "../src/sendPlan.ts";
 import { type SendParts, startSends } from "../src/sends.ts";
 import type { UpstreamClient } from "../src/upstreamClient.ts";
+import { createDirectPaths } from "../src/upstreamPaths.ts";
 import type { Upstream } from "../src/upstreams.ts";
 import { declaration as wireDeclaration } from "./harness.ts";
 
@@ -46,8 +47,8 @@
         upstreams: { choose: () => candidates.shift(), permitDelay: () => undefined, takesRequestWithin: () => true,
             find: id => upstreams.find(({ state }) => state.entry.id === id), retire: () => undefined,
             limited: () => new Map(), tokensPerEvent: () => 1, replace: () => undefined,
-            estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}),
-            [Symbol.asyncDispose]: async () => undefined },
+            estimate: () => new ServiceEstimate(), count: () => 2, summary: () => ({}), paths: createDirectPaths(),
+            targets: () => [], findTarget: () => undefined, [Symbol.asyncDispose]: async () => undefined },
         rateLimits: { acquire: async () => true, observe: () => undefined },
         dispatch: { isInForce: () => false, place: async () => undefined },
         recentPrograms: new RecentPrograms(),
