Relays: a gateway that stops ends after the calls that others send through it

Change: it opens no further connections for others from the stop on, and waits for those that are open within its time; a relayed connection is reused for 2 s at most, so that none carries a new call by then. What relayed connections may take of memory is bounded too. Evidence: the test fails without the change (the stop ends while the call is under way) and passes with it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,16 +192,16 @@
     if (settings.metricsAddress !== undefined) {
         disposal.own(serveMetrics(settings.metricsAddress, metrics, log));
     }
+    const relayServer = createRelayServer({ findTarget: id => upstreams.findTarget(id),
+        isCutOff: () => paths.isCutOff(), openDirectly: (target, timeoutMs) => paths.openDirectly(target, timeoutMs),
+        maxConnections: relayCapacity(settings.memoryBytes, settings.maxDescriptors), metrics, log });
     if (settings.peerAddress !== undefined) {
-        const relayServer = disposal.own(
-            createRelayServer({ findTarget: id => upstreams.findTarget(id), isCutOff: () => paths.isCutOff(),
-                openDirectly: (target, timeoutMs) => paths.openDirectly(target, timeoutMs),
-                maxConnections: relayCapacity(settings.maxDescriptors), metrics, log }),
-        );
         disposal.own(
             createPeerServer({ address: settings.peerAddress, store: direct, health, lender: ownBudgets,
                 permitIssuer: permits, quotaServer: quotas, dispatcher, relayServer, log, now }),
         );
+        // Before the server, which waits for the connections that it has accepted.
+        disposal.own(relayServer);
     }
     disposal.own(
         await openReadinessServer({ address: () => settings.readinessAddress, isReady,
@@ -235,9 +235,10 @@
         ownBudgets.stopLending();
         log.info("gateway.stopping", { active: frontend.activeCalls() });
         frontend.disableKeepAlive();
+        const relaysDrained = relayServer.drain();
         await sleep(balancerRemovalMs);
         const deadline = startedAt + settings.shutdownGrace - exitMarginMs;
-        const drained = frontend.drain(deadline);
+        const drained = Promise.all([frontend.drain(deadline), relaysDrained]);
         await Promise.race([drained, sleep(deadline - now())]);
         frontend.interrupt();
         await Promise.race([
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -10,6 +10,8 @@
 export interface RelayServer extends Disposable {
     /** Takes a request for a connection. */
     serve(request: IncomingMessage, caller: Socket): void;
+    /** Opens no further connections; resolves when the gateways that asked have closed all of them. */
+    drain(): Promise<void>;
 }
 
 /** Dependencies of a relay server. */
@@ -29,24 +31,31 @@
 const connectTimeoutMs = 250;
 /** A relayed connection without any bytes is closed after this time, as the other gateway may be gone without a sign. */
 const idleTimeoutMs = 120_000;
-/** The share of the descriptors that relayed connections may take; each takes two. */
+/** Shares of the descriptors and of the memory that relayed connections may take. */
 const descriptorShare = 0.1;
+const memoryShare = 0.05;
+const descriptorsEach = 2;
+/** What is read ahead in both directions while the other side does not read on. */
+const bytesEach = 96 * 1_024;
 const maxRelayed = 256;
 
-/** How many connections a process with so many descriptors relays at a time. */
-export function relayCapacity(maxDescriptors = Infinity): number {
-    return Math.min(maxRelayed, Math.floor(maxDescriptors * descriptorShare / 2));
+/** How many connections a process of the given size relays at a time. */
+export function relayCapacity(memoryBytes = Infinity, maxDescriptors = Infinity): number {
+    return Math.min(maxRelayed, Math.floor(maxDescriptors * descriptorShare / descriptorsEach),
+        Math.floor(memoryBytes * memoryShare / bytesEach));
 }
 
 /** Starts relaying. */
 export function createRelayServer(parts: RelayServerParts): RelayServer {
     const { findTarget, isCutOff, openDirectly, maxConnections, metrics, log } = parts;
     const callers = new Set<Socket>();
+    let draining = false;
+    let notifyDrained: (() => void) | undefined;
 
     async function relay(request: IncomingMessage, caller: Socket): Promise<void> {
         const id = decodeRelayHeaders(request.headers);
         const target = id === undefined ? undefined : findTarget(id);
-        if (target === undefined || isCutOff() || callers.size > maxConnections) {
+        if (target === undefined || draining || isCutOff() || callers.size > maxConnections) {
             refuse(caller, relayStatus.unavailable);
             return;
         }
@@ -64,6 +73,13 @@
         }
     }
 
+    function forget(caller: Socket): void {
+        callers.delete(caller);
+        if (callers.size === 0) {
+            notifyDrained?.();
+        }
+    }
+
     function refuse(caller: Socket, status: number): void {
         metrics.recordRelay(status === relayStatus.unavailable ? "refused" : "unreachable");
         caller.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\n\r\n`);
@@ -72,7 +88,7 @@
     return {
         serve(request, caller) {
             callers.add(caller);
-            caller.once("close", () => callers.delete(caller));
+            caller.once("close", () => forget(caller));
             // What broke is seen by the close that follows.
             caller.on("error", () => undefined);
             relay(request, caller).catch((error: Error) => {
@@ -80,6 +96,12 @@
                 caller.destroy();
             });
         },
+        async drain() {
+            draining = true;
+            if (callers.size > 0) {
+                await new Promise<void>(resolve => notifyDrained = resolve);
+            }
+        },
         [Symbol.dispose]: () => callers.forEach(caller => caller.destroy()),
     };
 }
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -82,7 +82,10 @@
 /** An idle connection is closed this long before the upstream would close it. */
 const idleTimeoutMarginMs = 1_000;
 
-/** A relayed connection is not reused after this time if the gateway is not cut off, so that a direct one is tried again. */
+/**
+ * A relayed connection is not reused after this time, so that a direct one is tried again, and that no call is sent through a
+ * gateway that is about to stop.
+ */
 const maxRelayedAgeMs = 2_000;
 
 /** Maximum time for which a call waits for a free connection before it may be sent to another upstream. */
@@ -133,7 +136,7 @@
 
     function isReusable({ socket, openedAt }: Connection): boolean {
         return socket.kind() === "relayed"
-            ? paths.isCutOff() || performance.now() - openedAt < maxRelayedAgeMs
+            ? performance.now() - openedAt < maxRelayedAgeMs
             : !paths.isCutOff();
     }
 
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -3,8 +3,8 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { connectDirectly, type DirectConnector } from "../src/directConnection.ts";
-import { call, createFleet, type Fleet, openCall, registerPeer, type TestGateway, turnCall, waitUntil,
-    waitUntilReady } from "./harness.ts";
+import { call, createFleet, declaration, type Fleet, openCall, registerPeer, type TestGateway, turnCall,
+    waitForDeclaration, waitUntil, waitUntilReady } from "./harness.ts";
 
 /** From this time after the beginning of a cut on, the callers of a gateway that is cut off are served as those of others. */
 const noticeMs = 3_000;
@@ -68,11 +68,12 @@
     /** The store of the gateways that can be cut off. */
     readonly away: Fleet;
     readonly gateway: TestGateway;
+    readonly relays: readonly TestGateway[];
     readonly links: Links;
 }
 
 /** Starts the gateways. That which can be cut off has a store of its own, in which the upstreams have other addresses. */
-async function startCutFleet(context: TestContext, relays = 1): Promise<CutFleet> {
+async function startCutFleet(context: TestContext, relayCount = 1): Promise<CutFleet> {
     const [home, away] = [await createFleet(), await createFleet()];
     context.after(() => home[Symbol.asyncDispose]());
     context.after(() => away[Symbol.asyncDispose]());
@@ -81,15 +82,17 @@
     [away.engine, away.tool].forEach((upstream, index) =>
         away.registerUpstream(upstream, { address: `127.0.0.1:${links.ports[index]}` })
     );
-    for (let index = 0; index < relays; index += 1) {
+    const relays: TestGateway[] = [];
+    for (let index = 0; index < relayCount; index += 1) {
         const peerAddress = await freeAddress();
-        await waitUntilReady(await home.startGateway({ name: `relay${index}`, peerAddress }));
+        relays.push(await home.startGateway({ name: `relay${index}`, peerAddress }));
+        await waitUntilReady(relays[index]!);
         await registerPeer(away, `relay${index}`, peerAddress);
     }
     const gateway = await away.startGateway({ name: "cut", peerAddress: await freeAddress() }, undefined, undefined,
         links.connect);
     await waitUntilReady(gateway);
-    return { home, away, gateway, links };
+    return { home, away, gateway, relays, links };
 }
 
 /** Calls of all kinds, one of each route. */
@@ -171,6 +174,26 @@
     assert.ok(!home.tool.executed.some(({ id }) => id === "refused"));
 });
 
+test("a gateway that stops ends after the calls that others send through it (guards against calls cut off by the stop of a gateway that their callers do not know)", async context => {
+    const { home, away, relays: [relay], gateway, links } = await startCutFleet(context);
+    away.declare({ version: 2, routes: declaration.routes.map(route => ({ ...route, timeoutMs: 8_000 })) });
+    await waitForDeclaration(gateway, 2);
+    await links.cut("refuse");
+    await callWhileNoticing(gateway);
+    home.engine.behave("pause");
+    const answer = call(gateway, { path: "/plan/x", id: "paused", body: "plan" });
+    await waitUntil(() => home.engine.paused() === 1, "the engine works on the call");
+    let isStopped = false;
+    const stopped = relay!.gateway.shutDown().then(() => isStopped = true);
+    // Without any calls it takes less than 4 s.
+    await sleep(4_500);
+    assert.equal(isStopped, false);
+    home.engine.resume();
+    const { status, whole } = await answer;
+    assert.deepEqual([status, whole, home.engine.executed.filter(({ id }) => id === "paused").length], [200, true, 1]);
+    await stopped;
+});
+
 test("calls through another gateway run once and end with their callers (guards against calls that run again or go on for nobody)", async context => {
     const { home, gateway, links } = await startCutFleet(context);
     await links.cut("refuse");
