Relays: refusals that tell nothing of other connections, and answers that come through others count for their upstreams

Change: 502 for an upstream that is not known; only attempts without any part of an answer count as the cut's; 0.6 s for a connection, whichever way.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -72,8 +72,8 @@
 }
 
 /**
- * What became of a connection that another gateway asked for. `refused`: this gateway is cut off too, does not know the
- * upstream, or relays as many as it may. `unreachable`: it does not reach the upstream either.
+ * What became of a connection that another gateway asked for. `refused`: this gateway is cut off too, is stopping, or relays
+ * as many as it may. `unreachable`: it does not know the upstream, or does not reach it either.
  */
 export type RelayOutcome = "opened" | "refused" | "unreachable";
 
--- a/packages/gateway/src/relayMessage.ts
+++ b/packages/gateway/src/relayMessage.ts
@@ -3,9 +3,9 @@
 /** What a gateway answers to one that asks it for a connection to an upstream. */
 export const relayStatus = {
     opened: 200,
-    /** The upstream cannot be reached from there either. */
+    /** The upstream is not known there, or cannot be reached from there either. */
     upstreamUnreachable: 502,
-    /** The gateway reaches no upstream itself, does not know this one, or relays as many connections as it may. */
+    /** The gateway reaches no upstream itself, is stopping, or relays as many connections as it may. */
     unavailable: 503,
 } as const;
 
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -55,11 +55,13 @@
     async function relay(request: IncomingMessage, caller: Socket): Promise<void> {
         const id = decodeRelayHeaders(request.headers);
         const target = id === undefined ? undefined : findTarget(id);
-        if (target === undefined || draining || isCutOff() || callers.size > maxConnections) {
+        if (draining || isCutOff() || callers.size > maxConnections) {
             refuse(caller, relayStatus.unavailable);
             return;
         }
-        const upstream = await openDirectly(target, connectTimeoutMs).catch(() => undefined);
+        const upstream = target === undefined
+            ? undefined
+            : await openDirectly(target, connectTimeoutMs).catch(() => undefined);
         if (upstream === undefined) {
             refuse(caller, relayStatus.upstreamUnreachable);
         }
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -311,12 +311,17 @@
             state.recordSuccess();
         }
         else if (cancelled !== "left" && (end.failure !== "notRun" || end.unreachable) &&
-            !upstreams.paths.isCutOff()) {
+            !isOwnTrouble(end)) {
             state.recordFailure(now());
         }
         return end;
     }
 
+    /** Whether an attempt without any part of an answer tells nothing about its upstream, as this gateway reaches none. */
+    function isOwnTrouble({ received }: FailedAttempt): boolean {
+        return received === undefined && upstreams.paths.isCutOff();
+    }
+
     function engineOutcome({ state }: Upstream, end: AttemptEnd): EngineOutcome {
         if (state.hasAnnouncedLeaving()) {
             return "leaving";
@@ -324,7 +329,7 @@
         if (end.kind !== "failure") {
             return "answered";
         }
-        if (upstreams.paths.isCutOff()) {
+        if (isOwnTrouble(end)) {
             return "unused";
         }
         if (cancelled !== undefined) {
--- a/packages/gateway/src/upstreamPaths.ts
+++ b/packages/gateway/src/upstreamPaths.ts
@@ -49,6 +49,7 @@
     readonly random: () => number;
 }
 
+/** Time for a connection, whichever way. */
 const connectTimeoutMs = 600;
 /** A direct connection has this time before another gateway is asked too. */
 const relayDelayMs = 150;
@@ -124,6 +125,7 @@
     async function open(target: UpstreamTarget): Promise<UpstreamPath> {
         const settled = new AbortController();
         const startedAt = now();
+        const timer = setTimeout(() => settled.abort(), connectTimeoutMs);
         const timeoutMs = cutOffAt === undefined ? connectTimeoutMs : cutOffConnectTimeoutMs;
         const direct = openDirectly(target, timeoutMs, settled.signal);
         const relayed = openRelayed(target, direct, settled.signal);
@@ -144,6 +146,7 @@
             throw (error as AggregateError).errors[0] as Error;
         }
         finally {
+            clearTimeout(timer);
             settled.abort();
         }
     }
