Build: the deployed gateway loads no native add-on

Cause of what is mended: the bundle left require("msgpackr-extract") as it was. In the checkout that is deployed it finds the prebuilt native add-on in node_modules and decodes all messages of peers and rows with it; tests and the soak build into a temporary folder, where it is not found, so that no test ran it. Why it works: an error in JavaScript is logged and ends a message or a link; one in native code ends the process.

--- a/packages/gateway/test/bundle.test.ts
+++ b/packages/gateway/test/bundle.test.ts
@@ -3,7 +3,7 @@
 import { existsSync } from "node:fs";
 import { chmod, cp, mkdir, mkdtemp, readFile, rm, symlink, utimes, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
-import { delimiter, join } from "node:path";
+import { delimiter, dirname, join } from "node:path";
 import { test } from "node:test";
 import { buildDeployedProgram, chooseAddresses, createSettingsFolder, settingsText, spawnProcess,
     startProcess } from "./gatewayProcess.ts";
@@ -20,6 +20,16 @@
     assert.equal(await gateway.exited, 0);
 });
 
+test("the bundle loads no native add-on, also beside modules that have one (guards against native code that ends deployed processes and that no test runs)", async () => {
+    await using bundle = await buildDeployedProgram();
+    await symlink(join(repositoryRoot, "node_modules"), join(dirname(bundle.program.at(-1)!), "node_modules"));
+    await using fleet = await createFleet();
+    await using gateway = await startProcess(fleet, bundle);
+    assert.equal((await call(gateway, { path: "/pay/x", id: "1", body: "x" })).status, 200);
+    const maps = await readFile(`/proc/${gateway.child.pid}/maps`, "latin1");
+    assert.deepEqual(maps.split("\n").filter(line => line.endsWith(".node")), []);
+});
+
 test("the bundle names all invalid settings once they have stayed the same (guards against an error that is lost before the program is loaded)", async () => {
     await using bundle = await buildDeployedProgram();
     await using fleet = await createFleet();
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -36,8 +36,10 @@
         onResolve({ filter: /^(undici|prom-client)$/ }, ({ path }) => ({ path, namespace: "used" }));
         onLoad({ filter: /.*/, namespace: "used" },
             ({ path }) => ({ contents: usedModules.get(path), resolveDir: process.cwd() }));
-        // undici does without HTTP/2 if the module is missing, and no upstream speaks it.
-        onResolve({ filter: /^node:http2$/ }, ({ path }) => ({ path, namespace: "missing" }));
+        // undici does without HTTP/2 if the module is missing, and no upstream speaks it. msgpackr and ws do without their native
+        // add-ons, which would be loaded where node_modules is beside the bundle, and could end the process.
+        onResolve({ filter: /^(node:http2|msgpackr-extract|bufferutil|utf-8-validate)$/ },
+            ({ path }) => ({ path, namespace: "missing" }));
         onLoad({ filter: /.*/, namespace: "missing" }, () => ({ contents: "throw new Error(\"left out\");" }));
         // Messages of zod in other languages.
         onLoad({ filter: /zod[\\/]v4[\\/]locales[\\/]index\.c?js$/ }, () => ({
@@ -71,7 +73,6 @@
     minifyWhitespace: true,
     legalComments: "none",
     logLevel: "warning",
-    external: ["msgpackr-extract", "bufferutil", "utf-8-validate"],
 };
 
 await Promise.all([
