--- a/packages/fuzz/src/play.ts
+++ b/packages/fuzz/src/play.ts
@@ -138,6 +138,7 @@
     const startedAt = performance.now();
     while (await readinessStatus(readinessAddress.port) !== 200) {
         if (performance.now() - startedAt > maxStartMs) {
+            await gateway[Symbol.asyncDispose]();
             throw new Error(
                 `the gateway does not become ready: ${JSON.stringify(gateway.logLines.slice(-maxShownLines))}`,
             );
