Relays: a gateway opens no connection for one that does not know that the upstream leaves or has a rate limit

Change: the request says what its gateway knows; where the other one knows more, it refuses with what it knows, and the first one learns it. Evidence: the test in relays.test.ts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { createQuotas } from "./quotas.ts";
 import { createRateLimits } from "./rateLimits.ts";
 import { openReadinessServer } from "./readinessServer.ts";
+import type { UpstreamKnowledge } from "./relayMessage.ts";
 import { createRelays } from "./relays.ts";
 import { createRelayServer, relayCapacity } from "./relayServer.ts";
 import { createRoutedStore } from "./routedStore.ts";
@@ -137,7 +138,7 @@
         ? undefined
         : createRelays({ name: settings.name, dataCentre: settings.dataCentre,
             peers: () => peerList?.registered() ?? [], isBackingOff: peer => contacts.isBackingOff(peer),
-            random: Math.random, now });
+            onKnowledge: learnFromRelay, random: Math.random, now });
     const paths: UpstreamPaths = disposal.own(
         createUpstreamPaths({ relays, targets: () => upstreams.targets(), connect: parts.connect, metrics, log, now,
             random: Math.random }),
@@ -214,6 +215,24 @@
         authorities.record(peers, storeTime);
     }
 
+    /** Takes over what another gateway knows of an upstream. */
+    function learnFromRelay(id: string, { isLeaving, requestsPerSecond }: UpstreamKnowledge): void {
+        const upstream = upstreams.find(id);
+        if (upstream === undefined) {
+            return;
+        }
+        if (isLeaving && !upstream.state.hasAnnouncedLeaving()) {
+            upstreams.retire(upstream);
+            metrics.recordLeaving(upstream.state.entry.service);
+            log.info("upstream.leaving", { upstream: id, service: upstream.state.entry.service,
+                answeredCall: "relay" });
+        }
+        if (requestsPerSecond !== undefined) {
+            rateLimits.observe(upstream.state, { statement: { kind: "limited", requestsPerSecond }, sentAt: now(),
+                call: "relay" });
+        }
+    }
+
     function longestRetention(): number {
         return Math.max(0, ...catalog.declaration()?.routes.map(({ retention }) => retention ?? 0) ?? []);
     }
--- a/packages/gateway/src/relayMessage.ts
+++ b/packages/gateway/src/relayMessage.ts
@@ -1,4 +1,5 @@
-import type { IncomingHttpHeaders } from "node:http";
+import type { IncomingHttpHeaders, OutgoingHttpHeaders } from "node:http";
+import type { UpstreamTarget } from "./relays.ts";
 
 /** What a gateway answers to one that asks it for a connection to an upstream. */
 export const relayStatus = {
@@ -12,10 +13,32 @@
 /** Target of a request for a connection; the upstream is named by a header, as its id need not be a host's name. */
 export const relayTarget = "upstream:1";
 const upstreamHeader = "upstream-id";
+const leavingHeader = "upstream-leaving";
+/** The requests a second that the upstream takes, as the sender knows them. */
+const limitHeader = "upstream-limit";
+
+/** What a gateway knows of an upstream that another one has to know before it sends to it. */
+export type UpstreamKnowledge = Pick<UpstreamTarget, "isLeaving" | "requestsPerSecond">;
 
 /** Headers of a request for a connection to an upstream. */
-export function encodeRelayHeaders(upstream: string): Record<string, string> {
-    return { [upstreamHeader]: encodeURIComponent(upstream) };
+export function encodeRelayHeaders({ id, ...knowledge }: UpstreamTarget): OutgoingHttpHeaders {
+    return { [upstreamHeader]: encodeURIComponent(id), ...encodeKnowledge(knowledge) };
+}
+
+/** Headers that tell what a gateway knows of an upstream. */
+export function encodeKnowledge({ isLeaving, requestsPerSecond }: UpstreamKnowledge): Record<string, string> {
+    return {
+        ...isLeaving ? { [leavingHeader]: "1" } : {},
+        ...requestsPerSecond === undefined ? {} : { [limitHeader]: String(requestsPerSecond) },
+    };
+}
+
+/** What the headers of another gateway tell of an upstream. */
+export function decodeKnowledge(headers: IncomingHttpHeaders): UpstreamKnowledge {
+    const limit = headers[limitHeader];
+    const requestsPerSecond = typeof limit === "string" ? Number(limit) : NaN;
+    return { isLeaving: headers[leavingHeader] !== undefined,
+        requestsPerSecond: requestsPerSecond >= 0 ? requestsPerSecond : undefined };
 }
 
 /** The upstream that a request names; undefined if it names none. */
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -2,7 +2,8 @@
 import type { Socket } from "node:net";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import { decodeRelayHeaders, relayStatus } from "./relayMessage.ts";
+import { decodeKnowledge, decodeRelayHeaders, encodeKnowledge, relayStatus,
+    type UpstreamKnowledge } from "./relayMessage.ts";
 import type { UpstreamTarget } from "./relays.ts";
 import { detectReset } from "./upstreamConnector.ts";
 
@@ -59,6 +60,10 @@
             refuse(caller, relayStatus.unavailable);
             return;
         }
+        if (target !== undefined && isUnaware(decodeKnowledge(request.headers), target)) {
+            refuse(caller, relayStatus.upstreamUnreachable, encodeKnowledge(target));
+            return;
+        }
         const upstream = target === undefined
             ? undefined
             : await openDirectly(target, connectTimeoutMs).catch(() => undefined);
@@ -82,9 +87,10 @@
         }
     }
 
-    function refuse(caller: Socket, status: number): void {
+    function refuse(caller: Socket, status: number, headers: Readonly<Record<string, string>> = {}): void {
         metrics.recordRelay(status === relayStatus.unavailable ? "refused" : "unreachable");
-        caller.end(`HTTP/1.1 ${status} Refused\r\nConnection: close\r\n\r\n`);
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+        caller.end(`HTTP/1.1 ${status} Refused\r\n${lines.join("")}connection: close\r\n\r\n`);
     }
 
     return {
@@ -108,6 +114,15 @@
     };
 }
 
+/**
+ * Whether the gateway that asks does not know that the upstream leaves or has a rate limit. What it would send would come from
+ * this gateway, which must not send so.
+ */
+function isUnaware(known: UpstreamKnowledge, { isLeaving, requestsPerSecond }: UpstreamTarget): boolean {
+    return (isLeaving && !known.isLeaving) ||
+        (requestsPerSecond !== undefined && known.requestsPerSecond === undefined);
+}
+
 /**
  * Passes on all bytes between a gateway and an upstream. A connection that the upstream resets is reset, so that an answer
  * without a length is not taken for whole; one that the gateway closes is closed, so that the upstream stops its work.
--- a/packages/gateway/src/relays.ts
+++ b/packages/gateway/src/relays.ts
@@ -2,13 +2,18 @@
 import { request } from "node:http";
 import type { Socket } from "node:net";
 import type { Peer } from "./peerList.ts";
-import { encodeRelayHeaders, relayStatus, relayTarget } from "./relayMessage.ts";
+import { decodeKnowledge, encodeRelayHeaders, relayStatus, relayTarget,
+    type UpstreamKnowledge } from "./relayMessage.ts";
 
 /** An upstream to which a connection is opened. */
 export interface UpstreamTarget {
     readonly id: string;
     readonly address: { readonly host: string; readonly port: number; };
     readonly dataCentre: string;
+    /** Whether it has announced that it leaves, as far as this gateway knows. */
+    readonly isLeaving: boolean;
+    /** The rate limit that it names, as far as this gateway knows. */
+    readonly requestsPerSecond: number | undefined;
 }
 
 /** Opens connections to upstreams through other gateways. */
@@ -26,6 +31,8 @@
     readonly peers: () => readonly Peer[];
     /** Whether a gateway is not to be asked for now. */
     readonly isBackingOff: (peer: string) => boolean;
+    /** Called with what a gateway knows of an upstream that it opened no connection to for that reason. */
+    readonly onKnowledge: (upstream: string, knowledge: UpstreamKnowledge) => void;
     readonly random: () => number;
     readonly now: () => number;
 }
@@ -44,10 +51,12 @@
 /** What became of a request for a connection. */
 type RelayOutcome =
     | { readonly kind: "opened"; readonly socket: Socket; }
-    | { readonly kind: "upstreamUnreachable" | "unavailable" | "failed" | "aborted"; };
+    | { readonly kind: "upstreamUnreachable"; readonly knowledge: UpstreamKnowledge; }
+    | { readonly kind: "unavailable" | "failed" | "aborted"; };
 
 /** Creates relays; no connection is open yet. */
-export function createRelays({ name, dataCentre, peers, isBackingOff, random, now }: RelaysParts): Relays {
+export function createRelays(parts: RelaysParts): Relays {
+    const { name, dataCentre, peers, isBackingOff, onKnowledge, random, now } = parts;
     const backoffUntil = new Map<string, number>();
     let exhausted = false;
 
@@ -69,13 +78,19 @@
             if (outcome.kind === "aborted") {
                 throw new Error("the connection is not needed any more");
             }
-            unreachable += outcome.kind === "upstreamUnreachable" ? 1 : 0;
-            if (unreachable >= maxUnreachable) {
-                throw new Error("the upstream cannot be reached from other gateways either");
-            }
             if (outcome.kind !== "upstreamUnreachable") {
                 const backoffMs = outcome.kind === "unavailable" ? refusalBackoffMs : failureBackoffMs;
                 backoffUntil.set(peer.name, now() + backoffMs);
+                continue;
+            }
+            const { isLeaving, requestsPerSecond } = outcome.knowledge;
+            if (isLeaving || requestsPerSecond !== undefined) {
+                onKnowledge(target.id, outcome.knowledge);
+                throw new Error("the upstream leaves or has a rate limit, as another gateway knows");
+            }
+            unreachable += 1;
+            if (unreachable >= maxUnreachable) {
+                throw new Error("the upstream cannot be reached from other gateways either");
             }
         }
         exhausted = unreachable === 0;
@@ -85,19 +100,19 @@
     return { open, areExhausted: () => exhausted };
 }
 
-function requestConnection({ address }: Peer, { id }: UpstreamTarget, signal: AbortSignal): Promise<RelayOutcome> {
+function requestConnection({ address }: Peer, target: UpstreamTarget, signal: AbortSignal): Promise<RelayOutcome> {
     return new Promise(resolve => {
-        const outgoing = request({ ...address, method: "CONNECT", path: relayTarget, headers: encodeRelayHeaders(id),
-            agent: false, signal });
+        const outgoing = request({ ...address, method: "CONNECT", path: relayTarget,
+            headers: encodeRelayHeaders(target), agent: false, signal });
         const timer = setTimeout(() => outgoing.destroy(), openTimeoutMs);
-        outgoing.on("connect", ({ statusCode }, stream, head) => {
+        outgoing.on("connect", ({ statusCode, headers }, stream, head) => {
             clearTimeout(timer);
             const socket: Socket = stream;
             if (statusCode !== relayStatus.opened) {
                 socket.destroy();
-                resolve({ kind: statusCode === relayStatus.upstreamUnreachable
-                    ? "upstreamUnreachable"
-                    : "unavailable" });
+                resolve(statusCode === relayStatus.upstreamUnreachable
+                    ? { kind: "upstreamUnreachable", knowledge: decodeKnowledge(headers) }
+                    : { kind: "unavailable" });
                 return;
             }
             socket.setNoDelay(true);
--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -2,6 +2,7 @@
 import { decodeAnswer } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import { Client, type Dispatcher, errors } from "undici";
+import type { UpstreamTarget } from "./relays.ts";
 import { createUpstreamSocket, UpstreamFullError, type UpstreamSocket } from "./upstreamConnector.ts";
 import { createDirectPaths, type UpstreamPaths, type WatchedCall } from "./upstreamPaths.ts";
 
@@ -72,9 +73,8 @@
     readonly maxConnections: () => number;
     /** Maximum size of an answer's status line and headers. */
     readonly maxHeadBytes: number;
-    /** Id and data centre of the upstream; needed to reach it through other gateways. */
-    readonly id?: string;
-    readonly dataCentre?: string;
+    /** The upstream as it is known now; needed to reach it through other gateways. */
+    readonly target?: () => UpstreamTarget;
     readonly paths?: UpstreamPaths;
 }
 
@@ -118,8 +118,11 @@
 
 /** Creates a client for the upstream at an address. */
 export function createUpstreamClient(parts: UpstreamClientParts): UpstreamClient {
-    const { host, port, maxConnections, maxHeadBytes, id = "", dataCentre = "", paths = createDirectPaths() } = parts;
-    const target = { id, dataCentre, address: { host, port } };
+    const { host, port, maxConnections, maxHeadBytes, paths = createDirectPaths() } = parts;
+    const {
+        target = () => ({ id: "", address: { host, port }, dataCentre: "", isLeaving: false,
+            requestsPerSecond: undefined }),
+    } = parts;
     /** The most recently used connection is first, so that those not needed become idle and are closed. */
     let connections: Connection[] = [];
     /** Ordered by priority, then by arrival. */
@@ -158,7 +161,7 @@
     }
 
     function openConnection(): Connection {
-        const socket = createUpstreamSocket(maxHeadBytes, () => paths.open(target));
+        const socket = createUpstreamSocket(maxHeadBytes, () => paths.open(target()));
         const client = new Client(`http://${host}:${port}`, {
             pipelining: 1,
             headersTimeout: 0,
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -131,8 +131,8 @@
         const state = new UpstreamState(entry, service?.model?.cacheTokens ?? 0, estimate(entry.service),
             rateLimitOf(entry));
         const client = createUpstreamClient({ host: entry.address, port: entry.port,
-            maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes, id: entry.id,
-            dataCentre: entry.dataCentre, paths });
+            maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes,
+            target: () => targetOf(state), paths });
         const upstream = { state, client };
         upstreamsById.set(entry.id, upstream);
         const states = statesByService.get(entry.service) ?? new Map<string, UpstreamState>();
@@ -177,7 +177,7 @@
 
     function findTarget(id: string): UpstreamTarget | undefined {
         const upstream = upstreamsById.get(id);
-        return upstream === undefined ? undefined : targetOf(upstream.state.entry);
+        return upstream === undefined ? undefined : targetOf(upstream.state);
     }
 
     function permitDelay(service: string): number | undefined {
@@ -222,7 +222,7 @@
         estimate,
         count: () => upstreamsById.size,
         paths,
-        targets: () => [...upstreamsById.values()].map(({ state }) => targetOf(state.entry)),
+        targets: () => [...upstreamsById.values()].map(({ state }) => targetOf(state)),
         findTarget,
         limited,
         summary,
@@ -232,8 +232,10 @@
     };
 }
 
-function targetOf({ id, address, port, dataCentre }: UpstreamEntry): UpstreamTarget {
-    return { id, address: { host: address, port }, dataCentre };
+function targetOf(state: UpstreamState): UpstreamTarget {
+    const { id, address, port, dataCentre } = state.entry;
+    return { id, address: { host: address, port }, dataCentre, isLeaving: state.hasAnnouncedLeaving(),
+        requestsPerSecond: state.rateLimit.requestsPerSecond() };
 }
 
 function summaryOf(service: string, estimate: ServiceEstimate, now: number): Record<string, number> {
--- a/packages/gateway/test/relays.test.ts
+++ b/packages/gateway/test/relays.test.ts
@@ -7,6 +7,7 @@
 import { test, type TestContext } from "node:test";
 import { connectDirectly } from "../src/directConnection.ts";
 import { createMetrics } from "../src/metrics.ts";
+import type { UpstreamKnowledge } from "../src/relayMessage.ts";
 import { createRelays, type Relays, type UpstreamTarget } from "../src/relays.ts";
 import { createRelayServer } from "../src/relayServer.ts";
 
@@ -21,12 +22,15 @@
 }
 
 /** An upstream whose connections a test takes one by one, and a gateway that opens connections to it for others. */
-async function startRelay(context: TestContext, changes: { isCutOff?: () => boolean; } = {}) {
+async function startRelay(context: TestContext, changes: { isCutOff?: () => boolean; } = {},
+    known: Partial<UpstreamKnowledge> = {}) {
     const [upstreamAddress, peerAddress] = [await freeAddress(), await freeAddress()];
     const upstream = createServer({ allowHalfOpen: true });
     await listenOn(context, upstream, upstreamAddress);
-    const target: UpstreamTarget = { id: "i/1", address: upstreamAddress, dataCentre: "a" };
-    const relayServer = createRelayServer({ findTarget: id => id === target.id ? target : undefined,
+    const target: UpstreamTarget = { id: "i/1", address: upstreamAddress, dataCentre: "a", isLeaving: false,
+        requestsPerSecond: undefined };
+    const learned: UpstreamKnowledge[] = [];
+    const relayServer = createRelayServer({ findTarget: id => id === target.id ? { ...target, ...known } : undefined,
         isCutOff: () => false, openDirectly: ({ address }, timeoutMs) => connectDirectly(address, timeoutMs),
         maxConnections: 2, metrics, log, ...changes });
     context.after(() => relayServer[Symbol.dispose]());
@@ -34,9 +38,9 @@
         (request, socket: Socket) => relayServer.serve(request, socket));
     await listenOn(context, peerServer, peerAddress);
     const relays = createRelays({ name: "own", dataCentre: "a", isBackingOff: () => false, random: Math.random,
-        now: () => performance.now(),
+        onKnowledge: (_, knowledge) => learned.push(knowledge), now: () => performance.now(),
         peers: () => [{ name: "peer", address: peerAddress, dataCentre: "a", registeredAt: 1, cores: 1 }] });
-    return { target, upstream, relays, peerAddress };
+    return { target, upstream, relays, peerAddress, learned };
 }
 
 async function openRelayed(context: TestContext, { target, upstream, relays }: {
@@ -97,6 +101,15 @@
     await assert.rejects(full.relays.open(full.target, forever));
 });
 
+test("a gateway that does not know that an upstream leaves, or names a limit, is told and gets no connection (guards against an upstream that is sent more than it takes, by way of a gateway that knows)", async context => {
+    for (const knowledge of [{ isLeaving: true }, { requestsPerSecond: 1.5 }]) {
+        const relay = await startRelay(context, {}, knowledge);
+        await assert.rejects(relay.relays.open(relay.target, forever));
+        assert.deepEqual(relay.learned, [{ isLeaving: false, requestsPerSecond: undefined, ...knowledge }]);
+        await openRelayed(context, { ...relay, target: { ...relay.target, ...knowledge } });
+    }
+});
+
 test("a request that names no upstream gets no connection (guards against a gateway that strangers end)", async context => {
     const { peerAddress } = await startRelay(context);
     const stranger = connect(peerAddress.port, peerAddress.host);
