Upstream paths: the time limit of relayed connections does not end direct ones

Cause (found by reading): both ways shared one time limit, which could end a direct connection a moment before its own limit did; the failure was then not counted, and its reason in the log was wrong. Change: the limit holds for the relayed connection alone. Evidence: cutOff.test.ts, relays.test.ts and sends.test.ts pass.

--- a/packages/gateway/src/peerServer.ts
+++ b/packages/gateway/src/peerServer.ts
@@ -43,7 +43,8 @@
 
 /**
  * Makes store calls for gateways that cannot reach the store, opens connections for those that cannot reach upstreams, lends
- * tokens of programs, issues permits, hands out credits of teams and places calls. Calls are served without it, so the start does not wait until it listens.
+ * tokens of programs, issues permits, hands out credits of teams and places calls. Calls are served without it, so the start
+ * does not wait until it listens.
  */
 export function createPeerServer(parts: PeerServerParts): AsyncDisposable {
     const { address, log } = parts;
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -311,14 +311,14 @@
             state.recordSuccess();
         }
         else if (cancelled !== "left" && (end.failure !== "notRun" || end.unreachable) &&
-            !isOwnTrouble(end)) {
+            !isPathFailure(end)) {
             state.recordFailure(now());
         }
         return end;
     }
 
     /** Whether an attempt without any part of an answer tells nothing about its upstream, as this gateway reaches none. */
-    function isOwnTrouble({ received }: FailedAttempt): boolean {
+    function isPathFailure({ received }: FailedAttempt): boolean {
         return received === undefined && upstreams.paths.isCutOff();
     }
 
@@ -329,7 +329,7 @@
         if (end.kind !== "failure") {
             return "answered";
         }
-        if (isOwnTrouble(end)) {
+        if (isPathFailure(end)) {
             return "unused";
         }
         if (cancelled !== undefined) {
--- a/packages/gateway/src/upstreamPaths.ts
+++ b/packages/gateway/src/upstreamPaths.ts
@@ -125,10 +125,10 @@
     async function open(target: UpstreamTarget): Promise<UpstreamPath> {
         const settled = new AbortController();
         const startedAt = now();
-        const timer = setTimeout(() => settled.abort(), connectTimeoutMs);
         const timeoutMs = cutOffAt === undefined ? connectTimeoutMs : cutOffConnectTimeoutMs;
         const direct = openDirectly(target, timeoutMs, settled.signal);
-        const relayed = openRelayed(target, direct, settled.signal);
+        const relayed = openRelayed(target, direct,
+            AbortSignal.any([settled.signal, AbortSignal.timeout(connectTimeoutMs)]));
         const paths = [direct.then(socket => ({ kind: "direct" as const, socket })),
             relayed.then(socket => ({ kind: "relayed" as const, socket }))];
         try {
@@ -146,7 +146,6 @@
             throw (error as AggregateError).errors[0] as Error;
         }
         finally {
-            clearTimeout(timer);
             settled.abort();
         }
     }
