--- a/packages/gateway/src/upstreamPaths.ts
+++ b/packages/gateway/src/upstreamPaths.ts
@@ -123,12 +123,13 @@
     }
 
     async function open(target: UpstreamTarget): Promise<UpstreamPath> {
-        const settled = new AbortController();
+        // Two controllers and a timer, as Node.js 20 may keep signals that `AbortSignal.any` makes of one with a timeout.
+        const [opening, relaying] = [new AbortController(), new AbortController()];
+        const timer = setTimeout(() => relaying.abort(), connectTimeoutMs);
         const startedAt = now();
         const timeoutMs = cutOffAt === undefined ? connectTimeoutMs : cutOffConnectTimeoutMs;
-        const direct = openDirectly(target, timeoutMs, settled.signal);
-        const relayed = openRelayed(target, direct,
-            AbortSignal.any([settled.signal, AbortSignal.timeout(connectTimeoutMs)]));
+        const direct = openDirectly(target, timeoutMs, opening.signal);
+        const relayed = openRelayed(target, direct, relaying.signal);
         const paths = [direct.then(socket => ({ kind: "direct" as const, socket })),
             relayed.then(socket => ({ kind: "relayed" as const, socket }))];
         try {
@@ -146,7 +147,9 @@
             throw (error as AggregateError).errors[0] as Error;
         }
         finally {
-            settled.abort();
+            clearTimeout(timer);
+            opening.abort();
+            relaying.abort();
         }
     }
 
