Relays: the end of an upstream's side is told from the end of the gateway that relays

Cause: the relayed connection carried the upstream's bytes as they are. The operating system closes the connections of a killed process in an orderly way, which is also how an answer without a length ends. A stop of the relaying gateway and its idle limit ended them so too. Change: the bytes to the asking gateway come in frames; one without bytes says that the upstream has ended its side, and without it the attempt has failed. Both sides say in their heads that they use frames. From an earlier version the bytes come as they are, and each end is a failure.

--- a/packages/gateway/src/interimAnswers.ts
+++ b/packages/gateway/src/interimAnswers.ts
@@ -1,4 +1,4 @@
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 
 /** Leaves out what an upstream sends before its answer. */
 export interface InterimAnswers {
@@ -33,7 +33,7 @@
  * Leaves out the interim answers on a connection. The HTTP client closes a connection on which a 100 comes that it has not
  * asked for, though any client has to expect one (RFC 9110, section 15.2). It reads with `read`.
  */
-export function skipInterimAnswers(socket: Socket, maxHeadBytes: number): InterimAnswers {
+export function skipInterimAnswers(socket: Duplex, maxHeadBytes: number): InterimAnswers {
     const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     let isBeforeAnswer = false;
     let held: Buffer = none;
--- a/packages/gateway/src/relayMessage.ts
+++ b/packages/gateway/src/relayMessage.ts
@@ -13,6 +13,9 @@
 /** Target of a request for a connection; the upstream is named by a header, as its id need not be a host's name. */
 export const relayTarget = "upstream:1";
 const upstreamHeader = "upstream-id";
+/** Sent by a gateway that reads frames, and by one that then sends them; versions without them ignore it. */
+const framesHeader = "upstream-frames";
+const framesVersion = "1";
 const leavingHeader = "upstream-leaving";
 /** The requests a second that the upstream takes, as the sender knows them. */
 const limitHeader = "upstream-limit";
@@ -22,7 +25,15 @@
 
 /** Headers of a request for a connection to an upstream. */
 export function encodeRelayHeaders({ id, ...knowledge }: UpstreamTarget): OutgoingHttpHeaders {
-    return { [upstreamHeader]: encodeURIComponent(id), ...encodeKnowledge(knowledge) };
+    return { [upstreamHeader]: encodeURIComponent(id), [framesHeader]: framesVersion, ...encodeKnowledge(knowledge) };
+}
+
+/** Header of the answer that says that the upstream's bytes follow in frames. */
+export const framesAnswerHeaders: Readonly<Record<string, string>> = { [framesHeader]: framesVersion };
+
+/** Whether the other gateway reads frames, by its request, or sends them, by its answer. */
+export function usesFrames(headers: IncomingHttpHeaders): boolean {
+    return headers[framesHeader] === framesVersion;
 }
 
 /** Headers that tell what a gateway knows of an upstream. */
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import type { Writable } from "node:stream";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
-import { decodeKnowledge, decodeRelayHeaders, encodeKnowledge, relayStatus,
-    type UpstreamKnowledge } from "./relayMessage.ts";
+import { createFrameEncoder } from "./relayFraming.ts";
+import { decodeKnowledge, decodeRelayHeaders, encodeKnowledge, framesAnswerHeaders, relayStatus, type UpstreamKnowledge,
+    usesFrames } from "./relayMessage.ts";
 import type { UpstreamTarget } from "./relays.ts";
 import { detectReset } from "./upstreamConnector.ts";
 
@@ -75,8 +77,9 @@
         }
         else {
             metrics.recordRelay("opened");
-            caller.write(`HTTP/1.1 ${relayStatus.opened} OK\r\n\r\n`);
-            join(caller, upstream);
+            const framed = usesFrames(request.headers);
+            caller.write(encodeHead(relayStatus.opened, "OK", framed ? framesAnswerHeaders : {}));
+            join(caller, upstream, framed);
         }
     }
 
@@ -89,8 +92,7 @@
 
     function refuse(caller: Socket, status: number, headers: Readonly<Record<string, string>> = {}): void {
         metrics.recordRelay(status === relayStatus.unavailable ? "refused" : "unreachable");
-        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-        caller.end(`HTTP/1.1 ${status} Refused\r\n${lines.join("")}connection: close\r\n\r\n`);
+        caller.end(encodeHead(status, "Refused", { ...headers, connection: "close" }));
     }
 
     return {
@@ -114,6 +116,11 @@
     };
 }
 
+function encodeHead(status: number, reason: string, headers: Readonly<Record<string, string>>): string {
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    return `HTTP/1.1 ${status} ${reason}\r\n${lines.join("")}\r\n`;
+}
+
 /**
  * Whether the gateway that asks does not know that the upstream leaves or has a rate limit. What it would send would come from
  * this gateway, which must not send so.
@@ -125,12 +132,14 @@
 
 /**
  * Passes on all bytes between a gateway and an upstream. A connection that the upstream resets is reset, so that an answer
- * without a length is not taken for whole; one that the gateway closes is closed, so that the upstream stops its work.
+ * without a length is not taken for whole; one that the gateway closes is closed, so that the upstream stops its work. In
+ * frames the upstream's end is told apart from that of this process.
  */
-function join(caller: Socket, upstream: Socket): void {
+function join(caller: Socket, upstream: Socket, framed: boolean): void {
     const wasReset = detectReset(upstream);
+    const toCaller: Writable = framed ? frameTo(caller) : caller;
     upstream.on("error", () => undefined);
-    upstream.once("end", () => void wasReset().then(isReset => isReset ? caller.resetAndDestroy() : caller.end()));
+    upstream.once("end", () => void wasReset().then(isReset => isReset ? caller.resetAndDestroy() : toCaller.end()));
     upstream.once("close", () => {
         if (!upstream.readableEnded) {
             caller.resetAndDestroy();
@@ -140,6 +149,13 @@
     caller.once("close", () => upstream.destroy());
     caller.setTimeout(idleTimeoutMs, () => caller.destroy());
     caller.setNoDelay(true);
-    upstream.pipe(caller, { end: false });
+    upstream.pipe(toCaller, { end: false });
     caller.pipe(upstream, { end: false });
 }
+
+/** A stream that writes to the caller in frames. */
+function frameTo(caller: Socket): Writable {
+    const encoder = createFrameEncoder();
+    encoder.pipe(caller);
+    return encoder;
+}
--- a/packages/gateway/src/relays.ts
+++ b/packages/gateway/src/relays.ts
@@ -1,9 +1,11 @@
 import { rankRelays } from "@tamarackgauge/core/gateway";
 import { request } from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Peer } from "./peerList.ts";
-import { decodeKnowledge, encodeRelayHeaders, relayStatus, relayTarget,
-    type UpstreamKnowledge } from "./relayMessage.ts";
+import { readRelayed } from "./relayFraming.ts";
+import { decodeKnowledge, encodeRelayHeaders, relayStatus, relayTarget, type UpstreamKnowledge,
+    usesFrames } from "./relayMessage.ts";
 
 /** An upstream to which a connection is opened. */
 export interface UpstreamTarget {
@@ -18,8 +20,11 @@
 
 /** Opens connections to upstreams through other gateways. */
 export interface Relays {
-    /** Rejects if no gateway that was asked opens the connection, or when the signal is aborted. */
-    open(target: UpstreamTarget, signal: AbortSignal): Promise<Socket>;
+    /**
+     * Rejects if no gateway that was asked opens the connection, or when the signal is aborted. The connection ends only as the
+     * upstream ends it, and fails if the other gateway goes away.
+     */
+    open(target: UpstreamTarget, signal: AbortSignal): Promise<Duplex>;
     /** Whether the last connection that was asked for could be opened through none of the gateways. */
     areExhausted(): boolean;
 }
@@ -50,7 +55,7 @@
 
 /** What became of a request for a connection. */
 type RelayOutcome =
-    | { readonly kind: "opened"; readonly socket: Socket; }
+    | { readonly kind: "opened"; readonly socket: Duplex; }
     | { readonly kind: "upstreamUnreachable"; readonly knowledge: UpstreamKnowledge; }
     | { readonly kind: "unavailable" | "failed" | "aborted"; };
 
@@ -67,7 +72,7 @@
         return rankRelays(usable, dataCentre, target.dataCentre, random);
     }
 
-    async function open(target: UpstreamTarget, signal: AbortSignal): Promise<Socket> {
+    async function open(target: UpstreamTarget, signal: AbortSignal): Promise<Duplex> {
         let unreachable = 0;
         for (const peer of candidates(target).slice(0, maxAttempts)) {
             const outcome = await requestConnection(peer, target, signal);
@@ -120,7 +125,7 @@
             if (head.length > 0) {
                 socket.unshift(head);
             }
-            resolve({ kind: "opened", socket });
+            resolve({ kind: "opened", socket: readRelayed(socket, usesFrames(headers)) });
         });
         outgoing.on("error", () => resolve({ kind: signal.aborted ? "aborted" : "failed" }));
         outgoing.on("close", () => {
--- a/packages/gateway/src/upstreamConnector.ts
+++ b/packages/gateway/src/upstreamConnector.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { buildConnector } from "undici";
 import { type InterimAnswers, skipInterimAnswers } from "./interimAnswers.ts";
 import type { PathKind, UpstreamPath } from "./upstreamPaths.ts";
@@ -34,7 +35,7 @@
     let interimAnswers: InterimAnswers | undefined;
     const connector = createConnector(open, path => {
         kind = path.kind;
-        wasReset = detectReset(path.socket);
+        wasReset = path.kind === "direct" ? detectReset(path.socket) : async () => path.socket.readableAborted;
         interimAnswers = skipInterimAnswers(path.socket, maxHeadBytes);
     });
     return { connector, kind: () => kind, wasReset: () => wasReset(),
@@ -52,7 +53,8 @@
                     return;
                 }
                 onOpen(path);
-                callback(null, path.socket);
+                // The client uses of a socket what every duplex stream has.
+                callback(null, path.socket as Socket);
             }), (error: Error) => callback(isReset(error) ? new UpstreamFullError() : error, null));
 }
 
@@ -61,7 +63,7 @@
 }
 
 /** Calls back once with whether the other side closed the connection within `newConnectionHoldMs`. */
-function detectEarlyClose(socket: Socket, callback: (isClosed: boolean) => void): void {
+function detectEarlyClose(socket: Duplex, callback: (isClosed: boolean) => void): void {
     const timer = setTimeout(() => finish(false), newConnectionHoldMs);
     const onClose = () => finish(true);
     const events = ["error", "end", "close"] as const;
--- a/packages/gateway/src/upstreamPaths.ts
+++ b/packages/gateway/src/upstreamPaths.ts
@@ -1,5 +1,6 @@
 import { UpstreamReach } from "@tamarackgauge/core/gateway";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { connectDirectly, type DirectConnector } from "./directConnection.ts";
 import type { Log } from "./log.ts";
@@ -7,13 +8,13 @@
 import type { Relays, UpstreamTarget } from "./relays.ts";
 
 /** How a connection to an upstream was opened: by this gateway, or by another one for it. */
-export type PathKind = "direct" | "relayed";
+export type PathKind = UpstreamPath["kind"];
 
 /** A connection to an upstream. */
-export interface UpstreamPath {
-    readonly kind: PathKind;
-    readonly socket: Socket;
-}
+export type UpstreamPath =
+    | { readonly kind: "direct"; readonly socket: Socket; }
+    /** Ends only as the upstream ends it; fails if it is reset or the other gateway goes away. */
+    | { readonly kind: "relayed"; readonly socket: Duplex; };
 
 /** A call under way on a connection of this gateway's own. */
 export interface WatchedCall extends Disposable {
@@ -130,8 +131,8 @@
         const timeoutMs = cutOffAt === undefined ? connectTimeoutMs : cutOffConnectTimeoutMs;
         const direct = openDirectly(target, timeoutMs, opening.signal);
         const relayed = openRelayed(target, direct, relaying.signal);
-        const paths = [direct.then(socket => ({ kind: "direct" as const, socket })),
-            relayed.then(socket => ({ kind: "relayed" as const, socket }))];
+        const paths: readonly Promise<UpstreamPath>[] = [direct.then(socket => ({ kind: "direct", socket })),
+            relayed.then(socket => ({ kind: "relayed", socket }))];
         try {
             const path = await Promise.any(paths);
             metrics.recordUpstreamConnection(path.kind);
@@ -154,7 +155,7 @@
     }
 
     /** Waits for the direct connection, unless the gateway is cut off, before another gateway is asked. */
-    async function openRelayed(target: UpstreamTarget, direct: Promise<Socket>, signal: AbortSignal): Promise<Socket> {
+    async function openRelayed(target: UpstreamTarget, direct: Promise<Socket>, signal: AbortSignal): Promise<Duplex> {
         if (cutOffAt === undefined) {
             const failed = new Promise<void>(resolve => void direct.catch(() => resolve()));
             await Promise.race([failed, sleep(relayDelayMs, undefined, { signal, ref: false })]);
@@ -228,7 +229,7 @@
     };
 }
 
-function closeUnless(used: UpstreamPath, socket: Socket): void {
+function closeUnless(used: UpstreamPath, socket: Duplex): void {
     if (socket !== used.socket) {
         socket.destroy();
     }
--- a/packages/gateway/test/relays.test.ts
+++ b/packages/gateway/test/relays.test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { createServer as createHttpServer } from "node:http";
 import { connect, createServer, type Server, type Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { test, type TestContext } from "node:test";
 import { connectDirectly } from "../src/directConnection.ts";
 import { createMetrics } from "../src/metrics.ts";
@@ -23,7 +24,7 @@
 
 /** An upstream whose connections a test takes one by one, and a gateway that opens connections to it for others. */
 async function startRelay(context: TestContext, changes: { isCutOff?: () => boolean; } = {},
-    known: Partial<UpstreamKnowledge> = {}) {
+    known: Partial<UpstreamKnowledge> = {}, askedAddress?: SocketAddress) {
     const [upstreamAddress, peerAddress] = [await freeAddress(), await freeAddress()];
     const upstream = createServer({ allowHalfOpen: true });
     await listenOn(context, upstream, upstreamAddress);
@@ -39,15 +40,17 @@
     await listenOn(context, peerServer, peerAddress);
     const relays = createRelays({ name: "own", dataCentre: "a", isBackingOff: () => false, random: Math.random,
         onKnowledge: (_, knowledge) => learned.push(knowledge), now: () => performance.now(),
-        peers: () => [{ name: "peer", address: peerAddress, dataCentre: "a", registeredAt: 1, cores: 1 }] });
-    return { target, upstream, relays, peerAddress, learned };
+        peers:
+            () => [{ name: "peer", address: askedAddress ?? peerAddress, dataCentre: "a", registeredAt: 1,
+                cores: 1 }] });
+    return { target, upstream, relays, relayServer, peerServer, peerAddress, learned };
 }
 
 async function openRelayed(context: TestContext, { target, upstream, relays }: {
     target: UpstreamTarget;
     upstream: Server;
     relays: Relays;
-}): Promise<{ socket: Socket; accepted: Socket; }> {
+}): Promise<{ socket: Duplex; accepted: Socket; }> {
     const accepted = once(upstream, "connection").then(([socket]) => socket as Socket);
     const socket = await relays.open(target, forever);
     socket.on("error", () => undefined);
@@ -79,6 +82,50 @@
     }
 });
 
+/** Resolves with whether a connection failed; false if it came to an orderly end. */
+function failureOf(socket: Duplex): Promise<boolean> {
+    return new Promise(resolve => {
+        socket.once("error", () => resolve(true));
+        socket.once("end", () => resolve(false));
+        socket.resume();
+    });
+}
+
+test("a relaying gateway that goes away within an answer is told from the end of the answer (guards against a part of an answer that is taken for whole)", async context => {
+    const waysToGo: Record<string, (relay: Awaited<ReturnType<typeof startRelay>>, links: readonly Socket[]) => void> =
+        {
+            // As the operating system closes the connections of a process that is killed.
+            "killed": (_, links) => links.forEach(link => link.end()),
+            "stopped": ({ relayServer }) => relayServer[Symbol.dispose](),
+            "idle": (_, links) => links.forEach(link => link.emit("timeout")),
+        };
+    for (const [way, goAway] of Object.entries(waysToGo)) {
+        const relay = await startRelay(context);
+        const links: Socket[] = [];
+        relay.peerServer.on("connection", (link: Socket) => links.push(link));
+        const { socket, accepted } = await openRelayed(context, relay);
+        accepted.on("error", () => undefined);
+        accepted.write("the beginning");
+        assert.equal(String((await once(socket, "data"))[0]), "the beginning");
+        const failed = failureOf(socket);
+        goAway(relay, links);
+        assert.equal(await failed, true, way);
+    }
+});
+
+test("a connection through a gateway of a version without frames ends with a failure (guards against a part of an answer that is taken for whole during an upgrade)", async context => {
+    const peerAddress = await freeAddress();
+    await listenOn(context, createHttpServer().on("connect", (_, socket: Socket) => {
+        socket.write("HTTP/1.1 200 OK\r\n\r\n");
+        socket.end("an answer");
+    }), peerAddress);
+    const relay = await startRelay(context, {}, {}, peerAddress);
+    const socket = await relay.relays.open(relay.target, forever);
+    const data = once(socket, "data");
+    assert.equal(String((await data)[0]), "an answer");
+    assert.equal(await failureOf(socket), true);
+});
+
 test("a connection that its gateway closes is closed at the upstream (guards against work that goes on for nobody)", async context => {
     const { socket, accepted } = await openRelayed(context, await startRelay(context));
     accepted.resume();
