Upstream connections: what is no body of an answer is limited, and answers are parsed in turns

What callers saw: with 24 callers of an engine that sends interim answers, trailers or lines of a head without end, calls of another, sound service took 0.8 to 2.7 s; an endless size or extension of a chunk was read for the whole time of its call (0.7 to 2.1 GB). Cause: nothing counted bytes that are no body, and all that one read had brought was parsed before anything else went on. Change: what is no body may take 128 KiB and as much as the body; beyond it the connection is closed and the attempt has failed. A connection's bytes are parsed in parts of 4 KiB, and after 1 ms the others get their turn. Between two answers all is read at once, so that a late answer is seen before the next call.

--- a/packages/gateway/src/upstreamClient.ts
+++ b/packages/gateway/src/upstreamClient.ts
@@ -2,6 +2,8 @@
 import { decodeAnswer } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
 import { Client, type Dispatcher, errors } from "undici";
+import type { AnswerReader } from "./answerReader.ts";
+import { createParsingTurns, type ParsingTurns } from "./parsingTurns.ts";
 import type { UpstreamTarget } from "./relays.ts";
 import { createUpstreamSocket, UpstreamFullError, type UpstreamSocket } from "./upstreamConnector.ts";
 import { createDirectPaths, type UpstreamPaths, type WatchedCall } from "./upstreamPaths.ts";
@@ -76,6 +78,8 @@
     /** The upstream as it is known now; needed to reach it through other gateways. */
     readonly target?: () => UpstreamTarget;
     readonly paths?: UpstreamPaths;
+    /** Shares the time for parsing answers with the connections to other upstreams. */
+    readonly turns?: ParsingTurns;
 }
 
 const idleTimeoutMs = 8_000;
@@ -119,6 +123,7 @@
 /** Creates a client for the upstream at an address. */
 export function createUpstreamClient(parts: UpstreamClientParts): UpstreamClient {
     const { host, port, maxConnections, maxHeadBytes, paths = createDirectPaths() } = parts;
+    const { turns = createParsingTurns(() => performance.now()) } = parts;
     const {
         target = () => ({ id: "", address: { host, port }, dataCentre: "", isLeaving: false,
             requestsPerSecond: undefined }),
@@ -161,7 +166,7 @@
     }
 
     function openConnection(): Connection {
-        const socket = createUpstreamSocket(maxHeadBytes, () => paths.open(target()));
+        const socket = createUpstreamSocket(maxHeadBytes, turns, () => paths.open(target()));
         const client = new Client(`http://${host}:${port}`, {
             pipelining: 1,
             headersTimeout: 0,
@@ -249,6 +254,7 @@
         let isMatched = false;
         let hasNoBody = false;
         let watched: WatchedCall | undefined;
+        let reader: AnswerReader | undefined;
 
         function fail(error: Error): void {
             stopWatching();
@@ -294,7 +300,8 @@
                 }
                 sent = true;
                 watched = connection.socket.kind() === "direct" ? paths.watch() : undefined;
-                connection.socket.expectAnswer();
+                reader = connection.socket.reader();
+                reader?.expectAnswer();
             },
             onResponseStart(_, status, responseHeaders, reasonPhrase) {
                 watched?.heard();
@@ -315,12 +322,14 @@
             },
             onResponseData(_, chunk) {
                 watched?.heard();
+                reader?.countBody(chunk.length);
                 if (!ended) {
                     observer.data(chunk);
                 }
             },
             onResponseEnd() {
                 stopWatching();
+                reader?.endAnswer();
                 // The HTTP client takes a reset for the end of an answer that has neither a length nor chunks.
                 void connection.socket.wasReset().then(endOrFail);
                 releaseConnection(connection, isMatched);
--- a/packages/gateway/src/upstreamConnector.ts
+++ b/packages/gateway/src/upstreamConnector.ts
@@ -1,7 +1,8 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { buildConnector } from "undici";
-import { type InterimAnswers, skipInterimAnswers } from "./interimAnswers.ts";
+import { type AnswerReader, readAnswers } from "./answerReader.ts";
+import type { ParsingTurns } from "./parsingTurns.ts";
 import type { PathKind, UpstreamPath } from "./upstreamPaths.ts";
 
 /** The upstream closed a new connection before anything was sent over it, as its connection limit is reached. */
@@ -22,24 +23,24 @@
     readonly connector: buildConnector.connector;
     /** How the connection was opened; undefined before. */
     kind(): PathKind | undefined;
-    /** States that a call is sent now, so that the next bytes begin its answer. */
-    expectAnswer(): void;
+    /** Reads the answers on the connection; undefined before it is open. */
+    reader(): AnswerReader | undefined;
     /** Whether the connection ended because it was reset, not because the upstream closed its side. */
     wasReset(): Promise<boolean>;
 }
 
 /** Creates a connector that opens the connections to an upstream, one after the other; `maxHeadBytes` is the maximum size of an answer's head. */
-export function createUpstreamSocket(maxHeadBytes: number, open: () => Promise<UpstreamPath>): UpstreamSocket {
+export function createUpstreamSocket(maxHeadBytes: number, turns: ParsingTurns,
+    open: () => Promise<UpstreamPath>): UpstreamSocket {
     let wasReset = async () => false;
     let kind: PathKind | undefined;
-    let interimAnswers: InterimAnswers | undefined;
+    let reader: AnswerReader | undefined;
     const connector = createConnector(open, path => {
         kind = path.kind;
         wasReset = path.kind === "direct" ? detectReset(path.socket) : async () => path.socket.readableAborted;
-        interimAnswers = skipInterimAnswers(path.socket, maxHeadBytes);
+        reader = readAnswers(path.socket, maxHeadBytes, turns);
     });
-    return { connector, kind: () => kind, wasReset: () => wasReset(),
-        expectAnswer: () => interimAnswers?.expectAnswer() };
+    return { connector, kind: () => kind, wasReset: () => wasReset(), reader: () => reader };
 }
 
 /** `onOpen` receives each connection before it is used. */
--- a/packages/gateway/src/upstreams.ts
+++ b/packages/gateway/src/upstreams.ts
@@ -1,6 +1,7 @@
 import { chooseUpstream, type Declaration, incarnationOf, modelCosts, plainServiceCosts, RateLimit,
     type SelectionCriteria, ServiceEstimate, type UpstreamEntry, UpstreamState } from "@tamarackgauge/core/gateway";
 import type { MemoryLimits } from "./limits.ts";
+import { createParsingTurns } from "./parsingTurns.ts";
 import type { UpstreamTarget } from "./relays.ts";
 import { createUpstreamClient, type UpstreamClient } from "./upstreamClient.ts";
 import { createDirectPaths, type UpstreamPaths } from "./upstreamPaths.ts";
@@ -72,6 +73,7 @@
 /** Creates an empty set of upstreams. */
 export function createUpstreams(parts: UpstreamsParts): Upstreams {
     const { declaration, gateways, limits, paths = createDirectPaths(), now } = parts;
+    const turns = createParsingTurns(now);
     const upstreamsById = new Map<string, Upstream>();
     const statesByService = new Map<string, Map<string, UpstreamState>>();
 
@@ -132,7 +134,7 @@
             rateLimitOf(entry));
         const client = createUpstreamClient({ host: entry.address, port: entry.port,
             maxConnections: () => maxConnectionsTo(entry.service), maxHeadBytes: limits.maxHeadBytes,
-            target: () => targetOf(state), paths });
+            target: () => targetOf(state), paths, turns });
         const upstream = { state, client };
         upstreamsById.set(entry.id, upstream);
         const states = statesByService.get(entry.service) ?? new Map<string, UpstreamState>();
