Answers: the pieces in which they come count against their limits

What callers saw (FAULT): an engine that sent chunks of one byte, or small pieces of a stream behind 500, ended the process (SIGABRT, JavaScript heap) with one caller and more; pieces of an event that never ends held it up, so that a sound service took 9.1 s. Cause: each piece was kept as a Buffer of its own, some hundred bytes for one byte; an incomplete event was copied again with each piece. Change: a body is copied into blocks whose size is reserved, an incomplete event lies in a block that grows, and each piece counts 64 bytes beside its content.

--- a/packages/core/src/gateway/event.ts
+++ b/packages/core/src/gateway/event.ts
@@ -7,30 +7,61 @@
 }
 
 const lineFeed = 0x0a;
+const noBytes = Buffer.alloc(0);
 
 /** Splits the bytes of an event stream (`text/event-stream`) into complete events. */
 export class EventSplitter {
-    private pending: Buffer = Buffer.alloc(0);
-    /** Number of leading bytes of `pending` that are known to contain no event terminator. */
+    /** Holds the incomplete event; larger than it, so that small chunks are appended without copying what has come before. */
+    private block: Buffer = noBytes;
+    private blockBytes = 0;
+    /** Number of leading bytes of the incomplete event that are known to contain no event terminator. */
     private searchedBytes = 0;
 
     /** Appends received bytes and returns the events that they complete. */
     push(chunk: Buffer): readonly StreamEvent[] {
-        this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+        let pending = this.blockBytes === 0 ? chunk : this.append(chunk);
         const events: StreamEvent[] = [];
-        let end = findEventEnd(this.pending, this.searchedBytes);
+        let end = findEventEnd(pending, this.searchedBytes);
         while (end > 0) {
-            events.push(parseEvent(this.pending.subarray(0, end)));
-            this.pending = this.pending.subarray(end);
-            end = findEventEnd(this.pending, 0);
+            events.push(parseEvent(pending.subarray(0, end)));
+            pending = pending.subarray(end);
+            end = findEventEnd(pending, 0);
         }
-        this.searchedBytes = Math.max(0, this.pending.length - terminatorOverlapBytes);
+        if (events.length > 0 || this.blockBytes === 0) {
+            this.hold(pending);
+        }
+        this.searchedBytes = Math.max(0, this.blockBytes - terminatorOverlapBytes);
         return events;
     }
 
     /** Received bytes of the incomplete last event. */
     remainder(): Buffer {
-        return this.pending;
+        return this.block.subarray(0, this.blockBytes);
+    }
+
+    /** Number of received bytes of the incomplete last event. */
+    remainderBytes(): number {
+        return this.blockBytes;
+    }
+
+    /** Appends to the incomplete event, and returns all of it. */
+    private append(chunk: Buffer): Buffer {
+        const bytes = this.blockBytes + chunk.length;
+        if (bytes > this.block.length) {
+            const block = Buffer.allocUnsafeSlow(bytes * 2);
+            this.block.copy(block, 0, 0, this.blockBytes);
+            this.block = block;
+        }
+        chunk.copy(this.block, this.blockBytes);
+        this.blockBytes = bytes;
+        return this.remainder();
+    }
+
+    /** Begins an incomplete event in a block of its own, as events that were returned lie in the one before. */
+    private hold(bytes: Buffer): void {
+        this.block = bytes.length === 0 ? noBytes : Buffer.allocUnsafeSlow(bytes.length * 2);
+        bytes.copy(this.block);
+        this.blockBytes = bytes.length;
     }
 }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,6 +2,7 @@
     judgeAnswer, type RateLimitStatement, tokensToPrefill, type UpstreamState } from "@tamarackgauge/core/gateway";
 import { encodeRequest } from "@tamarackgauge/platform";
 import type { IncomingHttpHeaders } from "node:http";
+import { createBodyBuffer } from "./bodyBuffer.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
 import type { MemoryLimits } from "./limits.ts";
 import type { SendPlan } from "./sendPlan.ts";
@@ -68,6 +69,9 @@
 const eventTimeoutFactor = 4;
 const minEventTimeoutMs = 600;
 
+/** What each piece of an answer counts beside its bytes, as its handling takes far longer than theirs. */
+const pieceBytes = 64;
+
 /** What is needed for one attempt. */
 export interface AttemptPlan extends SendPlan {
     /** Connections that have carried the call in earlier attempts. */
@@ -88,13 +92,15 @@
 export function startAttempt({ state, client }: Upstream, plan: AttemptPlan, limits: MemoryLimits,
     now: () => number): Attempt {
     const { call, sink } = plan;
-    const chunks: Buffer[] = [];
+    const body = createBodyBuffer();
     let answer: {
         readonly head: AnswerHead;
         readonly headers: IncomingHttpHeaders;
         readonly verdict: AnswerVerdict;
     } | undefined;
     let receivedBytes = 0;
+    /** Pieces of the body, or of the event that is still incomplete. */
+    let pieces = 0;
     /** Bytes of the answer that are reserved in the account of the call. */
     let accountedBytes = 0;
     let timeToFirstByte = 0;
@@ -163,21 +169,35 @@
 
     function receiveData(chunk: Buffer): void {
         receivedBytes += chunk.length;
+        pieces += 1;
         if (streaming) {
-            relay(chunk);
+            receiveEvents(chunk);
         }
         else {
-            chunks.push(chunk);
+            receiveBody(chunk);
         }
-        const heldBytes = streaming ? sink!.heldBytes() : receivedBytes;
-        if (heldBytes > maxHeldBytes() || !accountFor(heldBytes)) {
+    }
+
+    function receiveEvents(chunk: Buffer): void {
+        relay(chunk);
+        const heldBytes = sink!.heldBytes();
+        if (heldBytes > limits.maxAnswerBytes || !accountFor(heldBytes)) {
             abort("the answer is too long");
         }
-        else if (streaming && sink!.incompleteBytes() > limits.maxEventBytes) {
+        else if (sink!.incompleteBytes() + pieces * pieceBytes > limits.maxEventBytes) {
             abort("an event is too long");
         }
     }
 
+    function receiveBody(chunk: Buffer): void {
+        const storedBytes = accountedBytes + body.costOf(chunk);
+        if (receivedBytes + pieces * pieceBytes > maxBodyBytes() || !accountFor(storedBytes)) {
+            abort("the answer is too long");
+            return;
+        }
+        body.append(chunk);
+    }
+
     /** Reserves the bytes that the answer holds now; false if all calls together hold too many. */
     function accountFor(heldBytes: number): boolean {
         const change = heldBytes - accountedBytes;
@@ -194,6 +214,7 @@
         const previousEvents = sink!.relayedEvents();
         const hasCapacity = sink!.write(chunk);
         if (sink!.relayedEvents() > previousEvents) {
+            pieces = 0;
             restartProgressTimer();
         }
         if (!hasCapacity) {
@@ -217,9 +238,9 @@
         }
     }
 
-    /** A stream is limited by what it holds. It may end with its connection, as it is clear whether its last event is whole. */
-    function maxHeldBytes(): number {
-        return !streaming && framingOf(answer!.headers) === "none" ? limits.maxUnframedBytes : limits.maxAnswerBytes;
+    /** A stream may be longer, as it is limited by what it holds, and it is clear whether its last event is whole. */
+    function maxBodyBytes(): number {
+        return framingOf(answer!.headers) === "none" ? limits.maxUnframedBytes : limits.maxAnswerBytes;
     }
 
     function completeAnswer(): AttemptEnd {
@@ -237,7 +258,7 @@
             return { kind: "streamed" };
         }
         const { head, headers, verdict } = answer!;
-        return evaluateAnswer(verdict, { status: head.status, headers, body: Buffer.concat(chunks) });
+        return evaluateAnswer(verdict, { status: head.status, headers, body: body.toBuffer() });
     }
 
     const sentAt = now();
