Turns: a history has only the rows of its own turns

Change: only rows whose key is the turn's own, or that with a continuation's number, are decoded; where a page ends before the first continuation, reading goes on there.

--- a/packages/gateway/src/turnRow.ts
+++ b/packages/gateway/src/turnRow.ts
@@ -38,13 +38,16 @@
 const bytesPerBase64Char = 3 / 4;
 const rowMarginBytes = 64;
 const rowKeySeparator = "/";
+const continuationPattern = /\/\d{3}$/;
+/** The character after the separator: keys of a turn's rows come before its key with this character. */
+const keyAfterSeparator = "0";
 
 /** Describes the table of turns to the cleaner. */
 export const turnTable: CleanedTable = {
     table: turnTableName,
     partCount,
-    entryKeyOf: key => key.replace(/\/\d{3}$/, ""),
-    retainedUntil: rows => decodeTurn("", rows)!.keptUntil,
+    entryKeyOf: firstRowKeyOf,
+    retainedUntil: rows => continuationPattern.test(rows[0]!.key) ? NaN : decodeRows(rows).keptUntil,
     maxAgeMs: 3_600_000,
 };
 
@@ -61,6 +64,22 @@
     return index === 0 ? id : `${id}${rowKeySeparator}${String(index).padStart(3, "0")}`;
 }
 
+function firstRowKeyOf(key: string): string {
+    return key.replace(continuationPattern, "");
+}
+
+/** The keys of a turn's rows lie in this range, beside rows of turns whose ids begin with its own. */
+export function turnRowRange(id: string): { readonly from: string; readonly to: string; } {
+    const key = turnRowKey(id, 0);
+    return { from: key, to: `${key}${keyAfterSeparator}` };
+}
+
+/** Where to read on in the range of a turn's rows after a key; rows of other turns are passed over. */
+export function turnRowAfter(id: string, key: string): string {
+    const [next, continuation] = [`${key}\0`, turnRowKey(id, 1)];
+    return next < continuation ? continuation : next;
+}
+
 /**
  * A turn as the values of its rows. The values together are a marker byte, the length of the header, the header, the
  * input and the output. Each value is built when it is asked for, so that a large turn is not copied as a whole.
@@ -105,16 +124,23 @@
     return Buffer.concat(slices);
 }
 
-/** Decodes the rows of a turn; undefined if there is no complete turn because its first row is missing. */
+/**
+ * Decodes a turn from the rows of its range, of which some may be of other turns; undefined if its first row is missing, so that
+ * there is no complete turn.
+ */
 export function decodeTurn(id: string, rows: readonly StoreRow[]): Turn | undefined {
-    const first = rows[0];
-    if (first === undefined || first.key.includes(rowKeySeparator)) {
-        return undefined;
-    }
-    const location = { part: first.part, version: first.version };
+    const key = turnRowKey(id, 0);
+    const ownRows = rows.filter(row => firstRowKeyOf(row.key) === key);
+    const first = ownRows[0];
+    return first?.key === key
+        ? { id, location: { part: first.part, version: first.version }, ...decodeRows(ownRows) }
+        : undefined;
+}
+
+function decodeRows(rows: readonly StoreRow[]): Omit<Turn, "id" | "location"> {
     const bytes = Buffer.concat(rows.map(({ value }) => value));
     if (bytes[0] !== formatMarker) {
-        return { id, location, ...decodeEarlierFormat(bytes) };
+        return decodeEarlierFormat(bytes);
     }
     const headerStart = 1 + headerLengthBytes;
     const inputStart = headerStart + bytes.readUInt32BE(1);
@@ -122,7 +148,7 @@
         bytes.subarray(headerStart, inputStart),
     ) as [string[], number, string, number, number];
     const outputStart = inputStart + inputLength;
-    return { id, location, ancestors, upstream, keptAt, keptUntil, input: bytes.subarray(inputStart, outputStart),
+    return { ancestors, upstream, keptAt, keptUntil, input: bytes.subarray(inputStart, outputStart),
         output: bytes.subarray(outputStart) };
 }
 
--- a/packages/gateway/src/turns.ts
+++ b/packages/gateway/src/turns.ts
@@ -6,7 +6,8 @@
 import { callWithRetries, type HedgeableStore, urgentRetryPolicy } from "./storeRetry.ts";
 import { createTurnCache, sizeOf } from "./turnCache.ts";
 import { createTurnRemoval } from "./turnRemoval.ts";
-import { candidatePartsOf, decodeTurn, type Turn, turnTableName as table } from "./turnRow.ts";
+import { candidatePartsOf, decodeTurn, type Turn, turnRowAfter, turnRowRange,
+    turnTableName as table } from "./turnRow.ts";
 import { createTurnWriter, termOf } from "./turnWriter.ts";
 
 /** A turn that has just completed. */
@@ -107,10 +108,11 @@
 
     async function readTurn(id: string, part: string): Promise<Turn | undefined> {
         const rows: StoreRow[] = [];
-        let page = await readPage({ table, part, from: id, to: `${id}0` });
+        const range = { table, part, ...turnRowRange(id) };
+        let page = await readPage(range);
         rows.push(...page.rows);
         while (page.more && page.rows.length > 0) {
-            page = await readPage({ table, part, from: `${rows.at(-1)!.key}\0`, to: `${id}0` });
+            page = await readPage({ ...range, from: turnRowAfter(id, page.rows.at(-1)!.key) });
             rows.push(...page.rows);
         }
         return decodeTurn(id, rows);
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { candidatePartsOf } from "../src/turnRow.ts";
 import { call, createFleet, declaration, type Fleet, type TestGateway, turnCall, waitForDeclaration, waitUntil,
     waitUntilReady } from "./harness.ts";
 
@@ -24,6 +25,40 @@
         `input of t1;${outputOf("t1")}input of t2;${outputOf("t2")}input of t3;`);
 });
 
+/** An id that begins with another one and goes on with `rest`, and whose rows lie in the same part. */
+function idInSamePart(id: string, rest: string): string {
+    const [part] = candidatePartsOf(id);
+    for (let suffix = 0;; suffix += 1) {
+        const other = `${id}${rest}${suffix}`;
+        if (candidatePartsOf(other)[0] === part) {
+            return other;
+        }
+    }
+}
+
+test("the history of a turn has no rows of turns whose ids begin with its own (guards against turns of another program in the body that an engine gets)", async () => {
+    await using setup = await startGateways();
+    const others = [".", "-", " x", "/", "/00"].map(rest => idInSamePart("a", rest));
+    for (const id of ["a", ...others]) {
+        assert.ok((await call(setup.one, turnCall(id, `program of ${id}`))).whole);
+    }
+    assert.ok((await call(setup.two, turnCall("next", "program of a", "a"))).whole);
+    assert.equal(setup.fleet.engine.executed.at(-1)?.body, `input of a;${outputOf("a")}input of next;`);
+});
+
+test("a turn of several rows is read whole among the rows of others (guards against a part of a history)", async () => {
+    await using setup = await startGateways();
+    const input = "x".repeat(99_000);
+    assert.ok((await call(setup.one, { ...turnCall("a", "p"), body: input })).whole);
+    // More than a page of the store, between the first row of the turn and the next one.
+    const [part] = candidatePartsOf("a");
+    for (let index = 0; index < 1_200; index += 1) {
+        setup.fleet.rowStore.put("turns", part!, `a.${String(index).padStart(4, "0")}`, Buffer.from("another turn"));
+    }
+    assert.ok((await call(setup.two, turnCall("next", "p", "a"))).whole);
+    assert.equal(setup.fleet.engine.executed.at(-1)?.body, `${input}${outputOf("a")}input of next;`);
+});
+
 test("a turn's last event is held back until the turn is stored (guards against an answer that cannot be continued)", async () => {
     await using setup = await startGateways();
     const setStoreFault = (fault?: RowStoreFault) =>
