Turns: ids with a slash are found in the store

Cause: the rows of a long turn continue under its id, a slash and a number, and a first row with a slash was taken for a continuation. Change: the key of such an id begins with a slash and has its own slashes escaped, so that no two ids share a key and the last slash is that of a continuation. Keys of all other ids stay, so that versions side by side find each other's turns.

--- a/packages/gateway/src/turnRemoval.ts
+++ b/packages/gateway/src/turnRemoval.ts
@@ -61,7 +61,7 @@
         }
         const { part } = first;
         const batch = batchWithin(due.filter(entry => entry.part === part));
-        const conditions = batch.map(({ id, version }) => ({ table, part, key: id, version }));
+        const conditions = batch.map(({ id, version }) => ({ table, part, key: turnRowKey(id, 0), version }));
         const removals = batch.flatMap(entry =>
             rowsToRemove(entry).map(index => ({ table, part, key: turnRowKey(entry.id, index) }))
         );
@@ -87,7 +87,8 @@
 
 /** Whether a turn's first row is not the one that is to be removed; `rows` are the current first rows. */
 function hasChanged({ id, version }: Expiry, rows: readonly StoreRow[]): boolean {
-    return version !== (rows.find(({ key }) => key === id)?.version ?? 0);
+    const firstKey = turnRowKey(id, 0);
+    return version !== (rows.find(({ key }) => key === firstKey)?.version ?? 0);
 }
 
 /** Indexes of the rows of a turn that one call removes. */
--- a/packages/gateway/src/turnRow.ts
+++ b/packages/gateway/src/turnRow.ts
@@ -59,9 +59,17 @@
     return Array.from({ length: partsPerTurn }, (_, index) => String((first + index * distance) % partCount));
 }
 
-/** Key of a turn's row. The key of the first row is the turn's id; a long turn continues in further rows. */
+/**
+ * Key of a turn's row. The key of the first row is the turn's id, unless that has a separator, which no other id's key begins
+ * with; a long turn continues in further rows.
+ */
 export function turnRowKey(id: string, index: number): string {
-    return index === 0 ? id : `${id}${rowKeySeparator}${String(index).padStart(3, "0")}`;
+    const key = id.includes(rowKeySeparator) ? rowKeySeparator + escapeSeparators(id) : id;
+    return index === 0 ? key : `${key}${rowKeySeparator}${String(index).padStart(3, "0")}`;
+}
+
+function escapeSeparators(id: string): string {
+    return id.replaceAll("%", "%25").replaceAll(rowKeySeparator, "%2F");
 }
 
 function firstRowKeyOf(key: string): string {
--- a/packages/gateway/src/turnWriter.ts
+++ b/packages/gateway/src/turnWriter.ts
@@ -136,7 +136,7 @@
             if (current !== undefined && current.keptUntil >= term.neededUntil) {
                 return current;
             }
-            const condition = { table, part, key: turn.id, version: current?.location?.version ?? 0 };
+            const condition = { table, part, key: turnRowKey(turn.id, 0), version: current?.location?.version ?? 0 };
             const location = await put(kept, part, term, [condition], timeout);
             if (location !== undefined) {
                 return { ...kept, location };
--- a/packages/gateway/test/turns.test.ts
+++ b/packages/gateway/test/turns.test.ts
@@ -59,6 +59,19 @@
     assert.equal(setup.fleet.engine.executed.at(-1)?.body, `${input}${outputOf("a")}input of next;`);
 });
 
+test("a turn whose id has a slash is found by another gateway (guards against a 404 for a turn that was answered whole)", async () => {
+    await using setup = await startGateways();
+    const ids = ["a/b", "/", "a/001", "a%2Fb", "//a%", "a"];
+    for (const id of ids) {
+        assert.ok((await call(setup.one, turnCall(id, `program of ${id}`))).whole);
+    }
+    for (const [index, id] of ids.entries()) {
+        const { status } = await call(setup.two, turnCall(`next${index}`, `program of ${id}`, id));
+        assert.equal(status, 200, id);
+        assert.equal(setup.fleet.engine.executed.at(-1)?.body, `input of ${id};${outputOf(id)}input of next${index};`);
+    }
+});
+
 test("a turn's last event is held back until the turn is stored (guards against an answer that cannot be continued)", async () => {
     await using setup = await startGateways();
     const setStoreFault = (fault?: RowStoreFault) =>
