--- a/packages/gateway/src/answerReader.ts
+++ b/packages/gateway/src/answerReader.ts
@@ -100,6 +100,7 @@
  */
 export function readAnswers(socket: Duplex, maxHeadBytes: number, turns: ParsingTurns): AnswerReader {
     const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+    const unshift = socket.unshift.bind(socket);
     const interim = createInterimFilter(maxHeadBytes);
     let isInAnswer = false;
     let readBytes = 0;
@@ -161,7 +162,14 @@
         }
     }
 
+    /** The HTTP client puts back what it has not parsed when it pauses. */
+    function putBack(bytes: Buffer): void {
+        readBytes -= bytes.length;
+        unshift(bytes);
+    }
+
     socket.read = readAnswer;
+    socket.unshift = putBack;
     socket.once("close", () => turns.remove(takeTurn));
     return {
         expectAnswer() {
