Upstreams: one function retires an upstream that has announced its leaving

It stood in sends.ts and, for what another gateway knows, in gateway.ts. No change of behaviour: same log line and metric. Evidence: type check, leaving.test.ts and relays.test.ts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { createDispatcher } from "./dispatcher.ts";
 import { createDisposal, type Disposal } from "./disposal.ts";
 import { createFrontend } from "./front.ts";
+import { retireLeavingUpstream } from "./leavingUpstream.ts";
 import { limitConnections } from "./limitConnections.ts";
 import type { MemoryLimits } from "./limits.ts";
 import { listen } from "./listen.ts";
@@ -221,11 +222,8 @@
         if (upstream === undefined) {
             return;
         }
-        if (isLeaving && !upstream.state.hasAnnouncedLeaving()) {
-            upstreams.retire(upstream);
-            metrics.recordLeaving(upstream.state.entry.service);
-            log.info("upstream.leaving", { upstream: id, service: upstream.state.entry.service,
-                answeredCall: "relay" });
+        if (isLeaving) {
+            retireLeavingUpstream({ upstreams, metrics, log }, upstream, "relay");
         }
         if (requestsPerSecond !== undefined) {
             rateLimits.observe(upstream.state, { statement: { kind: "limited", requestsPerSecond }, sentAt: now(),
--- a/packages/gateway/src/sends.ts
+++ b/packages/gateway/src/sends.ts
@@ -5,6 +5,7 @@
 import { type Attempt, type AttemptEnd, type FailedAttempt, startAttempt } from "./attempt.ts";
 import type { UpstreamAnswer } from "./callerAnswer.ts";
 import type { Dispatch, Placement, PlacementRequest } from "./dispatch.ts";
+import { retireLeavingUpstream } from "./leavingUpstream.ts";
 import type { MemoryLimits } from "./limits.ts";
 import type { Log } from "./log.ts";
 import type { Metrics } from "./metrics.ts";
@@ -78,9 +79,10 @@
 
 /** Starts sending a call. */
 export function startSends(
-    { upstreams, rateLimits, dispatch, declaration, limits, dataCentre, metrics, log, now }: SendParts,
+    parts: SendParts,
     plan: SendPlan,
 ): Sends {
+    const { upstreams, rateLimits, dispatch, declaration, limits, dataCentre, metrics, log, now } = parts;
     const { call } = plan;
     const { route, head } = call;
     const tried = new Set<string>();
@@ -346,7 +348,7 @@
     /** An error before anything was sent is a failed attempt, so that another upstream is tried. */
     async function startAttemptSafely(upstream: Upstream): Promise<AttemptEnd> {
         try {
-            const onLeaving = () => retire(upstream);
+            const onLeaving = () => retireLeavingUpstream(parts, upstream, head.id);
             const onRateLimit = (statement: RateLimitStatement, sentAt: number) =>
                 rateLimits.observe(upstream.state, { statement, sentAt, call: head.id });
             const tokensPerEvent = upstreams.tokensPerEvent(upstream.state.entry.service);
@@ -360,15 +362,6 @@
         return current.end;
     }
 
-    function retire(upstream: Upstream): void {
-        const { id, service } = upstream.state.entry;
-        if (!upstream.state.hasAnnouncedLeaving()) {
-            upstreams.retire(upstream);
-            metrics.recordLeaving(service);
-            log.info("upstream.leaving", { upstream: id, service, answeredCall: head.id });
-        }
-    }
-
     function cancel(reason: CancelReason): void {
         cancelled = reason;
         sentAtCancel = current?.wasSent() === true;
