--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -1,8 +1,10 @@
 import { areHeadsOverLimit, callCost, type CallerCapacity, type CallerMemoryUse, callerMemoryUse, chooseClosings,
-    chooseClosingsForCall, chooseWaiting, type Closing, type ClosingCause, type ConnectionTimeouts, type ConnectionUse,
-    hasRoomForCall, maxUnansweredCalls } from "@tamarackgauge/core/gateway";
+    chooseClosingsForCall, chooseWaiting, type Closing, type ClosingCause, type ConnectionTimeouts, hasRoomForCall,
+    maxUnansweredCalls } from "@tamarackgauge/core/gateway";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { type CallerConnection, createConnection, isEnding, isIdle, isInSizedBody,
+    isReadingBody } from "./callerConnection.ts";
 import { paceParsing, type ParsingPace } from "./pacedParsing.ts";
 import { createParsingTurns } from "./parsingTurns.ts";
 import { headEnd, headSize } from "./requestHead.ts";
@@ -43,36 +45,6 @@
  */
 export type Admission = "admitted" | "noRoom" | "ended";
 
-/** One connection of a caller. */
-interface Connection extends ConnectionUse {
-    readonly socket: Socket;
-    headBytes: number;
-    /** Bytes that have been read from the connection and are not parsed yet. */
-    waitingBytes: number;
-    waitingSince: number;
-    calls: number;
-    /** Calls under way whose answers may have to be broken off. */
-    breakableCalls: number;
-    isUsed: boolean;
-    /** Answers of the calls under way, in the order of their requests. */
-    readonly responses: Set<ServerResponse>;
-    /** Memory reserved for the calls under way. */
-    callBytes: number;
-    lastRequest: IncomingMessage | undefined;
-    /** The bytes that are being parsed; empty between two parts. */
-    part: Buffer;
-    /** Bytes of the last request's body that are still to come, if its length is declared. */
-    bodyLeft: number;
-    /** Continues to read a connection that was held. */
-    readOn: () => void;
-    /** Status with which the connection ends when no call is under way. */
-    refusedWith: number | undefined;
-    /** No further request is taken. */
-    isEnding: boolean;
-    /** The last answer has begun, with which the connection ends. */
-    isAtLastAnswer: boolean;
-}
-
 const requestTimeout = 408;
 const checkIntervalMs = 200;
 /** The connections are also checked each time that so many have been opened. */
@@ -96,7 +68,7 @@
 export function trackConnections(server: Server, capacity: CallerCapacity, answer: (status: number) => string,
     initialTimeouts: ConnectionTimeouts): CallerConnections {
     const maxBytes = capacity.bytes;
-    const connections = new Map<Socket, Connection>();
+    const connections = new Map<Socket, CallerConnection>();
     const closed = new Map<ClosingCause, number>();
     const headSizes = new WeakMap<IncomingMessage, number>();
     let timeouts = initialTimeouts;
@@ -113,10 +85,7 @@
     const use = () => callerMemoryUse(connections.size, headBytes, callCosts, waitingBytes);
 
     server.on("connection", (socket: Socket) => {
-        const connection: Connection = { socket, headBytes: 0, waitingBytes: 0, waitingSince: now(), calls: 0,
-            breakableCalls: 0, isUsed: false, isAtLastAnswer: false, responses: new Set(), callBytes: 0,
-            lastRequest: undefined, part: noBytes, bodyLeft: 0, readOn: () => undefined, refusedWith: undefined,
-            isEnding: false };
+        const connection = createConnection(socket, now());
         connections.set(socket, connection);
         connection.readOn = paceParsing(socket, turns, paceOf(connection));
         socket.once("close", () => {
@@ -145,11 +114,11 @@
         closed.set(cause, (closed.get(cause) ?? 0) + 1);
     }
 
-    function openConnections(): readonly Connection[] {
+    function openConnections(): readonly CallerConnection[] {
         return [...connections.values()].filter(({ isEnding }) => !isEnding);
     }
 
-    function forget(connection: Connection): void {
+    function forget(connection: CallerConnection): void {
         if (connections.delete(connection.socket)) {
             setHeadBytes(connection, 0);
             setWaitingBytes(connection, 0);
@@ -157,7 +126,7 @@
     }
 
     /** Node.js reports the end of a connection only to the response whose turn on it has come. */
-    function endResponses({ responses }: Connection): void {
+    function endResponses({ responses }: CallerConnection): void {
         for (const response of responses) {
             if (response.socket === null) {
                 response.destroy();
@@ -166,7 +135,7 @@
         }
     }
 
-    function setHeadBytes(connection: Connection, bytes: number): void {
+    function setHeadBytes(connection: CallerConnection, bytes: number): void {
         if (bytes > 0 && connection.headBytes === 0) {
             connection.waitingSince = now();
         }
@@ -174,29 +143,17 @@
         connection.headBytes = bytes;
     }
 
-    function setWaitingBytes(connection: Connection, bytes: number): void {
+    function setWaitingBytes(connection: CallerConnection, bytes: number): void {
         waitingBytes += bytes - connection.waitingBytes;
         connection.waitingBytes = bytes;
     }
 
-    function isReadingBody({ lastRequest }: Connection): boolean {
-        return lastRequest?.complete === false;
-    }
-
-    function isInSizedBody(connection: Connection): boolean {
-        return isReadingBody(connection) && connection.bodyLeft > 0;
-    }
-
-    function isHeld(connection: Connection): boolean {
+    function isHeld(connection: CallerConnection): boolean {
         const isFull = connection.calls >= maxCallsOf() || connection.breakableCalls > 0;
         return isFull && (!isOpen || !isReadingBody(connection));
     }
 
-    function isEnding(connection: Connection): boolean {
-        return connection.isEnding || connection.isAtLastAnswer || connection.refusedWith !== undefined;
-    }
-
-    function paceOf(connection: Connection): ParsingPace {
+    function paceOf(connection: CallerConnection): ParsingPace {
         return {
             isHeld: () => isHeld(connection),
             isEnding: () => isEnding(connection),
@@ -230,7 +187,7 @@
     }
 
     /** Counts what has been parsed as a part of a head, unless it belongs to a request whose head is whole. */
-    function recordPart(connection: Connection, part: Buffer): void {
+    function recordPart(connection: CallerConnection, part: Buffer): void {
         const { lastRequest } = connection;
         if (lastRequest !== undefined) {
             connection.bodyLeft -= Math.min(part.length, connection.bodyLeft);
@@ -250,7 +207,7 @@
         }
     }
 
-    function close(closings: readonly Closing<Connection>[]): void {
+    function close(closings: readonly Closing<CallerConnection>[]): void {
         for (const { connection, cause } of closings) {
             if (!connection.isEnding) {
                 countClosing(cause);
@@ -271,7 +228,7 @@
     }
 
     /** Ends a connection with an answer that its caller has the given time to read. */
-    function end(connection: Connection, status: number, maxMs: number): void {
+    function end(connection: CallerConnection, status: number, maxMs: number): void {
         const { socket } = connection;
         setHeadBytes(connection, 0);
         if (connection.isEnding || !socket.writable) {
@@ -286,7 +243,7 @@
         });
     }
 
-    function reserve(connection: Connection, cost: number): boolean {
+    function reserve(connection: CallerConnection, cost: number): boolean {
         if (!hasRoomForCall(use(), cost, maxBytes) && now() - searchedAt > minSearchIntervalMs) {
             searchedAt = now();
             close(chooseClosingsForCall(openConnections(), callCosts, cost, maxBytes, now()));
@@ -323,7 +280,7 @@
         return isAdmitted ? "admitted" : "noRoom";
     }
 
-    function finishCall(connection: Connection, cost: number): void {
+    function finishCall(connection: CallerConnection, cost: number): void {
         if (!connections.has(connection.socket)) {
             return;
         }
@@ -359,11 +316,6 @@
         }
     }
 
-    function isIdle(connection: Connection): boolean {
-        const { isUsed, calls, headBytes: bytes, waitingBytes: waiting } = connection;
-        return isUsed && calls === 0 && bytes === 0 && waiting === 0 && !isReadingBody(connection);
-    }
-
     function closeIdle(): void {
         openConnections().filter(isIdle).forEach(({ socket }) => socket.destroySoon());
     }
