Answers: a piece counts at least 64 bytes, not 64 bytes beside its content

Change: only what a piece is smaller than 64 bytes is added. Documentation of frames and of connections that are closed, in the terms of what they do. Evidence: endlessProcess.test.ts, endless.test.ts, answerReader.test.ts and relays.test.ts pass.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -69,8 +69,8 @@
 const eventTimeoutFactor = 4;
 const minEventTimeoutMs = 600;
 
-/** What each piece of an answer counts beside its bytes, as its handling takes far longer than theirs. */
-const pieceBytes = 64;
+/** What a piece of an answer counts at least, as handling it takes far longer than its size suggests. */
+const minPieceBytes = 64;
 
 /** What is needed for one attempt. */
 export interface AttemptPlan extends SendPlan {
@@ -99,8 +99,8 @@
         readonly verdict: AnswerVerdict;
     } | undefined;
     let receivedBytes = 0;
-    /** Pieces of the body, or of the event that is still incomplete. */
-    let pieces = 0;
+    /** What the pieces of the body, or of the event that is still incomplete, count beside their bytes. */
+    let surplusBytes = 0;
     /** Bytes of the answer that are reserved in the account of the call. */
     let accountedBytes = 0;
     let timeToFirstByte = 0;
@@ -169,7 +169,7 @@
 
     function receiveData(chunk: Buffer): void {
         receivedBytes += chunk.length;
-        pieces += 1;
+        surplusBytes += Math.max(0, minPieceBytes - chunk.length);
         if (streaming) {
             receiveEvents(chunk);
         }
@@ -184,14 +184,14 @@
         if (heldBytes > limits.maxAnswerBytes || !accountFor(heldBytes)) {
             abort("the answer is too long");
         }
-        else if (sink!.incompleteBytes() + pieces * pieceBytes > limits.maxEventBytes) {
+        else if (sink!.incompleteBytes() + surplusBytes > limits.maxEventBytes) {
             abort("an event is too long");
         }
     }
 
     function receiveBody(chunk: Buffer): void {
         const storedBytes = accountedBytes + body.costOf(chunk);
-        if (receivedBytes + pieces * pieceBytes > maxBodyBytes() || !accountFor(storedBytes)) {
+        if (receivedBytes + surplusBytes > maxBodyBytes() || !accountFor(storedBytes)) {
             abort("the answer is too long");
             return;
         }
@@ -214,7 +214,7 @@
         const previousEvents = sink!.relayedEvents();
         const hasCapacity = sink!.write(chunk);
         if (sink!.relayedEvents() > previousEvents) {
-            pieces = 0;
+            surplusBytes = 0;
             restartProgressTimer();
         }
         if (!hasCapacity) {
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -15,7 +15,7 @@
 export interface Frontend extends AsyncDisposable {
     /** Applies the routes and limits of a newer declaration. */
     setDeclaration(declaration: Declaration): void;
-    /** Closes each connection after its next answer, so that callers reconnect to other gateways. */
+    /** Closes each connection after the last answer that is owed on it, so that callers reconnect to other gateways. */
     disableKeepAlive(): void;
     /**
      * Stops accepting connections and resolves when the last answer has ended. A call whose timeout ends after `deadline`
--- a/packages/gateway/src/relayFraming.ts
+++ b/packages/gateway/src/relayFraming.ts
@@ -1,11 +1,7 @@
 import type { Socket } from "node:net";
 import { Duplex, Transform } from "node:stream";
 
-/**
- * Frames in which a gateway passes on the bytes of an upstream to another gateway: a length and so many bytes. A frame without
- * bytes says that the upstream has ended its side. A connection that ends without it has been broken off, which the end alone
- * does not tell: the operating system closes the connections of a process that is killed in an orderly way.
- */
+/** Size of the length with which a frame begins. */
 const lengthBytes = 4;
 /** Longer than what is read from an upstream at once. */
 const maxFrameBytes = 1_024 * 1_024;
@@ -17,7 +13,11 @@
     }
 }
 
-/** Puts the bytes that are written to it into frames, and its end. */
+/**
+ * Puts what is written to it into frames: a length and so many bytes. A frame without bytes marks the end. A connection that ends
+ * without it has been broken off, which its end alone does not tell: the operating system closes the connections of a process
+ * that is killed in an orderly way.
+ */
 export function createFrameEncoder(): Transform {
     return new Transform({
         transform(chunk: Buffer, _, callback) {
