--- a/packages/gateway/src/answerReader.ts
+++ b/packages/gateway/src/answerReader.ts
@@ -1,4 +1,5 @@
 import type { Duplex } from "node:stream";
+import { createInterimFilter } from "./interimAnswers.ts";
 import type { ParsingTurns } from "./parsingTurns.ts";
 
 /** Passes on what comes on a connection to the HTTP client, within limits on what an answer takes. */
@@ -26,73 +27,6 @@
 /** Most bytes that are parsed at once, so that a connection's turn can end in between. */
 const maxPartBytes = 4 * 1_024;
 
-const headEnd = "\r\n\r\n";
-const interimStart = "HTTP/1.x 1xx";
-/** Interim answers; 101 is none, as it ends the use of HTTP. */
-const interimPattern = /^HTTP\/1\.[01] 1(?!01)\d\d/;
-const none = Buffer.alloc(0);
-
-/** How many bytes of an interim answer lie at the start; undefined if that is not known yet. */
-function interimBytes(bytes: Buffer, maxBytes: number): number | undefined {
-    const start = bytes.subarray(0, interimStart.length).toString("latin1");
-    if (start.length < interimStart.length) {
-        // Only these bytes can become the start of an interim answer.
-        return "HTTP/1.".startsWith(start.slice(0, 7)) ? undefined : 0;
-    }
-    if (!interimPattern.test(start)) {
-        return 0;
-    }
-    const end = bytes.indexOf(headEnd);
-    if (end < 0) {
-        return bytes.length > maxBytes ? 0 : undefined;
-    }
-    return end + headEnd.length;
-}
-
-/** Leaves out the interim answers before an answer. */
-interface InterimFilter {
-    begin(): void;
-    /** The bytes without interim answers; undefined while it is open whether they begin one. */
-    pass(bytes: Buffer): Buffer | undefined;
-}
-
-function createInterimFilter(maxHeadBytes: number): InterimFilter {
-    let isBeforeAnswer = false;
-    let held: Buffer = none;
-
-    function withoutInterim(bytes: Buffer): Buffer | undefined {
-        let rest = bytes;
-        while (rest.length > 0) {
-            const length = interimBytes(rest, maxHeadBytes);
-            if (length === undefined) {
-                held = rest;
-                return undefined;
-            }
-            if (length === 0) {
-                isBeforeAnswer = false;
-                return rest;
-            }
-            rest = rest.subarray(length);
-        }
-        return undefined;
-    }
-
-    return {
-        begin() {
-            isBeforeAnswer = true;
-            held = none;
-        },
-        pass(bytes) {
-            if (!isBeforeAnswer) {
-                return bytes;
-            }
-            const begun = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
-            held = none;
-            return withoutInterim(begun);
-        },
-    };
-}
-
 /**
  * Reads a connection for the HTTP client, which reads with `read`. Interim answers are left out, as the client closes a
  * connection on which a 100 comes that it has not asked for, though any client has to expect one (RFC 9110, section 15.2). What
